Lay out the repository: build, checks, base types, configuration types

Cause: nothing existed. Change: CMake over globbed small directories, formatter, linter and layer checks, base (clock, error, annotated mutex, hash), configuration value types, key digests. Conclusion: a frame in which each directory can grow by itself.

--- /dev/null
+++ b/src/config/ClientAccount.h
@@ -0,0 +1,19 @@
+// A client account: its keys and its limits.
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace coriandergate::config {
+
+// ClientAccount is one entry of a Configuration. Keys are kept as digests only (see KeyDigest.h).
+struct ClientAccount {
+    std::string name;
+    std::vector<std::string> keyDigests; // 64 lower-case hexadecimal digits each
+    double ratePerSecond = 1; // requests a second, over all hosts together
+    double burst = 1; // requests
+
+    friend auto operator==(const ClientAccount&, const ClientAccount&) -> bool = default;
+};
+
+} // namespace coriandergate::config
