Add the HTTP classes on Qt sockets and Boost.Beast's parser

Cause: the path of requests needs HTTP in which a request is sent exactly once, answers keep their order and an answer that was cut never passes for whole; Qt's own two HTTP classes fail each of these.

--- /dev/null
+++ b/src/http/AnswerParser.cpp
@@ -0,0 +1,127 @@
+#include "http/AnswerParser.h"
+
+#include "http/internal/BeastBuffer.h"
+
+#include <optional>
+
+namespace coriandergate::http {
+
+namespace beast = boost::beast::http;
+
+namespace {
+
+    constexpr int firstFinalStatus = 200;
+    constexpr int switchingProtocols = 101;
+    constexpr int maximumInterimAnswers = 8;
+
+} // namespace
+
+struct AnswerParser::State {
+    std::optional<beast::response_parser<beast::string_body>> parser;
+    Options options;
+    HeaderList headers;
+    ParseProgress progress = ParseProgress::NeedsMore;
+    bool hasStarted = false;
+    int interimAnswers = 0;
+    std::string failureReason;
+
+    auto fail(std::string reason) -> bool
+    {
+        progress = ParseProgress::Failed;
+        failureReason = std::move(reason);
+        return false;
+    }
+
+    auto restart() -> void
+    {
+        parser.emplace();
+        parser->header_limit(static_cast<std::uint32_t>(options.maximumHeaderBytes));
+        parser->body_limit(options.maximumBodyBytes);
+        parser->skip(options.isHead);
+    }
+
+    [[nodiscard]] auto isInterim() const -> bool
+    {
+        return static_cast<int>(parser->get().result_int()) < firstFinalStatus;
+    }
+
+    auto takeHeaders() -> bool
+    {
+        headers = internal::copyHeaders(parser->get());
+        if (isInterim()) {
+            if (parser->get().result_int() == switchingProtocols)
+                return fail("the peer switched protocols unasked");
+            return true;
+        }
+        if (headers.count("Content-Length") > 1)
+            return fail("several Content-Length headers");
+        const auto encoding = headers.find("Transfer-Encoding");
+        if (encoding && (headers.find("Content-Length") || !isSameName(*encoding, "chunked")))
+            return fail("an answer length that can be read in two ways");
+        if (parser->need_eof() && !options.isHead)
+            return fail("the answer's length is not stated, so it can't be known to be whole");
+        return true;
+    }
+};
+
+AnswerParser::AnswerParser(const Options& options)
+    : m_state(std::make_unique<State>())
+{
+    m_state->options = options;
+    m_state->restart();
+}
+
+AnswerParser::~AnswerParser() = default;
+AnswerParser::AnswerParser(AnswerParser&&) noexcept = default;
+auto AnswerParser::operator=(AnswerParser&&) noexcept -> AnswerParser& = default;
+
+auto AnswerParser::feed(std::string_view bytes) -> std::size_t
+{
+    auto& state = *m_state;
+    std::size_t used = 0;
+    while (state.progress == ParseProgress::NeedsMore && used < bytes.size()) {
+        state.hasStarted = true;
+        boost::beast::error_code error;
+        used += internal::feedParser(
+            *state.parser, bytes.substr(used), error, [&state]() -> bool { return state.takeHeaders(); });
+        if (state.progress == ParseProgress::Failed)
+            break;
+        if (error) {
+            state.fail(error.message());
+            break;
+        }
+        if (!state.parser->is_done())
+            break;
+        if (!state.isInterim()) {
+            state.progress = ParseProgress::Complete;
+        } else if (++state.interimAnswers > maximumInterimAnswers) {
+            state.fail("too many interim answers");
+        } else {
+            state.restart();
+        }
+    }
+    if (state.progress == ParseProgress::NeedsMore && !state.parser->is_header_done()
+        && bytes.size() - used > state.options.maximumHeaderBytes)
+        state.fail("the headers are larger than " + std::to_string(state.options.maximumHeaderBytes) + " bytes");
+    return used;
+}
+
+auto AnswerParser::progress() const -> ParseProgress { return m_state->progress; }
+
+auto AnswerParser::hasStarted() const -> bool { return m_state->hasStarted; }
+
+auto AnswerParser::failureReason() const -> std::string_view { return m_state->failureReason; }
+
+auto AnswerParser::takeAnswer() -> Answer
+{
+    auto& message = m_state->parser->get();
+    Answer answer;
+    answer.status = static_cast<int>(message.result_int());
+    answer.reason = internal::toView(message.reason());
+    answer.headers = std::move(m_state->headers);
+    answer.body = std::move(message.body());
+    answer.isKeepAlive = message.keep_alive();
+    return answer;
+}
+
+} // namespace coriandergate::http
--- /dev/null
+++ b/src/http/internal/BeastBuffer.h
@@ -0,0 +1,50 @@
+// What the two parsers share of Boost.Beast.
+#pragma once
+
+#include "http/HeaderList.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <string_view>
+
+namespace coriandergate::http::internal {
+
+// toView() turns Beast's string view into the standard one.
+[[nodiscard]] inline auto toView(boost::beast::string_view text) -> std::string_view
+{
+    return { text.data(), text.size() };
+}
+
+// copyHeaders() copies the fields of a parsed message.
+template <typename Fields> [[nodiscard]] auto copyHeaders(const Fields& fields) -> HeaderList
+{
+    HeaderList headers;
+    for (const auto& field : fields)
+        headers.add(toView(field.name_string()), toView(field.value()));
+    return headers;
+}
+
+// feedParser() gives `bytes` to a Beast parser until it needs more, is done or fails. After the header block is parsed,
+// `onHeaders` is called once, before any body byte is read; it returns false to stop there.
+template <typename Parser, typename OnHeaders>
+auto feedParser(Parser& parser, std::string_view bytes, boost::beast::error_code& error, const OnHeaders& onHeaders)
+    -> std::size_t
+{
+    std::size_t used = 0;
+    while (used < bytes.size() && !parser.is_done()) {
+        const bool hadHeaders = parser.is_header_done();
+        const auto rest = bytes.substr(used);
+        used += parser.put(boost::asio::const_buffer(rest.data(), rest.size()), error);
+        if (error == boost::beast::http::error::need_more) {
+            error = {};
+            break;
+        }
+        if (error)
+            break;
+        if (!hadHeaders && parser.is_header_done() && !onHeaders())
+            break;
+    }
+    return used;
+}
+
+} // namespace coriandergate::http::internal
--- /dev/null
+++ b/src/http/internal/ClientConnection.cpp
@@ -0,0 +1,177 @@
+#include "http/internal/ClientConnection.h"
+
+#include <QHostAddress>
+#include <utility>
+
+namespace coriandergate::http::internal {
+
+namespace {
+
+    struct Endpoint {
+        QHostAddress address;
+        quint16 port = 0;
+    };
+
+    auto parsePeer(const std::string& peer) -> Endpoint
+    {
+        const auto colon = peer.rfind(':');
+        if (colon == std::string::npos)
+            return {};
+        return { QHostAddress(QString::fromStdString(peer.substr(0, colon))),
+            QString::fromStdString(peer.substr(colon + 1)).toUShort() };
+    }
+
+} // namespace
+
+ClientConnection::ClientConnection(std::string peer, const Client::Options& options)
+    : m_peer(std::move(peer))
+    , m_options(options)
+    , m_socket(this)
+    , m_connectTimer(this)
+    , m_timer(this)
+{
+    m_connectTimer.setSingleShot(true);
+    m_timer.setSingleShot(true);
+    connect(&m_connectTimer, &QTimer::timeout, this, [this] { onTimeout(); });
+    connect(&m_timer, &QTimer::timeout, this, [this] { onTimeout(); });
+    connect(&m_socket, &QTcpSocket::connected, this, [this] { onConnected(); });
+    connect(&m_socket, &QTcpSocket::readyRead, this, [this] { onReadyRead(); });
+    connect(&m_socket, &QTcpSocket::disconnected, this, [this] { onGone(); });
+    connect(&m_socket, &QTcpSocket::errorOccurred, this, [this] {
+        if (m_phase == Phase::Connecting)
+            onGone();
+    });
+}
+
+auto ClientConnection::isUsable() const -> bool
+{
+    return m_phase == Phase::Idle && m_socket.state() == QAbstractSocket::ConnectedState;
+}
+
+auto ClientConnection::start(
+    std::string bytes, bool isHead, const Client::SendOptions& options, Client::Callback callback) -> void
+{
+    m_bytes = std::move(bytes);
+    m_callback = std::move(callback);
+    m_received.clear();
+    m_hasSent = false;
+    m_parser.emplace(AnswerParser::Options { m_options.maximumHeaderBytes, options.maximumAnswerBytes, isHead });
+    m_timer.start(options.timeout);
+    if (m_phase == Phase::Idle) {
+        m_isReused = true;
+        onConnected();
+        return;
+    }
+    m_phase = Phase::Connecting;
+    const auto endpoint = parsePeer(m_peer);
+    m_connectTimer.start(std::min(m_options.connectTimeout, options.timeout));
+    m_socket.connectToHost(endpoint.address, endpoint.port);
+}
+
+auto ClientConnection::onConnected() -> void
+{
+    m_connectTimer.stop();
+    m_phase = Phase::Waiting;
+    if (!m_isReused)
+        m_socket.setSocketOption(QAbstractSocket::LowDelayOption, 1);
+    m_hasSent = true;
+    const auto bytes = std::exchange(m_bytes, {});
+    m_socket.write(bytes.data(), static_cast<qint64>(bytes.size()));
+}
+
+auto ClientConnection::onReadyRead() -> void
+{
+    const auto bytes = m_socket.readAll();
+    if (m_phase != Phase::Waiting) {
+        // Bytes that nobody asked for could be taken for the next answer.
+        close();
+        return;
+    }
+    m_received.append(bytes.constData(), static_cast<std::size_t>(bytes.size()));
+    m_received.erase(0, m_parser->feed(m_received));
+    if (m_parser->progress() == ParseProgress::NeedsMore)
+        return;
+    if (m_parser->progress() == ParseProgress::Failed) {
+        finish(failure(std::string(m_parser->failureReason())), false);
+        return;
+    }
+    auto answer = m_parser->takeAnswer();
+    const bool isReusable = answer.isKeepAlive && m_received.empty() && m_socket.bytesToWrite() == 0;
+    finish(std::move(answer), isReusable);
+}
+
+auto ClientConnection::failure(std::string reason) const -> ExchangeFailure
+{
+    ExchangeFailure result;
+    result.wasReusedConnection = m_isReused;
+    result.mayHaveRun = m_hasSent;
+    result.error.peer = m_peer;
+    result.error.reason = std::move(reason);
+    if (!m_hasSent) {
+        result.stage = ExchangeFailure::Stage::Connect;
+        result.error.step = "connect";
+    } else if (!m_parser->hasStarted()) {
+        result.stage = ExchangeFailure::Stage::AwaitAnswer;
+        result.error.step = "await answer";
+    } else {
+        result.stage = ExchangeFailure::Stage::ReadAnswer;
+        result.error.step = "read answer";
+    }
+    return result;
+}
+
+auto ClientConnection::onGone() -> void
+{
+    if (m_phase == Phase::Connecting || m_phase == Phase::Waiting) {
+        auto result = failure(m_socket.errorString().toStdString());
+        result.wasReset = m_phase == Phase::Waiting;
+        finish(std::move(result), false);
+        return;
+    }
+    close();
+}
+
+auto ClientConnection::onTimeout() -> void
+{
+    if (m_phase == Phase::Connecting || m_phase == Phase::Waiting) {
+        auto result = failure("timeout");
+        result.wasTimeout = true;
+        finish(std::move(result), false);
+        return;
+    }
+    close();
+}
+
+auto ClientConnection::finish(ExchangeResult result, bool isReusable) -> void
+{
+    m_connectTimer.stop();
+    m_timer.stop();
+    auto callback = std::exchange(m_callback, nullptr);
+    if (isReusable) {
+        m_phase = Phase::Idle;
+        m_timer.start(m_options.idleTimeout);
+        m_onIdle();
+    } else {
+        close();
+    }
+    callback(std::move(result));
+}
+
+auto ClientConnection::abandon() -> void
+{
+    m_callback = nullptr;
+    close();
+}
+
+auto ClientConnection::close() -> void
+{
+    if (std::exchange(m_phase, Phase::Closed) == Phase::Closed)
+        return;
+    m_connectTimer.stop();
+    m_timer.stop();
+    m_socket.disconnect(this);
+    m_socket.abort();
+    m_onClosed();
+}
+
+} // namespace coriandergate::http::internal
