--- a/src/base/Mutex.h
+++ b/src/base/Mutex.h
@@ -11,7 +11,7 @@
 //       ++m_counts[name];
 //   }
 //
-// A helper that expects the lock to be held ends in Locked and is marked REQUIRES(m_mutex).
+// A helper that expects the lock to be held ends in Locked and is marked REQUIRES(m_mutex) before its return type.
 #pragma once
 
 #include <mutex>
@@ -36,10 +36,10 @@
 class CAPABILITY("mutex") Mutex {
 public:
     // lock() blocks until the calling thread holds the mutex.
-    auto lock() -> void ACQUIRE() { m_mutex.lock(); }
+    ACQUIRE() auto lock() -> void { m_mutex.lock(); }
 
     // unlock() gives the mutex up; the calling thread must hold it.
-    auto unlock() -> void RELEASE() { m_mutex.unlock(); }
+    RELEASE() auto unlock() -> void { m_mutex.unlock(); }
 
 private:
     std::mutex m_mutex;
