Name the shard count by the linter's rule

Cause: clang-tidy asks for s_ at static members and found one without. Change: shardCount of TargetRegistry is s_shardCount. Figures: check-lint over src/member is clean; it named 1 fault before. Conclusion: no change of behaviour.

--- a/src/member/TargetRegistry.cpp
+++ b/src/member/TargetRegistry.cpp
@@ -163,11 +163,11 @@
     return false;
 }
 
-auto TargetRegistry::shardOf(std::string_view service) -> Shard& { return m_shards[hashOf(service) % shardCount]; }
+auto TargetRegistry::shardOf(std::string_view service) -> Shard& { return m_shards[hashOf(service) % s_shardCount]; }
 
 auto TargetRegistry::shardOf(std::string_view service) const -> const Shard&
 {
-    return m_shards[hashOf(service) % shardCount];
+    return m_shards[hashOf(service) % s_shardCount];
 }
 
 auto TargetRegistry::renew(Entry& entry, const TargetAnnouncement& announcement, MonotonicTime now) const -> bool
--- a/src/member/TargetRegistry.h
+++ b/src/member/TargetRegistry.h
@@ -84,7 +84,7 @@
         std::map<std::string, EntriesByAddress, std::less<>> services GUARDED_BY(mutex);
     };
 
-    static constexpr std::size_t shardCount = 8;
+    static constexpr std::size_t s_shardCount = 8;
 
     [[nodiscard]] auto check(const TargetAnnouncement& announcement, Error& reason) const -> bool;
     [[nodiscard]] auto shardOf(std::string_view service) -> Shard&;
@@ -92,7 +92,7 @@
     [[nodiscard]] auto renew(Entry& entry, const TargetAnnouncement& announcement, MonotonicTime now) const -> bool;
 
     const Options m_options;
-    std::array<Shard, shardCount> m_shards;
+    std::array<Shard, s_shardCount> m_shards;
     std::atomic<std::size_t> m_targetCount = 0;
     std::atomic<std::uint64_t> m_version = 0;
 };
