Add the gossip node: failure detection, dissemination and exchange of tables

Cause: daemons must know each other and the targets behind each within 2 KB/s a daemon at 1,600 daemons, through loss, pauses, kills and partitions.

Change: GossipNode is a state machine after SWIM with Lifeguard's doubts; beliefs carry a generation, a refutation number and a state, profiles carry the targets. Tables are compared by bucket hashes and pulled. Death by hearsay from an exchange is checked with the member first, so two sides of a healed partition don't talk each other dead. GossipLoop drives it over a queue that delays, drops, reorders and cuts, with every message through the codec in tests.

--- /dev/null
+++ b/src/member/Member.h
@@ -0,0 +1,16 @@
+// One daemon of the fleet, as this one believes it to be.
+#pragma once
+
+#include "base/Clock.h"
+#include "member/MemberUpdate.h"
+
+namespace coriandergate::member {
+
+// Member is a value: the newest belief and when it came.
+struct Member {
+    MemberUpdate belief;
+    MonotonicTime changedAt; // of the state
+    MonotonicTime suspicionEndsAt; // for a suspect
+};
+
+} // namespace coriandergate::member
--- /dev/null
+++ b/src/member/internal/MemberTable.cpp
@@ -0,0 +1,156 @@
+#include "member/internal/MemberTable.h"
+
+#include "member/MemberProfile.h"
+
+#include <algorithm>
+
+namespace coriandergate::member::internal {
+
+namespace {
+
+    // Lists are made again at most so often, since each costs a pass over all members.
+    constexpr std::chrono::milliseconds listInterval { 1000 };
+    constexpr double outsideShare = 0.125;
+    // With fewer members than this in the data centre, the whole region counts as near.
+    constexpr std::size_t smallestNearGroup = 4;
+
+    auto isReachable(const Member& member) -> bool
+    {
+        return member.belief.state == MemberState::Alive || member.belief.state == MemberState::Suspect;
+    }
+
+}
+
+MemberTable::MemberTable(std::string self, Locality here)
+    : m_self(std::move(self))
+    , m_here(std::move(here))
+{
+}
+
+auto MemberTable::insert(Member member) -> Member&
+{
+    m_indexByAddress[member.belief.address] = static_cast<std::uint32_t>(m_members.size());
+    m_members.push_back(std::move(member));
+    touch();
+    return m_members.back();
+}
+
+auto MemberTable::find(const std::string& address) -> Member*
+{
+    const auto index = m_indexByAddress.find(address);
+    return index == m_indexByAddress.end() ? nullptr : &m_members[index->second];
+}
+
+auto MemberTable::find(const std::string& address) const -> const Member*
+{
+    const auto index = m_indexByAddress.find(address);
+    return index == m_indexByAddress.end() ? nullptr : &m_members[index->second];
+}
+
+auto MemberTable::eraseDeadBefore(MonotonicTime limit) -> void
+{
+    const auto erased = std::erase_if(m_members,
+        [limit](const Member& member) { return member.belief.state == MemberState::Dead && member.changedAt < limit; });
+    if (erased == 0)
+        return;
+    m_indexByAddress.clear();
+    for (std::uint32_t i = 0; i < m_members.size(); ++i)
+        m_indexByAddress[m_members[i].belief.address] = i;
+    m_near.clear();
+    m_region.clear();
+    m_far.clear();
+    m_dead.clear();
+    m_probeRound.clear();
+    m_listedAt = {};
+    touch();
+}
+
+auto MemberTable::randomReachable(std::mt19937& random, double farShare, MonotonicTime now) -> const Member*
+{
+    list(now);
+    const auto scope = drawScope(random, farShare);
+    const auto* const member = draw(scope == Nearness::Far ? m_far
+            : scope == Nearness::Region                    ? m_region
+                                                           : m_near,
+        random);
+    return member != nullptr && isReachable(*member) ? member : nullptr;
+}
+
+auto MemberTable::nextToProbe(std::mt19937& random, double farShare, MonotonicTime now) -> const Member*
+{
+    list(now);
+    const auto scope = drawScope(random, farShare);
+    if (scope != Nearness::Near) {
+        const auto* const member = draw(scope == Nearness::Far ? m_far : m_region, random);
+        return member != nullptr && isReachable(*member) ? member : nullptr;
+    }
+    for (auto tries = m_members.size() + 1; tries > 0; --tries) {
+        if (m_probeRound.empty()) {
+            m_probeRound = m_near;
+            std::shuffle(m_probeRound.begin(), m_probeRound.end(), random);
+        }
+        if (m_probeRound.empty())
+            return nullptr;
+        const auto& member = m_members[m_probeRound.back()];
+        m_probeRound.pop_back();
+        if (isReachable(member))
+            return &member;
+    }
+    return nullptr;
+}
+
+auto MemberTable::randomDead(std::mt19937& random, MonotonicTime now) -> const Member*
+{
+    list(now);
+    const auto* const member = draw(m_dead, random);
+    return member != nullptr && member->belief.state == MemberState::Dead ? member : nullptr;
+}
+
+auto MemberTable::nearnessOf(const Member& member) const -> Nearness
+{
+    if (!member.belief.profile || member.belief.profile->locality.region != m_here.region)
+        return Nearness::Far;
+    return member.belief.profile->locality.dataCentre == m_here.dataCentre ? Nearness::Near : Nearness::Region;
+}
+
+auto MemberTable::list(MonotonicTime now) -> void
+{
+    const auto isEmpty = m_near.empty() && m_region.empty() && m_far.empty();
+    if (m_isListed || (!isEmpty && now < m_listedAt + listInterval))
+        return;
+    m_isListed = true;
+    m_listedAt = now;
+    for (auto* const indices : { &m_near, &m_region, &m_far, &m_dead })
+        indices->clear();
+    for (std::uint32_t i = 0; i < m_members.size(); ++i) {
+        if (m_members[i].belief.state == MemberState::Dead) {
+            m_dead.push_back(i);
+        } else if (isReachable(m_members[i])) {
+            const auto nearness = nearnessOf(m_members[i]);
+            (nearness == Nearness::Near ? m_near : nearness == Nearness::Region ? m_region : m_far).push_back(i);
+        }
+    }
+    if (m_near.size() < smallestNearGroup) {
+        m_near.insert(m_near.end(), m_region.begin(), m_region.end());
+        m_region.clear();
+    }
+}
+
+auto MemberTable::draw(const Indices& indices, std::mt19937& random) const -> const Member*
+{
+    if (indices.empty())
+        return nullptr;
+    return &m_members[indices[std::uniform_int_distribution<std::size_t>(0, indices.size() - 1)(random)]];
+}
+
+auto MemberTable::drawScope(std::mt19937& random, double farShare) const -> Nearness
+{
+    const auto roll = std::uniform_real_distribution<>()(random);
+    if (!m_far.empty() && (roll < farShare || (m_near.empty() && m_region.empty())))
+        return Nearness::Far;
+    if (!m_region.empty() && (roll < farShare + outsideShare || m_near.empty()))
+        return Nearness::Region;
+    return Nearness::Near;
+}
+
+} // namespace coriandergate::member::internal
--- /dev/null
+++ b/src/member/internal/UpdateQueue.cpp
@@ -0,0 +1,44 @@
+#include "member/internal/UpdateQueue.h"
+
+#include <algorithm>
+
+namespace coriandergate::member::internal {
+
+namespace {
+
+    auto isSooner(const UpdateQueue::Entry* left, const UpdateQueue::Entry* right) -> bool
+    {
+        return left->sends != right->sends ? left->sends < right->sends : left->order > right->order;
+    }
+
+}
+
+auto UpdateQueue::push(const std::string& address, bool withProfile) -> void
+{
+    auto& entry = m_entries[address];
+    entry.address = address;
+    entry.withProfile = entry.withProfile || withProfile;
+    entry.sends = 0;
+    entry.order = ++m_order;
+}
+
+auto UpdateQueue::candidates(std::size_t maximumCount) const -> std::vector<const Entry*>
+{
+    std::vector<const Entry*> sorted;
+    sorted.reserve(m_entries.size());
+    for (const auto& [address, entry] : m_entries)
+        sorted.push_back(&entry);
+    const auto count = std::min(maximumCount, sorted.size());
+    std::partial_sort(sorted.begin(), sorted.begin() + static_cast<std::ptrdiff_t>(count), sorted.end(), isSooner);
+    sorted.resize(count);
+    return sorted;
+}
+
+auto UpdateQueue::countSend(const std::string& address, std::uint32_t maximumSends) -> void
+{
+    const auto entry = m_entries.find(address);
+    if (entry != m_entries.end() && ++entry->second.sends >= maximumSends)
+        m_entries.erase(entry);
+}
+
+} // namespace coriandergate::member::internal
