--- /dev/null
+++ b/src/daemon/PagesPlugin.cpp
@@ -0,0 +1,45 @@
+#include "daemon/PagesPlugin.h"
+
+#include "daemon/AdminRouter.h"
+#include "daemon/DrainState.h"
+#include "http/Exchange.h"
+#include "kernel/Kernel.h"
+#include "kernel/PluginRegistration.h"
+#include "proxy/SnapshotHolder.h"
+
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace coriandergate::daemon {
+
+namespace {
+
+    const kernel::PluginRegistration registration { "pages", 60, [] { return std::make_unique<PagesPlugin>(); } };
+
+    constexpr int unavailable = 503;
+
+} // namespace
+
+auto PagesPlugin::start(kernel::Kernel& kernel, Error&) -> bool
+{
+    const auto router = kernel.find<AdminRouter>();
+    const auto holder = kernel.find<proxy::SnapshotHolder>();
+    const auto drainState = kernel.find<DrainState>();
+    const auto registry = kernel.find<prometheus::Registry>();
+    router->add("GET", "/healthz", [holder, drainState](std::shared_ptr<http::Exchange> exchange) {
+        if (drainState->isDraining())
+            exchange->answer(http::makeAnswer(unavailable, "text/plain", "draining\n"));
+        else if (!holder->current())
+            exchange->answer(http::makeAnswer(unavailable, "text/plain", "no configuration is known yet\n"));
+        else
+            exchange->answer(http::makeAnswer(200, "text/plain", "serving\n"));
+    });
+    router->add("GET", "/metrics", [registry](std::shared_ptr<http::Exchange> exchange) {
+        const prometheus::TextSerializer serializer;
+        exchange->answer(http::makeAnswer(
+            200, "text/plain; version=0.0.4; charset=utf-8", serializer.Serialize(registry->Collect())));
+    });
+    return true;
+}
+
+} // namespace coriandergate::daemon
--- a/src/http/Serialize.cpp
+++ b/src/http/Serialize.cpp
@@ -82,6 +82,8 @@
         if (mayHaveBody(answer.status))
             setContentLength(headers, answer.body.size());
         message.body() = answer.body;
+    } else if (!answer.body.empty() && !headers.find("Content-Length")) {
+        headers.add("Content-Length", std::to_string(answer.body.size()));
     }
     if (!answer.isKeepAlive)
         headers.add("Connection", "close");
--- /dev/null
+++ b/src/proxy/TargetChoice.h
@@ -0,0 +1,21 @@
+// The target that a request goes to, and the daemon beside it.
+#pragma once
+
+#include "base/DaemonIdentity.h"
+#include "base/Locality.h"
+
+#include <cstdint>
+#include <string>
+
+namespace coriandergate::proxy {
+
+// TargetChoice is a value. `ticket` is the chooser's own.
+struct TargetChoice {
+    std::string service;
+    std::string target; // IP:port
+    DaemonIdentity owner; // the daemon on the target's host; its address takes forwarded requests
+    Locality locality;
+    std::uint64_t ticket = 0;
+};
+
+} // namespace coriandergate::proxy
