--- a/src/base/DaemonIdentity.h
+++ b/src/base/DaemonIdentity.h
@@ -17,7 +17,7 @@
     std::string address;
     std::uint64_t incarnation = 0;
 
-    friend auto operator<=>(const DaemonIdentity&, const DaemonIdentity&) = default;
+    friend auto operator<=>(const DaemonIdentity&, const DaemonIdentity&) -> std::strong_ordering = default;
 };
 
 } // namespace coriandergate
--- a/src/base/Locality.h
+++ b/src/base/Locality.h
@@ -13,7 +13,7 @@
     std::string region;
     std::string dataCentre;
 
-    friend auto operator<=>(const Locality&, const Locality&) = default;
+    friend auto operator<=>(const Locality&, const Locality&) -> std::strong_ordering = default;
 };
 
 } // namespace coriandergate
