Decide about slots, turns, deadlines, retries and hedges

Cause: the daemon beside a target must never exceed its slots, must share them between client accounts, and must say early and truthfully that a request can't be run in time; attempts beyond the first must not multiply an outage.

Before: nothing of it existed.

--- /dev/null
+++ b/src/admission/Deadline.cpp
@@ -0,0 +1,40 @@
+#include "admission/Deadline.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace coriandergate::admission {
+
+namespace {
+
+    constexpr std::chrono::milliseconds longestRemaining = std::chrono::hours(24);
+
+} // namespace
+
+auto Deadline::remaining(MonotonicTime now) const -> MonotonicDuration
+{
+    return std::max(m_at - now, MonotonicDuration::zero());
+}
+
+auto Deadline::remainingForNextHop(MonotonicTime now, MonotonicDuration margin) const
+    -> std::optional<std::chrono::milliseconds>
+{
+    const auto left = std::chrono::floor<std::chrono::milliseconds>(m_at - now - margin);
+    if (left <= std::chrono::milliseconds::zero())
+        return std::nullopt;
+    return left;
+}
+
+auto parseRemaining(std::string_view text, Error& error) -> std::optional<std::chrono::milliseconds>
+{
+    std::chrono::milliseconds::rep count = 0;
+    const auto* const end = text.data() + text.size();
+    const auto [rest, code] = std::from_chars(text.data(), end, count);
+    if (code != std::errc {} || rest != end || count < 1 || count > longestRemaining.count()) {
+        error = { "read remaining time", "", "expected whole milliseconds from 1 to 86400000" };
+        return std::nullopt;
+    }
+    return std::chrono::milliseconds(count);
+}
+
+} // namespace coriandergate::admission
--- /dev/null
+++ b/src/admission/Ticket.h
@@ -0,0 +1,16 @@
+// Names one request inside a SlotTable.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+
+namespace coriandergate::admission {
+
+// Ticket is never used twice by one SlotTable.
+struct Ticket {
+    std::uint64_t value = 0;
+
+    friend auto operator<=>(const Ticket&, const Ticket&) -> std::strong_ordering = default;
+};
+
+} // namespace coriandergate::admission
