Let news out of small groups of daemons, and bound the gossip queue in time

Cause: with one or two daemons in a region, six sends of an update at 1 in 32 to other regions seldom left it: at 16 daemons over 7 regions views were not whole after 300 s, and 4 wrong deaths came at 5% loss within 60 s. After a mass start the byte rate was used up by profiles and held back refutations: 9 wrong deaths at 256 daemons.

Change: the share of messages that leave a data centre or region grows as the group shrinks; probes keep to the ring of the nearest members, so the wait of a member for its probe is bounded; updates waiting over 20 s are left to exchanges; suspicions pass when the rate is used up. The test of a paused daemon lets it tick once before it asks for the pause to be noticed: it asked before any tick.

--- a/src/member/GossipNode.cpp
+++ b/src/member/GossipNode.cpp
@@ -25,7 +25,9 @@
     constexpr std::size_t messageOverheadBytes = 60;
     constexpr std::size_t updatesConsidered = 40; // for one datagram
     constexpr std::size_t leaveFanout = 6;
-    constexpr std::chrono::seconds forgetInterval { 10 };
+    constexpr std::size_t thriftyBytes = 240; // of updates in a datagram once the byte rate is used up
+    constexpr std::chrono::seconds forgetInterval { 5 };
+    constexpr std::chrono::seconds queueTime { 20 };
 
     auto bucketOf(const std::string& address, std::size_t count) -> std::size_t { return hashOf(address) % count; }
 
@@ -63,7 +65,7 @@
 
 GossipNode::GossipNode(const Options& options, MonotonicTime now)
     : m_options(options)
-    , m_table(options.identity.address, options.locality)
+    , m_table(options.locality, options.farShare)
     , m_random(static_cast<std::mt19937::result_type>(hashOf(options.identity.address, options.seed)))
     , m_seeds(options.seeds)
     , m_gossipTokens(options.gossipBurstBytes)
@@ -130,7 +132,7 @@
     profile->targets = std::move(*targets);
     m_self.profile = std::move(profile);
     ++m_self.profileVersion;
-    m_queue.push(m_self.address, true);
+    m_queue.push(m_self.address, true, now);
     m_nextProfile = now + m_options.profileInterval;
 }
 
@@ -153,7 +155,7 @@
     if (m_probe || now < m_nextProbe)
         return;
     m_nextProbe = std::max(m_nextProbe + m_options.probeInterval, now);
-    const auto* const member = m_table.nextToProbe(m_random, m_options.farShare, now);
+    const auto* const member = m_table.nextToProbe(m_random, now);
     if (member == nullptr)
         return;
     m_probe = Probe { member->belief.address, ++m_sequence, now, false };
@@ -167,7 +169,7 @@
     // The direct path is tried once more too: a single lost datagram is the likeliest reason for silence.
     send(m_probe->address, Ping { m_probe->sequence }, out);
     for (std::uint32_t i = 0; i < m_options.indirectProbes; ++i) {
-        const auto* const helper = m_table.randomReachable(m_random, m_options.farShare, now);
+        const auto* const helper = m_table.randomReachable(m_random, now);
         if (helper != nullptr && helper->belief.address != m_probe->address)
             send(helper->belief.address, IndirectPing { m_probe->sequence, m_probe->address }, out);
     }
@@ -197,7 +199,7 @@
     member.suspicionEndsAt = now + m_options.suspicionTimeout * (isAlone ? isolationIntervals : 1);
     m_suspects.push_back(member.belief.address);
     if (!isAlone)
-        m_queue.push(member.belief.address, false);
+        m_queue.push(member.belief.address, false, now);
     ++m_version;
 }
 
@@ -222,7 +224,7 @@
     m_table.touch();
     ++m_version;
     if (!isIsolated(now))
-        m_queue.push(member.belief.address, false);
+        m_queue.push(member.belief.address, false, now);
 }
 
 auto GossipNode::gossip(MonotonicTime now, Envelopes& out) -> void
@@ -231,9 +233,9 @@
         return;
     m_nextGossip = std::max(m_nextGossip + m_options.gossipInterval, now);
     for (std::uint32_t i = 0; i < m_options.gossipFanout; ++i) {
-        if ((m_queue.isEmpty() && m_versionSends == 0) || m_gossipTokens < 0)
+        if (m_queue.isEmpty() && m_versionSends == 0)
             return;
-        const auto* const member = m_table.randomReachable(m_random, m_options.farShare, now);
+        const auto* const member = m_table.randomReachable(m_random, now);
         if (member == nullptr)
             return;
         send(member->belief.address, Rumours {}, out);
@@ -270,8 +272,7 @@
 
 auto GossipNode::exchangePeer(MonotonicTime now) -> std::string
 {
-    // Exchanges are rare, so more of them than of the other messages may go far: they carry news over a healed link.
-    const auto* const member = m_table.randomReachable(m_random, 2 * m_options.farShare, now);
+    const auto* const member = m_table.randomReachable(m_random, now);
     return member == nullptr ? std::string() : member->belief.address;
 }
 
@@ -291,6 +292,7 @@
     if (now < m_nextForget)
         return;
     m_nextForget = now + forgetInterval;
+    m_queue.eraseQueuedBefore(now - queueTime);
     std::erase_if(m_relays, [now](const auto& relay) { return relay.second.expiresAt <= now; });
     for (const auto& member : m_table.members()) {
         const auto hasLeft
@@ -391,9 +393,9 @@
     Envelopes out;
     m_self.state = MemberState::Leaving;
     ++m_self.refutation;
-    m_queue.push(m_self.address, false);
+    m_queue.push(m_self.address, false, now);
     for (std::size_t i = 0; i < leaveFanout; ++i) {
-        if (const auto* const member = m_table.randomReachable(m_random, m_options.farShare, now))
+        if (const auto* const member = m_table.randomReachable(m_random, now))
             send(member->belief.address, Rumours {}, out);
     }
     return out;
@@ -407,7 +409,7 @@
 auto GossipNode::merge(const MemberUpdate& update, Source source, MonotonicTime now) -> void
 {
     if (update.address == m_self.address) {
-        mergeSelf(update);
+        mergeSelf(update, now);
         return;
     }
     auto* const member = m_table.find(update.address);
@@ -416,10 +418,10 @@
         return;
     }
     mergeState(*member, update, source, now);
-    mergeProfile(*member, update, source);
+    mergeProfile(*member, update, source, now);
 }
 
-auto GossipNode::mergeSelf(const MemberUpdate& update) -> void
+auto GossipNode::mergeSelf(const MemberUpdate& update, MonotonicTime now) -> void
 {
     const auto isOlderRun = update.generation < m_self.generation
         || (update.generation == m_self.generation && update.refutation < m_self.refutation);
@@ -429,18 +431,18 @@
         // Another run at this address came by a greater number, be it by a wall clock that went back.
         m_self.generation = update.generation + 1;
         m_self.refutation = 0;
-        m_queue.push(m_self.address, true);
+        m_queue.push(m_self.address, true, now);
     } else if (update.state > m_self.state || update.refutation > m_self.refutation) {
         m_self.refutation = std::max(m_self.refutation, update.refutation);
-        refute();
+        refute(now);
     }
 }
 
-auto GossipNode::refute() -> void
+auto GossipNode::refute(MonotonicTime now) -> void
 {
     ++m_counters.refutations;
     ++m_self.refutation;
-    m_queue.push(m_self.address, false);
+    m_queue.push(m_self.address, false, now);
     m_doubts = std::min(m_doubts + 1, maximumDoubts);
 }
 
@@ -459,7 +461,7 @@
         m_suspects.push_back(update.address);
     ++m_version;
     if (source == Source::Gossip)
-        m_queue.push(update.address, true);
+        m_queue.push(update.address, true, now);
 }
 
 auto GossipNode::mergeState(Member& member, const MemberUpdate& update, Source source, MonotonicTime now) -> void
@@ -500,10 +502,10 @@
     }
     ++m_version;
     if (source == Source::Gossip)
-        m_queue.push(belief.address, false);
+        m_queue.push(belief.address, false, now);
 }
 
-auto GossipNode::mergeProfile(Member& member, const MemberUpdate& update, Source source) -> void
+auto GossipNode::mergeProfile(Member& member, const MemberUpdate& update, Source source, MonotonicTime now) -> void
 {
     auto& belief = member.belief;
     if (!update.profile || update.generation != belief.generation || update.profileVersion <= belief.profileVersion)
@@ -514,7 +516,7 @@
     belief.profileVersion = update.profileVersion;
     ++m_version;
     if (source == Source::Gossip)
-        m_queue.push(belief.address, true);
+        m_queue.push(belief.address, true, now);
 }
 
 auto GossipNode::answerDigest(const ExchangeDigest& digest, const std::string& sender, Envelopes& out) -> void
@@ -643,8 +645,9 @@
         message.updates.push_back(withoutProfile(*receiver));
         bytes += encodedBytes(message.updates.back());
     }
-    if (m_gossipTokens < 0)
-        return;
+    // Suspicions and their refutations are small and must get through even when profiles have used the rate up.
+    const auto isThrifty = m_gossipTokens < 0;
+    const auto limit = isThrifty ? bytes + thriftyBytes : m_options.datagramBytes;
     const auto sends = maximumSends();
     const auto bytesBefore = bytes;
     std::vector<std::string> sent;
@@ -657,7 +660,7 @@
         if (encodedBytes(update) > m_options.datagramBytes - messageOverheadBytes)
             update.profile = nullptr; // too large for a datagram: left to the exchanges
         const auto size = encodedBytes(update);
-        if (bytes + size > m_options.datagramBytes)
+        if (bytes + size > limit || (isThrifty && entry->withProfile))
             continue;
         sent.push_back(entry->address);
         if (belief == nullptr || entry->address == to)
--- a/src/member/GossipNode.h
+++ b/src/member/GossipNode.h
@@ -49,7 +49,7 @@
         std::chrono::milliseconds directTimeout { 300 }; // after which others are asked to ping too
         std::chrono::milliseconds suspicionTimeout { 4000 };
         std::chrono::milliseconds gossipInterval { 200 };
-        std::chrono::milliseconds exchangeInterval { 30000 };
+        std::chrono::milliseconds exchangeInterval { 15000 };
         std::chrono::milliseconds exchangeRetryInterval { 2000 }; // after an exchange that found a difference
         std::chrono::milliseconds reconnectInterval { 10000 }; // between attempts at a dead member or a seed
         std::chrono::milliseconds profileInterval { 1000 }; // between two versions of the own profile
@@ -61,7 +61,7 @@
         std::uint32_t gossipFanout = 2;
         std::uint32_t indirectProbes = 3;
         std::uint32_t extraSends = 3; // of an update, beyond the natural logarithm of the number of members
-        double farShare = 0.03125; // of the messages, to other regions
+        double farShare = 0.03125; // least share of the messages that go to other regions
         std::size_t datagramBytes = 1200;
         std::size_t exchangeBytes = 64 * 1024; // of one answer
         double gossipBytesPerSecond = 1024;
@@ -153,13 +153,13 @@
     auto forget(MonotonicTime now) -> void;
 
     auto merge(const MemberUpdate& update, Source source, MonotonicTime now) -> void;
-    auto mergeSelf(const MemberUpdate& update) -> void;
+    auto mergeSelf(const MemberUpdate& update, MonotonicTime now) -> void;
     auto mergeNew(const MemberUpdate& update, Source source, MonotonicTime now) -> void;
     auto mergeState(Member& member, const MemberUpdate& update, Source source, MonotonicTime now) -> void;
-    auto mergeProfile(Member& member, const MemberUpdate& update, Source source) -> void;
+    auto mergeProfile(Member& member, const MemberUpdate& update, Source source, MonotonicTime now) -> void;
     auto suspect(Member& member, MonotonicTime now) -> void;
     auto declareDead(Member& member, MonotonicTime now) -> void;
-    auto refute() -> void;
+    auto refute(MonotonicTime now) -> void;
 
     auto answerDigest(const ExchangeDigest& digest, const std::string& sender, Envelopes& out) -> void;
     auto takeVersions(const GossipMessage& message, MonotonicTime now, Envelopes& out) -> void;
--- a/src/member/GossipNode_test.cpp
+++ b/src/member/GossipNode_test.cpp
@@ -71,6 +71,7 @@
     loop->run(pause);
     loop->resume(4);
     const auto suspicions = loop->node(4).counters().suspicions;
+    loop->run(1s);
     CHECK(loop->runUntil([&] { return loop->areViewsWhole(); }, 120s));
     CHECK(loop->node(4).counters().suspicions == suspicions);
     CHECK(loop->node(4).counters().pauses == 1);
--- a/src/member/internal/MemberTable.cpp
+++ b/src/member/internal/MemberTable.cpp
@@ -10,9 +10,10 @@
 
     // Lists are made again at most so often, since each costs a pass over all members.
     constexpr std::chrono::milliseconds listInterval { 1000 };
-    constexpr double outsideShare = 0.125;
-    // With fewer members than this in the data centre, the whole region counts as near.
-    constexpr std::size_t smallestNearGroup = 4;
+    constexpr double leastOutsideShare = 0.125;
+    // Each group of daemons, small or large, sends this many times the messages of one daemon to the outside, so that
+    // news gets out of a small group too.
+    constexpr double outsideMessages = 4;
 
     auto isReachable(const Member& member) -> bool
     {
@@ -21,9 +22,9 @@
 
 }
 
-MemberTable::MemberTable(std::string self, Locality here)
-    : m_self(std::move(self))
-    , m_here(std::move(here))
+MemberTable::MemberTable(Locality here, double leastFarShare)
+    : m_here(std::move(here))
+    , m_leastFarShare(leastFarShare)
 {
 }
 
@@ -65,10 +66,10 @@
     touch();
 }
 
-auto MemberTable::randomReachable(std::mt19937& random, double farShare, MonotonicTime now) -> const Member*
+auto MemberTable::randomReachable(std::mt19937& random, MonotonicTime now) -> const Member*
 {
     list(now);
-    const auto scope = drawScope(random, farShare);
+    const auto scope = drawScope(random);
     const auto* const member = draw(scope == Nearness::Far ? m_far
             : scope == Nearness::Region                    ? m_region
                                                            : m_near,
@@ -76,17 +77,18 @@
     return member != nullptr && isReachable(*member) ? member : nullptr;
 }
 
-auto MemberTable::nextToProbe(std::mt19937& random, double farShare, MonotonicTime now) -> const Member*
+auto MemberTable::nextToProbe(std::mt19937& random, MonotonicTime now) -> const Member*
 {
     list(now);
-    const auto scope = drawScope(random, farShare);
-    if (scope != Nearness::Near) {
-        const auto* const member = draw(scope == Nearness::Far ? m_far : m_region, random);
-        return member != nullptr && isReachable(*member) ? member : nullptr;
+    const auto roll = std::uniform_real_distribution<>()(random);
+    const auto& outside = roll < m_leastFarShare ? m_far : m_region;
+    if (roll < m_leastFarShare + leastOutsideShare && !outside.empty()) {
+        const auto* const member = draw(outside, random);
+        return isReachable(*member) ? member : nullptr;
     }
     for (auto tries = m_members.size() + 1; tries > 0; --tries) {
         if (m_probeRound.empty()) {
-            m_probeRound = m_near;
+            m_probeRound = !m_near.empty() ? m_near : !m_region.empty() ? m_region : m_far;
             std::shuffle(m_probeRound.begin(), m_probeRound.end(), random);
         }
         if (m_probeRound.empty())
@@ -130,10 +132,7 @@
             (nearness == Nearness::Near ? m_near : nearness == Nearness::Region ? m_region : m_far).push_back(i);
         }
     }
-    if (m_near.size() < smallestNearGroup) {
-        m_near.insert(m_near.end(), m_region.begin(), m_region.end());
-        m_region.clear();
-    }
+    shareOut();
 }
 
 auto MemberTable::draw(const Indices& indices, std::mt19937& random) const -> const Member*
@@ -143,14 +142,24 @@
     return &m_members[indices[std::uniform_int_distribution<std::size_t>(0, indices.size() - 1)(random)]];
 }
 
-auto MemberTable::drawScope(std::mt19937& random, double farShare) const -> Nearness
+auto MemberTable::drawScope(std::mt19937& random) const -> Nearness
 {
     const auto roll = std::uniform_real_distribution<>()(random);
-    if (!m_far.empty() && (roll < farShare || (m_near.empty() && m_region.empty())))
+    if (!m_far.empty() && (roll < m_farShare || (m_near.empty() && m_region.empty())))
         return Nearness::Far;
-    if (!m_region.empty() && (roll < farShare + outsideShare || m_near.empty()))
+    if (!m_region.empty() && (roll < m_farShare + m_outsideShare || m_near.empty()))
         return Nearness::Region;
     return Nearness::Near;
 }
 
+auto MemberTable::shareOut() -> void
+{
+    const auto near = static_cast<double>(m_near.size() + 1);
+    const auto region = near + static_cast<double>(m_region.size());
+    const auto all = region + static_cast<double>(m_far.size());
+    // No more goes out than would if members were drawn without regard to where they are.
+    m_farShare = std::min((all - region) / all, std::max(m_leastFarShare, outsideMessages / region));
+    m_outsideShare = std::min((region - near) / region, std::max(leastOutsideShare, outsideMessages / near));
+}
+
 } // namespace coriandergate::member::internal
--- a/src/member/internal/MemberTable.h
+++ b/src/member/internal/MemberTable.h
@@ -22,8 +22,8 @@
 // MemberTable is not thread-safe. References to members hold until the next insert() or eraseIf().
 class MemberTable {
 public:
-    // MemberTable() never holds `self`, the node's own address.
-    MemberTable(std::string self, Locality here);
+    // MemberTable() is empty. `leastFarShare` is the share of messages to other regions when the own one is large.
+    MemberTable(Locality here, double leastFarShare);
 
     // insert() adds a member that isn't there yet.
     auto insert(Member member) -> Member&;
@@ -38,13 +38,13 @@
     // touch() says that some state or locality has changed, so that the lists for drawing are made again.
     auto touch() -> void { m_isListed = false; }
 
-    // randomReachable() is a member to talk to: one in eight outside the data centre, and of all messages only
-    // `farShare` outside the region, as far as there are members to choose from. Null when there is none.
-    [[nodiscard]] auto randomReachable(std::mt19937& random, double farShare, MonotonicTime now) -> const Member*;
+    // randomReachable() is a member to talk to: mostly in the own data centre, a few in the region and the least in
+    // other regions, and from small groups more than from large ones. Null when there is none.
+    [[nodiscard]] auto randomReachable(std::mt19937& random, MonotonicTime now) -> const Member*;
 
-    // nextToProbe() goes round the nearest members in random order, so that each is probed within two rounds; one
-    // probe in eight goes to a random member farther away.
-    [[nodiscard]] auto nextToProbe(std::mt19937& random, double farShare, MonotonicTime now) -> const Member*;
+    // nextToProbe() goes round the nearest members in random order, so that each is probed within two rounds; some
+    // probes go to random members farther away.
+    [[nodiscard]] auto nextToProbe(std::mt19937& random, MonotonicTime now) -> const Member*;
 
     // randomDead() is a member believed dead, or null.
     [[nodiscard]] auto randomDead(std::mt19937& random, MonotonicTime now) -> const Member*;
@@ -57,11 +57,12 @@
     using Indices = std::vector<std::uint32_t>;
 
     auto list(MonotonicTime now) -> void;
+    auto shareOut() -> void;
     [[nodiscard]] auto draw(const Indices& indices, std::mt19937& random) const -> const Member*;
-    [[nodiscard]] auto drawScope(std::mt19937& random, double farShare) const -> Nearness;
+    [[nodiscard]] auto drawScope(std::mt19937& random) const -> Nearness;
 
-    const std::string m_self;
     const Locality m_here;
+    const double m_leastFarShare;
     std::vector<Member> m_members;
     std::unordered_map<std::string, std::uint32_t> m_indexByAddress;
     Indices m_near;
@@ -69,6 +70,8 @@
     Indices m_far;
     Indices m_dead;
     Indices m_probeRound;
+    double m_farShare = 0;
+    double m_outsideShare = 0;
     bool m_isListed = false;
     MonotonicTime m_listedAt;
 };
--- a/src/member/internal/UpdateQueue.cpp
+++ b/src/member/internal/UpdateQueue.cpp
@@ -13,13 +13,19 @@
 
 }
 
-auto UpdateQueue::push(const std::string& address, bool withProfile) -> void
+auto UpdateQueue::push(const std::string& address, bool withProfile, MonotonicTime now) -> void
 {
     auto& entry = m_entries[address];
     entry.address = address;
     entry.withProfile = entry.withProfile || withProfile;
     entry.sends = 0;
     entry.order = ++m_order;
+    entry.queuedAt = now;
+}
+
+auto UpdateQueue::eraseQueuedBefore(MonotonicTime limit) -> void
+{
+    std::erase_if(m_entries, [limit](const auto& entry) { return entry.second.queuedAt < limit; });
 }
 
 auto UpdateQueue::candidates(std::size_t maximumCount) const -> std::vector<const Entry*>
--- a/src/member/internal/UpdateQueue.h
+++ b/src/member/internal/UpdateQueue.h
@@ -1,6 +1,8 @@
 // The updates that a node still has to pass on, each a bounded number of times.
 #pragma once
 
+#include "base/Clock.h"
+
 #include <cstddef>
 #include <cstdint>
 #include <string>
@@ -17,10 +19,14 @@
         bool withProfile = false;
         std::uint32_t sends = 0;
         std::uint64_t order = 0;
+        MonotonicTime queuedAt;
     };
 
-    // push() queues the belief about `address` anew, with no send counted yet.
-    auto push(const std::string& address, bool withProfile) -> void;
+    // push() queues the belief about `address` anew at `now`, with no send counted yet.
+    auto push(const std::string& address, bool withProfile, MonotonicTime now) -> void;
+
+    // eraseQueuedBefore() drops what has waited since before `limit`: exchanges of tables carry that by then.
+    auto eraseQueuedBefore(MonotonicTime limit) -> void;
 
     // candidates() is the entries to send next, the least often sent first and the newest first among those. Valid
     // until the next push() or countSend().
--- a/src/testing/GossipLoop.cpp
+++ b/src/testing/GossipLoop.cpp
@@ -19,6 +19,19 @@
     constexpr std::chrono::microseconds nearDelay { 250 };
     constexpr std::chrono::microseconds regionDelay { 500 };
     constexpr std::chrono::microseconds farDelay { 10000 };
+    constexpr std::size_t largeMessage = 40; // updates
+
+    // sizeOf() is the encoded size with headers. Large tables are estimated from above, which is much faster.
+    auto sizeOf(const member::GossipEnvelope& envelope) -> std::size_t
+    {
+        const auto overhead = envelope.isExchange() ? callOverheadBytes : datagramOverheadBytes;
+        if (envelope.message.updates.size() < largeMessage)
+            return overhead + member::encodeGossip(envelope.message).size();
+        auto bytes = overhead;
+        for (const auto& update : envelope.message.updates)
+            bytes += member::encodedBytes(update);
+        return bytes;
+    }
 
 }
 
@@ -52,13 +65,13 @@
     m_now = end;
 }
 
-auto GossipLoop::runUntil(const std::function<bool()>& isDone, std::chrono::milliseconds limit)
-    -> std::optional<std::chrono::milliseconds>
+auto GossipLoop::runUntil(const std::function<bool()>& isDone, std::chrono::milliseconds limit,
+    std::chrono::milliseconds step) -> std::optional<std::chrono::milliseconds>
 {
-    for (std::chrono::milliseconds passed { 0 }; passed <= limit; passed += GossipNode::s_tickInterval) {
+    for (std::chrono::milliseconds passed { 0 }; passed <= limit; passed += step) {
         if (isDone())
             return passed;
-        run(GossipNode::s_tickInterval);
+        run(step);
     }
     return std::nullopt;
 }
@@ -184,8 +197,7 @@
         if (found == m_indexByAddress.end())
             continue;
         const auto to = found->second;
-        const auto bytes = member::encodeGossip(envelope.message);
-        const auto size = bytes.size() + (envelope.isExchange() ? callOverheadBytes : datagramOverheadBytes);
+        const auto size = sizeOf(envelope);
         ++m_traffic.messages;
         m_traffic.bytes += size;
         m_traffic.farBytes += localityOf(from).region == localityOf(to).region ? 0 : size;
@@ -194,7 +206,9 @@
         if (isLost || (m_isCut && m_isCut(from, to)))
             continue;
         Error reason;
-        auto message = m_options.usesCodec ? member::decodeGossip(bytes, reason).value() : std::move(envelope.message);
+        auto message = m_options.usesCodec
+            ? member::decodeGossip(member::encodeGossip(envelope.message), reason).value()
+            : std::move(envelope.message);
         push({ m_now + delay(from, to), 0, to, std::make_shared<const member::GossipMessage>(std::move(message)) });
     }
 }
--- a/src/testing/GossipLoop.h
+++ b/src/testing/GossipLoop.h
@@ -42,10 +42,11 @@
 
     explicit GossipLoop(const Options& options);
 
-    // run() lets `duration` pass. runUntil() lets time pass until `isDone` holds, looked at each 100 ms, and returns
+    // run() lets `duration` pass. runUntil() lets time pass until `isDone` holds, looked at each `step`, and returns
     // the time that took; nothing when `limit` passed first.
     auto run(std::chrono::milliseconds duration) -> void;
-    auto runUntil(const std::function<bool()>& isDone, std::chrono::milliseconds limit)
+    auto runUntil(const std::function<bool()>& isDone, std::chrono::milliseconds limit,
+        std::chrono::milliseconds step = member::GossipNode::s_tickInterval)
         -> std::optional<std::chrono::milliseconds>;
 
     // stop() ends a node as SIGKILL would; start() starts it anew; pause() and resume() are SIGSTOP and SIGCONT.
