--- a/src/testing/LoopbackPort.h
+++ b/src/testing/LoopbackPort.h
@@ -7,7 +7,9 @@
 
 namespace coriandergate::testing {
 
-// freeLoopbackPort() is a TCP port of 127.0.0.1 that was free a moment ago; 0 when there is none. Safe from any thread.
+// freeLoopbackPort() is a TCP port of 127.0.0.1 that is free now and that neither an outgoing connection nor another
+// test process running beside this one is likely to take: it lies below the ephemeral range, in a stretch chosen by the
+// number of this process. 0 when there is none. Safe from any thread.
 [[nodiscard]] auto freeLoopbackPort() -> std::uint16_t;
 
 } // namespace coriandergate::testing
