Keep both sides of a relayed connection until both are closed

Cause: the side towards the server was a child of the caller's side, so a cut deleted it with its last bytes unsent when it was still connecting; the proxy's own test then failed about one run in ten. Excluded: a reset that overtakes bytes; both sides close in order. Change: one owner for the pair, deleted when both sides are closed.

--- a/src/testing/FaultProxy.cpp
+++ b/src/testing/FaultProxy.cpp
@@ -101,11 +101,20 @@
             caller->deleteLater();
             continue;
         }
-        auto* const upstream = new QTcpSocket(caller);
+        // Both sides live until both are closed: what was written to one may still be on its way when the other ends.
+        auto* const pair = new QObject(&server);
+        caller->setParent(pair);
+        auto* const upstream = new QTcpSocket(pair);
         upstream->connectToHost(QHostAddress(QHostAddress::LocalHost), options.upstreamPort);
         connectSides(caller, upstream, Direction::ToUpstream);
         connectSides(upstream, caller, Direction::ToCaller);
-        QObject::connect(caller, &QTcpSocket::disconnected, caller, &QObject::deleteLater);
+        const auto deleteWhenClosed = [pair, caller, upstream] {
+            if (caller->state() == QAbstractSocket::UnconnectedState
+                && upstream->state() == QAbstractSocket::UnconnectedState)
+                pair->deleteLater();
+        };
+        QObject::connect(caller, &QTcpSocket::disconnected, pair, deleteWhenClosed);
+        QObject::connect(upstream, &QTcpSocket::disconnected, pair, deleteWhenClosed);
     }
 }
 
