--- a/src/http/AnswerParser.cpp
+++ b/src/http/AnswerParser.cpp
@@ -53,8 +53,8 @@
                 return fail("the peer switched protocols unasked");
             return true;
         }
-        if (headers.count("Content-Length") > 1)
-            return fail("several Content-Length headers");
+        if (!internal::hasPlainLength(headers))
+            return fail("a Content-Length that isn't one whole number");
         const auto encoding = headers.find("Transfer-Encoding");
         if (encoding && (headers.find("Content-Length") || !isSameName(*encoding, "chunked")))
             return fail("an answer length that can be read in two ways");
--- a/src/http/RequestParser.cpp
+++ b/src/http/RequestParser.cpp
@@ -48,8 +48,8 @@
     headers = internal::copyHeaders(message);
     if (message.version() != 11 && message.version() != 10)
         return fail(505, "only HTTP/1.0 and HTTP/1.1 are served");
-    if (headers.count("Content-Length") > 1)
-        return fail(400, "several Content-Length headers");
+    if (!internal::hasPlainLength(headers))
+        return fail(400, "a Content-Length that isn't one whole number");
     if (headers.count("Transfer-Encoding") > 1)
         return fail(400, "several Transfer-Encoding headers");
     if (const auto encoding = headers.find("Transfer-Encoding")) {
--- a/src/http/internal/BeastBuffer.h
+++ b/src/http/internal/BeastBuffer.h
@@ -24,6 +24,17 @@
     return headers;
 }
 
+// hasPlainLength() says that the Content-Length header, if there is one, stands once and is digits only. RFC 9112 also
+// allows the same number repeated in a list, which another reader may take differently.
+[[nodiscard]] inline auto hasPlainLength(const HeaderList& headers) -> bool
+{
+    const auto length = headers.find("Content-Length");
+    if (!length)
+        return true;
+    return headers.count("Content-Length") == 1 && !length->empty()
+        && length->find_first_not_of("0123456789") == std::string_view::npos;
+}
+
 // feedParser() gives `bytes` to a Beast parser until it needs more, is done or fails. After the header block is parsed,
 // `onHeaders` is called once, before any body byte is read; it returns false to stop there.
 template <typename Parser, typename OnHeaders>
--- a/src/proxy/EntryRequest.cpp
+++ b/src/proxy/EntryRequest.cpp
@@ -248,6 +248,11 @@
     if (m_tried.empty() && m_context->retryGate)
         m_context->retryGate->began(m_request, now);
     m_choice = m_context->targetChooser->choose(m_request.route.service, m_tried, now);
+    if (!m_choice && m_lastRefusal) {
+        // No other target is left: what the last one did is what the caller should know.
+        refuse(*m_lastRefusal);
+        return;
+    }
     if (!m_choice) {
         auto refused = notRun(unavailable, "choose target", m_request.route.service, "no target can take the request");
         refused.retryAfter = milliseconds(1000);
@@ -373,10 +378,12 @@
     const bool mayRetry = isRepeatable && refusal.mayTryOtherTarget && m_tried.size() < maximumAttempts
         && (!m_context->retryGate
             || m_context->retryGate->mayRetry(m_request, refusal, static_cast<int>(m_tried.size()), now));
-    if (mayRetry)
-        attempt();
-    else
+    if (!mayRetry) {
         refuse(refusal);
+        return;
+    }
+    m_lastRefusal = refusal;
+    attempt();
 }
 
 auto EntryRequest::reportAttempt(AttemptReport::Result result, int status, std::optional<OwnerReport> report) -> void
--- a/src/proxy/EntryRequest.h
+++ b/src/proxy/EntryRequest.h
@@ -74,6 +74,7 @@
     MonotonicTime m_attemptStartedAt;
     std::shared_ptr<OwnerService> m_ownerRun;
     http::Client::Call m_call = 0;
+    std::optional<Refusal> m_lastRefusal;
     bool m_mayHaveRun = false; // some attempt may have run
     bool m_isOver = false;
 };
