Add leases of seats and shares of client accounts

Cause: an account's rate and burst must hold over all hosts together, also when the daemon that counts for it dies, is paused or cut off, and while the store is away.

Change: src/seat leases each part of the space of keys to one holder by a majority of three guards, with a succession inside the epoch that needs no store; src/share issues tokens that name their use-by time and depth reduced by what their lifetime adds. src/testing/ShareLoop drives the real objects with faults and counts at the targets.

--- /dev/null
+++ b/src/seat/GuardRelease.h
@@ -0,0 +1,20 @@
+// A holder's message to a guard: I have stopped, my lease has ended.
+#pragma once
+
+#include "base/DaemonIdentity.h"
+#include "seat/SeatTerm.h"
+
+#include <chrono>
+#include <cstdint>
+
+namespace coriandergate::seat {
+
+// GuardRelease ends the lease of `seat` in `term`; the holder has already stopped acting in that term.
+struct GuardRelease {
+    DaemonIdentity holder;
+    DaemonIdentity guard;
+    std::uint32_t seat = 0;
+    SeatTerm term;
+};
+
+} // namespace coriandergate::seat
--- /dev/null
+++ b/src/seat/SeatAuthority.cpp
@@ -0,0 +1,279 @@
+#include "seat/SeatAuthority.h"
+
+#include "seat/GuardLedger.h"
+#include "seat/SeatMap.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace coriandergate::seat {
+
+namespace {
+
+    // A holder that hears nothing keeps this many asks in memory for each guard.
+    constexpr std::size_t maximumAsksInFlight = 16;
+
+} // namespace
+
+SeatAuthority::SeatAuthority(DaemonIdentity self, GuardLedger& ledger, SeatOptions options)
+    : m_self(std::move(self))
+    , m_ledger(ledger)
+    , m_options(options)
+{
+}
+
+auto SeatAuthority::adopt(const SeatMap& map, MonotonicTime now) -> std::vector<SeatMessage>
+{
+    Messages messages;
+    const MutexLock lock(m_mutex);
+    if (map.epoch <= m_epoch)
+        return messages;
+    m_epoch = map.epoch;
+    for (std::uint32_t number = 0; number < map.seats.size(); ++number)
+        adoptSeatLocked(number, map.seats[number], now, messages);
+    return messages;
+}
+
+auto SeatAuthority::adoptSeatLocked(
+    std::uint32_t number, const SeatAssignment& assignment, MonotonicTime now, Messages& messages) -> void
+{
+    const auto rank = assignment.rankOf(m_self);
+    Seat next { assignment, rank.value_or(0), Phase::Waiting, {}, {}, 0, {}, {}, {} };
+    if (const auto found = m_seats.find(number); found != m_seats.end()) {
+        auto& existing = found->second;
+        if (existing.assignment.epoch == assignment.epoch) {
+            existing.assignment = assignment;
+            noteLost(existing, now);
+            return;
+        }
+        if (rank == 0U)
+            carryOver(existing, next, now);
+        if (!next.carriedEnd)
+            stop(existing, number, messages);
+        m_seats.erase(found);
+    }
+    if (!rank)
+        return;
+    if (rank == 0U)
+        prepare(next, now);
+    m_seats.emplace(number, std::move(next));
+}
+
+auto SeatAuthority::carryOver(Seat& from, Seat& to, MonotonicTime now) const -> void
+{
+    const auto end = from.phase == Phase::Leasing ? leaseEnd(from) : from.carriedEnd;
+    if (from.phase == Phase::Stopped || !end || now >= *end || !from.tenure)
+        return;
+    to.carriedEnd = end;
+    to.tenure = from.tenure;
+    from.phase = Phase::Stopped;
+}
+
+auto SeatAuthority::noteLost(Seat& seat, MonotonicTime now) const -> void
+{
+    for (auto& round : seat.rounds) {
+        for (const auto& former : seat.assignment.former) {
+            if (former.epoch != round.epoch)
+                continue;
+            for (const auto& guard : former.lost)
+                round.clearAt.emplace(guard, now + m_options.leaseDuration + m_options.margin);
+        }
+    }
+}
+
+auto SeatAuthority::tick(MonotonicTime now) -> std::vector<SeatMessage>
+{
+    Messages messages;
+    const MutexLock lock(m_mutex);
+    for (auto& [number, seat] : m_seats)
+        tickSeat(seat, number, now, messages);
+    return messages;
+}
+
+auto SeatAuthority::handle(const GuardRenewal& renewal, MonotonicTime now) -> void
+{
+    const MutexLock lock(m_mutex);
+    const auto found = m_seats.find(renewal.seat);
+    if (found == m_seats.end() || renewal.holder != m_self)
+        return;
+    auto& seat = found->second;
+    if (seat.phase != Phase::Leasing || renewal.term != SeatTerm { seat.assignment.epoch, seat.rank })
+        return;
+    auto& view = seat.views[renewal.guard];
+    const auto sent = view.sentAt.find(renewal.sequence);
+    if (sent == view.sentAt.end())
+        return;
+    if (renewal.isGranted) {
+        const auto end = sent->second + std::min(renewal.duration, m_options.leaseDuration) - m_options.margin;
+        view.leaseEnd = std::max(view.leaseEnd.value_or(end), end);
+        view.acknowledged = std::max(view.acknowledged, renewal.sequence);
+    } else if (renewal.promisedRank > seat.rank) {
+        view.isEnded = true;
+    }
+    view.sentAt.erase(view.sentAt.begin(), std::next(sent));
+    const auto ended
+        = std::count_if(seat.views.begin(), seat.views.end(), [](const auto& entry) { return entry.second.isEnded; });
+    if (static_cast<std::size_t>(ended) >= majorityOf(seat.assignment.guards.size()))
+        seat.phase = Phase::Stopped;
+    if (!seat.tenure && leaseEnd(seat))
+        seat.tenure = SeatTenure { renewal.term, now, *leaseEnd(seat) };
+}
+
+auto SeatAuthority::handle(const Promise& promise, MonotonicTime now) -> void
+{
+    const MutexLock lock(m_mutex);
+    const auto found = m_seats.find(promise.seat);
+    if (found == m_seats.end() || promise.successor != m_self || !promise.isGiven)
+        return;
+    for (auto& round : found->second.rounds) {
+        if (round.epoch == promise.epoch && round.rank == promise.rank)
+            round.clearAt.emplace(promise.guard, now + promise.remaining + m_options.margin);
+    }
+}
+
+auto SeatAuthority::tenure(std::uint32_t number, MonotonicTime now) const -> std::optional<SeatTenure>
+{
+    const MutexLock lock(m_mutex);
+    const auto found = m_seats.find(number);
+    return found == m_seats.end() ? std::nullopt : tenureOf(found->second, now);
+}
+
+auto SeatAuthority::tenureOf(const Seat& seat, MonotonicTime now) const -> std::optional<SeatTenure>
+{
+    auto end = seat.phase == Phase::Leasing ? leaseEnd(seat) : std::nullopt;
+    if (seat.phase != Phase::Stopped && seat.carriedEnd)
+        end = std::max(end.value_or(*seat.carriedEnd), *seat.carriedEnd);
+    if (!end || now >= *end || !seat.tenure)
+        return std::nullopt;
+    return SeatTenure { seat.tenure->term, seat.tenure->since, *end };
+}
+
+auto SeatAuthority::releaseAll(MonotonicTime) -> std::vector<SeatMessage>
+{
+    Messages messages;
+    const MutexLock lock(m_mutex);
+    for (auto& [number, seat] : m_seats)
+        stop(seat, number, messages);
+    return messages;
+}
+
+auto SeatAuthority::heldSeats(MonotonicTime now) const -> std::vector<std::uint32_t>
+{
+    std::vector<std::uint32_t> held;
+    const MutexLock lock(m_mutex);
+    for (const auto& [number, seat] : m_seats) {
+        if (tenureOf(seat, now))
+            held.push_back(number);
+    }
+    return held;
+}
+
+auto SeatAuthority::PromiseRound::isClear(MonotonicTime now, bool isOwn) const -> bool
+{
+    const auto clear = std::count_if(guards.begin(), guards.end(), [this, now, isOwn](const auto& guard) {
+        const auto found = clearAt.find(guard);
+        return found != clearAt.end() && (isOwn || now >= found->second);
+    });
+    return static_cast<std::size_t>(clear) >= majorityOf(guards.size());
+}
+
+auto SeatAuthority::prepare(Seat& seat, MonotonicTime now) const -> void
+{
+    seat.phase = Phase::Preparing;
+    for (const auto& former : seat.assignment.former) {
+        PromiseRound round { former.epoch, closedRank, former.guards, {} };
+        for (const auto& guard : former.lost)
+            round.clearAt.emplace(guard, now + m_options.leaseDuration + m_options.margin);
+        seat.rounds.push_back(std::move(round));
+    }
+    if (seat.rank > 0)
+        seat.rounds.push_back({ seat.assignment.epoch, seat.rank, seat.assignment.guards, {} });
+}
+
+auto SeatAuthority::stop(Seat& seat, std::uint32_t number, Messages& messages) const -> void
+{
+    if (seat.phase == Phase::Leasing) {
+        for (const auto& guard : seat.assignment.guards)
+            messages.emplace_back(GuardRelease { m_self, guard, number, { seat.assignment.epoch, seat.rank } });
+    }
+    seat.phase = Phase::Stopped;
+}
+
+auto SeatAuthority::tickSeat(Seat& seat, std::uint32_t number, MonotonicTime now, Messages& messages) const -> void
+{
+    if (seat.phase == Phase::Waiting && shouldTakeOver(seat, number, now))
+        prepare(seat, now);
+    if (seat.phase == Phase::Preparing && isReady(seat, now))
+        startLeasing(seat, now);
+    const auto isActive = seat.phase == Phase::Preparing || seat.phase == Phase::Leasing;
+    if (!isActive || (seat.nextSend && now < *seat.nextSend))
+        return;
+    if (seat.phase == Phase::Preparing)
+        askPromises(seat, number, messages);
+    else
+        askLeases(seat, number, now, messages);
+    seat.nextSend = now + (leaseEnd(seat) ? m_options.renewInterval : m_options.retryInterval);
+}
+
+auto SeatAuthority::isReady(const Seat& seat, MonotonicTime now) const -> bool
+{
+    // While this daemon's own leases of the last epoch run, no other can hold the seat: the promises alone suffice.
+    const auto isOwn = seat.carriedEnd && now < *seat.carriedEnd;
+    return std::all_of(
+        seat.rounds.begin(), seat.rounds.end(), [now, isOwn](const auto& round) { return round.isClear(now, isOwn); });
+}
+
+auto SeatAuthority::startLeasing(Seat& seat, MonotonicTime now) const -> void
+{
+    if (!seat.carriedEnd || now >= *seat.carriedEnd)
+        seat.tenure.reset(); // another may have held the seat in between
+    seat.phase = Phase::Leasing;
+    seat.nextSend.reset();
+}
+
+auto SeatAuthority::shouldTakeOver(const Seat& seat, std::uint32_t number, MonotonicTime now) const -> bool
+{
+    const auto idle = m_ledger.idleSince(number, seat.assignment.epoch, now);
+    // Before the first lease the holder has the time to start; a later rank waits for the earlier ones to try.
+    const auto grace = m_options.leaseDuration / 2 + m_options.successionDelay * (seat.rank - 1);
+    return idle && now >= *idle + grace;
+}
+
+auto SeatAuthority::askPromises(const Seat& seat, std::uint32_t number, Messages& messages) const -> void
+{
+    for (const auto& round : seat.rounds) {
+        for (const auto& guard : round.guards) {
+            if (!round.clearAt.contains(guard))
+                messages.emplace_back(PromiseAsk { m_self, guard, number, round.epoch, round.rank });
+        }
+    }
+}
+
+auto SeatAuthority::askLeases(Seat& seat, std::uint32_t number, MonotonicTime now, Messages& messages) const -> void
+{
+    for (const auto& guard : seat.assignment.guards) {
+        auto& view = seat.views[guard];
+        const auto sequence = ++seat.lastSequence;
+        view.sentAt.emplace(sequence, now);
+        if (view.sentAt.size() > maximumAsksInFlight)
+            view.sentAt.erase(view.sentAt.begin());
+        messages.emplace_back(GuardRenewalAsk {
+            m_self, guard, number, { seat.assignment.epoch, seat.rank }, sequence, view.acknowledged });
+    }
+}
+
+auto SeatAuthority::leaseEnd(const Seat& seat) const -> std::optional<MonotonicTime>
+{
+    std::vector<MonotonicTime> ends;
+    for (const auto& [guard, view] : seat.views) {
+        if (view.leaseEnd)
+            ends.push_back(*view.leaseEnd);
+    }
+    const auto needed = majorityOf(seat.assignment.guards.size());
+    if (ends.size() < needed)
+        return std::nullopt;
+    std::sort(ends.begin(), ends.end(), std::greater<> {});
+    return ends[needed - 1];
+}
+
+} // namespace coriandergate::seat
--- /dev/null
+++ b/src/seat/SeatDirectory.h
@@ -0,0 +1,46 @@
+// Where to send what is meant for the holder of a seat.
+//
+// The seat map names the holder, but a successor may have taken over since. The directory starts from the map, moves on
+// to the next candidate when one fails or says that it does not hold the seat, and stays with one that answers.
+//
+//   const auto holder = directory.holder(seat);
+//   if (!isAnswered)
+//       directory.reject(seat, *holder);
+#pragma once
+
+#include "base/DaemonIdentity.h"
+#include "base/Mutex.h"
+#include "seat/SeatMap.h"
+
+#include <cstdint>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace coriandergate::seat {
+
+// SeatDirectory is safe from any thread.
+class SeatDirectory {
+public:
+    // adopt() takes up `map` unless one as new is known.
+    auto adopt(const SeatMap& map) -> void;
+
+    // map() is the newest seat map known.
+    [[nodiscard]] auto map() const -> SeatMap;
+
+    // seatOf() is the seat of `key`, or nothing while no map is known. See SeatMap::seatOf().
+    [[nodiscard]] auto seatOf(std::string_view key, std::uint32_t split = 0) const -> std::optional<std::uint32_t>;
+
+    // holder() is the daemon that most likely holds `seat`, or nothing for an unknown seat.
+    [[nodiscard]] auto holder(std::uint32_t seat) const -> std::optional<DaemonIdentity>;
+
+    // reject() says that `daemon` did not answer for `seat`, or not as its holder.
+    auto reject(std::uint32_t seat, const DaemonIdentity& daemon) -> void;
+
+private:
+    mutable Mutex m_mutex;
+    SeatMap m_map GUARDED_BY(m_mutex);
+    std::vector<std::uint32_t> m_ranks GUARDED_BY(m_mutex); // the candidate in use, by seat
+};
+
+} // namespace coriandergate::seat
--- /dev/null
+++ b/src/seat/SeatMessage.h
@@ -0,0 +1,34 @@
+// The messages that pass between holders, successors and guards, and their JSON form.
+//
+//   for (const auto& message : authority.tick(now))
+//       send(addresseeOf(message), encodeSeatMessage(message));
+#pragma once
+
+#include "base/Error.h"
+#include "seat/GuardRelease.h"
+#include "seat/GuardRenewal.h"
+#include "seat/GuardRenewalAsk.h"
+#include "seat/Promise.h"
+#include "seat/PromiseAsk.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace coriandergate::seat {
+
+// SeatMessage is any of the messages about seats.
+using SeatMessage = std::variant<GuardRenewalAsk, GuardRenewal, PromiseAsk, Promise, GuardRelease>;
+
+// addresseeOf() is the daemon that `message` is meant for; another run at the same address must ignore it.
+[[nodiscard]] auto addresseeOf(const SeatMessage& message) -> const DaemonIdentity&;
+
+// encodeSeatMessage() writes `message` as JSON. Safe from any thread.
+[[nodiscard]] auto encodeSeatMessage(const SeatMessage& message) -> std::string;
+
+// decodeSeatMessage() reads what encodeSeatMessage() wrote; on malformed text it returns nothing and says why in
+// `reason`. Safe from any thread.
+[[nodiscard]] auto decodeSeatMessage(std::string_view text, Error& reason) -> std::optional<SeatMessage>;
+
+} // namespace coriandergate::seat
--- /dev/null
+++ b/src/seat/SeatTenure.h
@@ -0,0 +1,17 @@
+// A daemon's present hold of a seat.
+#pragma once
+
+#include "base/Clock.h"
+#include "seat/SeatTerm.h"
+
+namespace coriandergate::seat {
+
+// SeatTenure says in which term the daemon holds the seat, since when it has done so in this term, and until when at
+// least; state that belongs to the seat is begun anew when the term differs from the last one seen.
+struct SeatTenure {
+    SeatTerm term;
+    MonotonicTime since;
+    MonotonicTime until;
+};
+
+} // namespace coriandergate::seat
--- /dev/null
+++ b/src/share/ShareAsk.h
@@ -0,0 +1,36 @@
+// A daemon's message to the home of client accounts: give me tokens.
+#pragma once
+
+#include "base/DaemonIdentity.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace coriandergate::share {
+
+// ShareAskItem asks for `needed` tokens for waiting requests, within `patience`, and for up to `ahead` more if the
+// bucket has plenty. `id` is the asker's own.
+struct ShareAskItem {
+    std::uint64_t id = 0;
+    std::uint32_t seat = 0;
+    std::string account;
+    std::uint32_t split = 0;
+    std::uint32_t needed = 0;
+    std::uint32_t ahead = 0;
+    std::chrono::milliseconds patience { 0 };
+
+    friend auto operator==(const ShareAskItem&, const ShareAskItem&) -> bool = default;
+};
+
+// ShareAsk is one message to one daemon, for all accounts that have something to ask of it.
+struct ShareAsk {
+    DaemonIdentity from;
+    DaemonIdentity to;
+    std::vector<ShareAskItem> items;
+
+    friend auto operator==(const ShareAsk&, const ShareAsk&) -> bool = default;
+};
+
+} // namespace coriandergate::share
--- /dev/null
+++ b/src/share/ShareCodec.cpp
@@ -0,0 +1,79 @@
+#include "share/ShareCodec.h"
+
+#include "base/DaemonIdentityJson.h"
+#include "share/ShareAsk.h"
+#include "share/ShareGrant.h"
+
+namespace coriandergate::share {
+
+namespace {
+
+    using nlohmann::json;
+
+    template <typename Message, typename Read>
+    auto decodeWith(std::string_view text, const char* step, Error& reason, Read read) -> std::optional<Message>
+    {
+        try {
+            const auto message = json::parse(text);
+            Message result { message.at(0).get<DaemonIdentity>(), message.at(1).get<DaemonIdentity>(), {} };
+            for (const auto& item : message.at(2))
+                result.items.push_back(read(item));
+            return result;
+        } catch (const json::exception& exception) {
+            reason = { step, "", exception.what() };
+            return std::nullopt;
+        }
+    }
+
+    auto readAskItem(const json& item) -> ShareAskItem
+    {
+        return { item.at(0).get<std::uint64_t>(), item.at(1).get<std::uint32_t>(), item.at(2).get<std::string>(),
+            item.at(3).get<std::uint32_t>(), item.at(4).get<std::uint32_t>(), item.at(5).get<std::uint32_t>(),
+            std::chrono::milliseconds { item.at(6).get<std::int64_t>() } };
+    }
+
+    auto readGrantItem(const json& item) -> ShareGrantItem
+    {
+        ShareGrantItem result { item.at(0).get<std::uint64_t>(), item.at(1).get<bool>(), {},
+            std::chrono::milliseconds { item.at(3).get<std::int64_t>() },
+            std::chrono::microseconds { item.at(4).get<std::int64_t>() } };
+        for (const auto& delay : item.at(2))
+            result.delays.emplace_back(delay.get<std::int64_t>());
+        return result;
+    }
+
+} // namespace
+
+auto encodeShareAsk(const ShareAsk& ask) -> std::string
+{
+    auto items = json::array();
+    for (const auto& item : ask.items) {
+        items.push_back(json::array(
+            { item.id, item.seat, item.account, item.split, item.needed, item.ahead, item.patience.count() }));
+    }
+    return json::array({ ask.from, ask.to, items }).dump();
+}
+
+auto encodeShareGrant(const ShareGrant& grant) -> std::string
+{
+    auto items = json::array();
+    for (const auto& item : grant.items) {
+        auto delays = json::array();
+        for (const auto delay : item.delays)
+            delays.push_back(delay.count());
+        items.push_back(json::array({ item.id, item.isHome, delays, item.lifetime.count(), item.retryAfter.count() }));
+    }
+    return json::array({ grant.from, grant.to, items }).dump();
+}
+
+auto decodeShareAsk(std::string_view text, Error& reason) -> std::optional<ShareAsk>
+{
+    return decodeWith<ShareAsk>(text, "decode share ask", reason, readAskItem);
+}
+
+auto decodeShareGrant(std::string_view text, Error& reason) -> std::optional<ShareGrant>
+{
+    return decodeWith<ShareGrant>(text, "decode share grant", reason, readGrantItem);
+}
+
+} // namespace coriandergate::share
--- /dev/null
+++ b/src/share/ShareHolder.cpp
@@ -0,0 +1,321 @@
+#include "share/ShareHolder.h"
+
+#include "base/Hash.h"
+#include "seat/SeatDirectory.h"
+
+#include <algorithm>
+#include <cmath>
+#include <optional>
+
+namespace coriandergate::share {
+
+namespace {
+
+    using std::chrono::microseconds;
+    using std::chrono::milliseconds;
+
+    // Beyond this queue an account's further requests are refused at once.
+    constexpr std::size_t maximumWaiters = 1000;
+
+    // A bucket whose home did not answer, or is another, is left alone for this long.
+    constexpr milliseconds unansweredPause { 30 };
+
+    constexpr std::chrono::seconds idleTime { 10 };
+    constexpr std::chrono::seconds noShareRetryAfter { 1 };
+
+    auto toRetryAfter(MonotonicDuration wait) -> milliseconds
+    {
+        return std::max(milliseconds { 1 }, std::chrono::ceil<milliseconds>(wait));
+    }
+
+    template <typename Lots> auto countTokens(const Lots& lots) -> std::size_t
+    {
+        std::size_t count = 0;
+        for (const auto& lot : lots)
+            count += lot.count;
+        return count;
+    }
+
+    template <typename Lots> auto dropExpired(Lots& lots, MonotonicTime now) -> void
+    {
+        std::erase_if(lots, [now](const auto& lot) { return lot.useBy <= now || lot.count == 0; });
+    }
+
+    // The token that expires first among those that may be used now.
+    template <typename Lots> auto takeToken(Lots& lots, MonotonicTime now) -> std::optional<MonotonicTime>
+    {
+        typename Lots::value_type* best = nullptr;
+        for (auto& lot : lots) {
+            if (lot.count > 0 && lot.notBefore <= now && now < lot.useBy && (!best || lot.useBy < best->useBy))
+                best = &lot;
+        }
+        if (!best)
+            return std::nullopt;
+        --best->count;
+        return best->useBy;
+    }
+
+    // When the first bucket opens again, if all of the account's buckets are exhausted.
+    template <typename Account>
+    auto exhaustedUntil(const Account& account, MonotonicTime now) -> std::optional<MonotonicTime>
+    {
+        auto earliest = MonotonicTime::max();
+        for (std::uint32_t split = 0; split < account.limits.splits; ++split) {
+            const auto& state = account.splits[split];
+            if (!state.isExhausted || state.closedUntil <= now)
+                return std::nullopt;
+            earliest = std::min(earliest, state.closedUntil);
+        }
+        return earliest;
+    }
+
+} // namespace
+
+ShareHolder::ShareHolder(DaemonIdentity self, seat::SeatDirectory& directory, ShareOptions options)
+    : m_self(std::move(self))
+    , m_directory(directory)
+    , m_options(options)
+{
+}
+
+auto ShareHolder::acquire(std::string_view account, const ShareLimits& limits, MonotonicTime now) -> ShareDecision
+{
+    if (limits.splits == 0)
+        return ShareRefused { noShareRetryAfter };
+    auto& shard = shardOf(account);
+    const MutexLock lock(shard.mutex);
+    auto found = shard.accounts.find(account);
+    if (found == shard.accounts.end())
+        found = shard.accounts.emplace(std::string(account), Account {}).first;
+    auto& state = found->second;
+    state.limits = limits;
+    state.lastUse = now;
+    state.demand.note(now);
+    dropExpired(state.lots, now);
+    if (state.waiters.empty()) {
+        if (const auto useBy = takeToken(state.lots, now)) {
+            if (aheadWanted(state, now) > 0)
+                shard.active.insert(found->first);
+            return ShareGranted { *useBy };
+        }
+    }
+    if (const auto until = exhaustedUntil(state, now); until && countTokens(state.lots) <= state.waiters.size())
+        return ShareRefused { toRetryAfter(*until - now) };
+    if (state.waiters.size() >= maximumWaiters)
+        return ShareRefused { m_options.maximumWait };
+    const Waiter waiter { nextId(shard.lastNumber, shard), now + m_options.maximumWait };
+    state.waiters.push_back(waiter);
+    shard.active.insert(found->first);
+    return ShareWaiting { waiter.ticket, waiter.until };
+}
+
+auto ShareHolder::cancel(std::string_view account, std::uint64_t ticket) -> void
+{
+    auto& shard = shardOf(account);
+    const MutexLock lock(shard.mutex);
+    const auto found = shard.accounts.find(account);
+    if (found != shard.accounts.end())
+        std::erase_if(found->second.waiters, [ticket](const auto& waiter) { return waiter.ticket == ticket; });
+}
+
+auto ShareHolder::takeAsks(MonotonicTime now) -> std::vector<ShareAsk>
+{
+    std::map<DaemonIdentity, ShareAsk> batches;
+    for (auto& shard : m_shards) {
+        const MutexLock lock(shard.mutex);
+        for (const auto& name : shard.active) {
+            AskItems items;
+            planAsks(name, shard.accounts.find(name)->second, now, items);
+            for (auto& [item, ask] : items) {
+                item.id = nextId(shard.lastNumber, shard);
+                auto& batch = batches.try_emplace(ask.to, ShareAsk { m_self, ask.to, {} }).first->second;
+                batch.items.push_back(item);
+                shard.asks.emplace(item.id, std::move(ask));
+            }
+        }
+    }
+    std::vector<ShareAsk> asks;
+    for (auto& [to, ask] : batches)
+        asks.push_back(std::move(ask));
+    return asks;
+}
+
+auto ShareHolder::handle(const ShareGrant& grant, MonotonicTime now) -> std::vector<ShareSettlement>
+{
+    Settlements settled;
+    for (const auto& item : grant.items) {
+        auto& shard = shardOfId(item.id);
+        const MutexLock lock(shard.mutex);
+        const auto found = shard.asks.find(item.id);
+        if (found == shard.asks.end() || found->second.to != grant.from)
+            continue;
+        const auto ask = std::move(found->second);
+        shard.asks.erase(found);
+        auto& account = shard.accounts.find(ask.account)->second;
+        account.expected -= ask.needed;
+        account.expectedAhead -= ask.ahead;
+        if (item.isHome)
+            takeGrant(account, ask, item, now, settled);
+        else
+            noteUnanswered(account, ask, now);
+        shard.active.insert(ask.account);
+    }
+    return settled;
+}
+
+auto ShareHolder::settleDue(MonotonicTime now) -> std::vector<ShareSettlement>
+{
+    Settlements settled;
+    for (auto& shard : m_shards) {
+        const MutexLock lock(shard.mutex);
+        while (!shard.asks.empty() && now >= shard.asks.begin()->second.sentAt + m_options.askTimeout) {
+            const auto& ask = shard.asks.begin()->second;
+            auto& account = shard.accounts.find(ask.account)->second;
+            account.expected -= ask.needed;
+            account.expectedAhead -= ask.ahead;
+            noteUnanswered(account, ask, now);
+            shard.asks.erase(shard.asks.begin());
+        }
+        for (auto name = shard.active.begin(); name != shard.active.end();) {
+            auto& account = shard.accounts.find(*name)->second;
+            serve(account, now, settled);
+            refuseOverdue(account, now, settled);
+            const auto isActive = !account.waiters.empty() || aheadWanted(account, now) > 0;
+            name = isActive ? std::next(name) : shard.active.erase(name);
+        }
+    }
+    return settled;
+}
+
+auto ShareHolder::dropIdle(MonotonicTime now) -> void
+{
+    for (auto& shard : m_shards) {
+        const MutexLock lock(shard.mutex);
+        for (auto entry = shard.accounts.begin(); entry != shard.accounts.end();) {
+            const auto& account = entry->second;
+            const auto isAsking
+                = account.expected > 0 || account.expectedAhead > 0 || shard.active.contains(entry->first);
+            const auto isIdle = !isAsking && account.waiters.empty() && now >= account.lastUse + idleTime;
+            entry = isIdle ? shard.accounts.erase(entry) : std::next(entry);
+        }
+    }
+}
+
+auto ShareHolder::shardOf(std::string_view account) -> Shard& { return m_shards[hashOf(account) % s_shardCount]; }
+
+auto ShareHolder::shardOfId(std::uint64_t id) -> Shard& { return m_shards[id % s_shardCount]; }
+
+auto ShareHolder::nextId(std::uint64_t& lastNumber, const Shard& shard) const -> std::uint64_t
+{
+    return ++lastNumber * s_shardCount + static_cast<std::uint64_t>(&shard - m_shards.data());
+}
+
+auto ShareHolder::planAsks(const std::string& name, Account& account, MonotonicTime now, AskItems& items) const -> void
+{
+    dropExpired(account.lots, now);
+    std::vector<std::uint32_t> open;
+    for (std::uint32_t i = 0; i < account.limits.splits; ++i) {
+        const auto split = (account.nextSplit + i) % account.limits.splits;
+        if (account.splits[split].closedUntil <= now)
+            open.push_back(split);
+    }
+    const auto covered = account.expected + countTokens(account.lots);
+    const auto missing = account.waiters.size() > covered ? account.waiters.size() - covered : 0;
+    const auto ahead = aheadWanted(account, now);
+    if (open.empty() || (missing == 0 && ahead == 0))
+        return;
+    account.nextSplit = (open.front() + 1) % account.limits.splits;
+    const auto parts = std::clamp<std::size_t>(missing, 1, open.size());
+    for (std::size_t part = 0; part < parts; ++part) {
+        const auto needed = missing / parts + (part < missing % parts ? 1 : 0);
+        addAsk(name, account, open[part], static_cast<std::uint32_t>(needed), part == 0 ? ahead : 0, now, items);
+    }
+}
+
+auto ShareHolder::addAsk(const std::string& name, Account& account, std::uint32_t split, std::uint32_t needed,
+    std::uint32_t ahead, MonotonicTime now, AskItems& items) const -> void
+{
+    const auto seat = m_directory.seatOf(name, split);
+    const auto to = seat ? m_directory.holder(*seat) : std::nullopt;
+    if (!to)
+        return;
+    auto patience = milliseconds::zero();
+    // A token that is to be used at the last moment must have arrived by then.
+    if (!account.waiters.empty() && account.waiters.back().until > now + m_options.askTimeout / 2)
+        patience = std::chrono::floor<milliseconds>(account.waiters.back().until - now) - m_options.askTimeout / 2;
+    account.expected += needed;
+    account.expectedAhead += ahead;
+    items.emplace_back(ShareAskItem { 0, *seat, name, split, needed, ahead, patience },
+        AskInFlight { name, *to, *seat, split, needed, ahead, now });
+}
+
+auto ShareHolder::aheadWanted(const Account& account, MonotonicTime now) const -> std::uint32_t
+{
+    const auto horizon = std::chrono::duration<double>(m_options.aheadHorizon).count();
+    const auto target = account.demand.rate(now) * horizon;
+    if (target < 1)
+        return 0;
+    const auto stock = static_cast<double>(countTokens(account.lots) + account.expectedAhead);
+    return stock < target / 2 ? static_cast<std::uint32_t>(std::ceil(target - stock)) : 0;
+}
+
+auto ShareHolder::noteUnanswered(Account& account, const AskInFlight& ask, MonotonicTime now) const -> void
+{
+    m_directory.reject(ask.seat, ask.to);
+    account.splits[ask.split] = { now + unansweredPause, false };
+}
+
+auto ShareHolder::takeGrant(Account& account, const AskInFlight& ask, const ShareGrantItem& item, MonotonicTime now,
+    Settlements& settled) const -> void
+{
+    for (const auto delay : item.delays) {
+        // The home rounded the delay up by less than a microsecond.
+        const Lot lot { now + delay, ask.sentAt + delay + item.lifetime - microseconds { 1 }, 1 };
+        const auto isLikeLast = !account.lots.empty() && account.lots.back().useBy == lot.useBy
+            && account.lots.back().notBefore == lot.notBefore;
+        if (isLikeLast)
+            ++account.lots.back().count;
+        else if (lot.useBy > lot.notBefore)
+            account.lots.push_back(lot);
+    }
+    serve(account, now, settled);
+    if (item.delays.size() >= ask.needed)
+        return;
+    account.splits[ask.split] = { now + item.retryAfter, true };
+    refuseSurplus(account, now, settled);
+}
+
+auto ShareHolder::serve(Account& account, MonotonicTime now, Settlements& settled) const -> void
+{
+    dropExpired(account.lots, now);
+    auto waiter = account.waiters.begin();
+    while (waiter != account.waiters.end()) {
+        const auto useBy = takeToken(account.lots, now);
+        if (!useBy)
+            break;
+        settled.push_back({ waiter->ticket, ShareGranted { *useBy } });
+        ++waiter;
+    }
+    account.waiters.erase(account.waiters.begin(), waiter);
+}
+
+auto ShareHolder::refuseOverdue(Account& account, MonotonicTime now, Settlements& settled) const -> void
+{
+    const auto overdue = std::find_if(
+        account.waiters.begin(), account.waiters.end(), [now](const auto& waiter) { return now < waiter.until; });
+    for (auto waiter = account.waiters.begin(); waiter != overdue; ++waiter)
+        settled.push_back({ waiter->ticket, ShareRefused { m_options.maximumWait } });
+    account.waiters.erase(account.waiters.begin(), overdue);
+}
+
+auto ShareHolder::refuseSurplus(Account& account, MonotonicTime now, Settlements& settled) const -> void
+{
+    const auto until = exhaustedUntil(account, now);
+    const auto covered = account.expected + countTokens(account.lots);
+    while (until && account.waiters.size() > covered) {
+        settled.push_back({ account.waiters.back().ticket, ShareRefused { toRetryAfter(*until - now) } });
+        account.waiters.pop_back();
+    }
+}
+
+} // namespace coriandergate::share
--- /dev/null
+++ b/tools/coriandergate-measure-shares/main.cpp
@@ -0,0 +1,135 @@
+// Measures how client accounts' limits are shared, against two naive ways, over the same seeded traffic, and prints a
+// table. It opens no socket, and ends by itself after some tens of seconds.
+#include "testing/ShareLoop.h"
+
+#include <cmath>
+#include <cstdio>
+#include <string>
+
+using namespace coriandergate;
+using namespace std::chrono_literals;
+using testing::ShareLoop;
+using testing::ShareLoopOptions;
+using testing::ShareLoopResult;
+using testing::ShareScheme;
+
+namespace {
+
+constexpr std::size_t daemonCount = 64;
+constexpr std::size_t accountCount = 200;
+
+// Rates fall with the account's rank; each account sends 70% of its rate and may burst for a second.
+auto skewedAccounts() -> std::vector<testing::ShareLoopAccount>
+{
+    std::vector<testing::ShareLoopAccount> accounts;
+    for (std::size_t rank = 1; rank <= accountCount; ++rank) {
+        const auto rate = std::max(2.0, 400.0 / std::pow(static_cast<double>(rank), 0.9));
+        accounts.push_back({ "account-" + std::to_string(rank), rate, std::max(10.0, std::floor(rate)), rate * 0.7 });
+    }
+    return accounts;
+}
+
+enum class Scenario {
+    Steady,
+    HolderDies,
+    HolderDiesStoreAway,
+    OneAtFiveTimes,
+};
+
+auto nameOf(Scenario scenario) -> const char*
+{
+    switch (scenario) {
+    case Scenario::Steady:
+        return "steady";
+    case Scenario::HolderDies:
+        return "daemon dies, 10 s after";
+    case Scenario::HolderDiesStoreAway:
+        return "same, store away";
+    case Scenario::OneAtFiveTimes:
+        return "one account at 5 times";
+    }
+    return "";
+}
+
+auto nameOf(ShareScheme scheme) -> const char*
+{
+    switch (scheme) {
+    case ShareScheme::Leased:
+        return "leased";
+    case ShareScheme::StaticSplit:
+        return "static split";
+    case ShareScheme::CentralBucket:
+        return "central bucket";
+    }
+    return "";
+}
+
+auto measure(Scenario scenario, ShareScheme scheme, std::uint64_t seed) -> ShareLoopResult
+{
+    ShareLoopOptions options;
+    options.seed = seed;
+    options.scheme = scheme;
+    options.daemons = daemonCount;
+    options.seats = daemonCount;
+    options.duration = 21s;
+    options.measureFrom = 10s;
+    options.accounts = skewedAccounts();
+    if (scenario == Scenario::OneAtFiveTimes)
+        options.accounts[3].offeredPerSecond = options.accounts[3].ratePerSecond * 5;
+    ShareLoop loop(options);
+    if (scenario == Scenario::HolderDiesStoreAway)
+        loop.at(5s, [&loop] { loop.setStoreAway(true); });
+    if (scenario == Scenario::HolderDies || scenario == Scenario::HolderDiesStoreAway)
+        loop.at(10s, [&loop, seed] { loop.kill(seed * 11 % daemonCount); });
+    return loop.run();
+}
+
+auto percent(std::uint64_t part, std::uint64_t whole) -> double
+{
+    return whole == 0 ? 0 : 100.0 * static_cast<double>(part) / static_cast<double>(whole);
+}
+
+auto print(Scenario scenario, ShareScheme scheme, const std::vector<ShareLoopResult>& results) -> void
+{
+    ShareLoopResult sum;
+    std::int64_t waitP99 = 0;
+    for (const auto& result : results) {
+        sum.aboveLimit += result.aboveLimit;
+        sum.requests += result.requests;
+        sum.wrongful += result.wrongful;
+        sum.allRequests += result.allRequests;
+        sum.messages += result.messages;
+        sum.bytes += result.bytes;
+        sum.late += result.late;
+        sum.worstAccount = std::max(sum.worstAccount, result.worstAccount);
+        sum.overloadedShare = std::min(sum.overloadedShare, result.overloadedShare);
+        sum.longestGap = std::max(sum.longestGap, result.longestGap);
+        if (!result.waits.empty())
+            waitP99 = std::max<std::int64_t>(waitP99, result.waits[result.waits.size() * 99 / 100].count());
+    }
+    const auto asked = static_cast<double>(sum.allRequests);
+    std::printf("%-24s %-15s %9llu %10.3f %9.2f %9.2f %8lld %9.2f %9.0f %8lld %7llu\n", nameOf(scenario),
+        nameOf(scheme), static_cast<unsigned long long>(sum.aboveLimit), percent(sum.wrongful, sum.requests),
+        100 * sum.worstAccount, sum.overloadedShare, static_cast<long long>(sum.longestGap.count()),
+        static_cast<double>(sum.messages) / asked, static_cast<double>(sum.bytes) / asked,
+        static_cast<long long>(waitP99), static_cast<unsigned long long>(sum.late));
+}
+
+} // namespace
+
+auto main() -> int
+{
+    std::printf("%zu daemons in 4 data centres of 2 regions, %zu accounts, 3 seeds each\n", daemonCount, accountCount);
+    std::printf("%-24s %-15s %9s %10s %9s %9s %8s %9s %9s %8s %7s\n", "scenario", "scheme", "above", "wrongful%",
+        "worst%", "overload", "gap ms", "msgs/req", "bytes/req", "wait p99", "late");
+    for (const auto scenario :
+        { Scenario::Steady, Scenario::HolderDies, Scenario::HolderDiesStoreAway, Scenario::OneAtFiveTimes }) {
+        for (const auto scheme : { ShareScheme::Leased, ShareScheme::StaticSplit, ShareScheme::CentralBucket }) {
+            std::vector<ShareLoopResult> results;
+            for (std::uint64_t seed = 1; seed <= 3; ++seed)
+                results.push_back(measure(scenario, scheme, seed));
+            print(scenario, scheme, results);
+        }
+    }
+    return 0;
+}
