Report the waits for tokens within the measured time

Cause: the p99 wait of 213 ms counted the first seconds too, in which every bucket fills up from empty. Change: ShareLoop keeps the waits of measured requests in microseconds; the tool prints p50, p90 and p99.

--- a/src/testing/ShareLoop.cpp
+++ b/src/testing/ShareLoop.cpp
@@ -227,7 +227,9 @@
     auto forward(std::size_t i, std::size_t request, MonotonicTime useBy) -> void
     {
         requests[request].isServed = true;
-        result.waits.push_back(std::chrono::duration_cast<milliseconds>(now - requests[request].arrived));
+        const auto arrived = requests[request].arrived;
+        if (arrived >= options.measureFrom && arrived < options.measureUntil)
+            result.waits.push_back(std::chrono::duration_cast<std::chrono::microseconds>(now - arrived));
         const auto owner = static_cast<std::size_t>(uniform(0, static_cast<double>(options.daemons)));
         auto& peer = daemons[i]->clocks.try_emplace(owner, 200).first->second;
         peer.note(clock(owner).time_since_epoch() - delayBetween(owner, i), clock(i));
--- a/src/testing/ShareLoop.h
+++ b/src/testing/ShareLoop.h
@@ -66,7 +66,7 @@
     std::uint64_t late = 0; // tokens that were no longer good at the target
     std::uint64_t doubleHolds = 0; // moments at which two daemons held a seat
     std::chrono::milliseconds longestGap { 0 }; // in which a seat was held by nobody
-    std::vector<std::chrono::milliseconds> waits; // of granted requests, sorted
+    std::vector<std::chrono::microseconds> waits; // of the measured requests that were let pass, sorted
 };
 
 // ShareLoop runs once. Times are from its beginning.
--- a/tools/coriandergate-measure-shares/main.cpp
+++ b/tools/coriandergate-measure-shares/main.cpp
@@ -2,6 +2,7 @@
 // table. It opens no socket, and ends by itself after some tens of seconds.
 #include "testing/ShareLoop.h"
 
+#include <algorithm>
 #include <cmath>
 #include <cstdio>
 #include <string>
@@ -89,10 +90,17 @@
     return whole == 0 ? 0 : 100.0 * static_cast<double>(part) / static_cast<double>(whole);
 }
 
+// In milliseconds.
+auto waitAt(const std::vector<std::chrono::microseconds>& sorted, std::size_t percentile) -> double
+{
+    if (sorted.empty())
+        return 0;
+    return static_cast<double>(sorted[sorted.size() * percentile / 100].count()) / 1000;
+}
+
 auto print(Scenario scenario, ShareScheme scheme, const std::vector<ShareLoopResult>& results) -> void
 {
     ShareLoopResult sum;
-    std::int64_t waitP99 = 0;
     for (const auto& result : results) {
         sum.aboveLimit += result.aboveLimit;
         sum.requests += result.requests;
@@ -104,15 +112,15 @@
         sum.worstAccount = std::max(sum.worstAccount, result.worstAccount);
         sum.overloadedShare = std::min(sum.overloadedShare, result.overloadedShare);
         sum.longestGap = std::max(sum.longestGap, result.longestGap);
-        if (!result.waits.empty())
-            waitP99 = std::max<std::int64_t>(waitP99, result.waits[result.waits.size() * 99 / 100].count());
+        sum.waits.insert(sum.waits.end(), result.waits.begin(), result.waits.end());
     }
     const auto asked = static_cast<double>(sum.allRequests);
-    std::printf("%-24s %-15s %9llu %10.3f %9.2f %9.2f %8lld %9.2f %9.0f %8lld %7llu\n", nameOf(scenario),
+    std::sort(sum.waits.begin(), sum.waits.end());
+    std::printf("%-24s %-15s %6llu %10.3f %8.2f %8.2f %7lld %8.2f %9.0f %8.2f %8.2f %8.2f %6llu\n", nameOf(scenario),
         nameOf(scheme), static_cast<unsigned long long>(sum.aboveLimit), percent(sum.wrongful, sum.requests),
         100 * sum.worstAccount, sum.overloadedShare, static_cast<long long>(sum.longestGap.count()),
-        static_cast<double>(sum.messages) / asked, static_cast<double>(sum.bytes) / asked,
-        static_cast<long long>(waitP99), static_cast<unsigned long long>(sum.late));
+        static_cast<double>(sum.messages) / asked, static_cast<double>(sum.bytes) / asked, waitAt(sum.waits, 50),
+        waitAt(sum.waits, 90), waitAt(sum.waits, 99), static_cast<unsigned long long>(sum.late));
 }
 
 } // namespace
@@ -120,8 +128,8 @@
 auto main() -> int
 {
     std::printf("%zu daemons in 4 data centres of 2 regions, %zu accounts, 3 seeds each\n", daemonCount, accountCount);
-    std::printf("%-24s %-15s %9s %10s %9s %9s %8s %9s %9s %8s %7s\n", "scenario", "scheme", "above", "wrongful%",
-        "worst%", "overload", "gap ms", "msgs/req", "bytes/req", "wait p99", "late");
+    std::printf("%-24s %-15s %6s %10s %8s %8s %7s %8s %9s %8s %8s %8s %6s\n", "scenario", "scheme", "above",
+        "wrongful%", "worst%", "overload", "gap ms", "msgs/req", "bytes/req", "wait p50", "p90 ms", "p99 ms", "late");
     for (const auto scenario :
         { Scenario::Steady, Scenario::HolderDies, Scenario::HolderDiesStoreAway, Scenario::OneAtFiveTimes }) {
         for (const auto scheme : { ShareScheme::Leased, ShareScheme::StaticSplit, ShareScheme::CentralBucket }) {
