--- a/src/config/ConfigurationDelta.cpp
+++ b/src/config/ConfigurationDelta.cpp
@@ -1,8 +1,8 @@
 #include "config/ConfigurationDelta.h"
 
 #include "config/Configuration.h"
+#include "config/EntryCodec.h"
 #include "config/SnapshotCodec.h"
-#include "config/internal/EntryCodec.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -62,16 +62,6 @@
             value.at("removed").get<std::vector<std::string>>() };
     }
 
-    auto headFromValue(const nlohmann::json& value) -> ConfigurationHead
-    {
-        return { value.at("version").get<std::uint64_t>(), value.at("digest").get<std::string>() };
-    }
-
-    auto toValue(const ConfigurationHead& head) -> nlohmann::json
-    {
-        return { { "version", head.version }, { "digest", head.digest } };
-    }
-
 } // namespace
 
 auto deltaBetween(const Configuration& before, const Configuration& after) -> ConfigurationDelta
@@ -102,9 +92,8 @@
 
 auto encodeDelta(const ConfigurationDelta& delta) -> std::string
 {
-    const nlohmann::json value { { "from", toValue(delta.from) }, { "to", toValue(delta.to) },
-        { "services", toValue(delta.services) }, { "clientAccounts", toValue(delta.clientAccounts) },
-        { "routes", toValue(delta.routes) } };
+    const nlohmann::json value { { "from", delta.from }, { "to", delta.to }, { "services", toValue(delta.services) },
+        { "clientAccounts", toValue(delta.clientAccounts) }, { "routes", toValue(delta.routes) } };
     std::string bytes;
     nlohmann::json::to_cbor(value, bytes);
     return bytes;
@@ -114,7 +103,7 @@
 {
     try {
         const auto value = nlohmann::json::from_cbor(bytes.begin(), bytes.end());
-        return ConfigurationDelta { headFromValue(value.at("from")), headFromValue(value.at("to")),
+        return ConfigurationDelta { value.at("from").get<ConfigurationHead>(), value.at("to").get<ConfigurationHead>(),
             fromValue<Service>(value.at("services")), fromValue<ClientAccount>(value.at("clientAccounts")),
             fromValue<Route>(value.at("routes")) };
     } catch (const nlohmann::json::exception& exception) {
--- a/src/config/ConfigurationHead.h
+++ b/src/config/ConfigurationHead.h
@@ -2,12 +2,11 @@
 //
 // The head row of the table service holds one; daemons pass it on to each other in place of the configuration.
 //
-//   if (announced > keeper.head()) pull(announced);
+//   if (announced.version > keeper.head().version) pull(announced);
 #pragma once
 
 #include "base/Error.h"
 
-#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -15,7 +14,7 @@
 
 namespace coriandergate::config {
 
-// ConfigurationHead is ordered by version. Two heads of one version and different digests never come from the store.
+// ConfigurationHead is a value. Two heads of one version and different digests never come from the store.
 struct ConfigurationHead {
     std::uint64_t version = 0; // 0: none yet
     std::string digest; // 64 lower-case hexadecimal digits; empty for version 0
@@ -23,7 +22,7 @@
     // toText() is "version-digest", which names objects of the store and travels between daemons.
     [[nodiscard]] auto toText() const -> std::string;
 
-    friend auto operator<=>(const ConfigurationHead&, const ConfigurationHead&) -> std::strong_ordering = default;
+    friend auto operator==(const ConfigurationHead&, const ConfigurationHead&) -> bool = default;
 };
 
 // parseConfigurationHead() reads what toText() wrote. Safe from any thread.
--- a/src/config/internal/EntryCodec.cpp
+++ b/src/config/EntryCodec.cpp
@@ -1,6 +1,7 @@
-#include "config/internal/EntryCodec.h"
+#include "config/EntryCodec.h"
 
 #include "config/ClientAccount.h"
+#include "config/ConfigurationHead.h"
 #include "config/Route.h"
 #include "config/Service.h"
 
@@ -22,6 +23,17 @@
 
 // NOLINTBEGIN(readability-identifier-naming)
 
+auto to_json(nlohmann::json& value, const ConfigurationHead& head) -> void
+{
+    value = { { "version", head.version }, { "digest", head.digest } };
+}
+
+auto from_json(const nlohmann::json& value, ConfigurationHead& head) -> void
+{
+    head.version = value.at("version").get<std::uint64_t>();
+    head.digest = value.at("digest").get<std::string>();
+}
+
 auto to_json(nlohmann::json& value, const Route& route) -> void
 {
     const Route byDefault;
--- a/src/config/internal/EntryCodec.h
+++ b/src/config/EntryCodec.h
@@ -1,4 +1,7 @@
-// JSON values of the entries of a configuration, one mapping for text and binary forms alike.
+// JSON values of heads and of the entries of a configuration, one mapping for text and binary forms alike.
+//
+//   const nlohmann::json value(route);
+//   const auto copy = value.get<Route>();
 #pragma once
 
 #include <nlohmann/json_fwd.hpp>
@@ -6,6 +9,7 @@
 namespace coriandergate::config {
 
 struct ClientAccount;
+struct ConfigurationHead;
 struct Route;
 struct Service;
 
@@ -15,6 +19,8 @@
 auto to_json(nlohmann::json& value, const Route& route) -> void;
 auto to_json(nlohmann::json& value, const ClientAccount& account) -> void;
 auto to_json(nlohmann::json& value, const Service& service) -> void;
+auto to_json(nlohmann::json& value, const ConfigurationHead& head) -> void;
+auto from_json(const nlohmann::json& value, ConfigurationHead& head) -> void;
 auto from_json(const nlohmann::json& value, Route& route) -> void;
 auto from_json(const nlohmann::json& value, ClientAccount& account) -> void;
 auto from_json(const nlohmann::json& value, Service& service) -> void;
--- a/src/config/Snapshot.cpp
+++ b/src/config/Snapshot.cpp
@@ -1,21 +1,11 @@
 #include "config/Snapshot.h"
 
-#include <algorithm>
+#include "config/FindByName.h"
+
 #include <utility>
 
 namespace coriandergate::config {
 
-namespace {
-
-    template <typename Entry> auto findByName(const std::vector<Entry>& sorted, std::string_view name) -> const Entry*
-    {
-        const auto found = std::lower_bound(sorted.begin(), sorted.end(), name,
-            [](const Entry& entry, std::string_view wanted) { return entry.name < wanted; });
-        return found != sorted.end() && found->name == name ? &*found : nullptr;
-    }
-
-} // namespace
-
 Snapshot::Snapshot(std::shared_ptr<const Configuration> accepted)
     : configuration(std::move(accepted))
     , routes(configuration)
--- a/src/config/SnapshotCodec.cpp
+++ b/src/config/SnapshotCodec.cpp
@@ -1,8 +1,8 @@
 #include "config/SnapshotCodec.h"
 
 #include "config/Configuration.h"
+#include "config/EntryCodec.h"
 #include "config/KeyDigest.h"
-#include "config/internal/EntryCodec.h"
 
 #include <array>
 #include <cstdint>
