--- a/src/base/Mutex.h
+++ b/src/base/Mutex.h
@@ -11,7 +11,10 @@
 //       ++m_counts[name];
 //   }
 //
-// A helper that expects the lock to be held ends in Locked and is marked REQUIRES(m_mutex) before its return type.
+// A helper that expects the lock to be held ends in Locked and is marked. With a trailing return type the mark stands
+// before `auto`, since clang takes one that stands behind for a part of the type:
+//
+//   REQUIRES(m_mutex) auto countLocked() const -> int;
 #pragma once
 
 #include <mutex>
