Run a once-only request at most once across daemons and their loss

Cause: a caller may send a once-only request again with the same Idempotency-Key, to another daemon, after the one that handled the first is gone; hosts keep nothing, and a stored record a request is too many writes.

Conclusion: no entry daemon needs to remember anything.

--- /dev/null
+++ b/src/once/OnceKey.cpp
@@ -0,0 +1,40 @@
+#include "once/OnceKey.h"
+
+#include <array>
+#include <initializer_list>
+#include <sodium.h>
+
+namespace coriandergate::once {
+
+namespace {
+
+    // Each part goes in with its length before it, which marks its border.
+    auto digestOf(std::initializer_list<std::string_view> parts) -> OnceKey
+    {
+        crypto_generichash_state state;
+        std::array<std::uint64_t, 2> digest {};
+        crypto_generichash_init(&state, nullptr, 0, sizeof(digest));
+        for (const auto part : parts) {
+            const std::uint64_t length = part.size();
+            crypto_generichash_update(&state, reinterpret_cast<const unsigned char*>(&length), sizeof(length));
+            crypto_generichash_update(&state, reinterpret_cast<const unsigned char*>(part.data()), part.size());
+        }
+        crypto_generichash_final(&state, reinterpret_cast<unsigned char*>(digest.data()), sizeof(digest));
+        return { digest[0], digest[1] };
+    }
+
+} // namespace
+
+auto makeOnceKey(std::string_view clientAccount, std::string_view idempotencyKey) -> OnceKey
+{
+    return digestOf({ clientAccount, idempotencyKey });
+}
+
+auto seatOf(const OnceKey& key, unsigned seatCount) -> unsigned { return static_cast<unsigned>(key.high % seatCount); }
+
+auto fingerprintOf(std::string_view method, std::string_view target, std::string_view body) -> std::uint64_t
+{
+    return digestOf({ method, target, body }).low;
+}
+
+} // namespace coriandergate::once
--- /dev/null
+++ b/src/once/OnceKey.h
@@ -0,0 +1,41 @@
+// Names a once-only request by its client account and Idempotency-Key.
+//
+//   const auto key = makeOnceKey("account-7", request.header("Idempotency-Key"));
+//   const auto seat = seatOf(key, seatCount);       // the holder of this seat keeps the ledger for it
+//   const auto print = fingerprintOf("POST", "/dispatches", body);
+//
+// The name is a cryptographic digest, so that no account can pick a key that collides with another account's.
+#pragma once
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+namespace coriandergate::once {
+
+// OnceKey is a 128-bit digest (BLAKE2b).
+struct OnceKey {
+    std::uint64_t high = 0;
+    std::uint64_t low = 0;
+
+    friend auto operator<=>(const OnceKey&, const OnceKey&) -> std::strong_ordering = default;
+};
+
+// OnceKeyHash lets a OnceKey be the key of an unordered map; a digest is a hash already.
+struct OnceKeyHash {
+    auto operator()(const OnceKey& key) const -> std::size_t { return static_cast<std::size_t>(key.low); }
+};
+
+// makeOnceKey() digests both texts with their border, so that ("ab", "c") and ("a", "bc") differ. Safe from any thread.
+[[nodiscard]] auto makeOnceKey(std::string_view clientAccount, std::string_view idempotencyKey) -> OnceKey;
+
+// seatOf() is the seat, 0 to `seatCount` - 1, whose holder decides about `key`. Safe from any thread.
+[[nodiscard]] auto seatOf(const OnceKey& key, unsigned seatCount) -> unsigned;
+
+// fingerprintOf() tells two requests under the same key apart by method, path with query, and body. Safe from any
+// thread.
+[[nodiscard]] auto fingerprintOf(std::string_view method, std::string_view target, std::string_view body)
+    -> std::uint64_t;
+
+} // namespace coriandergate::once
--- /dev/null
+++ b/src/once/OnceLedger.h
@@ -0,0 +1,94 @@
+// Decides, at the holder of a seat, which once-only request may run.
+//
+// A key is absent, running, ran, or of unknown outcome. An absent key is granted to the first attempt that asks; every
+// other attempt learns what became of it. All of it is in memory: after a change of holder the new one asks the fleet
+// (SeatRebuild.h) and grants nothing until it knows.
+//
+//   OnceLedger ledger({});
+//   ledger.openSeat(tenure, members, lost, now);        // once for each epoch
+//   ledger.addReport(seat, epoch, report, now);         // of each member
+//   auto answer = ledger.begin(request, tenure, now);   // variant: Permit, InProgress, AlreadyRan, ...
+//   ledger.finish(key, attempt, Ran { 201, answer }, now);
+//
+// Thread safe: seats are spread over shards, each under its own lock.
+#pragma once
+
+#include "base/Mutex.h"
+#include "once/OnceRecord.h"
+#include "once/PermitAnswer.h"
+#include "once/PermitRequest.h"
+#include "once/SeatRebuild.h"
+
+#include <array>
+#include <atomic>
+#include <cstddef>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace coriandergate::once {
+
+namespace internal {
+    class SeatLedger;
+}
+
+// OnceLedger holds the keys of the seats that this daemon holds or has held.
+class OnceLedger {
+public:
+    struct Options {
+        unsigned seatCount = 4096; // the same on every daemon
+        SeatRebuild::Options rebuild; // with the retention
+        MonotonicDuration permitLifetime = std::chrono::seconds(6);
+        std::size_t maximumKeys = 200'000;
+        std::size_t maximumAnswerBytes = 2048; // of one kept answer
+        std::size_t maximumAnswerBytesInAll = 8 << 20;
+    };
+
+    explicit OnceLedger(Options options);
+    ~OnceLedger();
+    OnceLedger(const OnceLedger&) = delete;
+    auto operator=(const OnceLedger&) -> OnceLedger& = delete;
+
+    // openSeat() begins the rebuild for a new epoch; a second call for the same epoch does nothing.
+    auto openSeat(const SeatTenure& tenure, std::vector<SeatRebuild::Member> members, std::vector<LostDaemon> lost,
+        MonotonicTime now) -> void;
+
+    // addReport() takes in what a daemon remembers of the seat. Late, repeated and reordered reports do no harm.
+    auto addReport(unsigned seat, std::uint64_t epoch, const WitnessReport& report, MonotonicTime now) -> void;
+
+    // missingReports() are the members still to be asked; empty when the seat isn't open here.
+    [[nodiscard]] auto missingReports(unsigned seat) const -> std::vector<DaemonIdentity>;
+
+    // begin() decides whether an attempt may run. `tenure` is what this daemon holds of the key's seat at `now`; empty
+    // when it doesn't hold it. A permit never outlives the tenure.
+    [[nodiscard]] auto begin(const PermitRequest& request, const std::optional<SeatTenure>& tenure, MonotonicTime now)
+        -> PermitAnswer;
+
+    // finish() takes in the outcome of an attempt, as its owner tells it: after NotRun the key is absent again, unless
+    // another attempt has it by now. Repeated and late calls do no harm.
+    auto finish(const OnceKey& key, const AttemptId& attempt, const AttemptOutcome& outcome, MonotonicTime now) -> void;
+
+    // ownerLost() turns what runs at a lost daemon into an unknown outcome. O(keys).
+    auto ownerLost(const DaemonIdentity& owner) -> void;
+
+    // recordsOf() is this daemon's own part in a WitnessReport.
+    [[nodiscard]] auto recordsOf(unsigned seat, MonotonicTime now) const -> std::vector<OnceRecord>;
+
+    // keys() is the number of keys remembered.
+    [[nodiscard]] auto keys() const -> std::size_t { return m_keys.load(std::memory_order_relaxed); }
+
+    [[nodiscard]] auto seatCount() const -> unsigned { return m_options.seatCount; }
+
+private:
+    static constexpr std::size_t s_shardCount = 64;
+    struct Shard;
+
+    [[nodiscard]] auto shardOf(unsigned seat) const -> Shard&;
+
+    Options m_options;
+    std::atomic<std::size_t> m_keys { 0 };
+    std::atomic<std::size_t> m_answerBytes { 0 };
+    std::array<std::unique_ptr<Shard>, s_shardCount> m_shards;
+};
+
+} // namespace coriandergate::once
--- /dev/null
+++ b/src/once/OnceRecord.h
@@ -0,0 +1,26 @@
+// What one daemon remembers of one started once-only request.
+#pragma once
+
+#include "base/Clock.h"
+#include "base/DaemonIdentity.h"
+#include "once/AttemptId.h"
+#include "once/AttemptOutcome.h"
+#include "once/OnceKey.h"
+
+#include <cstdint>
+
+namespace coriandergate::once {
+
+// OnceRecord is kept, for the retention counted from `startedAt`, by the ledger, by the owner and by a witness. On the
+// wire its age travels in place of `startedAt`; the time on the way makes it look younger, which is the safe side.
+struct OnceRecord {
+    OnceKey key;
+    AttemptId attempt;
+    DaemonIdentity owner;
+    std::uint64_t fingerprint = 0;
+    std::uint64_t epoch = 0; // of the seat, when the permit was granted; 0 when the one who remembers can't know it
+    AttemptOutcome outcome;
+    MonotonicTime startedAt;
+};
+
+} // namespace coriandergate::once
--- /dev/null
+++ b/src/once/WitnessLog.cpp
@@ -0,0 +1,111 @@
+#include "once/WitnessLog.h"
+
+#include <map>
+#include <unordered_map>
+
+namespace coriandergate::once {
+
+struct WitnessLog::Shard {
+    REQUIRES(mutex) auto forgetOldLocked(MonotonicTime limit) -> void
+    {
+        while (!byAge.empty() && byAge.begin()->first <= limit) {
+            records.erase(byAge.begin()->second);
+            byAge.erase(byAge.begin());
+        }
+    }
+
+    REQUIRES(mutex) auto forgetLocked(const AttemptId& attempt) -> void
+    {
+        const auto found = records.find(attempt);
+        if (found == records.end())
+            return;
+        const auto [first, last] = byAge.equal_range(found->second.startedAt);
+        for (auto entry = first; entry != last; ++entry) {
+            if (entry->second == attempt) {
+                byAge.erase(entry);
+                break;
+            }
+        }
+        records.erase(found);
+    }
+
+    mutable Mutex mutex;
+    std::unordered_map<AttemptId, OnceRecord, AttemptIdHash> records GUARDED_BY(mutex);
+    std::multimap<MonotonicTime, AttemptId> byAge GUARDED_BY(mutex);
+};
+
+WitnessLog::WitnessLog(Options options)
+    : m_options(options)
+{
+    for (auto& shard : m_shards)
+        shard = std::make_unique<Shard>();
+}
+
+WitnessLog::~WitnessLog() = default;
+
+auto WitnessLog::note(const OnceRecord& record, MonotonicTime now) -> bool
+{
+    auto& shard = shardOf(record.attempt);
+    const MutexLock lock(shard.mutex);
+    shard.forgetOldLocked(now - m_options.retention);
+    if (shard.records.contains(record.attempt))
+        return true;
+    if (shard.records.size() >= m_options.maximumRecords / s_shardCount)
+        return false;
+    shard.records.emplace(record.attempt, record);
+    shard.byAge.emplace(record.startedAt, record.attempt);
+    return true;
+}
+
+auto WitnessLog::settle(const AttemptId& attempt, const AttemptOutcome& outcome) -> void
+{
+    auto& shard = shardOf(attempt);
+    const MutexLock lock(shard.mutex);
+    const auto found = shard.records.find(attempt);
+    if (found == shard.records.end() || std::holds_alternative<Ran>(found->second.outcome))
+        return;
+    if (std::holds_alternative<NotRun>(outcome)) {
+        shard.forgetLocked(attempt);
+        return;
+    }
+    found->second.outcome = outcome;
+    if (auto* ran = std::get_if<Ran>(&found->second.outcome))
+        ran->answer.reset();
+}
+
+auto WitnessLog::recordsOf(unsigned seat, unsigned seatCount, MonotonicTime now) const -> std::vector<OnceRecord>
+{
+    auto records = all(now);
+    std::erase_if(records, [&](const OnceRecord& record) { return seatOf(record.key, seatCount) != seat; });
+    return records;
+}
+
+auto WitnessLog::all(MonotonicTime now) const -> std::vector<OnceRecord>
+{
+    std::vector<OnceRecord> records;
+    for (const auto& shard : m_shards) {
+        const MutexLock lock(shard->mutex);
+        for (const auto& [attempt, record] : shard->records) {
+            if (record.startedAt > now - m_options.retention)
+                records.push_back(record);
+        }
+    }
+    return records;
+}
+
+auto WitnessLog::size() const -> std::size_t
+{
+    std::size_t size = 0;
+    for (const auto& shard : m_shards) {
+        const MutexLock lock(shard->mutex);
+        size += shard->records.size();
+    }
+    return size;
+}
+
+auto WitnessLog::shardOf(const AttemptId& attempt) const -> Shard&
+{
+    return *m_shards[AttemptIdHash {}(attempt) / 64 % s_shardCount];
+}
+
+} // namespace coriandergate::once
--- /dev/null
+++ b/src/once/WitnessLog.h
@@ -0,0 +1,59 @@
+// What a daemon remembers of once-only requests because their owners asked it to.
+//
+//   const auto isNoted = log.note(record, now);              // the answer to the owner
+//   log.settle(attempt, NotRun {});                          // or Ran, when the owner tells
+//   report.records = log.recordsOf(seat, seatCount, now);    // for a new holder of the seat
+//
+// Thread safe: records are spread over shards, each under its own lock.
+#pragma once
+
+#include "base/Mutex.h"
+#include "once/OnceRecord.h"
+
+#include <array>
+#include <cstddef>
+#include <memory>
+#include <vector>
+
+namespace coriandergate::once {
+
+// WitnessLog keeps records for the retention, counted from their start.
+class WitnessLog {
+public:
+    struct Options {
+        MonotonicDuration retention = std::chrono::hours(1);
+        std::size_t maximumRecords = 200'000;
+    };
+
+    explicit WitnessLog(Options options);
+    ~WitnessLog();
+    WitnessLog(const WitnessLog&) = delete;
+    auto operator=(const WitnessLog&) -> WitnessLog& = delete;
+
+    // note() remembers a request that is about to start; false when the log is full. Nothing that is younger than the
+    // retention is ever forgotten to make room.
+    [[nodiscard]] auto note(const OnceRecord& record, MonotonicTime now) -> bool;
+
+    // settle() writes down an outcome; a NotRun forgets the record. A Ran is never taken back. Without the body of the
+    // answer, which the ledger keeps.
+    auto settle(const AttemptId& attempt, const AttemptOutcome& outcome) -> void;
+
+    // recordsOf() are the records of one seat's keys. O(all records).
+    [[nodiscard]] auto recordsOf(unsigned seat, unsigned seatCount, MonotonicTime now) const -> std::vector<OnceRecord>;
+
+    // all() are the records of all seats, for a planned stop: another daemon takes them over by note() and settle().
+    [[nodiscard]] auto all(MonotonicTime now) const -> std::vector<OnceRecord>;
+
+    [[nodiscard]] auto size() const -> std::size_t;
+
+private:
+    static constexpr std::size_t s_shardCount = 16;
+    struct Shard;
+
+    [[nodiscard]] auto shardOf(const AttemptId& attempt) const -> Shard&;
+
+    Options m_options;
+    std::array<std::unique_ptr<Shard>, s_shardCount> m_shards;
+};
+
+} // namespace coriandergate::once
--- /dev/null
+++ b/src/once/internal/SeatLedger.cpp
@@ -0,0 +1,263 @@
+#include "once/internal/SeatLedger.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace coriandergate::once::internal {
+
+namespace {
+
+    // A permit must have run out, on the owner's clock, before the tenure has on the holder's: 1/512 is more than two
+    // clocks drift apart, and the rest covers the rounding to milliseconds on the wire.
+    constexpr int driftPart = 512;
+    constexpr MonotonicDuration roundingMargin = std::chrono::milliseconds(2);
+
+    auto answerBytes(const AttemptOutcome& outcome) -> std::size_t
+    {
+        const auto* ran = std::get_if<Ran>(&outcome);
+        return ran && ran->answer ? ran->answer->body.size() + ran->answer->contentType.size() : 0;
+    }
+
+    // A definite outcome outranks an unknown one, and that one what is still thought to be running.
+    auto rankOf(const AttemptOutcome& outcome) -> int
+    {
+        if (std::holds_alternative<Ran>(outcome))
+            return 2;
+        return std::holds_alternative<Unknown>(outcome) ? 1 : 0;
+    }
+
+} // namespace
+
+SeatLedger::~SeatLedger()
+{
+    while (!m_entries.empty())
+        forget(m_entries.begin());
+}
+
+auto SeatLedger::open(const SeatTenure& tenure, std::vector<SeatRebuild::Member> members, std::vector<LostDaemon> lost,
+    MonotonicTime now) -> void
+{
+    if (tenure.epoch <= m_epoch)
+        return;
+    m_epoch = tenure.epoch;
+    m_rebuild.emplace(m_options.rebuild, tenure, std::move(members), std::move(lost), now);
+}
+
+auto SeatLedger::addReport(std::uint64_t epoch, const WitnessReport& report, MonotonicTime now) -> void
+{
+    if (!m_rebuild || epoch != m_epoch)
+        return;
+    m_rebuild->addReport(report);
+    for (const auto& record : report.records)
+        learn(record, now);
+    for (const auto& lost : report.lost) {
+        if (m_rebuild->isLost(lost.identity))
+            ownerLost(lost.identity);
+    }
+}
+
+auto SeatLedger::missingReports() const -> std::vector<DaemonIdentity>
+{
+    return m_rebuild ? m_rebuild->missing() : std::vector<DaemonIdentity> {};
+}
+
+auto SeatLedger::begin(const PermitRequest& request, const SeatTenure& tenure, MonotonicTime now) -> PermitAnswer
+{
+    forgetOld(now);
+    if (!m_rebuild || tenure.epoch != m_epoch)
+        return PermitRefused { PermitRefused::Reason::NotHolder, {} };
+    if (!m_rebuild->isReady(now))
+        return PermitRefused { PermitRefused::Reason::Rebuilding, m_options.rebuild.patience };
+    const auto found = m_entries.find(request.key);
+    if (found != m_entries.end())
+        return answerFor(found->second.record, request, tenure, now);
+    if (now < m_rebuild->uncertainUntil(now))
+        return OutcomeUnknown {};
+    return grant(request, tenure, now);
+}
+
+auto SeatLedger::answerFor(const OnceRecord& record, const PermitRequest& request, const SeatTenure& tenure,
+    MonotonicTime now) const -> PermitAnswer
+{
+    if (record.fingerprint != request.fingerprint)
+        return FingerprintDiffers {};
+    if (const auto* ran = std::get_if<Ran>(&record.outcome))
+        return AlreadyRan { *ran };
+    if (std::holds_alternative<Unknown>(record.outcome))
+        return OutcomeUnknown {};
+    if (record.attempt == request.attempt && record.owner == request.owner)
+        return permitUnder(tenure, now);
+    return InProgress { record.attempt, record.owner };
+}
+
+auto SeatLedger::grant(const PermitRequest& request, const SeatTenure& tenure, MonotonicTime now) -> PermitAnswer
+{
+    if (m_allKeys.load(std::memory_order_relaxed) >= m_options.maximumKeys) {
+        const auto oldest = m_byAge.empty() ? now : m_byAge.begin()->first;
+        return PermitRefused { PermitRefused::Reason::LedgerFull, oldest + m_options.rebuild.retention - now };
+    }
+    auto answer = permitUnder(tenure, now);
+    if (std::holds_alternative<Permit>(answer))
+        add({ request.key, request.attempt, request.owner, request.fingerprint, tenure.epoch, Running {}, now });
+    return answer;
+}
+
+auto SeatLedger::permitUnder(const SeatTenure& tenure, MonotonicTime now) const -> PermitAnswer
+{
+    auto lifetime = std::min<MonotonicDuration>(m_options.permitLifetime, tenure.validUntil - now);
+    lifetime -= lifetime / driftPart + roundingMargin;
+    if (lifetime <= MonotonicDuration::zero())
+        return PermitRefused { PermitRefused::Reason::NotHolder, {} };
+    return Permit { tenure.epoch, lifetime };
+}
+
+auto SeatLedger::finish(const OnceKey& key, const AttemptId& attempt, const AttemptOutcome& outcome, MonotonicTime now)
+    -> void
+{
+    forgetOld(now);
+    const auto found = m_entries.find(key);
+    if (found == m_entries.end())
+        return;
+    if (std::holds_alternative<NotRun>(outcome)) {
+        dropAttempt(found, attempt);
+        return;
+    }
+    auto& entry = found->second;
+    const auto other = std::find_if(
+        entry.others.begin(), entry.others.end(), [&](const OnceRecord& record) { return record.attempt == attempt; });
+    if (other != entry.others.end()) {
+        setOutcome(*other, outcome);
+        if (rankOf(other->outcome) > rankOf(entry.record.outcome))
+            std::swap(*other, entry.record);
+    } else if (entry.record.attempt == attempt) {
+        setOutcome(entry.record, outcome);
+    }
+}
+
+auto SeatLedger::ownerLost(const DaemonIdentity& owner) -> void
+{
+    const auto settle = [&](OnceRecord& record) {
+        if (record.owner == owner && std::holds_alternative<Running>(record.outcome))
+            record.outcome = Unknown {};
+    };
+    for (auto& [key, entry] : m_entries) {
+        settle(entry.record);
+        std::for_each(entry.others.begin(), entry.others.end(), settle);
+    }
+}
+
+auto SeatLedger::records(MonotonicTime now) const -> std::vector<OnceRecord>
+{
+    std::vector<OnceRecord> records;
+    for (const auto& [key, entry] : m_entries) {
+        if (entry.record.startedAt <= now - m_options.rebuild.retention)
+            continue;
+        records.push_back(entry.record);
+        records.insert(records.end(), entry.others.begin(), entry.others.end());
+    }
+    return records;
+}
+
+auto SeatLedger::learn(OnceRecord record, MonotonicTime now) -> void
+{
+    if (record.startedAt <= now - m_options.rebuild.retention)
+        return;
+    if (std::holds_alternative<Running>(record.outcome) && m_rebuild->isLost(record.owner))
+        record.outcome = Unknown {};
+    const auto found = m_entries.find(record.key);
+    if (found == m_entries.end()) {
+        add(record);
+        return;
+    }
+    auto& entry = found->second;
+    const auto isSame = [&](const OnceRecord& known) { return known.attempt == record.attempt; };
+    const auto isKnown = isSame(entry.record) || std::any_of(entry.others.begin(), entry.others.end(), isSame);
+    if (!isKnown)
+        addOther(entry, record);
+    if (!std::holds_alternative<Running>(record.outcome))
+        finish(record.key, record.attempt, record.outcome, now);
+}
+
+auto SeatLedger::add(const OnceRecord& record) -> void
+{
+    auto& entry = m_entries.emplace(record.key, Entry { record, {}, record.startedAt }).first->second;
+    entry.record.outcome = Running {};
+    m_byAge.emplace(record.startedAt, record.key);
+    m_allKeys.fetch_add(1, std::memory_order_relaxed);
+    setOutcome(entry.record, record.outcome);
+}
+
+// A key is remembered for the retention of its youngest attempt.
+auto SeatLedger::addOther(Entry& entry, const OnceRecord& record) -> void
+{
+    entry.others.push_back(record);
+    entry.others.back().outcome = Running {};
+    if (record.startedAt <= entry.agedAt)
+        return;
+    unlist(record.key, entry.agedAt);
+    entry.agedAt = record.startedAt;
+    m_byAge.emplace(entry.agedAt, record.key);
+}
+
+// An outcome only ever gains in certainty. An answer for which there is no room is not kept, the fact that it ran is.
+auto SeatLedger::setOutcome(OnceRecord& record, const AttemptOutcome& outcome) -> void
+{
+    if (rankOf(outcome) < rankOf(record.outcome))
+        return;
+    const auto before = answerBytes(record.outcome);
+    const auto bytes = answerBytes(outcome);
+    if (before > 0 && bytes == 0)
+        return;
+    record.outcome = outcome;
+    m_allAnswerBytes.fetch_sub(before, std::memory_order_relaxed);
+    const auto held = m_allAnswerBytes.load(std::memory_order_relaxed);
+    if (bytes == 0)
+        return;
+    if (bytes > m_options.maximumAnswerBytes || held + bytes > m_options.maximumAnswerBytesInAll)
+        std::get<Ran>(record.outcome).answer.reset();
+    else
+        m_allAnswerBytes.fetch_add(bytes, std::memory_order_relaxed);
+}
+
+auto SeatLedger::dropAttempt(Entries::iterator position, const AttemptId& attempt) -> void
+{
+    auto& entry = position->second;
+    std::erase_if(entry.others, [&](const OnceRecord& record) { return record.attempt == attempt; });
+    if (entry.record.attempt != attempt || std::holds_alternative<Ran>(entry.record.outcome))
+        return;
+    if (entry.others.empty()) {
+        forget(position);
+        return;
+    }
+    entry.record = std::move(entry.others.back());
+    entry.others.pop_back();
+}
+
+auto SeatLedger::forget(Entries::iterator position) -> void
+{
+    const auto& record = position->second.record;
+    m_allAnswerBytes.fetch_sub(answerBytes(record.outcome), std::memory_order_relaxed);
+    for (const auto& other : position->second.others)
+        m_allAnswerBytes.fetch_sub(answerBytes(other.outcome), std::memory_order_relaxed);
+    unlist(position->first, position->second.agedAt);
+    m_entries.erase(position);
+    m_allKeys.fetch_sub(1, std::memory_order_relaxed);
+}
+
+auto SeatLedger::unlist(const OnceKey& key, MonotonicTime agedAt) -> void
+{
+    const auto [first, last] = m_byAge.equal_range(agedAt);
+    const auto aged = std::find_if(first, last, [&](const auto& entry) { return entry.second == key; });
+    if (aged != last)
+        m_byAge.erase(aged);
+}
+
+auto SeatLedger::forgetOld(MonotonicTime now) -> void
+{
+    const auto limit = now - m_options.rebuild.retention;
+    while (!m_byAge.empty() && m_byAge.begin()->first <= limit) {
+        forget(m_entries.find(m_byAge.begin()->second));
+    }
+}
+
+} // namespace coriandergate::once::internal
