--- /dev/null
+++ b/src/member/PeerTable.cpp
@@ -0,0 +1,103 @@
+#include "member/PeerTable.h"
+
+#include "member/GossipNode.h"
+#include "member/MemberProfile.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace coriandergate::member {
+
+namespace {
+
+    auto addTargets(PeerSnapshot& snapshot, const Peer& peer) -> void
+    {
+        for (const auto& target : peer.profile->targets)
+            snapshot.targets[target.service].push_back({ target.address, target.slots, peer.identity, peer.locality });
+    }
+
+}
+
+auto makeSnapshot(const GossipNode& node, MonotonicTime now) -> std::shared_ptr<const PeerSnapshot>
+{
+    auto snapshot = std::make_shared<PeerSnapshot>();
+    snapshot->version = node.version();
+    snapshot->configurationVersion = node.configurationVersion();
+    snapshot->seatEpoch = node.seatEpoch();
+    snapshot->isIsolated = node.isIsolated(now);
+    for (const auto& member : node.members()) {
+        const auto& belief = member.belief;
+        if (belief.profile)
+            snapshot->peers.push_back({ { belief.address, belief.profile->incarnation }, belief.profile->locality,
+                belief.state, member.changedAt, belief.profile });
+    }
+    std::sort(snapshot->peers.begin(), snapshot->peers.end(),
+        [](const Peer& left, const Peer& right) { return left.identity.address < right.identity.address; });
+    for (const auto& peer : snapshot->peers) {
+        if (peer.state <= MemberState::Suspect)
+            addTargets(*snapshot, peer);
+    }
+    return snapshot;
+}
+
+PeerTable::PeerTable()
+    : m_current(std::make_shared<PeerSnapshot>())
+{
+}
+
+auto PeerTable::current() const -> std::shared_ptr<const PeerSnapshot>
+{
+    const MutexLock lock(m_mutex);
+    return m_current;
+}
+
+auto PeerTable::publish(std::shared_ptr<const PeerSnapshot> snapshot) -> void
+{
+    std::vector<Observer> observers;
+    {
+        const MutexLock lock(m_mutex);
+        m_current = snapshot;
+        observers = m_observers;
+    }
+    for (const auto& observer : observers)
+        observer(*snapshot);
+}
+
+auto PeerTable::observe(Observer observer) -> void
+{
+    const MutexLock lock(m_mutex);
+    m_observers.push_back(std::move(observer));
+}
+
+auto PeerTable::raiseVersions(std::uint64_t configurationVersion, std::uint64_t seatEpoch) -> void
+{
+    const MutexLock lock(m_mutex);
+    m_configurationVersion = std::max(m_configurationVersion, configurationVersion);
+    m_seatEpoch = std::max(m_seatEpoch, seatEpoch);
+}
+
+auto PeerTable::raisedConfigurationVersion() const -> std::uint64_t
+{
+    const MutexLock lock(m_mutex);
+    return m_configurationVersion;
+}
+
+auto PeerTable::raisedSeatEpoch() const -> std::uint64_t
+{
+    const MutexLock lock(m_mutex);
+    return m_seatEpoch;
+}
+
+auto PeerTable::addPeers(const std::vector<std::string>& addresses) -> void
+{
+    const MutexLock lock(m_mutex);
+    m_addedPeers.insert(m_addedPeers.end(), addresses.begin(), addresses.end());
+}
+
+auto PeerTable::takePeers() -> std::vector<std::string>
+{
+    const MutexLock lock(m_mutex);
+    return std::exchange(m_addedPeers, {});
+}
+
+} // namespace coriandergate::member
