--- a/src/daemon/CorePlugin.cpp
+++ b/src/daemon/CorePlugin.cpp
@@ -30,6 +30,8 @@
 
     const SettingRegistration peerListen { { "peer-listen", AddressKind {}, "127.0.0.1:7101",
         "address for other daemons; must be theirs to reach and nobody else's" } };
+    const SettingRegistration peerAddress { { "peer-address", AddressKind { true }, "",
+        "peer address that others are told, where it isn't peer-listen itself" } };
     const SettingRegistration workerCount { { "workers", IntegerKind { 1, 64 }, "2", "threads that serve requests" } };
     const SettingRegistration region { { "region", TextKind { false }, "region-1", "region of this host" } };
     const SettingRegistration dataCentre { { "data-centre", TextKind { false }, "dc-1", "data centre of this host" } };
@@ -78,7 +80,8 @@
     }
     m_context->snapshot = [holder] { return holder->current(); };
     m_context->targets = m_targets;
-    m_context->self = { settings->text("peer-listen"), drawIncarnation() };
+    const auto& toldAddress = settings->text("peer-address");
+    m_context->self = { toldAddress.empty() ? settings->text("peer-listen") : toldAddress, drawIncarnation() };
     m_context->locality = { settings->text("region"), settings->text("data-centre") };
     m_context->targetChooser = std::make_shared<LocalTargetChooser>(m_targets, m_context->self, m_context->locality);
 
