--- a/src/testing/StandInTarget.cpp
+++ b/src/testing/StandInTarget.cpp
@@ -129,7 +129,9 @@
     -> void
 {
     if (request.target == "/_seen") {
-        send(connection, http::makeAnswer(200, "application/json", report().dump()), false);
+        send(connection,
+            http::makeAnswer(200, "application/json", report().dump(-1, ' ', false, Json::error_handler_t::replace)),
+            false);
         return;
     }
     if (request.target != "/_mode") {
@@ -207,7 +209,7 @@
     request.target = path;
     request.headers.add("Host", options.admin);
     request.headers.add("Content-Type", "application/json");
-    request.body = body.dump();
+    request.body = body.dump(-1, ' ', false, Json::error_handler_t::replace);
     // A lost announcement is followed by the next one, so there is nothing to do about a failure.
     client.send(options.admin, request, { .timeout = announceTimeout }, [](const http::ExchangeResult&) {});
 }
