--- a/src/control/RecordCodec.cpp
+++ b/src/control/RecordCodec.cpp
@@ -1,5 +1,6 @@
 #include "control/RecordCodec.h"
 
+#include "config/DeclarationFault.h"
 #include "config/EntryCodec.h"
 #include "control/AuditRecord.h"
 #include "control/Plan.h"
@@ -10,6 +11,25 @@
 
 // NOLINTBEGIN(readability-identifier-naming): nlohmann::json sets these names.
 
+namespace coriandergate::config {
+
+auto to_json(nlohmann::json& value, const DeclarationFault& fault) -> void
+{
+    value = { { "line", fault.line }, { "column", fault.column }, { "field", fault.field },
+        { "problem", fault.problem }, { "allowed", fault.allowed } };
+}
+
+auto from_json(const nlohmann::json& value, DeclarationFault& fault) -> void
+{
+    value.at("line").get_to(fault.line);
+    value.at("column").get_to(fault.column);
+    value.at("field").get_to(fault.field);
+    value.at("problem").get_to(fault.problem);
+    value.at("allowed").get_to(fault.allowed);
+}
+
+} // namespace coriandergate::config
+
 namespace coriandergate::control {
 
 auto to_json(nlohmann::json& value, const AuditRecord& record) -> void
--- a/src/control/RecordCodec.h
+++ b/src/control/RecordCodec.h
@@ -12,6 +12,17 @@
 #include <string>
 #include <string_view>
 
+namespace coriandergate::config {
+
+struct DeclarationFault;
+
+// NOLINTBEGIN(readability-identifier-naming): nlohmann::json sets these names.
+auto to_json(nlohmann::json& value, const DeclarationFault& fault) -> void;
+auto from_json(const nlohmann::json& value, DeclarationFault& fault) -> void;
+// NOLINTEND(readability-identifier-naming)
+
+} // namespace coriandergate::config
+
 namespace coriandergate::control {
 
 struct AuditRecord;
--- a/src/daemon/DeclarationPlugin.cpp
+++ b/src/daemon/DeclarationPlugin.cpp
@@ -53,7 +53,11 @@
 
 auto DeclarationPlugin::start(kernel::Kernel& kernel, Error& reason) -> bool
 {
-    const auto& name = kernel.find<settings::Settings>()->text("declaration");
+    const auto settings = kernel.find<settings::Settings>();
+    // With a store, its configuration counts, not one of this daemon's own.
+    if (!settings->text("store").empty())
+        return true;
+    const auto& name = settings->text("declaration");
     const auto text = name.empty() ? std::string(builtInDeclaration) : readFile(name, reason);
     if (!text)
         return false;
--- a/src/proxy/EntryRequest.cpp
+++ b/src/proxy/EntryRequest.cpp
@@ -95,8 +95,9 @@
 auto EntryRequest::findRoute() -> std::optional<Refusal>
 {
     const auto snapshot = m_context->snapshot();
-    if (!snapshot) {
-        auto refused = notRun(unavailable, "find route", "", "no configuration is known yet");
+    if (!snapshot || m_context->freshnessAt(m_request.arrivedAt) == config::Freshness::Expired) {
+        auto refused = notRun(unavailable, "find route", "",
+            snapshot ? "the configuration is too old to rely on" : "no configuration is known yet");
         refused.retryAfter = milliseconds(1000);
         return refused;
     }
@@ -124,6 +125,12 @@
         return std::nullopt;
     if (!key)
         return notRun(unauthorized, "check key", route.name, "the route needs a key");
+    if (m_context->freshnessAt(m_request.arrivedAt) != config::Freshness::Current) {
+        auto refused = notRun(
+            unavailable, "check key", route.name, "this daemon is cut off and can't tell whether the key is valid");
+        refused.retryAfter = milliseconds(1000);
+        return refused;
+    }
     if (!account)
         return notRun(unauthorized, "check key", route.name, "the key is not, or no longer, valid");
     if (auto refused = checkAccount(account->name))
--- a/src/proxy/OwnerService.cpp
+++ b/src/proxy/OwnerService.cpp
@@ -139,6 +139,8 @@
         return refused;
     }
     if (!m_request.keyDigest.empty()) {
+        if (m_context->freshnessAt(now) != config::Freshness::Current)
+            return notRun("check key", "the target's host is cut off and can't tell whether the key is valid");
         const auto snapshot = m_context->snapshot();
         const auto* account = snapshot ? snapshot->keys.accountForDigest(m_request.keyDigest) : nullptr;
         if (!account || account->name != m_request.clientAccount) {
--- a/src/proxy/ProxyContext.h
+++ b/src/proxy/ProxyContext.h
@@ -1,8 +1,10 @@
 // What the entry and the owner of one daemon share: its workers, its clients and the parts that decide.
 #pragma once
 
+#include "base/Clock.h"
 #include "base/DaemonIdentity.h"
 #include "base/Locality.h"
+#include "config/Freshness.h"
 #include "http/Client.h"
 
 #include <chrono>
@@ -35,6 +37,7 @@
     std::shared_ptr<http::WorkerPool> workers;
     std::vector<std::unique_ptr<http::Client>> clients; // one a worker, used on that worker only
     std::function<std::shared_ptr<const config::Snapshot>()> snapshot; // null until a configuration is known
+    std::function<config::Freshness(MonotonicTime now)> freshness; // of the configuration; null: always current
     std::shared_ptr<member::TargetRegistry> targets;
     DaemonIdentity self; // its address takes forwarded requests
     Locality locality;
@@ -51,6 +54,12 @@
     // client() is the HTTP client of worker `index`.
     [[nodiscard]] auto client(std::size_t index) const -> http::Client& { return *clients.at(index); }
 
+    // freshnessAt() is how far the configuration may be relied on at `now`.
+    [[nodiscard]] auto freshnessAt(MonotonicTime now) const -> config::Freshness
+    {
+        return freshness ? freshness(now) : config::Freshness::Current;
+    }
+
     // runOn() runs `task` on worker `index`: at once when called there, else soon.
     auto runOn(std::size_t index, std::function<void()> task) const -> void;
 };
