Judge targets by sequential tests against their peers, and eject under permits

Cause: a target that is slow, failing in part or hung keeps taking its share of requests; counting errors in a row sees none of it.

Change: the daemon beside a target runs two CUSUM tests (service times, outcomes) against the baseline of the service; the seat holder repeats the test against fresh reports of the peers and gives ejection permits, leases that keep the healthy capacity above the floor. ConsecutiveErrors stays as the baseline.

In-flight time now counts once, for as long as the request is in flight.

--- /dev/null
+++ b/src/health/TargetReport.cpp
@@ -0,0 +1,120 @@
+#include "health/TargetReport.h"
+
+#include "base/Error.h"
+
+#include <algorithm>
+#include <cmath>
+#include <nlohmann/json.hpp>
+
+namespace coriandergate::health {
+
+namespace {
+    constexpr std::size_t fieldCount = 12;
+    constexpr std::uint32_t maximumCount = 1'000'000;
+
+    enum Flag : unsigned {
+        Suspicious = 1,
+        Cold = 2,
+        Draining = 4,
+        Unreachable = 8,
+        SelfReportedSick = 16,
+        HoldsPermit = 32,
+    };
+
+    auto flagsOf(const TargetReport& report) -> unsigned
+    {
+        return (report.isSuspicious ? Suspicious : 0U) | (report.isCold ? Cold : 0U)
+            | (report.isDraining ? Draining : 0U) | (report.isUnreachable ? Unreachable : 0U)
+            | (report.isSelfReportedSick ? SelfReportedSick : 0U) | (report.holdsPermit ? HoldsPermit : 0U);
+    }
+
+    auto applyFlags(TargetReport& report, unsigned flags) -> void
+    {
+        report.isSuspicious = (flags & Suspicious) != 0;
+        report.isCold = (flags & Cold) != 0;
+        report.isDraining = (flags & Draining) != 0;
+        report.isUnreachable = (flags & Unreachable) != 0;
+        report.isSelfReportedSick = (flags & SelfReportedSick) != 0;
+        report.holdsPermit = (flags & HoldsPermit) != 0;
+    }
+
+    // A histogram is written as bucket, count, bucket, count, ... without the empty buckets.
+    auto histogramToJson(const ServiceTimeHistogram& times) -> nlohmann::json
+    {
+        auto value = nlohmann::json::array();
+        for (std::size_t bucket = 0; bucket < ServiceTimeHistogram::bucketCount; ++bucket) {
+            const auto count = std::lround(times.count(bucket));
+            if (count <= 0)
+                continue;
+            value.push_back(bucket);
+            value.push_back(count);
+        }
+        return value;
+    }
+
+    auto histogramFromJson(const nlohmann::json& value) -> ServiceTimeHistogram
+    {
+        ServiceTimeHistogram times;
+        for (std::size_t i = 0; i + 1 < value.size(); i += 2) {
+            const auto bucket = std::min(value[i].get<std::size_t>(), ServiceTimeHistogram::bucketCount - 1);
+            times.addToBucket(bucket, static_cast<float>(std::min(value[i + 1].get<std::uint32_t>(), maximumCount)));
+        }
+        return times;
+    }
+
+    auto outcomesFromJson(const nlohmann::json& value) -> OutcomeCounts
+    {
+        OutcomeCounts outcomes;
+        for (std::size_t i = 0; i < std::min(value.size(), outcomeCount); ++i)
+            outcomes.counts[i] = std::min(value[i].get<std::uint32_t>(), maximumCount);
+        return outcomes;
+    }
+
+    auto outcomesToJson(const OutcomeCounts& outcomes) -> nlohmann::json
+    {
+        auto value = nlohmann::json::array();
+        auto last = outcomeCount;
+        while (last > 0 && outcomes.counts[last - 1] == 0)
+            --last;
+        for (std::size_t i = 0; i < last; ++i)
+            value.push_back(outcomes.counts[i]);
+        return value;
+    }
+}
+
+auto toJson(const TargetReport& report) -> nlohmann::json
+{
+    return nlohmann::json::array({ report.service, report.target, report.sequence, report.slots, flagsOf(report),
+        histogramToJson(report.recentTimes), outcomesToJson(report.recentOutcomes),
+        histogramToJson(report.suspectTimes), report.suspectTimeIntervals, outcomesToJson(report.suspectOutcomes),
+        report.suspectOutcomeIntervals, histogramToJson(report.pendingTimes) });
+}
+
+auto targetReportFromJson(const nlohmann::json& value, Error& reason) -> std::optional<TargetReport>
+{
+    if (!value.is_array() || value.size() != fieldCount) {
+        reason = { "read target report", "", "not an array of the expected length" };
+        return std::nullopt;
+    }
+    try {
+        TargetReport report;
+        report.service = value[0].get<std::string>();
+        report.target = value[1].get<std::string>();
+        report.sequence = value[2].get<std::uint64_t>();
+        report.slots = std::clamp(value[3].get<int>(), 1, 1024);
+        applyFlags(report, value[4].get<unsigned>());
+        report.recentTimes = histogramFromJson(value[5]);
+        report.recentOutcomes = outcomesFromJson(value[6]);
+        report.suspectTimes = histogramFromJson(value[7]);
+        report.suspectTimeIntervals = std::max(0, value[8].get<int>());
+        report.suspectOutcomes = outcomesFromJson(value[9]);
+        report.suspectOutcomeIntervals = std::max(0, value[10].get<int>());
+        report.pendingTimes = histogramFromJson(value[11]);
+        return report;
+    } catch (const nlohmann::json::exception& exception) {
+        reason = { "read target report", "", exception.what() };
+        return std::nullopt;
+    }
+}
+
+} // namespace coriandergate::health
