--- /dev/null
+++ b/src/balance/TargetChooser_benchmark.cpp
@@ -0,0 +1,41 @@
+#include "balance/TargetChooser.h"
+
+#include <benchmark/benchmark.h>
+#include <random>
+
+using namespace coriandergate;
+using namespace coriandergate::balance;
+
+namespace {
+
+constexpr auto mostThreads = 8;
+
+auto makeChooser(std::int64_t targetCount) -> std::unique_ptr<TargetChooser>
+{
+    auto made = std::make_unique<TargetChooser>(TargetChooser::Options { .here = { "r", "a" } });
+    std::vector<TargetDescription> targets;
+    for (std::int64_t i = 0; i < targetCount; ++i)
+        targets.push_back({ std::to_string(i), "owner", { "r", i % 2 == 0 ? "a" : "b" }, 6, {}, false });
+    made->setTargets("ledger", targets, 0.7, monotonicNow());
+    return made;
+}
+
+auto chooseTarget(benchmark::State& state) -> void
+{
+    static std::unique_ptr<TargetChooser> chooser;
+    if (state.thread_index() == 0)
+        chooser = makeChooser(state.range(0));
+    std::mt19937_64 random(static_cast<std::uint64_t>(state.thread_index()));
+    auto now = monotonicNow();
+    for (auto _ : state) {
+        const auto target = chooser->choose("ledger", {}, random(), now);
+        target->start();
+        now += std::chrono::microseconds(1);
+        target->finish(std::chrono::milliseconds(20), now);
+    }
+    state.SetItemsProcessed(state.iterations());
+}
+
+BENCHMARK(chooseTarget)->Arg(1)->Arg(14)->Arg(200)->Arg(22000)->ThreadRange(1, mostThreads)->UseRealTime();
+
+} // namespace
--- a/src/health/Baseline.cpp
+++ b/src/health/Baseline.cpp
@@ -25,20 +25,20 @@
     {
         const auto wanted = static_cast<float>(fraction) * times.total();
         auto sum = 0.0f;
-        for (std::size_t bucket = 0; bucket < ServiceTimeHistogram::bucketCount; ++bucket) {
+        for (std::size_t bucket = 0; bucket < ServiceTimeHistogram::s_bucketCount; ++bucket) {
             const auto count = times.count(bucket);
             if (count > 0 && sum + count >= wanted)
                 return static_cast<float>(bucket) - 0.5f + (wanted - sum) / count;
             sum += count;
         }
-        return static_cast<float>(ServiceTimeHistogram::bucketCount - 1);
+        return static_cast<float>(ServiceTimeHistogram::s_bucketCount - 1);
     }
 
     // shiftFor() makes the mean of exp(evidence) over `times` one at most.
     auto shiftFor(const Baseline& baseline, const ServiceTimeHistogram& times) -> float
     {
         auto mean = 0.0f;
-        for (std::size_t bucket = 0; bucket < ServiceTimeHistogram::bucketCount; ++bucket)
+        for (std::size_t bucket = 0; bucket < ServiceTimeHistogram::s_bucketCount; ++bucket)
             mean += times.count(bucket) / times.total() * std::exp(baseline.timeEvidence(bucket));
         return std::max(0.0f, std::log(mean));
     }
@@ -78,7 +78,7 @@
 auto Baseline::timeEvidence(const ServiceTimeHistogram& times) const -> float
 {
     auto sum = 0.0f;
-    for (std::size_t bucket = 0; bucket < ServiceTimeHistogram::bucketCount; ++bucket)
+    for (std::size_t bucket = 0; bucket < ServiceTimeHistogram::s_bucketCount; ++bucket)
         sum += times.count(bucket) * timeEvidence(bucket);
     return sum;
 }
@@ -86,7 +86,7 @@
 auto Baseline::pendingEvidence(const ServiceTimeHistogram& elapsed) const -> float
 {
     auto sum = 0.0f;
-    for (std::size_t bucket = 0; bucket < ServiceTimeHistogram::bucketCount; ++bucket)
+    for (std::size_t bucket = 0; bucket < ServiceTimeHistogram::s_bucketCount; ++bucket)
         sum += elapsed.count(bucket) * std::clamp(ratioOf(*this, bucket), 0.0f, pendingBound);
     return sum;
 }
--- a/src/health/EjectionDecider.cpp
+++ b/src/health/EjectionDecider.cpp
@@ -4,6 +4,10 @@
 
 namespace coriandergate::health {
 
+namespace {
+    constexpr auto baselinePeriod = std::chrono::milliseconds(500);
+}
+
 EjectionDecider::EjectionDecider(const Options& options, MonotonicTime seatHeldSince)
     : m_options(options)
     , m_detector(options.detector)
@@ -29,8 +33,8 @@
     ReportAnswer answer;
     answer.sequence = report.sequence;
     answer.verdict = m_detector.receive(report, now);
-    answer.baseline = m_detector.baseline();
-    updateCapacityLocked(report, now);
+    answer.baseline = baselineLocked(now);
+    updateCapacityLocked(report);
     const auto ejection = m_ejections.find(report.target);
     if (ejection != m_ejections.end() && ejection->second.isEjected)
         renewLocked(report, ejection->second, now, answer);
@@ -41,19 +45,34 @@
     return answer;
 }
 
-auto EjectionDecider::updateCapacityLocked(const TargetReport& report, MonotonicTime now) -> void
+auto EjectionDecider::updateCapacityLocked(const TargetReport& report) -> void
 {
     const auto isServing = !report.isCold && !report.isDraining && !report.isUnreachable;
     m_capacities[report.target] = { report.slots, isServing };
-    // Whoever fell silent gives no capacity that an ejection could count on.
+    m_permits.updateTarget(report.target, { report.slots, isServing });
+}
+
+// Whoever fell silent gives no capacity that an ejection could count on.
+auto EjectionDecider::dropSilentCapacityLocked(MonotonicTime now) -> void
+{
     for (const auto& [target, capacity] : m_capacities)
         m_permits.updateTarget(target, { capacity.slots, capacity.isServing && m_detector.isHeardOf(target, now) });
 }
 
+auto EjectionDecider::baselineLocked(MonotonicTime now) -> std::optional<Baseline>
+{
+    if (m_baseline && now - m_baselineAt < baselinePeriod)
+        return m_baseline;
+    m_baseline = m_detector.baseline();
+    m_baselineAt = now;
+    return m_baseline;
+}
+
 auto EjectionDecider::renewLocked(
     const TargetReport& report, Ejection& ejection, MonotonicTime now, ReportAnswer& answer) -> void
 {
     Error reason;
+    dropSilentCapacityLocked(now);
     if (!ejection.hold.isOver(now))
         answer.permitLifetime = m_permits.request(report.target, m_seatHeldUntil, now, reason);
     if (answer.permitLifetime)
@@ -66,6 +85,7 @@
 auto EjectionDecider::ejectLocked(const TargetReport& report, MonotonicTime now, ReportAnswer& answer) -> void
 {
     Error reason;
+    dropSilentCapacityLocked(now);
     answer.permitLifetime = m_permits.request(report.target, m_seatHeldUntil, now, reason);
     if (!answer.permitLifetime) {
         answer.isLessPreferred = true;
--- a/src/health/EjectionDecider.h
+++ b/src/health/EjectionDecider.h
@@ -55,7 +55,9 @@
         bool isEjected = false;
     };
 
-    REQUIRES(m_mutex) auto updateCapacityLocked(const TargetReport& report, MonotonicTime now) -> void;
+    REQUIRES(m_mutex) auto updateCapacityLocked(const TargetReport& report) -> void;
+    REQUIRES(m_mutex) auto dropSilentCapacityLocked(MonotonicTime now) -> void;
+    [[nodiscard]] REQUIRES(m_mutex) auto baselineLocked(MonotonicTime now) -> std::optional<Baseline>;
     REQUIRES(m_mutex)
     auto renewLocked(const TargetReport& report, Ejection& ejection, MonotonicTime now, ReportAnswer& answer) -> void;
     REQUIRES(m_mutex) auto ejectLocked(const TargetReport& report, MonotonicTime now, ReportAnswer& answer) -> void;
@@ -63,6 +65,8 @@
     const Options m_options;
     mutable Mutex m_mutex;
     MonotonicTime m_seatHeldUntil GUARDED_BY(m_mutex);
+    std::optional<Baseline> m_baseline GUARDED_BY(m_mutex);
+    MonotonicTime m_baselineAt GUARDED_BY(m_mutex);
     GrayDetector m_detector GUARDED_BY(m_mutex);
     EjectionPermits m_permits GUARDED_BY(m_mutex);
     std::map<std::string, EjectionPermits::Capacity, std::less<>> m_capacities GUARDED_BY(m_mutex);
--- a/src/health/EjectionLease.cpp
+++ b/src/health/EjectionLease.cpp
@@ -6,13 +6,13 @@
 
 auto EjectionLease::noteSent(std::uint64_t sequence, MonotonicTime now) -> void
 {
-    m_sent[sequence % rememberedCount] = { sequence, now };
+    m_sent[sequence % s_rememberedCount] = { sequence, now };
     m_lastSent = std::max(m_lastSent, sequence);
 }
 
 auto EjectionLease::accept(std::uint64_t sequence, std::chrono::milliseconds lifetime) -> bool
 {
-    const auto& sent = m_sent[sequence % rememberedCount];
+    const auto& sent = m_sent[sequence % s_rememberedCount];
     if (sequence == 0 || sent.sequence != sequence || sequence <= m_releasedUpTo)
         return false;
     m_until = std::max(m_until, sent.at + lifetime);
--- a/src/health/EjectionLease.h
+++ b/src/health/EjectionLease.h
@@ -42,9 +42,9 @@
         MonotonicTime at;
     };
 
-    static constexpr std::size_t rememberedCount = 16;
+    static constexpr std::size_t s_rememberedCount = 16;
 
-    std::array<Sent, rememberedCount> m_sent {};
+    std::array<Sent, s_rememberedCount> m_sent {};
     std::uint64_t m_lastSent = 0;
     std::uint64_t m_releasedUpTo = 0;
     MonotonicTime m_until;
--- a/src/health/GrayDetector_test.cpp
+++ b/src/health/GrayDetector_test.cpp
@@ -88,7 +88,7 @@
     const auto baseline = Baseline::of(peers, 0, 1000);
     REQUIRE(baseline);
     auto mean = 0.0;
-    for (std::size_t bucket = 0; bucket < ServiceTimeHistogram::bucketCount; ++bucket)
+    for (std::size_t bucket = 0; bucket < ServiceTimeHistogram::s_bucketCount; ++bucket)
         mean += peers.count(bucket) / peers.total() * std::exp(baseline->timeEvidence(bucket));
     CHECK(mean <= 1.0001);
 }
--- a/src/health/PathTracker.cpp
+++ b/src/health/PathTracker.cpp
@@ -34,7 +34,7 @@
     return found != shard.paths.end() && !found->second.hold.isOver(now);
 }
 
-auto PathTracker::shardOf(std::string_view host) const -> std::size_t { return hashOf(host) % shardCount; }
+auto PathTracker::shardOf(std::string_view host) const -> std::size_t { return hashOf(host) % s_shardCount; }
 
 auto PathTracker::slowFrom(const Locality& locality, std::chrono::microseconds path) -> std::chrono::microseconds
 {
--- a/src/health/PathTracker.h
+++ b/src/health/PathTracker.h
@@ -51,19 +51,19 @@
         GrowingHold hold;
     };
 
-    struct Shard {
+    struct alignas(64) Shard {
         mutable Mutex mutex;
         std::unordered_map<std::string, Path> paths GUARDED_BY(mutex);
     };
 
-    static constexpr std::size_t shardCount = 16;
+    static constexpr std::size_t s_shardCount = 16;
 
     [[nodiscard]] auto shardOf(std::string_view host) const -> std::size_t;
     [[nodiscard]] auto slowFrom(const Locality& locality, std::chrono::microseconds path) -> std::chrono::microseconds;
     auto note(std::string_view host, bool isBad, MonotonicTime now) -> void;
 
     const Options m_options;
-    std::array<Shard, shardCount> m_shards;
+    std::array<Shard, s_shardCount> m_shards;
     Mutex m_normalMutex;
     std::map<Locality, ServiceTimeHistogram> m_normal GUARDED_BY(m_normalMutex);
 };
--- a/src/health/ServiceTimeHistogram.cpp
+++ b/src/health/ServiceTimeHistogram.cpp
@@ -23,7 +23,7 @@
     const auto octave = std::bit_width(microseconds) - 1;
     const auto isUpperHalf = microseconds >= ((halfOctaveNumerator << octave) >> halfOctaveShift);
     const auto bucket = 1 + 2 * static_cast<std::size_t>(octave - lowestOctave) + (isUpperHalf ? 1 : 0);
-    return std::min(bucket, bucketCount - 1);
+    return std::min(bucket, s_bucketCount - 1);
 }
 
 auto ServiceTimeHistogram::addToBucket(std::size_t bucket, float weight) -> void
@@ -34,7 +34,7 @@
 
 auto ServiceTimeHistogram::addScaled(const ServiceTimeHistogram& other, float factor) -> void
 {
-    for (std::size_t bucket = 0; bucket < bucketCount; ++bucket)
+    for (std::size_t bucket = 0; bucket < s_bucketCount; ++bucket)
         m_counts[bucket] += other.m_counts[bucket] * factor;
     m_total += other.m_total * factor;
 }
@@ -53,7 +53,7 @@
     const auto wanted = fraction * m_total;
     auto sum = 0.0;
     std::size_t bucket = 0;
-    for (; bucket + 1 < bucketCount; ++bucket) {
+    for (; bucket + 1 < s_bucketCount; ++bucket) {
         sum += m_counts[bucket];
         if (sum >= wanted)
             break;
--- a/src/health/ServiceTimeHistogram.h
+++ b/src/health/ServiceTimeHistogram.h
@@ -18,7 +18,7 @@
 // ServiceTimeHistogram is a value. Counts are real numbers because references fade with age. Not thread-safe.
 class ServiceTimeHistogram {
 public:
-    static constexpr std::size_t bucketCount = 40;
+    static constexpr std::size_t s_bucketCount = 40;
 
     // bucketOf() is the bucket of `time`; times outside the range fall into the first or the last one.
     [[nodiscard]] static auto bucketOf(std::chrono::microseconds time) -> std::size_t;
@@ -26,7 +26,7 @@
     // add() counts `weight` observations of `time`.
     auto add(std::chrono::microseconds time, float weight = 1) -> void { addToBucket(bucketOf(time), weight); }
 
-    // addToBucket() counts `weight` observations in `bucket`, which must be below bucketCount.
+    // addToBucket() counts `weight` observations in `bucket`, which must be below s_bucketCount.
     auto addToBucket(std::size_t bucket, float weight) -> void;
 
     // addScaled() adds every count of `other`, times `factor`.
@@ -48,7 +48,7 @@
     [[nodiscard]] auto quantile(double fraction) const -> std::chrono::microseconds;
 
 private:
-    std::array<float, bucketCount> m_counts {};
+    std::array<float, s_bucketCount> m_counts {};
     float m_total = 0;
 };
 
--- a/src/health/TargetObserver.cpp
+++ b/src/health/TargetObserver.cpp
@@ -18,7 +18,7 @@
     const MutexLock lock(m_mutex);
     ++m_inFlight;
     const auto index = static_cast<std::size_t>(std::countr_one(m_tracked));
-    if (index < trackedCount) {
+    if (index < s_trackedCount) {
         m_tracked |= std::uint64_t { 1 } << index;
         m_startedAt[index] = now;
     }
@@ -31,7 +31,7 @@
         = ServiceTimeHistogram::bucketOf(std::chrono::duration_cast<std::chrono::microseconds>(now - ticket.startedAt));
     const MutexLock lock(m_mutex);
     --m_inFlight;
-    if (ticket.index < trackedCount)
+    if (ticket.index < s_trackedCount)
         m_tracked &= ~(std::uint64_t { 1 } << ticket.index);
     m_refusals = outcome == Outcome::ConnectionFailed ? m_refusals + 1 : 0;
     if (outcome == Outcome::Crashed || now < m_coldUntil)
@@ -48,7 +48,7 @@
     const MutexLock lock(m_mutex);
     judgeTimesLocked(now);
     judgeOutcomesLocked();
-    m_current = (m_current + 1) % recentIntervalCount;
+    m_current = (m_current + 1) % s_recentIntervalCount;
     m_recent[m_current] = {};
     return isSuspiciousLocked();
 }
--- a/src/health/TargetObserver.h
+++ b/src/health/TargetObserver.h
@@ -84,8 +84,8 @@
     [[nodiscard]] auto inFlight() const -> int;
 
 private:
-    static constexpr std::size_t trackedCount = 64;
-    static constexpr std::size_t recentIntervalCount = 8;
+    static constexpr std::size_t s_trackedCount = 64;
+    static constexpr std::size_t s_recentIntervalCount = 8;
 
     struct Interval {
         ServiceTimeHistogram times;
@@ -114,11 +114,11 @@
     const Identity m_identity;
     const Options m_options;
     mutable Mutex m_mutex;
-    std::array<MonotonicTime, trackedCount> m_startedAt GUARDED_BY(m_mutex);
+    std::array<MonotonicTime, s_trackedCount> m_startedAt GUARDED_BY(m_mutex);
     std::uint64_t m_tracked GUARDED_BY(m_mutex) = 0; // one bit for each entry of m_startedAt in use
     int m_inFlight GUARDED_BY(m_mutex) = 0;
     int m_refusals GUARDED_BY(m_mutex) = 0;
-    std::array<Interval, recentIntervalCount> m_recent GUARDED_BY(m_mutex);
+    std::array<Interval, s_recentIntervalCount> m_recent GUARDED_BY(m_mutex);
     std::size_t m_current GUARDED_BY(m_mutex) = 0;
     std::optional<Baseline> m_baseline GUARDED_BY(m_mutex);
     Sum m_timeSum GUARDED_BY(m_mutex);
--- a/src/health/TargetReport.cpp
+++ b/src/health/TargetReport.cpp
@@ -42,7 +42,7 @@
     auto histogramToJson(const ServiceTimeHistogram& times) -> nlohmann::json
     {
         auto value = nlohmann::json::array();
-        for (std::size_t bucket = 0; bucket < ServiceTimeHistogram::bucketCount; ++bucket) {
+        for (std::size_t bucket = 0; bucket < ServiceTimeHistogram::s_bucketCount; ++bucket) {
             const auto count = std::lround(times.count(bucket));
             if (count <= 0)
                 continue;
@@ -56,7 +56,7 @@
     {
         ServiceTimeHistogram times;
         for (std::size_t i = 0; i + 1 < value.size(); i += 2) {
-            const auto bucket = std::min(value[i].get<std::size_t>(), ServiceTimeHistogram::bucketCount - 1);
+            const auto bucket = std::min(value[i].get<std::size_t>(), ServiceTimeHistogram::s_bucketCount - 1);
             times.addToBucket(bucket, static_cast<float>(std::min(value[i + 1].get<std::uint32_t>(), maximumCount)));
         }
         return times;
--- a/tools/coriandergate-measure-health/main.cpp
+++ b/tools/coriandergate-measure-health/main.cpp
@@ -1,6 +1,8 @@
-// Prints detection time and false ejections of the gray detector and of the naive one, over the same seeded traces.
+// Prints detection time and false ejections of the gray detector and of the naive one, and latency and load under each
+// way to choose targets, over the same seeded traces.
 //
 //   coriandergate-measure-health [seeds]
+#include "testing/BalanceTrace.h"
 #include "testing/GrayTrace.h"
 
 #include <algorithm>
@@ -58,6 +60,15 @@
     std::printf("\n");
 }
 
+auto measureBalance(const char* name, const coriandergate::balance::Policy& policy, int targets, int gray) -> void
+{
+    const auto result = runBalanceTrace({ .targets = targets, .grayTargets = gray, .policy = policy });
+    std::printf(
+        "%-18s targets %3d  gray %d  p50 %6.1f ms  p99 %7.1f ms  gray's share %.4f  most loaded %.2f times the mean\n",
+        name, targets, gray, static_cast<double>(result.p50.count()) / 1000,
+        static_cast<double>(result.p99.count()) / 1000, gray > 0 ? result.grayShare : 0, result.mostLoaded);
+}
+
 } // namespace
 
 auto main(int argc, char** argv) -> int
@@ -86,5 +97,12 @@
     };
     for (const auto& row : rows)
         measure(row, seeds);
+    for (const auto targets : { 8, 26, 200 }) {
+        for (const auto gray : { 0, 1, 2 }) {
+            measureBalance("power of two", coriandergate::balance::PowerOfTwo(), targets, gray);
+            measureBalance("round robin", coriandergate::balance::RoundRobin(), targets, gray);
+            measureBalance("least connections", coriandergate::balance::LeastConnections(), targets, gray);
+        }
+    }
     return 0;
 }
