Serve the status text that callers' scripts obey

Cause: scripts decide from the page whether to call, wait or retry, and there was no page. Change: advice from fresh news only (call, wait, retry), a line template and words that operators set, GET /status before every route. Found by a script that obeys the page while targets come and go: it was told call, the target began to leave in between, and the request was refused. A leaving target now still takes, for 1 s, what has nowhere else to go, the one that left last first. Open: a target that dies without a word is still called for up to 1.5 s, then wait.

--- a/src/daemon/ListenPlugin.cpp
+++ b/src/daemon/ListenPlugin.cpp
@@ -3,6 +3,7 @@
 #include "daemon/AdminRouter.h"
 #include "daemon/DrainState.h"
 #include "daemon/PeerRouter.h"
+#include "daemon/StatusPage.h"
 #include "http/Exchange.h"
 #include "http/Server.h"
 #include "kernel/Kernel.h"
@@ -87,9 +88,14 @@
     const auto router = std::shared_ptr<const AdminRouter>(kernel.find<AdminRouter>());
     const auto peerRouter = std::shared_ptr<const PeerRouter>(kernel.find<PeerRouter>());
 
+    const auto statusPage = std::shared_ptr<const StatusPage>(kernel.find<StatusPage>());
     m_callers = std::make_unique<http::Server>(*context->workers, toOptions(m_settings->text("listen"), *m_settings),
-        [context](
-            std::shared_ptr<http::Exchange> exchange) { proxy::EntryRequest::start(context, std::move(exchange)); });
+        [context, statusPage](std::shared_ptr<http::Exchange> exchange) {
+            if (statusPage->takes(exchange->request()))
+                exchange->answer(statusPage->makePage(monotonicNow()));
+            else
+                proxy::EntryRequest::start(context, std::move(exchange));
+        });
     auto peerOptions = toOptions(m_settings->text("peer-listen"), *m_settings);
     // A forwarded request carries the forward header beside the caller's own.
     peerOptions.maximumHeaderBytes *= 2;
--- a/src/member/TargetRegistry.cpp
+++ b/src/member/TargetRegistry.cpp
@@ -46,8 +46,8 @@
             reason = announceError(announcement, "the target is leaving");
             return false;
         }
-        if (known->second.target != Target { announcement, TargetState::Serving }) {
-            known->second.target = { announcement, TargetState::Serving };
+        if (known->second.target != Target { announcement, TargetState::Serving, std::nullopt }) {
+            known->second.target = { announcement, TargetState::Serving, std::nullopt };
             ++m_version;
         }
         return true;
@@ -58,7 +58,8 @@
             announcement, "the host has " + std::to_string(m_options.maximumTargets) + " targets already");
         return false;
     }
-    entries[announcement.address] = { { announcement, TargetState::Serving }, now + m_options.timeToLive };
+    entries[announcement.address]
+        = { { announcement, TargetState::Serving, std::nullopt }, now + m_options.timeToLive };
     ++m_version;
     return true;
 }
@@ -76,6 +77,7 @@
             if (entry->second.target.state == TargetState::Draining)
                 continue;
             entry->second.target.state = TargetState::Draining;
+            entry->second.target.leftAt = now;
             entry->second.expiresAt = now + m_options.timeToLive;
             ++m_version;
         }
@@ -127,6 +129,37 @@
     return entry->second.target;
 }
 
+auto TargetRegistry::takesWork(const Target& target, MonotonicTime now) const -> bool
+{
+    return target.state == TargetState::Serving || (target.leftAt && now < *target.leftAt + m_options.leavingGrace);
+}
+
+auto TargetRegistry::lastResort(std::string_view service, MonotonicTime now) const -> std::optional<Target>
+{
+    std::optional<Target> latest;
+    for (auto& target : targetsOf(service, now)) {
+        if (takesWork(target, now) && (!latest || target.leftAt > latest->leftAt))
+            latest = std::move(target);
+    }
+    return latest;
+}
+
+auto TargetRegistry::heardAt(std::string_view service, MonotonicTime now) const -> std::optional<MonotonicTime>
+{
+    const auto& shard = shardOf(service);
+    const MutexLock lock(shard.mutex);
+    std::optional<MonotonicTime> freshest;
+    const auto entries = shard.services.find(service);
+    if (entries == shard.services.end())
+        return freshest;
+    for (const auto& [address, entry] : entries->second) {
+        const auto heard = entry.expiresAt - m_options.timeToLive;
+        if (entry.target.state == TargetState::Serving && entry.expiresAt > now && (!freshest || heard > *freshest))
+            freshest = heard;
+    }
+    return freshest;
+}
+
 auto TargetRegistry::snapshot(MonotonicTime now) const -> TargetSnapshot
 {
     TargetSnapshot snapshot;
--- a/src/proxy/EntryRequest.cpp
+++ b/src/proxy/EntryRequest.cpp
@@ -7,6 +7,7 @@
 #include "http/Exchange.h"
 #include "http/WorkerPool.h"
 #include "log/Event.h"
+#include "member/TargetRegistry.h"
 #include "proxy/ForwardCodec.h"
 #include "proxy/KeyCarrier.h"
 #include "proxy/PoisonGate.h"
@@ -15,6 +16,7 @@
 #include "proxy/RequestId.h"
 #include "proxy/RetryGate.h"
 #include "proxy/TargetChooser.h"
+#include "status/ServiceBoard.h"
 
 #include <algorithm>
 #include <utility>
@@ -255,12 +257,15 @@
     if (m_tried.empty() && m_context->retryGate)
         m_context->retryGate->began(m_request, now);
     m_choice = m_context->targetChooser->choose(m_request.route.service, m_tried, now);
+    if (!m_choice)
+        m_choice = chooseLastResort(now);
     if (!m_choice && m_lastRefusal) {
         // No other target is left: what the last one did is what the caller should know.
         refuse(*m_lastRefusal);
         return;
     }
     if (!m_choice) {
+        m_context->serviceBoard->refused(m_request.route.service, now);
         auto refused = notRun(unavailable, "choose target", m_request.route.service, "no target can take the request");
         refused.retryAfter = milliseconds(1000);
         refuse(refused);
@@ -286,6 +291,17 @@
         sendToOwner(std::move(request));
 }
 
+// A caller may have been told a moment ago that the route serves; a target that has just begun to leave keeps that
+// true.
+auto EntryRequest::chooseLastResort(MonotonicTime now) const -> std::optional<TargetChoice>
+{
+    const auto target = m_context->targets->lastResort(m_request.route.service, now);
+    if (!target || std::find(m_tried.begin(), m_tried.end(), target->announcement.address) != m_tried.end())
+        return std::nullopt;
+    return TargetChoice { m_request.route.service, target->announcement.address, m_context->self, m_context->locality,
+        TargetChoice::noTicket };
+}
+
 auto EntryRequest::sendLocally(OwnerRequest request) -> void
 {
     m_ownerRun = OwnerService::start(m_context, std::move(request), [weak = weak_from_this()](OwnerResult result) {
@@ -386,6 +402,7 @@
         && (!m_context->retryGate
             || m_context->retryGate->mayRetry(m_request, refusal, static_cast<int>(m_tried.size()), now));
     if (!mayRetry) {
+        m_context->serviceBoard->refused(m_request.route.service, now);
         refuse(refusal);
         return;
     }
@@ -398,7 +415,8 @@
     if (!m_choice)
         return;
     const auto now = monotonicNow();
-    m_context->targetChooser->finished(*m_choice, { result, status, now - m_attemptStartedAt, report }, now);
+    if (m_choice->ticket != TargetChoice::noTicket)
+        m_context->targetChooser->finished(*m_choice, { result, status, now - m_attemptStartedAt, report }, now);
     m_ownerRun = nullptr;
 }
 
@@ -406,6 +424,8 @@
 {
     if (std::exchange(m_isOver, true))
         return;
+    if (m_choice)
+        m_context->serviceBoard->answered(m_request.route.service, monotonicNow());
     settle(Outcome::Ran, &answer);
     http::removeHopByHop(answer.headers);
     answer.headers.replace(headers::requestId, m_request.id);
--- a/src/proxy/EntryRequest.h
+++ b/src/proxy/EntryRequest.h
@@ -49,6 +49,7 @@
     auto beginOnce() -> void;
     auto onOnceDecision(OnceDecision decision) -> void;
     auto attempt() -> void;
+    [[nodiscard]] auto chooseLastResort(MonotonicTime now) const -> std::optional<TargetChoice>;
     auto sendLocally(OwnerRequest request) -> void;
     auto sendToOwner(OwnerRequest request) -> void;
     auto onForwardResult(http::ExchangeResult result) -> void;
--- a/src/proxy/OwnerService.cpp
+++ b/src/proxy/OwnerService.cpp
@@ -84,7 +84,7 @@
         refuse(notRun("find target", "no such target on this host"));
         return;
     }
-    if (target->state != member::TargetState::Serving) {
+    if (!m_context->targets->takesWork(*target, now)) {
         refuse(notRun("find target", "the target is leaving"));
         return;
     }
--- a/src/proxy/ProxyContext.h
+++ b/src/proxy/ProxyContext.h
@@ -22,6 +22,10 @@
 class TargetRegistry;
 }
 
+namespace coriandergate::status {
+class ServiceBoard;
+}
+
 namespace coriandergate::proxy {
 
 class AttemptObserver;
@@ -43,6 +47,8 @@
     Locality locality;
     std::chrono::milliseconds cancelGrace { 20 }; // a slot stays taken so long after its request was cancelled
 
+    std::shared_ptr<status::ServiceBoard> serviceBoard; // for the status text
+
     std::shared_ptr<RateGate> rateGate;
     std::shared_ptr<OnceGate> onceGate;
     std::shared_ptr<PoisonGate> poisonGate;
--- a/src/proxy/TargetChoice.h
+++ b/src/proxy/TargetChoice.h
@@ -9,8 +9,10 @@
 
 namespace coriandergate::proxy {
 
-// TargetChoice is a value. `ticket` is the chooser's own.
+// TargetChoice is a value. `ticket` is the chooser's own; noTicket marks a choice that it didn't make.
 struct TargetChoice {
+    static constexpr std::uint64_t noTicket = ~std::uint64_t { 0 };
+
     std::string service;
     std::string target; // IP:port
     DaemonIdentity owner; // the daemon on the target's host; its address takes forwarded requests
--- /dev/null
+++ b/src/status/ServiceBoard.cpp
@@ -0,0 +1,31 @@
+#include "status/ServiceBoard.h"
+
+#include "base/Hash.h"
+
+namespace coriandergate::status {
+
+auto ServiceBoard::shardOf(std::string_view service) -> Shard& { return m_shards[hashOf(service) % s_shardCount]; }
+
+auto ServiceBoard::answered(std::string_view service, MonotonicTime now) -> void
+{
+    auto& shard = shardOf(service);
+    const MutexLock lock(shard.mutex);
+    shard.entries[std::string(service)].answeredAt = now;
+}
+
+auto ServiceBoard::refused(std::string_view service, MonotonicTime now) -> void
+{
+    auto& shard = shardOf(service);
+    const MutexLock lock(shard.mutex);
+    shard.entries[std::string(service)].refusedAt = now;
+}
+
+auto ServiceBoard::lookUp(std::string_view service) const -> Entry
+{
+    const auto& shard = m_shards[hashOf(service) % s_shardCount];
+    const MutexLock lock(shard.mutex);
+    const auto found = shard.entries.find(service);
+    return found == shard.entries.end() ? Entry {} : found->second;
+}
+
+} // namespace coriandergate::status
--- /dev/null
+++ b/src/status/ServiceBoard.h
@@ -0,0 +1,50 @@
+// Remembers, for each service, when a request was last answered and when one was last refused for want of a target.
+//
+//   board.refused("ledger", now);
+//   const auto last = board.lookUp("ledger");
+//   if (last.refusedAt && (!last.answeredAt || *last.answeredAt < *last.refusedAt)) ...
+#pragma once
+
+#include "base/Clock.h"
+#include "base/Mutex.h"
+
+#include <array>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace coriandergate::status {
+
+// ServiceBoard is safe from any thread; services are kept in shards, each under its own lock. It holds one small entry
+// for each service that a configured route names.
+class ServiceBoard {
+public:
+    struct Entry {
+        std::optional<MonotonicTime> answeredAt;
+        std::optional<MonotonicTime> refusedAt;
+    };
+
+    // answered() notes that a target of `service` gave a whole answer.
+    auto answered(std::string_view service, MonotonicTime now) -> void;
+
+    // refused() notes that a request for `service` found no target that would take it.
+    auto refused(std::string_view service, MonotonicTime now) -> void;
+
+    // lookUp() is what is known of `service`.
+    [[nodiscard]] auto lookUp(std::string_view service) const -> Entry;
+
+private:
+    struct Shard {
+        mutable Mutex mutex;
+        std::map<std::string, Entry, std::less<>> entries GUARDED_BY(mutex);
+    };
+
+    static constexpr std::size_t s_shardCount = 16;
+
+    [[nodiscard]] auto shardOf(std::string_view service) -> Shard&;
+
+    std::array<Shard, s_shardCount> m_shards;
+};
+
+} // namespace coriandergate::status
