--- a/src/daemon/AdmissionPlugin_test.cpp
+++ b/src/daemon/AdmissionPlugin_test.cpp
@@ -8,6 +8,7 @@
 #include <QEventLoop>
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
+#include <thread>
 
 using namespace coriandergate;
 using namespace coriandergate::testing;
@@ -54,6 +55,19 @@
     return tally;
 }
 
+// Metrics follow a moment after what they count.
+auto waitForMetric(const DaemonUnderTest& daemon, const std::string& name) -> bool
+{
+    for (int round = 0; round < 50; ++round) {
+        Error reason;
+        const auto metrics = simpleCall(daemon.admin(), { .method = "GET", .target = "/metrics" }, 5s, reason);
+        if (metrics && metrics->body.find(name) != std::string::npos)
+            return true;
+        std::this_thread::sleep_for(100ms);
+    }
+    return false;
+}
+
 } // namespace
 
 TEST_CASE("a target never has more requests than slots, and its queue serves or truly refuses the rest")
@@ -68,9 +82,6 @@
     }
     const auto seen = target.seen();
     CHECK(seen["highestConcurrency"] == 3);
-    Error reason;
-    const auto metrics = simpleCall(daemon.admin(), { .method = "GET", .target = "/metrics" }, 5s, reason);
-    REQUIRE(metrics);
-    CHECK(metrics->body.find("coriandergate_slots_waited_total") != std::string::npos);
-    CHECK(metrics->body.find("coriandergate_slots_refused_total{reason=\"deadline-too-short\"}") != std::string::npos);
+    CHECK(waitForMetric(daemon, "coriandergate_slots_waited_total"));
+    CHECK(waitForMetric(daemon, "coriandergate_slots_refused_total{reason=\"deadline-too-short\"}"));
 }
--- /dev/null
+++ b/src/daemon/LedgerOnceGate.cpp
@@ -0,0 +1,471 @@
+#include "daemon/LedgerOnceGate.h"
+
+#include "daemon/PeerRouter.h"
+#include "http/Exchange.h"
+#include "http/Problem.h"
+#include "http/WorkerPool.h"
+#include "log/Event.h"
+#include "once/OnceCodec.h"
+#include "once/WitnessPlan.h"
+#include "proxy/ProxyContext.h"
+#include "proxy/RequestContext.h"
+
+#include <algorithm>
+
+namespace coriandergate::daemon {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+    constexpr int conflict = 409;
+    constexpr int unprocessable = 422;
+    constexpr int unavailable = 503;
+    constexpr milliseconds retryAfter { 1000 };
+    constexpr milliseconds reportInterval { 300 }; // between two questions for the same report
+    constexpr std::size_t outcomesATick = 200;
+
+    const log::Event seatOpened { 1701, log::Severity::Info, "seat opened for once-only requests",
+        "the fleet is asked what it remembers; resends wait meanwhile" };
+    const log::Event outcomeUnknown { 1702, log::Severity::Warning, "once-only request of unknown outcome",
+        "it may have run before a host was lost, and was not run again; see docs/operations/once.md" };
+
+    auto makeRefusal(int status, proxy::Outcome outcome, std::string reason) -> proxy::Refusal
+    {
+        proxy::Refusal refusal;
+        refusal.status = status;
+        refusal.outcome = outcome;
+        refusal.error = { "run at most once", "", std::move(reason) };
+        return refusal;
+    }
+
+    auto notRunNow(std::string reason) -> proxy::Refusal
+    {
+        auto refusal = makeRefusal(unavailable, proxy::Outcome::NotRun, std::move(reason));
+        refusal.retryAfter = retryAfter;
+        return refusal;
+    }
+
+    auto replay(const once::Ran& ran) -> proxy::OnceDecision
+    {
+        if (!ran.answer)
+            return makeRefusal(conflict, proxy::Outcome::Ran,
+                "it ran, and its answer, of status " + std::to_string(ran.status) + ", was too large to keep");
+        auto answer = http::makeAnswer(ran.status, ran.answer->contentType, ran.answer->body);
+        answer.headers.add("Idempotent-Replayed", "true");
+        return proxy::KeptAnswer { std::move(answer) };
+    }
+
+    auto textOf(once::PermitRefused::Reason reason) -> std::string
+    {
+        switch (reason) {
+        case once::PermitRefused::Reason::NotHolder:
+            return "the daemon asked doesn't hold the key's seat now";
+        case once::PermitRefused::Reason::Rebuilding:
+            return "the key's seat has a new holder, which is asking the fleet";
+        case once::PermitRefused::Reason::LedgerFull:
+            return "the ledger has no room for another key";
+        }
+        return "refused";
+    }
+
+} // namespace
+
+// Ask is one attempt's way to its permit; it lives on one worker.
+struct LedgerOnceGate::Ask {
+    once::AttemptLabel label;
+    MonotonicTime openedAt;
+    MonotonicTime deadline;
+    std::size_t worker = 0;
+    unsigned asks = 0;
+    std::set<std::string> awaited; // "permit", and the addresses of the witnesses
+    std::function<void(proxy::OnceDecision)> decided; // empty once it was called
+
+    auto decide(proxy::OnceDecision decision) -> void
+    {
+        if (auto callback = std::exchange(decided, nullptr))
+            callback(std::move(decision));
+    }
+};
+
+LedgerOnceGate::LedgerOnceGate(Options options, std::shared_ptr<const proxy::ProxyContext> context,
+    std::shared_ptr<const OnceFleetView> view, MonotonicTime now)
+    : m_options(options)
+    , m_context(std::move(context))
+    , m_view(std::move(view))
+    , m_startedAt(now)
+    , m_ledger(options.ledger)
+    , m_attempts(options.attempts, m_context->self)
+    , m_witness(options.witness)
+{
+}
+
+LedgerOnceGate::~LedgerOnceGate() = default;
+
+auto LedgerOnceGate::label(const proxy::RequestContext& context) -> std::string
+{
+    return once::encodeLabel({ once::makeOnceKey(context.clientAccount, context.idempotencyKey),
+        { m_context->self.incarnation, ++m_nextAttempt }, context.fingerprint });
+}
+
+auto LedgerOnceGate::begin(const std::string& label, MonotonicTime deadline, MonotonicTime now,
+    std::function<void(proxy::OnceDecision)> decided) -> void
+{
+    Error reason;
+    const auto parsed = once::decodeLabel(label, reason);
+    if (!parsed) {
+        decided(notRunNow(reason.toText()));
+        return;
+    }
+    if (!m_attempts.open(parsed->attempt, parsed->key, parsed->fingerprint, now)) {
+        decided(makeRefusal(conflict, proxy::Outcome::MayHaveRun, "this very attempt came before"));
+        return;
+    }
+    const auto ask = std::make_shared<Ask>();
+    ask->label = *parsed;
+    ask->openedAt = now;
+    ask->deadline = deadline;
+    ask->worker = anyWorker();
+    ask->awaited = { "permit" };
+    ask->decided = std::move(decided);
+    m_context->runOn(ask->worker, [self = shared_from_this(), ask, now] {
+        self->askWitnesses(ask, now);
+        if (ask->decided)
+            self->askPermit(ask);
+    });
+}
+
+auto LedgerOnceGate::askWitnesses(const std::shared_ptr<Ask>& ask, MonotonicTime now) -> void
+{
+    if (m_options.spread == Spread::None)
+        return;
+    auto candidates = m_view->members();
+    const once::SeatRebuild::Member self { m_context->self, m_context->locality.dataCentre };
+    const auto holder = m_view->holderOf(seatOf(ask->label.key, m_view->seatCount()));
+    // The same key tries the same witnesses first, other keys others.
+    if (!candidates.empty())
+        std::rotate(candidates.begin(),
+            candidates.begin() + static_cast<std::ptrdiff_t>(ask->label.key.low % candidates.size()), candidates.end());
+    const auto witnesses
+        = holder ? witnessesFor(*holder, self, candidates, m_options.spread == Spread::DataCentre) : std::nullopt;
+    if (!witnesses) {
+        refuse(ask, notRunNow("too few other daemons are known that could remember it"));
+        return;
+    }
+    for (const auto& witness : *witnesses)
+        ask->awaited.insert(witness.identity.address);
+    const once::OnceRecord record { ask->label.key, ask->label.attempt, m_context->self, ask->label.fingerprint, 0,
+        once::Running {}, ask->openedAt };
+    for (const auto& witness : *witnesses) {
+        call(ask->worker, witness.identity.address, "/once/note", once::encodeRecord(record, now),
+            [self = shared_from_this(), ask, address = witness.identity.address](std::optional<std::string> answer) {
+                if (answer)
+                    self->onAgreed(ask, address);
+                else
+                    self->refuse(ask, notRunNow("a daemon that was to remember it can't be reached"));
+            });
+    }
+}
+
+auto LedgerOnceGate::askPermit(const std::shared_ptr<Ask>& ask) -> void
+{
+    const auto askedAt = monotonicNow();
+    const auto holder = m_view->holderOf(seatOf(ask->label.key, m_view->seatCount()));
+    if (!holder || askedAt >= ask->deadline || ++ask->asks > m_options.maximumAsks) {
+        refuse(ask, notRunNow("the daemon that holds the key's seat can't be reached"));
+        return;
+    }
+    const once::PermitRequest request { ask->label.key, ask->label.attempt, m_context->self, ask->label.fingerprint };
+    if (*holder == m_context->self) {
+        onPermitAnswer(ask, decidePermit(request, askedAt), askedAt);
+        return;
+    }
+    call(ask->worker, holder->address, "/once/permit", once::encodePermitRequest(request),
+        [self = shared_from_this(), ask, askedAt](std::optional<std::string> answer) {
+            Error reason;
+            const auto decoded = answer ? once::decodePermitAnswer(*answer, reason) : std::nullopt;
+            if (decoded)
+                self->onPermitAnswer(ask, *decoded, askedAt);
+            else if (ask->decided) // the same attempt may be asked for again
+                self->askPermit(ask);
+        });
+}
+
+auto LedgerOnceGate::onPermitAnswer(
+    const std::shared_ptr<Ask>& ask, const once::PermitAnswer& answer, MonotonicTime askedAt) -> void
+{
+    if (!ask->decided)
+        return;
+    if (const auto* permit = std::get_if<once::Permit>(&answer)) {
+        m_attempts.permit(ask->label.attempt, *permit, askedAt);
+        onAgreed(ask, "permit");
+        return;
+    }
+    m_attempts.close(ask->label.attempt, once::NotRun {});
+    m_attempts.acknowledge(ask->label.attempt); // it was never granted
+    if (const auto* ran = std::get_if<once::AlreadyRan>(&answer)) {
+        ++m_counts.replayed;
+        ask->decide(replay(ran->outcome));
+    } else if (std::holds_alternative<once::InProgress>(answer)) {
+        ++m_counts.inProgress;
+        auto refusal = makeRefusal(conflict, proxy::Outcome::MayHaveRun, "an earlier request with this key is running");
+        refusal.retryAfter = retryAfter;
+        ask->decide(std::move(refusal));
+    } else if (std::holds_alternative<once::FingerprintDiffers>(answer)) {
+        ++m_counts.refused;
+        ask->decide(makeRefusal(unprocessable, proxy::Outcome::NotRun, "this key was used for another request before"));
+    } else if (const auto* refused = std::get_if<once::PermitRefused>(&answer)) {
+        ++m_counts.refused;
+        auto refusal = notRunNow(textOf(refused->reason));
+        refusal.retryAfter = std::max(retryAfter, std::chrono::ceil<milliseconds>(refused->retryAfter));
+        ask->decide(std::move(refusal));
+    } else {
+        ++m_counts.unknown;
+        log::logEvent(outcomeUnknown, { { "label", once::encodeLabel(ask->label) } });
+        ask->decide(makeRefusal(conflict, proxy::Outcome::MayHaveRun,
+            "it is not known whether an earlier request with this key ran; it was not run again"));
+    }
+}
+
+auto LedgerOnceGate::onAgreed(const std::shared_ptr<Ask>& ask, const std::string& part) -> void
+{
+    ask->awaited.erase(part);
+    if (!ask->awaited.empty() || !ask->decided)
+        return;
+    ++m_counts.permitted;
+    ask->decide(proxy::RunPermit {});
+}
+
+auto LedgerOnceGate::refuse(const std::shared_ptr<Ask>& ask, proxy::Refusal refusal) -> void
+{
+    if (!ask->decided)
+        return;
+    ++m_counts.refused;
+    // A permit may be on its way: the holder is told that it won't be used.
+    m_attempts.close(ask->label.attempt, once::NotRun {});
+    ask->decide(std::move(refusal));
+}
+
+auto LedgerOnceGate::check(const std::string& label, MonotonicTime now) -> std::optional<proxy::Refusal>
+{
+    Error reason;
+    const auto parsed = once::decodeLabel(label, reason);
+    if (parsed && m_attempts.start(parsed->attempt, now))
+        return std::nullopt;
+    return notRunNow("the permit ran out while the request waited");
+}
+
+auto LedgerOnceGate::finish(
+    const std::string& label, proxy::Outcome outcome, const http::Answer* answer, MonotonicTime now) -> void
+{
+    Error reason;
+    const auto parsed = once::decodeLabel(label, reason);
+    if (!parsed)
+        return;
+    once::AttemptOutcome ended = once::Unknown {};
+    if (outcome == proxy::Outcome::NotRun)
+        ended = once::NotRun {};
+    if (outcome == proxy::Outcome::Ran && answer) {
+        once::Ran ran { answer->status, {} };
+        if (answer->body.size() <= m_options.attempts.maximumAnswerBytes)
+            ran.answer
+                = once::KeptAnswer { std::string(answer->headers.find("Content-Type").value_or("")), answer->body };
+        ended = std::move(ran);
+    }
+    m_attempts.close(parsed->attempt, ended);
+    once::OnceRecord record { parsed->key, parsed->attempt, m_context->self, parsed->fingerprint, 0,
+        m_attempts.outcome(parsed->attempt), now };
+    report(record);
+}
+
+auto LedgerOnceGate::report(const once::OnceRecord& record) -> void
+{
+    const auto holder = m_view->holderOf(seatOf(record.key, m_view->seatCount()));
+    if (!holder)
+        return;
+    const auto now = monotonicNow();
+    if (*holder == m_context->self) {
+        if (takeOutcome(record, now))
+            m_attempts.acknowledge(record.attempt);
+        return;
+    }
+    const auto worker = anyWorker();
+    m_context->runOn(worker, [self = shared_from_this(), worker, record, now, address = holder->address] {
+        self->call(worker, address, "/once/finish", once::encodeRecord(record, now),
+            [self, attempt = record.attempt](std::optional<std::string> answer) {
+                if (answer)
+                    self->m_attempts.acknowledge(attempt);
+            });
+    });
+}
+
+auto LedgerOnceGate::takeOutcome(const once::OnceRecord& record, MonotonicTime now) -> bool
+{
+    if (!m_view->tenureOf(seatOf(record.key, m_view->seatCount()), now))
+        return false;
+    m_ledger.finish(record.key, record.attempt, record.outcome, now);
+    return true;
+}
+
+auto LedgerOnceGate::decidePermit(const once::PermitRequest& request, MonotonicTime now) -> once::PermitAnswer
+{
+    const auto seat = seatOf(request.key, m_view->seatCount());
+    auto answer = m_ledger.begin(request, m_view->tenureOf(seat, now), now);
+    if (const auto* busy = std::get_if<once::InProgress>(&answer))
+        inquire(request.key, *busy);
+    return answer;
+}
+
+// The owner's last word may have been lost; a later resend then finds what it says now.
+auto LedgerOnceGate::inquire(const once::OnceKey& key, const once::InProgress& busy) -> void
+{
+    const auto settle = [self = shared_from_this(), key, attempt = busy.attempt](const once::AttemptOutcome& outcome) {
+        if (!std::holds_alternative<once::Running>(outcome))
+            self->m_ledger.finish(key, attempt, outcome, monotonicNow());
+    };
+    if (busy.owner == m_context->self) {
+        settle(m_attempts.outcome(busy.attempt));
+        return;
+    }
+    const auto worker = anyWorker();
+    m_context->runOn(worker, [self = shared_from_this(), worker, busy, settle] {
+        self->call(worker, busy.owner.address, "/once/status", once::encodeStatusRequest({ busy.owner, busy.attempt }),
+            [settle](std::optional<std::string> answer) {
+                Error reason;
+                if (const auto outcome = answer ? once::decodeOutcome(*answer, reason) : std::nullopt)
+                    settle(*outcome);
+            });
+    });
+}
+
+auto LedgerOnceGate::tick(MonotonicTime now) -> void
+{
+    for (const auto& lost : m_view->lost()) {
+        if (m_notedLost.insert(lost.identity).second)
+            m_ledger.daemonLost(lost);
+    }
+    std::size_t missing = 0;
+    for (unsigned seat = 0; seat < m_view->seatCount(); ++seat) {
+        if (const auto tenure = m_view->tenureOf(seat, now)) {
+            rebuild(seat, *tenure, now);
+            missing += m_ledger.missingReports(seat).size();
+        }
+    }
+    m_missingReports = missing;
+    const auto unreported = m_attempts.unreported();
+    for (std::size_t index = 0; index < std::min(unreported.size(), outcomesATick); ++index)
+        report(unreported[index]);
+}
+
+auto LedgerOnceGate::rebuild(unsigned seat, const once::SeatTenure& tenure, MonotonicTime now) -> void
+{
+    auto& epoch = m_openEpochs[seat];
+    if (epoch != tenure.epoch) {
+        epoch = tenure.epoch;
+        m_ledger.openSeat(tenure, m_view->members(), m_view->lost(), now);
+        if (tenure.formerHolder)
+            log::logEvent(seatOpened, { { "seat", std::to_string(seat) }, { "epoch", std::to_string(epoch) } });
+    }
+    const auto missing = m_ledger.missingReports(seat);
+    auto& askedAt = m_askedReportsAt[seat];
+    if (missing.empty() || now < askedAt + reportInterval)
+        return;
+    askedAt = now;
+    for (const auto& peer : missing) {
+        if (peer == m_context->self) {
+            m_ledger.addReport(seat, epoch, reportOf(seat, epoch, now), now);
+            continue;
+        }
+        const auto worker = anyWorker();
+        m_context->runOn(
+            worker, [self = shared_from_this(), worker, seat, epoch = tenure.epoch, address = peer.address] {
+                self->call(worker, address, "/once/report", once::encodeReportRequest({ seat, epoch }),
+                    [self, seat, epoch](std::optional<std::string> answer) {
+                        Error reason;
+                        const auto received = monotonicNow();
+                        if (const auto report = answer ? once::decodeReport(*answer, received, reason) : std::nullopt)
+                            self->m_ledger.addReport(seat, epoch, *report, received);
+                    });
+            });
+    }
+}
+
+auto LedgerOnceGate::reportOf(unsigned seat, std::uint64_t epoch, MonotonicTime now) -> once::WitnessReport
+{
+    once::WitnessReport report { m_context->self, m_startedAt, m_attempts.recordsOf(seat, epoch, now), m_view->lost(),
+        {} };
+    for (const auto& records : { m_witness.recordsOf(seat, m_view->seatCount(), now), m_ledger.recordsOf(seat, now) })
+        report.records.insert(report.records.end(), records.begin(), records.end());
+    return report;
+}
+
+auto LedgerOnceGate::addHandlers(PeerRouter& router) -> void
+{
+    addHandler(
+        router, "/once/permit", [this](const std::string& body, MonotonicTime now) -> std::optional<std::string> {
+            Error reason;
+            const auto request = once::decodePermitRequest(body, reason);
+            if (!request)
+                return std::nullopt;
+            return once::encodePermitAnswer(decidePermit(*request, now));
+        });
+    addHandler(router, "/once/note", [this](const std::string& body, MonotonicTime now) -> std::optional<std::string> {
+        Error reason;
+        const auto record = once::decodeRecord(body, now, reason);
+        return record && m_witness.note(*record, now) ? std::optional<std::string>("") : std::nullopt;
+    });
+    addHandler(
+        router, "/once/finish", [this](const std::string& body, MonotonicTime now) -> std::optional<std::string> {
+            Error reason;
+            const auto record = once::decodeRecord(body, now, reason);
+            return record && takeOutcome(*record, now) ? std::optional<std::string>("") : std::nullopt;
+        });
+    addHandler(router, "/once/status", [this](const std::string& body, MonotonicTime) -> std::optional<std::string> {
+        Error reason;
+        const auto request = once::decodeStatusRequest(body, reason);
+        if (!request || request->owner != m_context->self)
+            return std::nullopt; // another run's attempts are not known here
+        return once::encodeOutcome(m_attempts.outcome(request->attempt));
+    });
+    addHandler(
+        router, "/once/report", [this](const std::string& body, MonotonicTime now) -> std::optional<std::string> {
+            Error reason;
+            const auto request = once::decodeReportRequest(body, reason);
+            if (!request)
+                return std::nullopt;
+            return once::encodeReport(reportOf(request->seat, request->epoch, now), now);
+        });
+}
+
+auto LedgerOnceGate::addHandler(PeerRouter& router, const std::string& path, Handler handler) -> void
+{
+    router.add("POST", path, [self = shared_from_this(), handler = std::move(handler)](auto exchange) -> void {
+        auto answer = handler(exchange->request().body, monotonicNow());
+        if (answer)
+            exchange->answer(http::makeAnswer(200, "application/cbor", std::move(*answer)));
+        else
+            exchange->answer(http::makeAnswer(conflict, http::problemContentType,
+                http::problemBody(conflict, "it can't be done by this daemon now")));
+    });
+}
+
+auto LedgerOnceGate::call(
+    std::size_t worker, const std::string& peer, const std::string& path, std::string body, Done done) -> void
+{
+    http::Request request { .method = "POST", .target = path, .headers = {}, .body = std::move(body) };
+    request.headers.add("Host", peer);
+    request.headers.add("Content-Type", "application/cbor");
+    m_context->client(worker).send(
+        peer, request, { .timeout = m_options.askTimeout }, [done = std::move(done)](http::ExchangeResult result) {
+            auto* answer = std::get_if<http::Answer>(&result);
+            done(answer && answer->status == 200 ? std::optional(std::move(answer->body)) : std::nullopt);
+        });
+}
+
+auto LedgerOnceGate::anyWorker() const -> std::size_t
+{
+    const auto current = m_context->workers->current();
+    return current < m_context->workers->size() ? current : 0;
+}
+
+} // namespace coriandergate::daemon
--- /dev/null
+++ b/src/daemon/LedgerOnceGate.h
@@ -0,0 +1,123 @@
+// The proxy's OnceGate on the ledgers, attempts and witnesses of once/.
+//
+//   auto gate = std::make_shared<LedgerOnceGate>(options, context, view);
+//   gate->addHandlers(*kernel.find<PeerRouter>());
+//   gate->tick(now); // a few times a second: rebuilds of seats, outcomes not yet told
+//
+// An attempt is begun by two kinds of question at once: the holder of the key's seat is asked for a permit, and other
+// daemons to remember the attempt. Only when all have agreed may it wait for its slot.
+#pragma once
+
+#include "base/Mutex.h"
+#include "daemon/OnceFleetView.h"
+#include "once/OnceLedger.h"
+#include "once/OwnerAttempts.h"
+#include "once/WitnessLog.h"
+#include "proxy/OnceGate.h"
+
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace coriandergate::http {
+class Exchange;
+}
+namespace coriandergate::proxy {
+struct ProxyContext;
+}
+
+namespace coriandergate::daemon {
+
+class PeerRouter;
+
+// LedgerOnceGate is safe from any thread, but for addHandlers() and tick(), which are for the main thread.
+class LedgerOnceGate : public proxy::OnceGate, public std::enable_shared_from_this<LedgerOnceGate> {
+public:
+    enum class Spread {
+        None, // no other daemon remembers: for a single daemon
+        Host, // another host does
+        DataCentre, // a host of another data centre does
+    };
+
+    struct Options {
+        once::OnceLedger::Options ledger;
+        once::OwnerAttempts::Options attempts;
+        once::WitnessLog::Options witness;
+        Spread spread = Spread::DataCentre;
+        std::chrono::milliseconds askTimeout { 300 }; // for one question to another daemon
+        unsigned maximumAsks = 3; // for one permit
+    };
+
+    // Counts is what became of the attempts that this daemon began.
+    struct Counts {
+        std::atomic<std::uint64_t> permitted = 0;
+        std::atomic<std::uint64_t> replayed = 0; // answered with what is kept
+        std::atomic<std::uint64_t> inProgress = 0;
+        std::atomic<std::uint64_t> unknown = 0;
+        std::atomic<std::uint64_t> refused = 0; // not run
+    };
+
+    LedgerOnceGate(Options options, std::shared_ptr<const proxy::ProxyContext> context,
+        std::shared_ptr<const OnceFleetView> view, MonotonicTime now);
+    ~LedgerOnceGate() override;
+
+    // addHandlers() takes up the questions of other daemons.
+    auto addHandlers(PeerRouter& router) -> void;
+
+    auto label(const proxy::RequestContext& context) -> std::string override;
+    auto begin(const std::string& label, MonotonicTime deadline, MonotonicTime now,
+        std::function<void(proxy::OnceDecision)> decided) -> void override;
+    auto check(const std::string& label, MonotonicTime now) -> std::optional<proxy::Refusal> override;
+    auto finish(const std::string& label, proxy::Outcome outcome, const http::Answer* answer, MonotonicTime now)
+        -> void override;
+
+    // tick() opens the ledgers of seats that this daemon has come to hold, asks for missing reports, and tells outcomes
+    // again that were not acknowledged.
+    auto tick(MonotonicTime now) -> void;
+
+    [[nodiscard]] auto counts() const -> const Counts& { return m_counts; }
+    [[nodiscard]] auto keys() const -> std::size_t { return m_ledger.keys(); }
+    [[nodiscard]] auto missingReports() const -> std::size_t { return m_missingReports; }
+
+private:
+    struct Ask;
+    using Done = std::function<void(std::optional<std::string>)>;
+    using Reply = std::function<void(std::string)>;
+    using Handler = std::function<std::optional<std::string>(const std::string& body, MonotonicTime now)>;
+
+    auto askWitnesses(const std::shared_ptr<Ask>& ask, MonotonicTime now) -> void;
+    auto askPermit(const std::shared_ptr<Ask>& ask) -> void;
+    auto onPermitAnswer(const std::shared_ptr<Ask>& ask, const once::PermitAnswer& answer, MonotonicTime askedAt)
+        -> void;
+    auto onAgreed(const std::shared_ptr<Ask>& ask, const std::string& part) -> void;
+    auto refuse(const std::shared_ptr<Ask>& ask, proxy::Refusal refusal) -> void;
+    auto decidePermit(const once::PermitRequest& request, MonotonicTime now) -> once::PermitAnswer;
+    auto inquire(const once::OnceKey& key, const once::InProgress& busy) -> void;
+    auto report(const once::OnceRecord& record) -> void;
+    [[nodiscard]] auto takeOutcome(const once::OnceRecord& record, MonotonicTime now) -> bool;
+    [[nodiscard]] auto reportOf(unsigned seat, std::uint64_t epoch, MonotonicTime now) -> once::WitnessReport;
+    auto rebuild(unsigned seat, const once::SeatTenure& tenure, MonotonicTime now) -> void;
+    auto addHandler(PeerRouter& router, const std::string& path, Handler handler) -> void;
+    auto call(std::size_t worker, const std::string& peer, const std::string& path, std::string body, Done done)
+        -> void;
+    [[nodiscard]] auto anyWorker() const -> std::size_t;
+
+    Options m_options;
+    std::shared_ptr<const proxy::ProxyContext> m_context;
+    std::shared_ptr<const OnceFleetView> m_view;
+    MonotonicTime m_startedAt;
+    once::OnceLedger m_ledger;
+    once::OwnerAttempts m_attempts;
+    once::WitnessLog m_witness;
+    std::atomic<std::uint64_t> m_nextAttempt = 0;
+    std::atomic<std::size_t> m_missingReports = 0;
+    Counts m_counts;
+    std::map<unsigned, std::uint64_t> m_openEpochs; // by seat
+    std::map<unsigned, MonotonicTime> m_askedReportsAt;
+    std::set<DaemonIdentity> m_notedLost;
+};
+
+} // namespace coriandergate::daemon
--- /dev/null
+++ b/src/daemon/OnceFleetView.h
@@ -0,0 +1,35 @@
+// What the OnceGate must know of the fleet: who decides about which seat, who is there, and who was lost.
+#pragma once
+
+#include "base/Clock.h"
+#include "base/DaemonIdentity.h"
+#include "once/SeatRebuild.h"
+#include "once/SeatTenure.h"
+
+#include <optional>
+#include <vector>
+
+namespace coriandergate::daemon {
+
+class OnceFleetView {
+public:
+    virtual ~OnceFleetView() = default;
+
+    // seatCount() is the number of seats; it is the same on every daemon and never changes. Safe from any thread, as
+    // all that follows.
+    [[nodiscard]] virtual auto seatCount() const -> unsigned = 0;
+
+    // holderOf() is the daemon that is to be asked about `seat`, or nothing when none is known.
+    [[nodiscard]] virtual auto holderOf(unsigned seat) const -> std::optional<DaemonIdentity> = 0;
+
+    // tenureOf() is this daemon's own hold of `seat` at `now`, or nothing.
+    [[nodiscard]] virtual auto tenureOf(unsigned seat, MonotonicTime now) const -> std::optional<once::SeatTenure> = 0;
+
+    // members() are the daemons that are believed to run, this one included.
+    [[nodiscard]] virtual auto members() const -> std::vector<once::SeatRebuild::Member> = 0;
+
+    // lost() are the daemons known to be lost within the retention.
+    [[nodiscard]] virtual auto lost() const -> std::vector<once::LostDaemon> = 0;
+};
+
+} // namespace coriandergate::daemon
--- /dev/null
+++ b/src/daemon/OncePlugin.cpp
@@ -0,0 +1,108 @@
+#include "daemon/OncePlugin.h"
+
+#include "base/Error.h"
+#include "daemon/LedgerOnceGate.h"
+#include "daemon/OnceMetrics.h"
+#include "daemon/PeerRouter.h"
+#include "daemon/SoloFleetView.h"
+#include "kernel/Kernel.h"
+#include "kernel/PluginRegistration.h"
+#include "proxy/ProxyContext.h"
+#include "settings/SettingDefinition.h"
+#include "settings/Settings.h"
+
+#include <QTimer>
+#include <optional>
+#include <prometheus/registry.h>
+
+namespace coriandergate::daemon {
+
+namespace {
+
+    using settings::DurationKind;
+    using settings::IntegerKind;
+    using settings::SettingRegistration;
+
+    const SettingRegistration retention { { "once-retention-ms", DurationKind { 1000, 86400000 }, "3600000",
+        "a once-only request with an Idempotency-Key is remembered for so long; the same on every daemon" } };
+    const SettingRegistration maximumKeys { { "once-maximum-keys", IntegerKind { 1000, 10000000 }, "200000",
+        "keys remembered by this daemon in each of its roles; above it new ones are refused" } };
+    const SettingRegistration keptAnswer { { "once-kept-answer-bytes", IntegerKind { 0, 65536 }, "2048",
+        "an answer up to this size is kept and given again" } };
+    const SettingRegistration witnessSpread { { "once-witness-spread", settings::TextKind { false }, "auto",
+        "where else a once-only request is remembered: data-centre, host, none, or auto, which is data-centre in a "
+        "fleet "
+        "and none for a single daemon" } };
+
+    // After the plug-ins that know the fleet.
+    const kernel::PluginRegistration registration { "once", 45, [] { return std::make_unique<OncePlugin>(); } };
+
+    constexpr std::chrono::milliseconds tickPeriod { 200 };
+
+    auto parseSpread(const std::string& text, bool isSolo) -> std::optional<LedgerOnceGate::Spread>
+    {
+        using Spread = LedgerOnceGate::Spread;
+        if (text == "auto")
+            return isSolo ? Spread::None : Spread::DataCentre;
+        if (text == "data-centre")
+            return Spread::DataCentre;
+        if (text == "host")
+            return Spread::Host;
+        return text == "none" ? std::optional(Spread::None) : std::nullopt;
+    }
+
+    auto readOptions(const settings::Settings& settings, LedgerOnceGate::Spread spread, unsigned seatCount)
+        -> LedgerOnceGate::Options
+    {
+        LedgerOnceGate::Options options;
+        const auto keys = static_cast<std::size_t>(settings.integer("once-maximum-keys"));
+        const auto answerBytes = static_cast<std::size_t>(settings.integer("once-kept-answer-bytes"));
+        options.spread = spread;
+        options.ledger.seatCount = seatCount;
+        options.ledger.rebuild.retention = settings.duration("once-retention-ms");
+        options.ledger.rebuild.areWitnessesSpread = spread == LedgerOnceGate::Spread::DataCentre;
+        options.ledger.maximumKeys = keys;
+        options.ledger.maximumAnswerBytes = answerBytes;
+        options.attempts.seatCount = seatCount;
+        options.attempts.retention = options.ledger.rebuild.retention;
+        options.attempts.maximumAttempts = keys;
+        options.attempts.maximumAnswerBytes = answerBytes;
+        options.witness.retention = options.ledger.rebuild.retention;
+        options.witness.maximumRecords = keys;
+        return options;
+    }
+
+} // namespace
+
+OncePlugin::OncePlugin() = default;
+OncePlugin::~OncePlugin() = default;
+
+auto OncePlugin::start(kernel::Kernel& kernel, Error& reason) -> bool
+{
+    const auto settings = kernel.find<settings::Settings>();
+    const auto context = kernel.find<proxy::ProxyContext>();
+    const auto fleet = kernel.find<OnceFleetView>();
+    const auto view = fleet ? fleet : std::make_shared<SoloFleetView>(context->self);
+    const auto parsed = parseSpread(settings->text("once-witness-spread"), !fleet);
+    if (!parsed) {
+        reason = { "read settings", "once-witness-spread", "allowed are data-centre, host, none and auto" };
+        return false;
+    }
+    m_gate = std::make_shared<LedgerOnceGate>(
+        readOptions(*settings, *parsed, view->seatCount()), context, view, monotonicNow());
+    m_gate->addHandlers(*kernel.find<PeerRouter>());
+    m_gate->tick(monotonicNow());
+    context->onceGate = m_gate;
+    m_metrics = std::make_unique<OnceMetrics>(*kernel.find<prometheus::Registry>());
+    m_timer = std::make_unique<QTimer>();
+    QObject::connect(m_timer.get(), &QTimer::timeout, m_timer.get(), [this] {
+        m_gate->tick(monotonicNow());
+        m_metrics->update(*m_gate);
+    });
+    m_timer->start(tickPeriod);
+    return true;
+}
+
+auto OncePlugin::stop() -> void { m_timer.reset(); }
+
+} // namespace coriandergate::daemon
--- /dev/null
+++ b/src/once/OnceCodec.cpp
@@ -0,0 +1,283 @@
+#include "once/OnceCodec.h"
+
+#include <array>
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+namespace coriandergate::once {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+namespace {
+
+    enum class OutcomeKind {
+        Running,
+        NotRun,
+        Ran,
+        Unknown,
+    };
+
+    auto pack(const json& document) -> std::string
+    {
+        std::string bytes;
+        json::to_cbor(document, bytes);
+        return bytes;
+    }
+
+    // Runs `read` on the parsed document; what it throws on a missing or mistyped field becomes the reason.
+    template <typename Read>
+    auto unpack(std::string_view bytes, const char* step, Error& reason, const Read& read)
+        -> std::optional<decltype(read(json {}))>
+    {
+        try {
+            return read(json::from_cbor(bytes.begin(), bytes.end()));
+        } catch (const json::exception& exception) {
+            reason = { step, "", exception.what() };
+            return std::nullopt;
+        }
+    }
+
+    auto toJson(const DaemonIdentity& daemon) -> json { return { daemon.address, daemon.incarnation }; }
+    auto toJson(const OnceKey& key) -> json { return { key.high, key.low }; }
+    auto toJson(const AttemptId& attempt) -> json { return { attempt.entryIncarnation, attempt.number }; }
+
+    auto readDaemon(const json& document) -> DaemonIdentity
+    {
+        return { document.at(0).get<std::string>(), document.at(1).get<std::uint64_t>() };
+    }
+
+    auto readKey(const json& document) -> OnceKey
+    {
+        return { document.at(0).get<std::uint64_t>(), document.at(1).get<std::uint64_t>() };
+    }
+
+    auto readAttempt(const json& document) -> AttemptId
+    {
+        return { document.at(0).get<std::uint64_t>(), document.at(1).get<std::uint64_t>() };
+    }
+
+    auto toJson(const AttemptOutcome& outcome) -> json
+    {
+        const auto* ran = std::get_if<Ran>(&outcome);
+        if (!ran)
+            return { outcome.index() };
+        json document { outcome.index(), ran->status };
+        if (ran->answer) {
+            document.push_back(ran->answer->contentType);
+            document.push_back(json::binary({ ran->answer->body.begin(), ran->answer->body.end() }));
+        }
+        return document;
+    }
+
+    auto readRan(const json& document) -> Ran
+    {
+        Ran ran { document.at(1).get<int>(), {} };
+        if (document.size() > 2) {
+            const auto& body = document.at(3).get_binary();
+            ran.answer = KeptAnswer { document.at(2).get<std::string>(), { body.begin(), body.end() } };
+        }
+        return ran;
+    }
+
+    auto readOutcome(const json& document) -> AttemptOutcome
+    {
+        switch (static_cast<OutcomeKind>(document.at(0).get<unsigned>())) {
+        case OutcomeKind::Running:
+            return Running {};
+        case OutcomeKind::NotRun:
+            return NotRun {};
+        case OutcomeKind::Ran:
+            return readRan(document);
+        case OutcomeKind::Unknown:
+            break;
+        }
+        return Unknown {}; // which promises least
+    }
+
+    auto ageOf(MonotonicTime time, MonotonicTime now) -> milliseconds::rep
+    {
+        return std::chrono::floor<milliseconds>(now - time).count();
+    }
+
+    auto readAge(const json& document, MonotonicTime now) -> MonotonicTime
+    {
+        return now - milliseconds(document.get<milliseconds::rep>());
+    }
+
+    auto toJson(const OnceRecord& record, MonotonicTime now) -> json
+    {
+        return { toJson(record.key), toJson(record.attempt), toJson(record.owner), record.fingerprint, record.epoch,
+            toJson(record.outcome), ageOf(record.startedAt, now) };
+    }
+
+    auto readRecord(const json& document, MonotonicTime now) -> OnceRecord
+    {
+        return { readKey(document.at(0)), readAttempt(document.at(1)), readDaemon(document.at(2)),
+            document.at(3).get<std::uint64_t>(), document.at(4).get<std::uint64_t>(), readOutcome(document.at(5)),
+            readAge(document.at(6), now) };
+    }
+
+    auto readPermitAnswer(const json& document) -> PermitAnswer
+    {
+        const auto kind = document.at("kind").get<std::string>();
+        if (kind == "permit")
+            return Permit { document.at("epoch").get<std::uint64_t>(),
+                milliseconds(document.at("lifetime").get<milliseconds::rep>()) };
+        if (kind == "in-progress")
+            return InProgress { readAttempt(document.at("attempt")), readDaemon(document.at("owner")) };
+        if (kind == "ran")
+            return AlreadyRan { readRan(document.at("outcome")) };
+        if (kind == "differs")
+            return FingerprintDiffers {};
+        if (kind == "refused")
+            return PermitRefused { static_cast<PermitRefused::Reason>(document.at("reason").get<int>()),
+                milliseconds(document.at("retryAfter").get<milliseconds::rep>()) };
+        return OutcomeUnknown {}; // which promises least
+    }
+
+    struct AnswerWriter {
+        auto operator()(const Permit& permit) const -> json
+        {
+            const auto lifetime = std::chrono::floor<milliseconds>(permit.lifetime).count();
+            return { { "kind", "permit" }, { "epoch", permit.epoch }, { "lifetime", lifetime } };
+        }
+        auto operator()(const InProgress& busy) const -> json
+        {
+            return { { "kind", "in-progress" }, { "attempt", toJson(busy.attempt) }, { "owner", toJson(busy.owner) } };
+        }
+        auto operator()(const AlreadyRan& ran) const -> json
+        {
+            return { { "kind", "ran" }, { "outcome", toJson(AttemptOutcome { ran.outcome }) } };
+        }
+        auto operator()(const FingerprintDiffers&) const -> json { return { { "kind", "differs" } }; }
+        auto operator()(const OutcomeUnknown&) const -> json { return { { "kind", "unknown" } }; }
+        auto operator()(const PermitRefused& refused) const -> json
+        {
+            const auto retryAfter = std::chrono::ceil<milliseconds>(refused.retryAfter).count();
+            return { { "kind", "refused" }, { "reason", static_cast<int>(refused.reason) },
+                { "retryAfter", retryAfter } };
+        }
+    };
+
+} // namespace
+
+auto encodePermitRequest(const PermitRequest& request) -> std::string
+{
+    return pack({ toJson(request.key), toJson(request.attempt), toJson(request.owner), request.fingerprint });
+}
+
+auto decodePermitRequest(std::string_view bytes, Error& reason) -> std::optional<PermitRequest>
+{
+    return unpack(bytes, "read permit request", reason, [](const json& document) -> PermitRequest {
+        return { readKey(document.at(0)), readAttempt(document.at(1)), readDaemon(document.at(2)),
+            document.at(3).get<std::uint64_t>() };
+    });
+}
+
+auto encodePermitAnswer(const PermitAnswer& answer) -> std::string { return pack(std::visit(AnswerWriter {}, answer)); }
+
+auto decodePermitAnswer(std::string_view bytes, Error& reason) -> std::optional<PermitAnswer>
+{
+    return unpack(bytes, "read permit", reason, [](const json& document) { return readPermitAnswer(document); });
+}
+
+auto encodeRecord(const OnceRecord& record, MonotonicTime now) -> std::string { return pack(toJson(record, now)); }
+
+auto decodeRecord(std::string_view bytes, MonotonicTime now, Error& reason) -> std::optional<OnceRecord>
+{
+    return unpack(bytes, "read record", reason, [now](const json& document) { return readRecord(document, now); });
+}
+
+auto encodeOutcome(const AttemptOutcome& outcome) -> std::string { return pack(toJson(outcome)); }
+
+auto decodeOutcome(std::string_view bytes, Error& reason) -> std::optional<AttemptOutcome>
+{
+    return unpack(bytes, "read outcome", reason, [](const json& document) { return readOutcome(document); });
+}
+
+auto encodeStatusRequest(const StatusRequest& request) -> std::string
+{
+    return pack({ toJson(request.owner), toJson(request.attempt) });
+}
+
+auto decodeStatusRequest(std::string_view bytes, Error& reason) -> std::optional<StatusRequest>
+{
+    return unpack(bytes, "read status request", reason, [](const json& document) -> StatusRequest {
+        return { readDaemon(document.at(0)), readAttempt(document.at(1)) };
+    });
+}
+
+auto encodeReportRequest(const ReportRequest& request) -> std::string { return pack({ request.seat, request.epoch }); }
+
+auto decodeReportRequest(std::string_view bytes, Error& reason) -> std::optional<ReportRequest>
+{
+    return unpack(bytes, "read report request", reason, [](const json& document) -> ReportRequest {
+        return { document.at(0).get<unsigned>(), document.at(1).get<std::uint64_t>() };
+    });
+}
+
+auto encodeReport(const WitnessReport& report, MonotonicTime now) -> std::string
+{
+    json records = json::array();
+    for (const auto& record : report.records)
+        records.push_back(toJson(record, now));
+    json lost = json::array();
+    for (const auto& daemon : report.lost)
+        lost.push_back({ toJson(daemon.identity), daemon.dataCentre, ageOf(daemon.lostAt, now) });
+    json absorbed = json::array();
+    for (const auto& daemon : report.absorbed)
+        absorbed.push_back(toJson(daemon));
+    return pack({ toJson(report.from), ageOf(report.remembersSince, now), records, lost, absorbed });
+}
+
+auto decodeReport(std::string_view bytes, MonotonicTime now, Error& reason) -> std::optional<WitnessReport>
+{
+    return unpack(bytes, "read witness report", reason, [now](const json& document) {
+        WitnessReport report { readDaemon(document.at(0)), readAge(document.at(1), now), {}, {}, {} };
+        for (const auto& record : document.at(2))
+            report.records.push_back(readRecord(record, now));
+        for (const auto& lost : document.at(3))
+            report.lost.push_back({ readDaemon(lost.at(0)), lost.at(1).get<std::string>(), readAge(lost.at(2), now) });
+        for (const auto& absorbed : document.at(4))
+            report.absorbed.push_back(readDaemon(absorbed));
+        return report;
+    });
+}
+
+auto encodeLabel(const AttemptLabel& label) -> std::string
+{
+    std::string text;
+    for (const auto number :
+        { label.key.high, label.key.low, label.attempt.entryIncarnation, label.attempt.number, label.fingerprint }) {
+        constexpr int hexadecimal = 16;
+        std::array<char, 16> digits {};
+        const auto end = std::to_chars(digits.data(), digits.data() + digits.size(), number, hexadecimal).ptr;
+        text += text.empty() ? "" : ".";
+        text.append(digits.data(), end);
+    }
+    return text;
+}
+
+auto decodeLabel(std::string_view text, Error& reason) -> std::optional<AttemptLabel>
+{
+    constexpr int hexadecimal = 16;
+    std::array<std::uint64_t, 5> numbers {};
+    const auto* position = text.data();
+    const auto* const end = text.data() + text.size();
+    for (std::size_t index = 0; index < numbers.size(); ++index) {
+        const auto isFirst = index == 0;
+        if (!isFirst && (position == end || *position++ != '.'))
+            break;
+        const auto [rest, code] = std::from_chars(position, end, numbers[index], hexadecimal);
+        if (code != std::errc {})
+            break;
+        position = rest;
+        if (index + 1 == numbers.size() && position == end)
+            return AttemptLabel { { numbers[0], numbers[1] }, { numbers[2], numbers[3] }, numbers[4] };
+    }
+    reason = { "read attempt label", "", "expected five hexadecimal numbers" };
+    return std::nullopt;
+}
+
+} // namespace coriandergate::once
--- /dev/null
+++ b/src/once/OnceCodec.h
@@ -0,0 +1,69 @@
+// The messages about once-only requests between daemons, as CBOR by nlohmann::json.
+//
+//   auto body = encodePermitRequest(request);
+//   Error reason;
+//   if (const auto answer = decodePermitAnswer(received, reason)) ...
+//
+// Points in time travel as ages in milliseconds, rounded down, so that what arrives looks younger than it is and is
+// kept longer. Every decode function is empty, with the reason, for anything that its partner didn't write. Safe from
+// any thread.
+#pragma once
+
+#include "base/Error.h"
+#include "once/OnceRecord.h"
+#include "once/PermitAnswer.h"
+#include "once/PermitRequest.h"
+#include "once/WitnessReport.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace coriandergate::once {
+
+// StatusRequest asks one run of a daemon about an attempt.
+struct StatusRequest {
+    DaemonIdentity owner;
+    AttemptId attempt;
+};
+
+// ReportRequest asks for what a daemon remembers of a seat, for the holder of `epoch`.
+struct ReportRequest {
+    unsigned seat = 0;
+    std::uint64_t epoch = 0;
+};
+
+[[nodiscard]] auto encodePermitRequest(const PermitRequest& request) -> std::string;
+[[nodiscard]] auto decodePermitRequest(std::string_view bytes, Error& reason) -> std::optional<PermitRequest>;
+
+[[nodiscard]] auto encodePermitAnswer(const PermitAnswer& answer) -> std::string;
+[[nodiscard]] auto decodePermitAnswer(std::string_view bytes, Error& reason) -> std::optional<PermitAnswer>;
+
+[[nodiscard]] auto encodeRecord(const OnceRecord& record, MonotonicTime now) -> std::string;
+[[nodiscard]] auto decodeRecord(std::string_view bytes, MonotonicTime now, Error& reason) -> std::optional<OnceRecord>;
+
+[[nodiscard]] auto encodeOutcome(const AttemptOutcome& outcome) -> std::string;
+[[nodiscard]] auto decodeOutcome(std::string_view bytes, Error& reason) -> std::optional<AttemptOutcome>;
+
+[[nodiscard]] auto encodeStatusRequest(const StatusRequest& request) -> std::string;
+[[nodiscard]] auto decodeStatusRequest(std::string_view bytes, Error& reason) -> std::optional<StatusRequest>;
+
+[[nodiscard]] auto encodeReportRequest(const ReportRequest& request) -> std::string;
+[[nodiscard]] auto decodeReportRequest(std::string_view bytes, Error& reason) -> std::optional<ReportRequest>;
+
+[[nodiscard]] auto encodeReport(const WitnessReport& report, MonotonicTime now) -> std::string;
+[[nodiscard]] auto decodeReport(std::string_view bytes, MonotonicTime now, Error& reason)
+    -> std::optional<WitnessReport>;
+
+// encodeLabel() and decodeLabel() are the same for the label that an entry daemon gives an attempt, as text for a
+// header: hexadecimal numbers with dots between them.
+struct AttemptLabel {
+    OnceKey key;
+    AttemptId attempt;
+    std::uint64_t fingerprint = 0;
+};
+[[nodiscard]] auto encodeLabel(const AttemptLabel& label) -> std::string;
+[[nodiscard]] auto decodeLabel(std::string_view text, Error& reason) -> std::optional<AttemptLabel>;
+
+} // namespace coriandergate::once
--- /dev/null
+++ b/src/once/OnceCodec_test.cpp
@@ -0,0 +1,61 @@
+#include "once/OnceCodec.h"
+
+#include <catch2/catch.hpp>
+#include <random>
+
+using namespace coriandergate;
+using namespace coriandergate::once;
+using namespace std::chrono_literals;
+
+TEST_CASE("messages about once-only requests come back as they were sent, and ages never grow")
+{
+    const MonotonicTime now(100h);
+    const DaemonIdentity owner { "10.0.0.1:7101", ~std::uint64_t { 0 } };
+    const OnceRecord record { { 1, 2 }, { 3, 4 }, owner, 5, 6,
+        Ran { 201, KeptAnswer { "a/b", std::string("\xff\0", 2) } }, now - 1500us };
+    Error reason;
+    const auto back = decodeRecord(encodeRecord(record, now), now, reason);
+    REQUIRE(back);
+    CHECK(back->key == record.key);
+    CHECK(back->attempt == record.attempt);
+    CHECK(back->owner == owner);
+    CHECK(back->outcome == record.outcome);
+    CHECK(back->startedAt == now - 1ms);
+    const WitnessReport report { owner, now - 1h, { record }, { { owner, "dc", now - 1s } }, { owner } };
+    const auto received = decodeReport(encodeReport(report, now), now, reason);
+    REQUIRE(received);
+    CHECK(received->records.size() == 1);
+    CHECK(received->lost[0].lostAt == now - 1s);
+    CHECK(received->absorbed[0] == owner);
+    for (const auto& answer : { PermitAnswer { Permit { 7, 1500ms } }, PermitAnswer { InProgress { { 3, 4 }, owner } },
+             PermitAnswer { AlreadyRan { Ran { 500, {} } } }, PermitAnswer { FingerprintDiffers {} },
+             PermitAnswer { OutcomeUnknown {} },
+             PermitAnswer { PermitRefused { PermitRefused::Reason::LedgerFull, 2ms } } }) {
+        const auto bytes = encodePermitAnswer(answer);
+        const auto read = decodePermitAnswer(bytes, reason);
+        REQUIRE(read);
+        CHECK(encodePermitAnswer(*read) == bytes);
+        CHECK(read->index() == answer.index());
+    }
+    const auto label = decodeLabel(encodeLabel({ { 1, 2 }, { 3, ~std::uint64_t { 0 } }, 5 }), reason);
+    REQUIRE(label);
+    CHECK(label->attempt.number == ~std::uint64_t { 0 });
+}
+
+TEST_CASE("bytes that nobody wrote are refused with a reason", "[property]")
+{
+    const MonotonicTime now {};
+    std::mt19937_64 random(5);
+    for (int round = 0; round < 5000; ++round) {
+        auto bytes = encodePermitRequest({ { random(), random() }, { 1, 2 }, { "a", 1 }, 3 });
+        bytes[random() % bytes.size()] = static_cast<char>(random());
+        bytes.resize(random() % (bytes.size() + 1));
+        Error reason;
+        CHECK((decodePermitRequest(bytes, reason) || !reason.reason.empty()));
+        CHECK_FALSE(decodeReport(bytes, now, reason));
+        CHECK_FALSE(decodeLabel(bytes, reason));
+    }
+    Error reason;
+    for (const auto* text : { "", "1.2.3.4", "1.2.3.4.5.6", "1.2.3.4.", "1.2..4.5", "g.2.3.4.5", "1.2.3.4.5 " })
+        CHECK_FALSE(decodeLabel(text, reason));
+}
--- a/src/once/OnceLedger.cpp
+++ b/src/once/OnceLedger.cpp
@@ -78,12 +78,12 @@
         ledger->finish(key, attempt, outcome, now);
 }
 
-auto OnceLedger::ownerLost(const DaemonIdentity& owner) -> void
+auto OnceLedger::daemonLost(const LostDaemon& lost) -> void
 {
     for (const auto& shard : m_shards) {
         const MutexLock lock(shard->mutex);
         for (const auto& [seat, ledger] : shard->seats)
-            ledger->ownerLost(owner);
+            ledger->daemonLost(lost);
     }
 }
 
--- a/src/once/OnceLedger.h
+++ b/src/once/OnceLedger.h
@@ -68,8 +68,9 @@
     // another attempt has it by now. Repeated and late calls do no harm.
     auto finish(const OnceKey& key, const AttemptId& attempt, const AttemptOutcome& outcome, MonotonicTime now) -> void;
 
-    // ownerLost() turns what runs at a lost daemon into an unknown outcome. O(keys).
-    auto ownerLost(const DaemonIdentity& owner) -> void;
+    // daemonLost() turns what runs at a lost daemon into an unknown outcome, and waits no longer for its reports.
+    // O(keys).
+    auto daemonLost(const LostDaemon& lost) -> void;
 
     // recordsOf() is this daemon's own part in a WitnessReport.
     [[nodiscard]] auto recordsOf(unsigned seat, MonotonicTime now) const -> std::vector<OnceRecord>;
--- a/src/once/OnceLedger_test.cpp
+++ b/src/once/OnceLedger_test.cpp
@@ -61,7 +61,7 @@
 {
     LedgerFixture f;
     CHECK(is<Permit>(f.begin({ 1, 1 }, 1)));
-    f.ledger.ownerLost(owner);
+    f.ledger.daemonLost({ owner, "a", start });
     CHECK(is<OutcomeUnknown>(f.begin({ 1, 1 }, 2)));
     f.ledger.finish({ 1, 1 }, { 5, 1 }, Ran { 200, {} }, start);
     CHECK(is<AlreadyRan>(f.begin({ 1, 1 }, 2)));
--- a/src/once/SeatRebuild.cpp
+++ b/src/once/SeatRebuild.cpp
@@ -34,6 +34,13 @@
     }
 }
 
+auto SeatRebuild::noteLost(const LostDaemon& lost) -> void
+{
+    m_missing.erase(lost.identity);
+    if (!m_reported.contains(lost.identity))
+        m_lost.emplace(lost.identity, lost);
+}
+
 auto SeatRebuild::missing() const -> std::vector<DaemonIdentity>
 {
     std::vector<DaemonIdentity> missing;
--- a/src/once/SeatRebuild.h
+++ b/src/once/SeatRebuild.h
@@ -49,6 +49,9 @@
     // addReport() counts a report; reports from others than the members are counted, too.
     auto addReport(const WitnessReport& report) -> void;
 
+    // noteLost() takes in that a daemon is lost; one of the members then counts from its loss on, no longer from now.
+    auto noteLost(const LostDaemon& lost) -> void;
+
     // missing() are the members that have not reported.
     [[nodiscard]] auto missing() const -> std::vector<DaemonIdentity>;
 
--- a/src/once/internal/SeatLedger.cpp
+++ b/src/once/internal/SeatLedger.cpp
@@ -134,6 +134,13 @@
     }
 }
 
+auto SeatLedger::daemonLost(const LostDaemon& lost) -> void
+{
+    if (m_rebuild)
+        m_rebuild->noteLost(lost);
+    ownerLost(lost.identity);
+}
+
 auto SeatLedger::ownerLost(const DaemonIdentity& owner) -> void
 {
     const auto settle = [&](OnceRecord& record) {
--- a/src/once/internal/SeatLedger.h
+++ b/src/once/internal/SeatLedger.h
@@ -29,7 +29,7 @@
     [[nodiscard]] auto missingReports() const -> std::vector<DaemonIdentity>;
     auto begin(const PermitRequest& request, const SeatTenure& tenure, MonotonicTime now) -> PermitAnswer;
     auto finish(const OnceKey& key, const AttemptId& attempt, const AttemptOutcome& outcome, MonotonicTime now) -> void;
-    auto ownerLost(const DaemonIdentity& owner) -> void;
+    auto daemonLost(const LostDaemon& lost) -> void;
     [[nodiscard]] auto records(MonotonicTime now) const -> std::vector<OnceRecord>;
 
 private:
@@ -42,6 +42,7 @@
     };
     using Entries = std::unordered_map<OnceKey, Entry, OnceKeyHash>;
 
+    auto ownerLost(const DaemonIdentity& owner) -> void;
     auto learn(OnceRecord record, MonotonicTime now) -> void;
     auto grant(const PermitRequest& request, const SeatTenure& tenure, MonotonicTime now) -> PermitAnswer;
     [[nodiscard]] auto permitUnder(const SeatTenure& tenure, MonotonicTime now) const -> PermitAnswer;
--- a/src/proxy/EntryRequest.cpp
+++ b/src/proxy/EntryRequest.cpp
@@ -9,6 +9,7 @@
 #include "log/Event.h"
 #include "proxy/ForwardCodec.h"
 #include "proxy/KeyCarrier.h"
+#include "proxy/OnceGate.h"
 #include "proxy/PoisonGate.h"
 #include "proxy/ProxyContext.h"
 #include "proxy/ProxyHeaders.h"
@@ -191,7 +192,7 @@
 auto EntryRequest::acquireRate() -> void
 {
     if (!m_context->rateGate || m_request.clientAccount.empty()) {
-        beginOnce();
+        attempt();
         return;
     }
     m_context->rateGate->acquire(m_request, monotonicNow(), [self = shared_from_this()](RateDecision decision) {
@@ -202,40 +203,16 @@
             }
             self->m_useBy = std::get<RateGranted>(decision).useBy;
             if (!self->isOver())
-                self->beginOnce();
+                self->attempt();
         });
     });
 }
 
-auto EntryRequest::beginOnce() -> void
+auto EntryRequest::makeOnceLabel() const -> std::string
 {
     const bool needsPermit = m_request.route.repeatPolicy == config::RepeatPolicy::OnceOnly
         && !m_request.idempotencyKey.empty() && m_context->onceGate;
-    if (!needsPermit) {
-        attempt();
-        return;
-    }
-    m_context->onceGate->begin(m_request, monotonicNow(), [self = shared_from_this()](OnceDecision decision) {
-        self->m_context->runOn(self->m_request.worker,
-            [self, decision = std::move(decision)]() mutable { self->onOnceDecision(std::move(decision)); });
-    });
-}
-
-auto EntryRequest::onOnceDecision(OnceDecision decision) -> void
-{
-    if (auto* permit = std::get_if<RunPermit>(&decision)) {
-        m_permit = std::move(*permit);
-        if (isOver())
-            settle(Outcome::NotRun, nullptr);
-        else
-            attempt();
-        return;
-    }
-    if (auto* kept = std::get_if<KeptAnswer>(&decision)) {
-        answer(std::move(kept->answer));
-        return;
-    }
-    refuse(std::get<Refusal>(decision));
+    return needsPermit ? m_context->onceGate->label(m_request) : std::string();
 }
 
 auto EntryRequest::attempt() -> void
@@ -267,7 +244,7 @@
         .clientAccount = m_request.clientAccount,
         .keyDigest = m_request.keyDigest,
         .isOnceOnly = m_request.route.repeatPolicy == config::RepeatPolicy::OnceOnly,
-        .permit = m_permit ? m_permit->token : std::string(),
+        .onceLabel = makeOnceLabel(),
         .deadline = m_request.deadline - hopMargin,
         .useBy = m_useBy,
         .maximumAnswerBytes = m_request.route.maximumAnswerBytes,
@@ -399,7 +376,7 @@
 {
     if (std::exchange(m_isOver, true))
         return;
-    settle(Outcome::Ran, &answer);
+    settle();
     http::removeHopByHop(answer.headers);
     answer.headers.replace(headers::requestId, m_request.id);
     answer.headers.add(headers::outcome, outcomeText(Outcome::Ran));
@@ -415,17 +392,14 @@
     // An attempt before the last one may have run, whatever became of the last.
     if (m_mayHaveRun && truthful.outcome == Outcome::NotRun)
         truthful.outcome = Outcome::MayHaveRun;
-    settle(truthful.outcome, nullptr);
+    settle();
     logEnd(truthful.status, truthful.outcome, truthful.error.toText());
     m_exchange->answer(refusalAnswer(truthful, m_request.id));
 }
 
-auto EntryRequest::settle(Outcome outcome, const http::Answer* answer) -> void
+auto EntryRequest::settle() -> void
 {
     const auto now = monotonicNow();
-    if (m_permit)
-        m_context->onceGate->finish(m_request, *m_permit, outcome, answer, now);
-    m_permit.reset();
     if (m_context->poisonGate)
         m_context->poisonGate->finished(m_request, now);
 }
@@ -441,7 +415,7 @@
     if (isUnderWay)
         reportAttempt(AttemptReport::Result::Cancelled, 0, std::nullopt);
     const auto outcome = isUnderWay ? Outcome::MayHaveRun : Outcome::NotRun;
-    settle(outcome, nullptr);
+    settle();
     logEnd(callerLeft, outcome, "the caller left");
 }
 
--- a/src/proxy/EntryRequest.h
+++ b/src/proxy/EntryRequest.h
@@ -1,6 +1,6 @@
 // One caller's request, from its arrival to its answer.
 //
-// The steps: route, key, poison, rate, at-most-once, then attempts: choose a target, send the request to the daemon
+// The steps: route, key, poison, rate, then attempts: choose a target, send the request to the daemon
 // beside it, and try another target only where that can't run anything twice. It lives on its connection's worker.
 //
 //   EntryRequest::start(context, exchange);
@@ -8,7 +8,6 @@
 
 #include "http/Client.h"
 #include "proxy/AttemptReport.h"
-#include "proxy/OnceGate.h"
 #include "proxy/OwnerRequest.h"
 #include "proxy/OwnerService.h"
 #include "proxy/RateGate.h"
@@ -46,8 +45,7 @@
 
     auto checkPoison() -> void;
     auto acquireRate() -> void;
-    auto beginOnce() -> void;
-    auto onOnceDecision(OnceDecision decision) -> void;
+    [[nodiscard]] auto makeOnceLabel() const -> std::string;
     auto attempt() -> void;
     auto sendLocally(OwnerRequest request) -> void;
     auto sendToOwner(OwnerRequest request) -> void;
@@ -59,7 +57,7 @@
 
     auto answer(http::Answer answer) -> void;
     auto refuse(const Refusal& refusal) -> void;
-    auto settle(Outcome outcome, const http::Answer* answer) -> void;
+    auto settle() -> void;
     auto onAbandoned() -> void;
     auto logEnd(int status, Outcome outcome, const std::string& reason) const -> void;
     [[nodiscard]] auto isOver() const -> bool { return m_isOver; }
@@ -67,7 +65,6 @@
     std::shared_ptr<const ProxyContext> m_context;
     std::shared_ptr<http::Exchange> m_exchange;
     RequestContext m_request;
-    std::optional<RunPermit> m_permit;
     std::optional<MonotonicTime> m_useBy;
     std::vector<std::string> m_tried;
     std::optional<TargetChoice> m_choice;
--- a/src/proxy/ForwardCodec.cpp
+++ b/src/proxy/ForwardCodec.cpp
@@ -31,7 +31,7 @@
         request.clientAccount = document.at("account").get<std::string>();
         request.keyDigest = document.at("keyDigest").get<std::string>();
         request.isOnceOnly = document.at("onceOnly").get<bool>();
-        request.permit = document.at("permit").get<std::string>();
+        request.onceLabel = document.at("onceLabel").get<std::string>();
         request.deadline = now + microseconds(document.at("deadlineUs").get<std::int64_t>());
         if (document.contains("useByUs"))
             request.useBy = now + microseconds(document.at("useByUs").get<std::int64_t>());
@@ -45,7 +45,7 @@
 {
     json document { { "id", request.id }, { "service", request.service }, { "target", request.target },
         { "account", request.clientAccount }, { "keyDigest", request.keyDigest }, { "onceOnly", request.isOnceOnly },
-        { "permit", request.permit }, { "deadlineUs", microsecondsLeft(request.deadline, now) },
+        { "onceLabel", request.onceLabel }, { "deadlineUs", microsecondsLeft(request.deadline, now) },
         { "maximumAnswerBytes", request.maximumAnswerBytes } };
     if (request.useBy)
         document["useByUs"] = microsecondsLeft(*request.useBy, now);
--- a/src/proxy/OnceGate.h
+++ b/src/proxy/OnceGate.h
@@ -1,4 +1,7 @@
 // Sees to it that a request with an Idempotency-Key runs at most once.
+//
+// The entry only gives each attempt a label; the owner, beside the target, asks whether the attempt may run. So nothing
+// is lost with the entry, and a permit can't be held up on its way.
 #pragma once
 
 #include "base/Clock.h"
@@ -15,10 +18,8 @@
 
 struct RequestContext;
 
-// RunPermit lets the request run once; `token` goes to the owner, which checks it just before the target.
-struct RunPermit {
-    std::string token;
-};
+// RunPermit lets the attempt run once, if check() agrees when its turn has come.
+struct RunPermit { };
 
 // KeptAnswer is the answer of the run that has been, to be given again.
 struct KeptAnswer {
@@ -31,20 +32,24 @@
 public:
     virtual ~OnceGate() = default;
 
-    // begin() calls `decided` exactly once, before it returns or later, on any thread. Safe from any thread.
-    virtual auto begin(const RequestContext& context, MonotonicTime now, std::function<void(OnceDecision)> decided)
-        -> void
-        = 0;
+    // label() names one attempt at the request; each attempt needs its own. For the entry. Safe from any thread.
+    [[nodiscard]] virtual auto label(const RequestContext& context) -> std::string = 0;
 
-    // finish() tells how the run under `permit` ended, `answer` being the target's when it ran. After NotRun the caller
-    // may try again. Safe from any thread.
-    virtual auto finish(const RequestContext& context, const RunPermit& permit, Outcome outcome,
-        const http::Answer* answer, MonotonicTime now) -> void
+    // begin() calls `decided` exactly once, before it returns or later, on any thread; at `deadline` at the latest with
+    // a refusal. For the owner, as all that follows. Safe from any thread.
+    virtual auto begin(const std::string& label, MonotonicTime deadline, MonotonicTime now,
+        std::function<void(OnceDecision)> decided) -> void
         = 0;
 
-    // check() is asked by the owner just before the target: nothing when the permit `token` is valid and used for the
-    // first time, else why not. Safe from any thread.
-    [[nodiscard]] virtual auto check(const std::string& token, MonotonicTime now) -> std::optional<Refusal> = 0;
+    // check() is asked just before the target: nothing, once, when the attempt may be sent to the target at this very
+    // moment, else why not. Safe from any thread.
+    [[nodiscard]] virtual auto check(const std::string& label, MonotonicTime now) -> std::optional<Refusal> = 0;
+
+    // finish() tells how an attempt that was begun ended, `answer` being the target's when it ran. After NotRun the
+    // caller may try again. Only the first word counts. Safe from any thread.
+    virtual auto finish(const std::string& label, Outcome outcome, const http::Answer* answer, MonotonicTime now)
+        -> void
+        = 0;
 };
 
 } // namespace coriandergate::proxy
--- a/src/proxy/OwnerRequest.h
+++ b/src/proxy/OwnerRequest.h
@@ -19,7 +19,7 @@
     std::string clientAccount; // empty on an open route without a key
     std::string keyDigest; // checked again just before the target; empty without a key
     bool isOnceOnly = false;
-    std::string permit; // of the OnceGate; empty when the request needs none
+    std::string onceLabel; // of the OnceGate; empty when the request needs no permit
     MonotonicTime deadline;
     std::optional<MonotonicTime> useBy; // of the RateGate
     std::size_t maximumAnswerBytes = 0;
--- a/src/proxy/OwnerService.cpp
+++ b/src/proxy/OwnerService.cpp
@@ -90,6 +90,49 @@
     }
     m_slots = target->announcement.slots;
     m_report.slots = m_slots;
+    if (m_request.onceLabel.empty() || !m_context->onceGate)
+        requestSlot(now);
+    else
+        requestPermit(now);
+}
+
+auto OwnerService::requestPermit(MonotonicTime now) -> void
+{
+    m_hasBegunOnce = true;
+    m_context->onceGate->begin(
+        m_request.onceLabel, m_request.deadline, now, [self = shared_from_this()](OnceDecision decision) -> void {
+            self->m_context->workers->post(self->m_request.worker,
+                [self, decision = std::move(decision)]() mutable { self->onOnceDecision(std::move(decision)); });
+        });
+}
+
+auto OwnerService::onOnceDecision(OnceDecision decision) -> void
+{
+    if (m_phase == Phase::Done) {
+        finishOnce(Outcome::NotRun, nullptr);
+        return;
+    }
+    if (auto* kept = std::get_if<KeptAnswer>(&decision)) {
+        m_hasBegunOnce = false;
+        finish(OwnerAnswer { std::move(kept->answer), m_report });
+        return;
+    }
+    if (auto* refused = std::get_if<Refusal>(&decision)) {
+        m_hasBegunOnce = false;
+        refuse(std::move(*refused));
+        return;
+    }
+    requestSlot(monotonicNow());
+}
+
+auto OwnerService::finishOnce(Outcome outcome, const http::Answer* answer) -> void
+{
+    if (std::exchange(m_hasBegunOnce, false))
+        m_context->onceGate->finish(m_request.onceLabel, outcome, answer, monotonicNow());
+}
+
+auto OwnerService::requestSlot(MonotonicTime now) -> void
+{
     if (!m_context->slotGate) {
         onSlot(SlotGranted {});
         return;
@@ -148,8 +191,8 @@
             return refused;
         }
     }
-    if (!m_request.permit.empty() && m_context->onceGate)
-        return m_context->onceGate->check(m_request.permit, now);
+    if (m_hasBegunOnce)
+        return m_context->onceGate->check(m_request.onceLabel, now);
     return std::nullopt;
 }
 
@@ -244,9 +287,13 @@
         return;
     const auto now = monotonicNow();
     const bool wasRunning = m_phase == Phase::Running;
-    m_phase = Phase::Done;
     m_done = nullptr;
+    if (wasRunning && m_hasBegunOnce)
+        return;
+    m_phase = Phase::Done;
     if (!wasRunning) {
+        if (m_ticket) // else the OnceGate's decision is still to come, and is answered then
+            finishOnce(Outcome::NotRun, nullptr);
         if (m_ticket && m_context->slotGate)
             m_context->slotGate->cancel(*m_ticket, now);
         return;
@@ -262,6 +309,10 @@
 auto OwnerService::finish(OwnerResult result) -> void
 {
     m_phase = Phase::Done;
+    if (const auto* answered = std::get_if<OwnerAnswer>(&result))
+        finishOnce(Outcome::Ran, &answered->answer);
+    else
+        finishOnce(std::get<OwnerRefusal>(result).refusal.outcome, nullptr);
     if (m_context->slotGate) {
         const auto load = m_context->slotGate->load(m_request.service, m_request.target);
         auto& report = std::holds_alternative<OwnerAnswer>(result) ? std::get<OwnerAnswer>(result).report
--- a/src/proxy/OwnerService.h
+++ b/src/proxy/OwnerService.h
@@ -11,6 +11,7 @@
 #include "http/Client.h"
 #include "proxy/AttemptObserver.h"
 #include "proxy/AttemptReport.h"
+#include "proxy/OnceGate.h"
 #include "proxy/OwnerRequest.h"
 #include "proxy/Refusal.h"
 #include "proxy/SlotGate.h"
@@ -50,7 +51,8 @@
 
     OwnerService(std::shared_ptr<const ProxyContext> context, OwnerRequest request, Callback done);
 
-    // cancel() gives the run up: it leaves the queue, or its connection to the target is closed.
+    // cancel() gives the run up: it leaves the queue, or its connection to the target is closed. One that runs under a
+    // permit goes on: its caller will want the answer when it sends the request again.
     auto cancel() -> void;
 
 private:
@@ -61,6 +63,10 @@
     };
 
     auto begin() -> void;
+    auto requestPermit(MonotonicTime now) -> void;
+    auto onOnceDecision(OnceDecision decision) -> void;
+    auto finishOnce(Outcome outcome, const http::Answer* answer) -> void;
+    auto requestSlot(MonotonicTime now) -> void;
     auto onSlot(const SlotDecision& decision) -> void;
     [[nodiscard]] auto checkBeforeTarget(MonotonicTime now) const -> std::optional<Refusal>;
     auto callTarget(MonotonicTime now) -> void;
@@ -87,6 +93,7 @@
     MonotonicTime m_submittedAt;
     MonotonicTime m_startedAt;
     bool m_hasSlot = false;
+    bool m_hasBegunOnce = false; // the OnceGate waits for the outcome
 };
 
 } // namespace coriandergate::proxy
--- a/src/testing/OnceFleet.cpp
+++ b/src/testing/OnceFleet.cpp
@@ -144,7 +144,7 @@
     const LostDaemon lost { down.identity, down.dataCentre, m_now };
     m_lost.push_back(lost);
     for (unsigned other = 0; other < m_daemons.size(); ++other)
-        at(m_now + detectionDelay, other, [this, other, lost] { m_daemons[other]->ledger->ownerLost(lost.identity); });
+        at(m_now + detectionDelay, other, [this, other, lost] { m_daemons[other]->ledger->daemonLost(lost); });
 }
 
 auto OnceFleet::tick() -> void
