--- a/src/daemon/LedgerOnceGate.cpp
+++ b/src/daemon/LedgerOnceGate.cpp
@@ -71,6 +71,20 @@
 
 } // namespace
 
+// Books are what this daemon remembers in each of its roles.
+struct LedgerOnceGate::Books {
+    Books(const Options& options, const DaemonIdentity& self)
+        : ledger(options.ledger)
+        , attempts(options.attempts, self)
+        , witness(options.witness)
+    {
+    }
+
+    once::OnceLedger ledger;
+    once::OwnerAttempts attempts;
+    once::WitnessLog witness;
+};
+
 // Ask is one attempt's way to its permit; it lives on one worker.
 struct LedgerOnceGate::Ask {
     once::AttemptLabel label;
@@ -94,9 +108,6 @@
     , m_context(std::move(context))
     , m_view(std::move(view))
     , m_startedAt(now)
-    , m_ledger(options.ledger)
-    , m_attempts(options.attempts, m_context->self)
-    , m_witness(options.witness)
 {
 }
 
@@ -113,11 +124,11 @@
 {
     Error reason;
     const auto parsed = once::decodeLabel(label, reason);
-    if (!parsed) {
-        decided(notRunNow(reason.toText()));
+    if (!parsed || !books()) {
+        decided(notRunNow(parsed ? "no seats are known yet" : reason.toText()));
         return;
     }
-    if (!m_attempts.open(parsed->attempt, parsed->key, parsed->fingerprint, now)) {
+    if (!books()->attempts.open(parsed->attempt, parsed->key, parsed->fingerprint, now)) {
         decided(makeRefusal(conflict, proxy::Outcome::MayHaveRun, "this very attempt came before"));
         return;
     }
@@ -170,7 +181,8 @@
 auto LedgerOnceGate::askPermit(const std::shared_ptr<Ask>& ask) -> void
 {
     const auto askedAt = monotonicNow();
-    const auto holder = m_view->holderOf(seatOf(ask->label.key, m_view->seatCount()));
+    const auto seat = seatOf(ask->label.key, m_view->seatCount());
+    const auto holder = m_view->holderOf(seat);
     if (!holder || askedAt >= ask->deadline || ++ask->asks > m_options.maximumAsks) {
         refuse(ask, notRunNow("the daemon that holds the key's seat can't be reached"));
         return;
@@ -181,13 +193,17 @@
         return;
     }
     call(ask->worker, holder->address, "/once/permit", once::encodePermitRequest(request),
-        [self = shared_from_this(), ask, askedAt](std::optional<std::string> answer) {
+        [self = shared_from_this(), ask, askedAt, seat, holder = *holder](std::optional<std::string> answer) {
             Error reason;
             const auto decoded = answer ? once::decodePermitAnswer(*answer, reason) : std::nullopt;
-            if (decoded)
+            const auto* refused = decoded ? std::get_if<once::PermitRefused>(&*decoded) : nullptr;
+            const auto isElsewhere = refused && refused->reason == once::PermitRefused::Reason::NotHolder;
+            if (decoded && !isElsewhere) {
                 self->onPermitAnswer(ask, *decoded, askedAt);
-            else if (ask->decided) // the same attempt may be asked for again
+            } else if (ask->decided) { // the same attempt may be asked for again
+                self->m_view->rejectHolder(seat, holder);
                 self->askPermit(ask);
+            }
         });
 }
 
@@ -197,12 +213,12 @@
     if (!ask->decided)
         return;
     if (const auto* permit = std::get_if<once::Permit>(&answer)) {
-        m_attempts.permit(ask->label.attempt, *permit, askedAt);
+        books()->attempts.permit(ask->label.attempt, *permit, askedAt);
         onAgreed(ask, "permit");
         return;
     }
-    m_attempts.close(ask->label.attempt, once::NotRun {});
-    m_attempts.acknowledge(ask->label.attempt); // it was never granted
+    books()->attempts.close(ask->label.attempt, once::NotRun {});
+    books()->attempts.acknowledge(ask->label.attempt); // it was never granted
     if (const auto* ran = std::get_if<once::AlreadyRan>(&answer)) {
         ++m_counts.replayed;
         ask->decide(replay(ran->outcome));
@@ -242,7 +258,7 @@
         return;
     ++m_counts.refused;
     // A permit may be on its way: the holder is told that it won't be used.
-    m_attempts.close(ask->label.attempt, once::NotRun {});
+    books()->attempts.close(ask->label.attempt, once::NotRun {});
     ask->decide(std::move(refusal));
 }
 
@@ -250,7 +266,7 @@
 {
     Error reason;
     const auto parsed = once::decodeLabel(label, reason);
-    if (parsed && m_attempts.start(parsed->attempt, now))
+    if (parsed && books() && books()->attempts.start(parsed->attempt, now))
         return std::nullopt;
     return notRunNow("the permit ran out while the request waited");
 }
@@ -260,7 +276,7 @@
 {
     Error reason;
     const auto parsed = once::decodeLabel(label, reason);
-    if (!parsed)
+    if (!parsed || !books())
         return;
     once::AttemptOutcome ended = once::Unknown {};
     if (outcome == proxy::Outcome::NotRun)
@@ -272,9 +288,9 @@
                 = once::KeptAnswer { std::string(answer->headers.find("Content-Type").value_or("")), answer->body };
         ended = std::move(ran);
     }
-    m_attempts.close(parsed->attempt, ended);
+    books()->attempts.close(parsed->attempt, ended);
     once::OnceRecord record { parsed->key, parsed->attempt, m_context->self, parsed->fingerprint, 0,
-        m_attempts.outcome(parsed->attempt), now };
+        books()->attempts.outcome(parsed->attempt), now };
     report(record);
 }
 
@@ -286,7 +302,7 @@
     const auto now = monotonicNow();
     if (*holder == m_context->self) {
         if (takeOutcome(record, now))
-            m_attempts.acknowledge(record.attempt);
+            books()->attempts.acknowledge(record.attempt);
         return;
     }
     const auto worker = anyWorker();
@@ -294,7 +310,7 @@
         self->call(worker, address, "/once/finish", once::encodeRecord(record, now),
             [self, attempt = record.attempt](std::optional<std::string> answer) {
                 if (answer)
-                    self->m_attempts.acknowledge(attempt);
+                    self->books()->attempts.acknowledge(attempt);
             });
     });
 }
@@ -303,14 +319,14 @@
 {
     if (!m_view->tenureOf(seatOf(record.key, m_view->seatCount()), now))
         return false;
-    m_ledger.finish(record.key, record.attempt, record.outcome, now);
+    books()->ledger.finish(record.key, record.attempt, record.outcome, now);
     return true;
 }
 
 auto LedgerOnceGate::decidePermit(const once::PermitRequest& request, MonotonicTime now) -> once::PermitAnswer
 {
     const auto seat = seatOf(request.key, m_view->seatCount());
-    auto answer = m_ledger.begin(request, m_view->tenureOf(seat, now), now);
+    auto answer = books()->ledger.begin(request, m_view->tenureOf(seat, now), now);
     if (const auto* busy = std::get_if<once::InProgress>(&answer))
         inquire(request.key, *busy);
     return answer;
@@ -321,10 +337,10 @@
 {
     const auto settle = [self = shared_from_this(), key, attempt = busy.attempt](const once::AttemptOutcome& outcome) {
         if (!std::holds_alternative<once::Running>(outcome))
-            self->m_ledger.finish(key, attempt, outcome, monotonicNow());
+            self->books()->ledger.finish(key, attempt, outcome, monotonicNow());
     };
     if (busy.owner == m_context->self) {
-        settle(m_attempts.outcome(busy.attempt));
+        settle(books()->attempts.outcome(busy.attempt));
         return;
     }
     const auto worker = anyWorker();
@@ -338,21 +354,34 @@
     });
 }
 
+auto LedgerOnceGate::openBooks() -> void
+{
+    auto options = m_options;
+    options.ledger.seatCount = m_view->seatCount();
+    options.attempts.seatCount = m_view->seatCount();
+    m_books = std::make_unique<Books>(options, m_context->self);
+    m_openBooks = m_books.get();
+}
+
 auto LedgerOnceGate::tick(MonotonicTime now) -> void
 {
+    if (m_view->seatCount() == 0)
+        return;
+    if (!m_books)
+        openBooks();
     for (const auto& lost : m_view->lost()) {
         if (m_notedLost.insert(lost.identity).second)
-            m_ledger.daemonLost(lost);
+            books()->ledger.daemonLost(lost);
     }
     std::size_t missing = 0;
     for (unsigned seat = 0; seat < m_view->seatCount(); ++seat) {
         if (const auto tenure = m_view->tenureOf(seat, now)) {
             rebuild(seat, *tenure, now);
-            missing += m_ledger.missingReports(seat).size();
+            missing += books()->ledger.missingReports(seat).size();
         }
     }
     m_missingReports = missing;
-    const auto unreported = m_attempts.unreported();
+    const auto unreported = books()->attempts.unreported();
     for (std::size_t index = 0; index < std::min(unreported.size(), outcomesATick); ++index)
         report(unreported[index]);
 }
@@ -362,18 +391,18 @@
     auto& epoch = m_openEpochs[seat];
     if (epoch != tenure.epoch) {
         epoch = tenure.epoch;
-        m_ledger.openSeat(tenure, m_view->members(), m_view->lost(), now);
+        books()->ledger.openSeat(tenure, m_view->members(), m_view->lost(), now);
         if (tenure.formerHolder)
             log::logEvent(seatOpened, { { "seat", std::to_string(seat) }, { "epoch", std::to_string(epoch) } });
     }
-    const auto missing = m_ledger.missingReports(seat);
+    const auto missing = books()->ledger.missingReports(seat);
     auto& askedAt = m_askedReportsAt[seat];
     if (missing.empty() || now < askedAt + reportInterval)
         return;
     askedAt = now;
     for (const auto& peer : missing) {
         if (peer == m_context->self) {
-            m_ledger.addReport(seat, epoch, reportOf(seat, epoch, now), now);
+            books()->ledger.addReport(seat, epoch, reportOf(seat, epoch, now), now);
             continue;
         }
         const auto worker = anyWorker();
@@ -384,7 +413,7 @@
                         Error reason;
                         const auto received = monotonicNow();
                         if (const auto report = answer ? once::decodeReport(*answer, received, reason) : std::nullopt)
-                            self->m_ledger.addReport(seat, epoch, *report, received);
+                            self->books()->ledger.addReport(seat, epoch, *report, received);
                     });
             });
     }
@@ -392,9 +421,10 @@
 
 auto LedgerOnceGate::reportOf(unsigned seat, std::uint64_t epoch, MonotonicTime now) -> once::WitnessReport
 {
-    once::WitnessReport report { m_context->self, m_startedAt, m_attempts.recordsOf(seat, epoch, now), m_view->lost(),
-        {} };
-    for (const auto& records : { m_witness.recordsOf(seat, m_view->seatCount(), now), m_ledger.recordsOf(seat, now) })
+    once::WitnessReport report { m_context->self, m_startedAt, books()->attempts.recordsOf(seat, epoch, now),
+        m_view->lost(), {} };
+    for (const auto& records :
+        { books()->witness.recordsOf(seat, m_view->seatCount(), now), books()->ledger.recordsOf(seat, now) })
         report.records.insert(report.records.end(), records.begin(), records.end());
     return report;
 }
@@ -412,7 +442,7 @@
     addHandler(router, "/once/note", [this](const std::string& body, MonotonicTime now) -> std::optional<std::string> {
         Error reason;
         const auto record = once::decodeRecord(body, now, reason);
-        return record && m_witness.note(*record, now) ? std::optional<std::string>("") : std::nullopt;
+        return record && books()->witness.note(*record, now) ? std::optional<std::string>("") : std::nullopt;
     });
     addHandler(
         router, "/once/finish", [this](const std::string& body, MonotonicTime now) -> std::optional<std::string> {
@@ -425,7 +455,7 @@
         const auto request = once::decodeStatusRequest(body, reason);
         if (!request || request->owner != m_context->self)
             return std::nullopt; // another run's attempts are not known here
-        return once::encodeOutcome(m_attempts.outcome(request->attempt));
+        return once::encodeOutcome(books()->attempts.outcome(request->attempt));
     });
     addHandler(
         router, "/once/report", [this](const std::string& body, MonotonicTime now) -> std::optional<std::string> {
@@ -437,10 +467,12 @@
         });
 }
 
+auto LedgerOnceGate::keys() const -> std::size_t { return books() ? books()->ledger.keys() : 0; }
+
 auto LedgerOnceGate::addHandler(PeerRouter& router, const std::string& path, Handler handler) -> void
 {
     router.add("POST", path, [self = shared_from_this(), handler = std::move(handler)](auto exchange) -> void {
-        auto answer = handler(exchange->request().body, monotonicNow());
+        auto answer = self->books() ? handler(exchange->request().body, monotonicNow()) : std::nullopt;
         if (answer)
             exchange->answer(http::makeAnswer(200, "application/cbor", std::move(*answer)));
         else
--- a/src/daemon/LedgerOnceGate.h
+++ b/src/daemon/LedgerOnceGate.h
@@ -79,15 +79,19 @@
     auto tick(MonotonicTime now) -> void;
 
     [[nodiscard]] auto counts() const -> const Counts& { return m_counts; }
-    [[nodiscard]] auto keys() const -> std::size_t { return m_ledger.keys(); }
+    [[nodiscard]] auto keys() const -> std::size_t;
     [[nodiscard]] auto missingReports() const -> std::size_t { return m_missingReports; }
 
 private:
     struct Ask;
+    struct Books;
     using Done = std::function<void(std::optional<std::string>)>;
     using Reply = std::function<void(std::string)>;
     using Handler = std::function<std::optional<std::string>(const std::string& body, MonotonicTime now)>;
 
+    // books() is null until the number of seats is known.
+    [[nodiscard]] auto books() const -> Books* { return m_openBooks; }
+    auto openBooks() -> void;
     auto askWitnesses(const std::shared_ptr<Ask>& ask, MonotonicTime now) -> void;
     auto askPermit(const std::shared_ptr<Ask>& ask) -> void;
     auto onPermitAnswer(const std::shared_ptr<Ask>& ask, const once::PermitAnswer& answer, MonotonicTime askedAt)
@@ -109,9 +113,8 @@
     std::shared_ptr<const proxy::ProxyContext> m_context;
     std::shared_ptr<const OnceFleetView> m_view;
     MonotonicTime m_startedAt;
-    once::OnceLedger m_ledger;
-    once::OwnerAttempts m_attempts;
-    once::WitnessLog m_witness;
+    std::unique_ptr<Books> m_books;
+    std::atomic<Books*> m_openBooks = nullptr;
     std::atomic<std::uint64_t> m_nextAttempt = 0;
     std::atomic<std::size_t> m_missingReports = 0;
     Counts m_counts;
--- a/src/daemon/OnceFleetView.h
+++ b/src/daemon/OnceFleetView.h
@@ -22,13 +22,17 @@
     // holderOf() is the daemon that is to be asked about `seat`, or nothing when none is known.
     [[nodiscard]] virtual auto holderOf(unsigned seat) const -> std::optional<DaemonIdentity> = 0;
 
+    // rejectHolder() says that `daemon` didn't answer for `seat`, or not as its holder.
+    virtual auto rejectHolder(unsigned seat, const DaemonIdentity& daemon) const -> void = 0;
+
     // tenureOf() is this daemon's own hold of `seat` at `now`, or nothing.
     [[nodiscard]] virtual auto tenureOf(unsigned seat, MonotonicTime now) const -> std::optional<once::SeatTenure> = 0;
 
     // members() are the daemons that are believed to run, this one included.
     [[nodiscard]] virtual auto members() const -> std::vector<once::SeatRebuild::Member> = 0;
 
-    // lost() are the daemons known to be lost within the retention.
+    // lost() are the daemons known or thought to be lost within the retention. One that is only silent may still run
+    // requests under another holder's permits, so its loss counts as of now.
     [[nodiscard]] virtual auto lost() const -> std::vector<once::LostDaemon> = 0;
 };
 
--- a/src/daemon/OncePlugin.cpp
+++ b/src/daemon/OncePlugin.cpp
@@ -51,19 +51,16 @@
         return text == "none" ? std::optional(Spread::None) : std::nullopt;
     }
 
-    auto readOptions(const settings::Settings& settings, LedgerOnceGate::Spread spread, unsigned seatCount)
-        -> LedgerOnceGate::Options
+    auto readOptions(const settings::Settings& settings, LedgerOnceGate::Spread spread) -> LedgerOnceGate::Options
     {
         LedgerOnceGate::Options options;
         const auto keys = static_cast<std::size_t>(settings.integer("once-maximum-keys"));
         const auto answerBytes = static_cast<std::size_t>(settings.integer("once-kept-answer-bytes"));
         options.spread = spread;
-        options.ledger.seatCount = seatCount;
         options.ledger.rebuild.retention = settings.duration("once-retention-ms");
         options.ledger.rebuild.areWitnessesSpread = spread == LedgerOnceGate::Spread::DataCentre;
         options.ledger.maximumKeys = keys;
         options.ledger.maximumAnswerBytes = answerBytes;
-        options.attempts.seatCount = seatCount;
         options.attempts.retention = options.ledger.rebuild.retention;
         options.attempts.maximumAttempts = keys;
         options.attempts.maximumAnswerBytes = answerBytes;
@@ -88,8 +85,7 @@
         reason = { "read settings", "once-witness-spread", "allowed are data-centre, host, none and auto" };
         return false;
     }
-    m_gate = std::make_shared<LedgerOnceGate>(
-        readOptions(*settings, *parsed, view->seatCount()), context, view, monotonicNow());
+    m_gate = std::make_shared<LedgerOnceGate>(readOptions(*settings, *parsed), context, view, monotonicNow());
     m_gate->addHandlers(*kernel.find<PeerRouter>());
     m_gate->tick(monotonicNow());
     context->onceGate = m_gate;
--- a/src/daemon/SoloFleetView.h
+++ b/src/daemon/SoloFleetView.h
@@ -14,6 +14,7 @@
 
     [[nodiscard]] auto seatCount() const -> unsigned override { return s_seatCount; }
     [[nodiscard]] auto holderOf(unsigned) const -> std::optional<DaemonIdentity> override { return m_self; }
+    auto rejectHolder(unsigned, const DaemonIdentity&) const -> void override { }
     [[nodiscard]] auto tenureOf(unsigned seat, MonotonicTime now) const -> std::optional<once::SeatTenure> override
     {
         return once::SeatTenure { seat, 1, now + std::chrono::minutes(1), {}, {} };
