--- a/src/seat/SeatAuthority.cpp
+++ b/src/seat/SeatAuthority.cpp
@@ -168,6 +168,18 @@
     return held;
 }
 
+auto SeatAuthority::startedSeats(MonotonicTime now) const -> std::map<std::uint32_t, std::uint64_t>
+{
+    std::map<std::uint32_t, std::uint64_t> started;
+    const MutexLock lock(m_mutex);
+    for (const auto& [number, seat] : m_seats) {
+        const auto end = leaseEnd(seat);
+        if (seat.phase == Phase::Leasing && end && now < *end)
+            started.emplace(number, seat.assignment.epoch);
+    }
+    return started;
+}
+
 auto SeatAuthority::PromiseRound::isClear(MonotonicTime now, bool isOwn) const -> bool
 {
     const auto clear = std::count_if(guards.begin(), guards.end(), [this, now, isOwn](const auto& guard) {
--- a/src/seat/SeatAuthority.h
+++ b/src/seat/SeatAuthority.h
@@ -60,6 +60,10 @@
     // heldSeats() are the seats held at `now`.
     [[nodiscard]] auto heldSeats(MonotonicTime now) const -> std::vector<std::uint32_t>;
 
+    // startedSeats() are the seats whose present assignment's guards lease them to this daemon, with its epoch: all
+    // earlier epochs of these are closed.
+    [[nodiscard]] auto startedSeats(MonotonicTime now) const -> std::map<std::uint32_t, std::uint64_t>;
+
 private:
     // What one guard has said in an epoch.
     struct GuardView {
--- a/src/testing/ShareLoop.cpp
+++ b/src/testing/ShareLoop.cpp
@@ -329,8 +329,8 @@
             if (daemons[i]->hasLeft)
                 continue;
             input.live.push_back({ daemons[i]->self, locality(i), false });
-            for (const auto number : daemons[i]->authority.heldSeats(clock(i)))
-                input.started[number] = daemons[i]->authority.tenure(number, clock(i))->term.epoch;
+            if (daemons[i]->isAlive)
+                input.started.merge(daemons[i]->authority.startedSeats(clock(i)));
         }
         if (const auto next = seat::planSeatMap(input, { options.seats, 3 })) {
             map = *next;
