--- a/src/daemon/ControlPlugin.cpp
+++ b/src/daemon/ControlPlugin.cpp
@@ -26,6 +26,7 @@
 #include "store/RemoteStore.h"
 
 #include <QTimer>
+#include <malloc.h>
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
 #include <prometheus/registry.h>
@@ -77,6 +78,7 @@
     constexpr std::size_t apiWorker = 1;
     constexpr std::size_t workerCount = 2;
     constexpr std::chrono::milliseconds watchPeriod { 250 };
+    constexpr std::chrono::milliseconds releaseDelay { 200 };
     constexpr std::chrono::seconds storeQuietLimit { 10 }; // for a daemon that polls
 
     auto addGauge(prometheus::Registry& registry, const char* name, const char* help) -> prometheus::Gauge*
@@ -95,6 +97,9 @@
         counter.Increment(static_cast<double>(total) - counter.Value());
     }
 
+    // Work on a configuration of full size frees tens of megabytes in small pieces, which the allocator would keep.
+    auto releaseFreeMemory() -> void { malloc_trim(0); }
+
     auto countTargets(const member::TargetRegistry& targets, const std::string& dataCentre) -> control::KnownTargets
     {
         control::KnownTargets known;
@@ -216,6 +221,7 @@
         const auto snapshot = keeper->current();
         holder->publish(snapshot);
         log::logEvent(configurationTaken, { { "head", keeper->head().toText() } });
+        releaseFreeMemory();
     };
     options.onPullFailed = [](const std::string& source, const Error& reason) {
         log::logEvent(pullFailed, { { "source", source }, { "reason", reason.toText() } });
@@ -245,9 +251,12 @@
     options.targets = [targets = context->targets, dataCentre = context->locality.dataCentre] {
         return countTargets(*targets, dataCentre);
     };
-    options.onAction = [](const std::string& name, const std::string& what, const std::string& result) {
-        log::logEvent(operatorActed, { { "operator", name }, { "what", what }, { "result", result } });
-    };
+    options.onAction
+        = [workers = m_workers.get()](const std::string& name, const std::string& what, const std::string& result) {
+              log::logEvent(operatorActed, { { "operator", name }, { "what", what }, { "result", result } });
+              // Only once the answer is on its way is the memory free.
+              workers->postAfter(apiWorker, releaseDelay, [] { releaseFreeMemory(); });
+          };
     m_api = std::make_shared<control::OperatorApi>(
         *m_workers, apiWorker, *context->workers, m_apiChanges, m_keeper, m_peers, *std::move(table), options);
     m_api->start();
