Take the peers of the configuration's spread from membership

Cause: peers were named by a setting, which no fleet can keep up to date, and the operators' status could not name daemons that are out of reach.

Change: control/MemberPeers over member/PeerTable in place of the setting; the status lists daemons believed dead as unreachable; targets behind other daemons count in a plan's warnings; a version taken is told to membership. Traffic counts include headers.

Conclusion: the spread needs no list of daemons.

--- a/src/config/PeerDirectory.h
+++ b/src/config/PeerDirectory.h
@@ -6,6 +6,7 @@
 
 #include "config/KeeperPeer.h"
 
+#include <string>
 #include <vector>
 
 namespace coriandergate::config {
@@ -20,6 +21,9 @@
 
     // peers() is every other daemon that is believed to live.
     [[nodiscard]] virtual auto peers() const -> std::vector<KeeperPeer> = 0;
+
+    // lostPeers() is the address of every daemon that is believed to be dead, or out of reach, and not forgotten yet.
+    [[nodiscard]] virtual auto lostPeers() const -> std::vector<std::string> = 0;
 };
 
 } // namespace coriandergate::config
--- a/src/control/ConfigurationSync.cpp
+++ b/src/control/ConfigurationSync.cpp
@@ -23,6 +23,8 @@
     constexpr int statusUnavailable = 503;
     constexpr std::size_t mostPendingPulls = 4;
     constexpr std::size_t mostPulledBytes = 64 * 1024 * 1024;
+    constexpr std::size_t requestHeaderBytes = 65;
+    constexpr std::size_t answerHeaderBytes = 80;
     constexpr std::string_view textType = "text/plain";
 
     auto makeRequest(const std::string& peer, std::string method, std::string_view path, std::string body)
@@ -120,6 +122,7 @@
 auto ConfigurationSync::carryOut(const config::AskPeer& ask) -> void
 {
     ++m_counters.asks;
+    countAsked(0);
     m_client->send(ask.peer, makeRequest(ask.peer, "GET", headPath, {}), { .timeout = m_options.askTimeout },
         [this, peer = ask.peer, askedAt = monotonicNow()](http::ExchangeResult result) {
             Error reason;
@@ -127,7 +130,7 @@
             const auto head = body ? config::parseConfigurationHead(*body, reason) : std::nullopt;
             if (!head)
                 return;
-            m_counters.bytesReceived += body->size();
+            m_counters.bytesReceived += answerHeaderBytes + body->size();
             m_keeper->onPeerHead(peer, *head, askedAt);
         });
 }
@@ -135,7 +138,7 @@
 auto ConfigurationSync::carryOut(const config::AnnounceToPeer& announcement) -> void
 {
     auto body = m_options.self + " " + announcement.head.toText();
-    m_counters.bytesSent += body.size();
+    countAsked(body.size());
     m_client->send(announcement.peer, makeRequest(announcement.peer, "POST", announcePath, std::move(body)),
         { .timeout = m_options.askTimeout }, [](const http::ExchangeResult&) {});
 }
@@ -152,7 +155,7 @@
 auto ConfigurationSync::pullFromPeer(const config::Pull& pull) -> void
 {
     auto body = pull.from.toText() + " " + pull.to.toText();
-    m_counters.bytesSent += body.size();
+    countAsked(body.size());
     const auto timeout = pull.from.version == 0 ? m_options.snapshotTimeout : m_options.deltaTimeout;
     m_client->send(pull.peer, makeRequest(pull.peer, "POST", pullPath, std::move(body)),
         { .timeout = timeout, .maximumAnswerBytes = mostPulledBytes }, [this, pull](http::ExchangeResult result) {
@@ -161,7 +164,7 @@
             const auto pulled = received ? decodePulled(*received, reason) : std::nullopt;
             if (!pulled)
                 return fail(pull, reason);
-            m_counters.bytesReceived += received->size();
+            m_counters.bytesReceived += answerHeaderBytes + received->size();
             take(pull, *pulled);
         });
 }
@@ -214,17 +217,28 @@
         m_options.onPullFailed(pull.peer.empty() ? "store" : pull.peer, reason);
 }
 
+auto ConfigurationSync::countAsked(std::size_t bodyBytes) -> void
+{
+    m_counters.bytesSent += requestHeaderBytes + bodyBytes;
+}
+
+auto ConfigurationSync::countAnswered(std::size_t requestBytes, std::size_t answerBytes) -> void
+{
+    m_counters.bytesReceived += requestHeaderBytes + requestBytes;
+    m_counters.bytesSent += answerHeaderBytes + answerBytes;
+}
+
 auto ConfigurationSync::answerHead(const std::shared_ptr<http::Exchange>& exchange) -> void
 {
     auto text = m_keeper->head().toText();
-    m_counters.bytesSent += text.size();
+    countAnswered(0, text.size());
     exchange->answer(http::makeAnswer(statusOk, textType, std::move(text)));
 }
 
 auto ConfigurationSync::answerAnnouncement(const std::shared_ptr<http::Exchange>& exchange) -> void
 {
     const auto& body = exchange->request().body;
-    m_counters.bytesReceived += body.size();
+    countAnswered(body.size(), 0);
     Error reason { "read announcement", exchange->peer(), "'address head' is needed" };
     const auto parts = splitPair(body);
     const auto head = parts ? config::parseConfigurationHead(parts->second, reason) : std::nullopt;
@@ -249,7 +263,7 @@
     }
     m_workers.post(m_worker, [self = shared_from_this(), exchange, from = *from, &exchangeWorkers] {
         auto bytes = self->pulledFor(from);
-        self->m_counters.bytesSent += bytes.size();
+        self->countAnswered(exchange->request().body.size(), bytes.size());
         exchangeWorkers.post(exchange->worker(), [self, exchange, bytes = std::move(bytes)]() mutable {
             --self->m_pendingPulls;
             if (bytes.empty())
--- a/src/control/ConfigurationSync.h
+++ b/src/control/ConfigurationSync.h
@@ -56,8 +56,9 @@
         std::atomic<std::uint64_t> asks = 0;
         std::atomic<std::uint64_t> pulls = 0;
         std::atomic<std::uint64_t> failedPulls = 0;
-        std::atomic<std::uint64_t> bytesSent = 0; // of bodies to peers, answers included
-        std::atomic<std::uint64_t> bytesReceived = 0; // of bodies from peers, answers included
+        // To and from peers, answers included: bodies, and the fixed part of the headers.
+        std::atomic<std::uint64_t> bytesSent = 0;
+        std::atomic<std::uint64_t> bytesReceived = 0;
     };
 
     // `workers` must outlive the sync.
@@ -91,6 +92,8 @@
     auto take(const config::Pull& pull, const PulledConfiguration& pulled) -> void;
     auto fail(const config::Pull& pull, const Error& reason) -> void;
     auto onWorker(std::function<void()> task) -> void;
+    auto countAsked(std::size_t bodyBytes) -> void;
+    auto countAnswered(std::size_t requestBytes, std::size_t answerBytes) -> void;
     [[nodiscard]] auto pulledFor(const config::ConfigurationHead& from) -> std::string;
 
     http::WorkerPool& m_workers;
--- a/src/control/OperatorApi.cpp
+++ b/src/control/OperatorApi.cpp
@@ -335,7 +335,7 @@
             const auto now = monotonicNow();
             const auto head = self->m_keeper->head();
             auto behind = json::array();
-            auto unreachable = json::array();
+            json unreachable = self->m_peers->lostPeers();
             std::size_t inForce = 1;
             for (const auto& daemon : daemons) {
                 if (!daemon.head)
@@ -351,8 +351,9 @@
                         { "freshness", freshnessText(self->m_keeper->freshness(now)) },
                         { "contactAgeSeconds", toSeconds(self->m_keeper->contactAge(now)) },
                         { "storeAgeSeconds", toSeconds(self->m_keeper->storeAge(now)) },
-                        { "isStoreBehind", self->m_keeper->isStoreBehind() }, { "daemons", daemons.size() + 1 },
-                        { "inForce", inForce }, { "behind", behind }, { "unreachable", unreachable } }));
+                        { "isStoreBehind", self->m_keeper->isStoreBehind() },
+                        { "daemons", inForce + behind.size() + unreachable.size() }, { "inForce", inForce },
+                        { "behind", behind }, { "unreachable", unreachable } }));
         });
 }
 
--- a/src/daemon/ControlPlugin.cpp
+++ b/src/daemon/ControlPlugin.cpp
@@ -5,9 +5,9 @@
 #include "config/ConfigurationKeeper.h"
 #include "config/Snapshot.h"
 #include "config/SnapshotCodec.h"
-#include "config/StaticPeers.h"
 #include "control/ChangeStore.h"
 #include "control/ConfigurationSync.h"
+#include "control/MemberPeers.h"
 #include "control/OperatorApi.h"
 #include "control/SyncMessage.h"
 #include "daemon/AdminRouter.h"
@@ -17,6 +17,8 @@
 #include "kernel/Kernel.h"
 #include "kernel/PluginRegistration.h"
 #include "log/Event.h"
+#include "member/MemberProfile.h"
+#include "member/PeerTable.h"
 #include "member/TargetRegistry.h"
 #include "proxy/ProxyContext.h"
 #include "proxy/SnapshotHolder.h"
@@ -37,7 +39,6 @@
 namespace {
 
     using settings::AddressKind;
-    using settings::AddressListKind;
     using settings::DurationKind;
     using settings::SettingRegistration;
     using settings::TextKind;
@@ -54,9 +55,6 @@
         "3600000", "without contact to the store or a peer for so long, every request is refused" } };
     const SettingRegistration operators { { "operators", TextKind { true }, "",
         "who may use the operators' API: name:digest of a token, separated by commas; empty: nobody" } };
-    const SettingRegistration staticPeers { { "configuration-peers", AddressListKind {}, "",
-        "daemons to exchange configurations with where membership does not name them" } };
-
     const kernel::PluginRegistration registration { "control", 40, [] { return std::make_unique<ControlPlugin>(); } };
 
     const log::Event configurationTaken { 1501, log::Severity::Info, "configuration in force",
@@ -100,13 +98,23 @@
     // Work on a configuration of full size frees tens of megabytes in small pieces, which the allocator would keep.
     auto releaseFreeMemory() -> void { malloc_trim(0); }
 
-    auto countTargets(const member::TargetRegistry& targets, const std::string& dataCentre) -> control::KnownTargets
+    // countTargets() is every target that is known, of this host and of others.
+    auto countTargets(const member::TargetRegistry& targets, const member::PeerTable& table,
+        const std::string& dataCentre) -> control::KnownTargets
     {
         control::KnownTargets known;
-        for (const auto& target : targets.snapshot(monotonicNow()).targets) {
-            auto& count = known.byService[target.announcement.service][dataCentre];
+        const auto add = [&known](const std::string& service, const std::string& place, bool isHealthy) {
+            auto& count = known.byService[service][place];
             ++count.announced;
-            count.healthy += target.state == member::TargetState::Serving ? 1 : 0;
+            count.healthy += isHealthy ? 1 : 0;
+        };
+        for (const auto& target : targets.snapshot(monotonicNow()).targets)
+            add(target.announcement.service, dataCentre, target.state == member::TargetState::Serving);
+        for (const auto& peer : table.current()->peers) {
+            if (!peer.profile || peer.state == member::MemberState::Dead)
+                continue;
+            for (const auto& target : peer.profile->targets)
+                add(target.service, peer.locality.dataCentre, peer.state == member::MemberState::Alive);
         }
         return known;
     }
@@ -124,10 +132,9 @@
         , asks(addCounter(registry, "coriandergate_configuration_asks_total", "Questions to peers"))
         , pulls(addCounter(registry, "coriandergate_configuration_pulls_total", "Pulls of deltas and snapshots"))
         , failedPulls(addCounter(registry, "coriandergate_configuration_failed_pulls_total", "Pulls without success"))
-        , bytesSent(
-              addCounter(registry, "coriandergate_configuration_sent_bytes_total", "Bytes of bodies sent to peers"))
-        , bytesReceived(addCounter(
-              registry, "coriandergate_configuration_received_bytes_total", "Bytes of bodies received from peers"))
+        , bytesSent(addCounter(registry, "coriandergate_configuration_sent_bytes_total", "Bytes sent to peers"))
+        , bytesReceived(
+              addCounter(registry, "coriandergate_configuration_received_bytes_total", "Bytes received from peers"))
     {
     }
 
@@ -151,13 +158,8 @@
     const auto context = kernel.find<proxy::ProxyContext>();
     m_holder = kernel.find<proxy::SnapshotHolder>();
     m_workers = std::make_unique<http::WorkerPool>(http::WorkerPool::Options { workerCount });
-    m_peers = kernel.find<config::PeerDirectory>();
-    if (!m_peers) {
-        std::vector<config::KeeperPeer> peers;
-        for (auto& address : settings->list("configuration-peers"))
-            peers.push_back({ std::move(address), true });
-        m_peers = std::make_shared<config::StaticPeers>(std::move(peers));
-    }
+    m_table = kernel.find<member::PeerTable>();
+    m_peers = std::make_shared<control::MemberPeers>(m_table, context->locality.dataCentre);
     makeKeeper(*settings, context->self.address);
     if (!openStore(*settings, reason))
         return false;
@@ -217,9 +219,10 @@
 {
     control::ConfigurationSync::Options options;
     options.self = kernel.find<proxy::ProxyContext>()->self.address;
-    options.onTaken = [holder = m_holder, keeper = m_keeper] {
+    options.onTaken = [holder = m_holder, keeper = m_keeper, table = m_table] {
         const auto snapshot = keeper->current();
         holder->publish(snapshot);
+        table->raiseVersions(snapshot->configuration->version, 0);
         log::logEvent(configurationTaken, { { "head", keeper->head().toText() } });
         releaseFreeMemory();
     };
@@ -248,8 +251,8 @@
     const auto context = kernel.find<proxy::ProxyContext>();
     control::OperatorApi::Options options;
     options.self = context->self.address;
-    options.targets = [targets = context->targets, dataCentre = context->locality.dataCentre] {
-        return countTargets(*targets, dataCentre);
+    options.targets = [targets = context->targets, table = m_table, dataCentre = context->locality.dataCentre] {
+        return countTargets(*targets, *table, dataCentre);
     };
     options.onAction
         = [workers = m_workers.get()](const std::string& name, const std::string& what, const std::string& result) {
--- a/src/daemon/ControlPlugin.h
+++ b/src/daemon/ControlPlugin.h
@@ -20,6 +20,9 @@
 namespace coriandergate::http {
 class WorkerPool;
 }
+namespace coriandergate::member {
+class PeerTable;
+}
 namespace coriandergate::proxy {
 class SnapshotHolder;
 }
@@ -55,6 +58,7 @@
     std::unique_ptr<http::WorkerPool> m_workers; // one for the sync, one for the API
     std::shared_ptr<proxy::SnapshotHolder> m_holder;
     std::shared_ptr<config::ConfigurationKeeper> m_keeper;
+    std::shared_ptr<member::PeerTable> m_table;
     std::shared_ptr<const config::PeerDirectory> m_peers;
     std::unique_ptr<store::MemoryStore> m_memoryStore;
     std::unique_ptr<store::RemoteStore> m_syncStore;
