--- a/src/member/GossipCodec.cpp
+++ b/src/member/GossipCodec.cpp
@@ -108,12 +108,12 @@
         // array() is the next field when it is an array of at most `maximumSize` fields, else an empty array.
         auto array(std::size_t maximumSize) -> const Json&
         {
-            static const Json empty = Json::array();
+            static const Json s_empty = Json::array();
             const auto* const field = next();
             if (field != nullptr && field->is_array() && field->size() <= maximumSize)
                 return *field;
             m_isGood = false;
-            return empty;
+            return s_empty;
         }
 
         auto fail() -> void { m_isGood = false; }
