--- a/tools/coriandergate-measure-members/main.cpp
+++ b/tools/coriandergate-measure-members/main.cpp
@@ -25,13 +25,14 @@
 constexpr auto usage = R"(Measures gossip at several sizes in one process.
 
 Usage:
-  coriandergate-measure-members [--sizes=LIST] [--seconds=N] [--seed=N]
+  coriandergate-measure-members [--sizes=LIST] [--seconds=N] [--seed=N] [--codec]
   coriandergate-measure-members --help
 
 Options:
   --sizes=LIST  Numbers of daemons, 2 to 2000 each [default: 16,64,256,1600].
   --seconds=N   Length of each steady run, 10 to 600 s of simulated time [default: 60].
   --seed=N      Seed of all random choices [default: 1].
+  --codec       Encode and decode each message on its way, so that the processor time holds both.
 )";
 
 constexpr double restartsADay = 2100;
@@ -50,6 +51,8 @@
     double detectAll = -1;
     double spreadAll = -1; // seconds from an announcement until all know it
     double versionAll = -1; // seconds from a raised configuration version until all know it
+    double healSeconds = -1; // after a region was cut off for two minutes, until all views are whole
+    double healBytes = 0; // a second and daemon, sent meanwhile
     double suspicions = 0; // a daemon and hour, under 5% loss
     double deaths = 0; // wrong ones, under 5% loss, in all
     double pausedDeaths = 0; // daemons that believe one dead after a pause of 3 s
@@ -71,9 +74,21 @@
     return time ? std::chrono::duration<double>(*time).count() : -1;
 }
 
-auto optionsFor(std::size_t nodes, double lossRate, std::uint64_t seed) -> GossipLoop::Options
+// Variant is what a whole run has in common.
+struct Variant {
+    std::chrono::seconds length { 60 };
+    std::uint64_t seed = 1;
+    bool usesCodec = false;
+};
+
+auto optionsFor(std::size_t nodes, double lossRate, const Variant& variant) -> GossipLoop::Options
 {
-    return { .nodes = nodes, .dataCentres = 17, .regions = 7, .lossRate = lossRate, .seed = seed };
+    return { .nodes = nodes,
+        .dataCentres = 17,
+        .regions = 7,
+        .lossRate = lossRate,
+        .usesCodec = variant.usesCodec,
+        .seed = variant.seed };
 }
 
 struct Rates {
@@ -163,41 +178,57 @@
     row.detectAll = first && rest ? secondsOf(*first + *rest) : -1;
 }
 
-auto measureLoss(Row& row, std::size_t nodes, std::chrono::seconds length, std::uint64_t seed) -> void
+auto measurePartition(GossipLoop& loop, Row& row, std::size_t nodes) -> void
+{
+    constexpr std::size_t dataCentres = 17;
+    constexpr std::size_t regions = 7;
+    loop.cut([](std::size_t from, std::size_t to) {
+        return (from % dataCentres % regions == 0) != (to % dataCentres % regions == 0);
+    });
+    loop.run(120s);
+    loop.cut({});
+    const auto before = loop.traffic().bytes;
+    row.healSeconds = secondsOf(loop.runUntil([&] { return loop.areViewsWhole(); }, 600s, 1s));
+    const auto length = row.healSeconds > 0 ? row.healSeconds : 600;
+    row.healBytes = static_cast<double>(loop.traffic().bytes - before) / static_cast<double>(nodes) / length;
+}
+
+auto measureLoss(Row& row, std::size_t nodes, const Variant& variant) -> void
 {
-    GossipLoop loop(optionsFor(nodes, 0.05, seed));
+    GossipLoop loop(optionsFor(nodes, 0.05, variant));
     static_cast<void>(loop.runUntil([&] { return loop.areViewsWhole(); }, 300s, 1s));
     const auto before = loop.totals();
-    loop.run(length);
+    loop.run(variant.length);
     const auto after = loop.totals();
-    const auto daemonHours = static_cast<double>(nodes) * static_cast<double>(length.count()) / 3600;
+    const auto daemonHours = static_cast<double>(nodes) * static_cast<double>(variant.length.count()) / 3600;
     row.suspicions = static_cast<double>(after.suspicions - before.suspicions) / daemonHours;
     row.deaths = static_cast<double>(after.deaths - before.deaths);
 }
 
-auto measure(std::size_t nodes, std::chrono::seconds length, std::uint64_t seed) -> Row
+auto measure(std::size_t nodes, const Variant& variant) -> Row
 {
     Row row;
     row.nodes = static_cast<double>(nodes);
     const auto memoryBefore = residentKilobytes();
     {
-        GossipLoop loop(optionsFor(nodes, 0, seed));
+        GossipLoop loop(optionsFor(nodes, 0, variant));
         row.joinSeconds = secondsOf(loop.runUntil([&] { return loop.areViewsWhole(); }, 300s, 1s));
         row.kilobytes = (residentKilobytes() - memoryBefore) / row.nodes;
         loop.run(30s);
-        measureSteady(loop, row, nodes, length);
-        measureChurn(loop, row, nodes, length);
+        measureSteady(loop, row, nodes, variant.length);
+        measureChurn(loop, row, nodes, variant.length);
         measureRejoin(loop, row);
         measureEvents(loop, row, nodes);
+        measurePartition(loop, row, nodes);
     }
-    measureLoss(row, nodes, length, seed);
+    measureLoss(row, nodes, variant);
     return row;
 }
 
 // naiveBytes() is what one NaiveHeartbeat sends a second: its message to every peer, with IP and UDP headers.
 auto naiveBytes(std::size_t nodes) -> double
 {
-    GossipLoop sample(optionsFor(2, 0, 1));
+    GossipLoop sample(optionsFor(2, 0, {}));
     sample.run(2s);
     std::vector<std::string> peers;
     for (std::size_t i = 1; i < nodes; ++i)
@@ -256,18 +287,20 @@
 auto main(int argumentCount, char** arguments) -> int
 {
     auto options = docopt::docopt(usage, { arguments + 1, arguments + argumentCount }, true, "");
-    const auto length = std::chrono::seconds(std::min(std::max(10L, options["--seconds"].asLong()), 600L));
+    const Variant variant { std::chrono::seconds(std::min(std::max(10L, options["--seconds"].asLong()), 600L)),
+        static_cast<std::uint64_t>(options["--seed"].asLong()), options["--codec"].asBool() };
     std::vector<Row> rows;
-    std::printf("%7s %7s %7s %8s %8s %8s %8s %9s %7s %7s %7s %7s %9s %7s %7s %8s %8s\n", "daemons", "join s", "rejoin",
-        "idle B/s", "far B/s", "churnB/s", "far B/s", "naive B/s", "dead 1", "dead *", "spread", "version", "susp/h 5%",
-        "deaths", "paused", "us/s", "KB");
+    std::printf("%7s %7s %7s %7s %8s %8s %8s %8s %8s %9s %7s %7s %7s %7s %9s %7s %7s %8s %8s\n", "daemons", "join s",
+        "rejoin", "heal s", "heal B/s", "idle B/s", "far B/s", "churnB/s", "far B/s", "naive B/s", "dead 1", "dead *",
+        "spread", "version", "susp/h 5%", "deaths", "paused", "us/s", "KB");
     for (const auto nodes : sizesFrom(options["--sizes"].asString())) {
-        const auto row = measure(nodes, length, static_cast<std::uint64_t>(options["--seed"].asLong()));
-        std::printf(
-            "%7.0f %7.1f %7.1f %8.1f %8.1f %8.1f %8.1f %9.0f %7.1f %7.1f %7.1f %7.1f %9.2f %7.0f %7.0f %8.1f %8.1f\n",
-            row.nodes, row.joinSeconds, row.rejoinSeconds, row.idleBytes, row.idleFarBytes, row.churnBytes,
-            row.churnFarBytes, naiveBytes(nodes), row.detectFirst, row.detectAll, row.spreadAll, row.versionAll,
-            row.suspicions, row.deaths, row.pausedDeaths, row.microsecondsASecond, row.kilobytes);
+        const auto row = measure(nodes, variant);
+        std::printf("%7.0f %7.1f %7.1f %7.1f %8.1f %8.1f %8.1f %8.1f %8.1f %9.0f %7.1f %7.1f %7.1f %7.1f %9.2f %7.0f "
+                    "%7.0f %8.1f %8.1f\n",
+            row.nodes, row.joinSeconds, row.rejoinSeconds, row.healSeconds, row.healBytes, row.idleBytes,
+            row.idleFarBytes, row.churnBytes, row.churnFarBytes, naiveBytes(nodes), row.detectFirst, row.detectAll,
+            row.spreadAll, row.versionAll, row.suspicions, row.deaths, row.pausedDeaths, row.microsecondsASecond,
+            row.kilobytes);
         std::fflush(stdout);
         rows.push_back(row);
     }
