Take the peers of the configuration's spread from one place

Cause: two classes listed the live peers for the spread of configurations. Change: the one of control/ stays. Conclusion: one list.

--- a/src/daemon/MemberPlugin.cpp
+++ b/src/daemon/MemberPlugin.cpp
@@ -4,7 +4,6 @@
 #include "daemon/DrainState.h"
 #include "daemon/ExchangeInbox.h"
 #include "daemon/FleetTargetChooser.h"
-#include "daemon/MemberDirectory.h"
 #include "kernel/Kernel.h"
 #include "kernel/PluginRegistration.h"
 #include "log/Event.h"
@@ -155,8 +154,6 @@
     if (!bind(settings->text("peer-listen"), reason))
         return false;
     kernel.provide(m_peers);
-    kernel.provide<config::PeerDirectory>(
-        std::make_shared<MemberDirectory>(m_peers, context->locality, settings->list("configuration-peers")));
     context->targetChooser = std::make_shared<FleetTargetChooser>(m_targets, m_peers, context->self, context->locality);
     kernel.find<rpc::RpcRegistry>()->add(exchangeMethod,
         [this](const nlohmann::json& parameters, Error& why) { return answerExchange(parameters, why); });
