Take the fleet's seats and members for once-only requests

Cause: the gate knew only a daemon that is alone. A holder whose guards change gets a new epoch and would have had to ask the fleet each time.

Change: SeatFleetView, from the seat map, its leases and gossip, used when those parts run and the daemon was given peers or a store. A ledger goes on over epochs without a rebuild when the tenure before was good until the new one began; the fleet's loop changes guards as well now.

--- a/src/admission/SlotTable_benchmark.cpp
+++ b/src/admission/SlotTable_benchmark.cpp
@@ -43,16 +43,16 @@
 
 auto withoutWaiting(benchmark::State& state) -> void
 {
-    static SlotTable table({});
+    static SlotTable s_table({});
     const auto group = "group-" + std::to_string(state.thread_index());
-    table.setTarget(group, "t", 7);
+    s_table.setTarget(group, "t", 7);
     std::vector<Dispatch> dispatches;
     const Deadline deadline { MonotonicTime(std::chrono::hours(9999)) };
     MonotonicTime now;
     for (auto _ : state) {
         now += std::chrono::microseconds(100);
-        const auto decision = table.submit({ group, "a", deadline }, now, dispatches);
-        table.release(std::get<RunNow>(decision).ticket, now, dispatches);
+        const auto decision = s_table.submit({ group, "a", deadline }, now, dispatches);
+        s_table.release(std::get<RunNow>(decision).ticket, now, dispatches);
     }
     state.SetItemsProcessed(state.iterations());
 }
--- a/src/daemon/LedgerOnceGate.cpp
+++ b/src/daemon/LedgerOnceGate.cpp
@@ -388,6 +388,7 @@
 
 auto LedgerOnceGate::rebuild(unsigned seat, const once::SeatTenure& tenure, MonotonicTime now) -> void
 {
+    books()->ledger.renewSeat(tenure);
     auto& epoch = m_openEpochs[seat];
     if (epoch != tenure.epoch) {
         epoch = tenure.epoch;
--- a/src/daemon/OnceFleetView.h
+++ b/src/daemon/OnceFleetView.h
@@ -15,8 +15,8 @@
 public:
     virtual ~OnceFleetView() = default;
 
-    // seatCount() is the number of seats, 0 while it isn't known; then it is the same on every daemon and never changes.
-    // Safe from any thread, as all that follows.
+    // seatCount() is the number of seats, 0 while it isn't known; then it is the same on every daemon and never
+    // changes. Safe from any thread, as all that follows.
     [[nodiscard]] virtual auto seatCount() const -> unsigned = 0;
 
     // holderOf() is the daemon that is to be asked about `seat`, or nothing when none is known.
--- a/src/daemon/OncePlugin.cpp
+++ b/src/daemon/OncePlugin.cpp
@@ -4,10 +4,15 @@
 #include "daemon/LedgerOnceGate.h"
 #include "daemon/OnceMetrics.h"
 #include "daemon/PeerRouter.h"
+#include "daemon/SeatFleetView.h"
 #include "daemon/SoloFleetView.h"
 #include "kernel/Kernel.h"
 #include "kernel/PluginRegistration.h"
+#include "member/PeerSnapshot.h"
+#include "member/PeerTable.h"
 #include "proxy/ProxyContext.h"
+#include "seat/SeatAuthority.h"
+#include "seat/SeatDirectory.h"
 #include "settings/SettingDefinition.h"
 #include "settings/Settings.h"
 
@@ -69,6 +74,22 @@
         return options;
     }
 
+    // A daemon that was given neither peers nor a store is alone. One that has a store may meet others at any time.
+    auto makeFleetView(kernel::Kernel& kernel, const settings::Settings& settings, const proxy::ProxyContext& context)
+        -> std::shared_ptr<OnceFleetView>
+    {
+        const auto directory = kernel.find<seat::SeatDirectory>();
+        const auto authority = kernel.find<seat::SeatAuthority>();
+        const auto peers = kernel.find<member::PeerTable>();
+        const auto isAlone = settings.list("peers").empty() && settings.text("store").empty();
+        if (isAlone || !directory || !authority || !peers)
+            return nullptr;
+        const auto view = std::make_shared<SeatFleetView>(
+            context.self, context.locality, directory, authority, peers, settings.duration("once-retention-ms"));
+        peers->observe([view](const member::PeerSnapshot& snapshot) { view->observe(snapshot, monotonicNow()); });
+        return view;
+    }
+
 } // namespace
 
 OncePlugin::OncePlugin() = default;
@@ -78,7 +99,7 @@
 {
     const auto settings = kernel.find<settings::Settings>();
     const auto context = kernel.find<proxy::ProxyContext>();
-    const auto fleet = kernel.find<OnceFleetView>();
+    const auto fleet = makeFleetView(kernel, *settings, *context);
     const auto view = fleet ? fleet : std::make_shared<SoloFleetView>(context->self);
     const auto parsed = parseSpread(settings->text("once-witness-spread"), !fleet);
     if (!parsed) {
--- a/src/daemon/SoloFleetView.h
+++ b/src/daemon/SoloFleetView.h
@@ -17,7 +17,7 @@
     auto rejectHolder(unsigned, const DaemonIdentity&) const -> void override { }
     [[nodiscard]] auto tenureOf(unsigned seat, MonotonicTime now) const -> std::optional<once::SeatTenure> override
     {
-        return once::SeatTenure { seat, 1, now + std::chrono::minutes(1), {}, {} };
+        return once::SeatTenure { seat, 1, now + std::chrono::minutes(1), {}, {}, {} };
     }
     [[nodiscard]] auto members() const -> std::vector<once::SeatRebuild::Member> override { return { { m_self, {} } }; }
     [[nodiscard]] auto lost() const -> std::vector<once::LostDaemon> override { return {}; }
--- a/src/once/OnceLedger.cpp
+++ b/src/once/OnceLedger.cpp
@@ -38,6 +38,14 @@
     seat->open(tenure, std::move(members), std::move(lost), now);
 }
 
+auto OnceLedger::renewSeat(const SeatTenure& tenure) -> void
+{
+    auto& shard = shardOf(tenure.seat);
+    const MutexLock lock(shard.mutex);
+    if (auto* ledger = shard.findLocked(tenure.seat))
+        ledger->follow(tenure);
+}
+
 auto OnceLedger::addReport(unsigned seat, std::uint64_t epoch, const WitnessReport& report, MonotonicTime now) -> void
 {
     auto& shard = shardOf(seat);
--- a/src/once/OnceLedger.h
+++ b/src/once/OnceLedger.h
@@ -49,10 +49,16 @@
     OnceLedger(const OnceLedger&) = delete;
     auto operator=(const OnceLedger&) -> OnceLedger& = delete;
 
-    // openSeat() begins the rebuild for a new epoch; a second call for the same epoch does nothing.
+    // openSeat() begins the rebuild for a new epoch; a second call for the same epoch does nothing. When this daemon's
+    // last known tenure was still good as the new one began, nobody can have held the seat in between: the ledger is
+    // whole and goes on without a rebuild.
     auto openSeat(const SeatTenure& tenure, std::vector<SeatRebuild::Member> members, std::vector<LostDaemon> lost,
         MonotonicTime now) -> void;
 
+    // renewSeat() notes how long this daemon holds the seat, for the next openSeat(); call it whenever a tenure is
+    // seen.
+    auto renewSeat(const SeatTenure& tenure) -> void;
+
     // addReport() takes in what a daemon remembers of the seat. Late, repeated and reordered reports do no harm.
     auto addReport(unsigned seat, std::uint64_t epoch, const WitnessReport& report, MonotonicTime now) -> void;
 
--- a/src/once/OnceLedger_benchmark.cpp
+++ b/src/once/OnceLedger_benchmark.cpp
@@ -16,40 +16,40 @@
 {
     auto ledger = std::make_unique<OnceLedger>(OnceLedger::Options { .seatCount = seatCount, .maximumKeys = 1 << 30 });
     for (unsigned seat = 0; seat < seatCount; ++seat)
-        ledger->openSeat({ seat, 1, start + std::chrono::hours(9999), {}, {} }, {}, {}, start);
+        ledger->openSeat({ seat, 1, start + std::chrono::hours(9999), start, {}, {} }, {}, {}, start);
     return ledger;
 }
 
 // A permit and its outcome for a new key, with the old ones being forgotten.
 auto beginAndFinish(benchmark::State& state) -> void
 {
-    static const auto ledger = makeLedger();
+    static const auto s_ledger = makeLedger();
     std::uint64_t number = static_cast<std::uint64_t>(state.thread_index()) << 40;
     auto now = start;
     for (auto _ : state) {
         now += std::chrono::milliseconds(80); // 45,000 keys within the retention
         ++number;
         const OnceKey key { number * 0x9E3779B97F4A7C15, number };
-        const SeatTenure tenure { seatOf(key, seatCount), 1, start + std::chrono::hours(9999), {}, {} };
-        benchmark::DoNotOptimize(ledger->begin({ key, { 1, number }, owner, 7 }, tenure, now));
-        ledger->finish(key, { 1, number }, Ran { 201, {} }, now);
+        const SeatTenure tenure { seatOf(key, seatCount), 1, start + std::chrono::hours(9999), start, {}, {} };
+        benchmark::DoNotOptimize(s_ledger->begin({ key, { 1, number }, owner, 7 }, tenure, now));
+        s_ledger->finish(key, { 1, number }, Ran { 201, {} }, now);
     }
     state.SetItemsProcessed(state.iterations());
 }
 
 auto ownAttempt(benchmark::State& state) -> void
 {
-    static OwnerAttempts attempts({ .maximumAttempts = 1 << 24 }, owner);
+    static OwnerAttempts s_attempts({ .maximumAttempts = 1 << 24 }, owner);
     std::uint64_t number = static_cast<std::uint64_t>(state.thread_index()) << 40;
     auto now = start;
     for (auto _ : state) {
         now += std::chrono::milliseconds(80);
         const AttemptId attempt { 1, ++number };
-        benchmark::DoNotOptimize(attempts.open(attempt, { number, number }, 7, now));
-        attempts.permit(attempt, { 1, std::chrono::seconds(1) }, now);
-        benchmark::DoNotOptimize(attempts.start(attempt, now));
-        attempts.close(attempt, Ran { 201, {} });
-        attempts.acknowledge(attempt);
+        benchmark::DoNotOptimize(s_attempts.open(attempt, { number, number }, 7, now));
+        s_attempts.permit(attempt, { 1, std::chrono::seconds(1) }, now);
+        benchmark::DoNotOptimize(s_attempts.start(attempt, now));
+        s_attempts.close(attempt, Ran { 201, {} });
+        s_attempts.acknowledge(attempt);
     }
     state.SetItemsProcessed(state.iterations());
 }
--- a/src/once/OnceLedger_test.cpp
+++ b/src/once/OnceLedger_test.cpp
@@ -29,7 +29,7 @@
         return ledger.begin({ key, { 5, number }, owner, fingerprint }, tenure, now);
     }
 
-    SeatTenure tenure { 0, 1, start + 3h, {}, {} };
+    SeatTenure tenure { 0, 1, start + 3h, start, {}, {} };
     OnceLedger ledger;
 };
 
@@ -85,7 +85,7 @@
 TEST_CASE("a rebuilt seat grants nothing before the members answered, and knows what they know")
 {
     OnceLedger ledger({ .seatCount = 1 });
-    const SeatTenure tenure { 0, 4, start + 1h, former, 2h };
+    const SeatTenure tenure { 0, 4, start + 1h, start, former, 2h };
     ledger.openSeat(tenure, { { owner, "a" }, { other, "b" } }, { { former, "c", start } }, start);
     const PermitRequest request { { 1, 1 }, { 5, 3 }, owner, 7 };
     CHECK(ledger.missingReports(0).size() == 2);
@@ -107,6 +107,25 @@
     CHECK(is<Permit>(ledger.begin(request, tenure, start)));
 }
 
+TEST_CASE("a holder whose guards change goes on without a rebuild, and with one after a gap")
+{
+    LedgerFixture f;
+    CHECK(is<Permit>(f.begin({ 1, 1 }, 1)));
+    f.tenure.epoch = 2;
+    f.tenure.heldSince = start + 3h; // when the tenure before ran out
+    f.tenure.validUntil = start + 4h;
+    f.tenure.formerHolder = former;
+    CHECK(is<Permit>(f.begin({ 1, 1 }, 1, start + 10min)));
+    f.tenure.epoch = 3;
+    f.tenure.heldSince = start + 5h;
+    f.tenure.validUntil = start + 6h;
+    CHECK(is<PermitRefused>(f.begin({ 2, 2 }, 2, start + 5h)));
+    f.ledger.openSeat(f.tenure, { { owner, "a" } }, {}, start + 5h);
+    CHECK(is<PermitRefused>(f.begin({ 2, 2 }, 2, start + 5h)));
+    f.ledger.addReport(0, 3, { owner, start, {}, {}, {} }, start + 5h);
+    CHECK(is<Permit>(f.begin({ 2, 2 }, 2, start + 5h)));
+}
+
 TEST_CASE("only the loss of two daemons of different data centres leaves a gap, and for a bounded time")
 {
     struct Row {
@@ -125,7 +144,7 @@
             { { holder, atA, atA2 }, {}, 2h, false, -1s }, { { holder, atA, atB }, {}, 2h, false, 20min },
             { { holder, atA, atB }, { atB.identity }, 2h, false, -1s }, { { holder, atA }, {}, 30min, false, 10min },
             { { holder, atA }, {}, 2h, true, 10min }, { { holder }, {}, 2h, true, -1s } }) {
-        const SeatTenure tenure { 0, 4, start + 1h, former, row.formerHeldFor };
+        const SeatTenure tenure { 0, 4, start + 1h, start, former, row.formerHeldFor };
         SeatRebuild rebuild({ .startWithin = 0s }, tenure, { { owner, "a" }, { other, "b" } }, row.lost, start);
         rebuild.addReport({ owner, start - 9h, {}, {}, row.absorbed });
         if (!row.isOtherSilent)
--- a/src/once/SeatTenure.h
+++ b/src/once/SeatTenure.h
@@ -15,6 +15,7 @@
     unsigned seat = 0;
     std::uint64_t epoch = 0; // grows with each change of holder
     MonotonicTime validUntil; // the holder's own clock; renewed while it holds the seat
+    MonotonicTime heldSince; // within this epoch
     std::optional<DaemonIdentity> formerHolder; // empty when the seat was never held before
     MonotonicDuration formerHeldFor = MonotonicDuration::zero(); // length of the tenure before; zero when not known
 };
--- a/src/once/internal/SeatLedger.cpp
+++ b/src/once/internal/SeatLedger.cpp
@@ -37,12 +37,23 @@
 auto SeatLedger::open(const SeatTenure& tenure, std::vector<SeatRebuild::Member> members, std::vector<LostDaemon> lost,
     MonotonicTime now) -> void
 {
+    follow(tenure);
     if (tenure.epoch <= m_epoch)
         return;
     m_epoch = tenure.epoch;
+    m_validUntil = tenure.validUntil;
     m_rebuild.emplace(m_options.rebuild, tenure, std::move(members), std::move(lost), now);
 }
 
+// Goes on into a later epoch of the same holder, when the tenure in the one before was good until the new one began.
+auto SeatLedger::follow(const SeatTenure& tenure) -> void
+{
+    if (m_rebuild && tenure.epoch > m_epoch && tenure.heldSince <= m_validUntil)
+        m_epoch = tenure.epoch;
+    if (tenure.epoch == m_epoch)
+        m_validUntil = std::max(m_validUntil, tenure.validUntil);
+}
+
 auto SeatLedger::addReport(std::uint64_t epoch, const WitnessReport& report, MonotonicTime now) -> void
 {
     if (!m_rebuild || epoch != m_epoch)
@@ -64,6 +75,7 @@
 auto SeatLedger::begin(const PermitRequest& request, const SeatTenure& tenure, MonotonicTime now) -> PermitAnswer
 {
     forgetOld(now);
+    follow(tenure);
     if (!m_rebuild || tenure.epoch != m_epoch)
         return PermitRefused { PermitRefused::Reason::NotHolder, {} };
     if (!m_rebuild->isReady(now))
--- a/src/once/internal/SeatLedger.h
+++ b/src/once/internal/SeatLedger.h
@@ -25,6 +25,7 @@
 
     auto open(const SeatTenure& tenure, std::vector<SeatRebuild::Member> members, std::vector<LostDaemon> lost,
         MonotonicTime now) -> void;
+    auto follow(const SeatTenure& tenure) -> void;
     auto addReport(std::uint64_t epoch, const WitnessReport& report, MonotonicTime now) -> void;
     [[nodiscard]] auto missingReports() const -> std::vector<DaemonIdentity>;
     auto begin(const PermitRequest& request, const SeatTenure& tenure, MonotonicTime now) -> PermitAnswer;
@@ -60,6 +61,7 @@
     std::atomic<std::size_t>& m_allKeys;
     std::atomic<std::size_t>& m_allAnswerBytes;
     std::uint64_t m_epoch = 0;
+    MonotonicTime m_validUntil = MonotonicTime::min(); // of the tenure in m_epoch, as last seen
     std::optional<SeatRebuild> m_rebuild;
     Entries m_entries;
     std::multimap<MonotonicTime, OnceKey> m_byAge;
--- a/src/testing/OnceFleet.cpp
+++ b/src/testing/OnceFleet.cpp
@@ -173,7 +173,15 @@
         auto& holder = *m_daemons[held.holder];
         if (holder.isUp && holder.identity == held.identity && holder.pausedUntil <= m_now && !chance(0.0005)) {
             held.validUntil = std::max(held.validUntil, m_now + tenureLength);
-            holder.tenures[seat].validUntil = held.validUntil;
+            auto& tenure = holder.tenures[seat];
+            if (tenure.validUntil > m_now && chance(0.002)) { // its guards change
+                tenure.formerHolder = held.identity;
+                tenure.epoch = ++held.epoch;
+                tenure.heldSince = held.heldSince = m_now;
+            }
+            tenure.validUntil = held.validUntil;
+            holder.ledger->renewSeat(tenure);
+            holder.ledger->openSeat(tenure, members(), m_lost, m_now);
             askForReports(seat);
         } else if (m_now > held.validUntil) {
             moveSeat(seat);
@@ -188,7 +196,7 @@
     auto& holder = *m_daemons[next];
     if (!holder.isUp || holder.pausedUntil > m_now)
         return;
-    SeatTenure tenure { seat, held.epoch + 1, m_now + tenureLength, {}, {} };
+    SeatTenure tenure { seat, held.epoch + 1, m_now + tenureLength, m_now, {}, {} };
     if (held.epoch > 0) {
         tenure.formerHolder = held.identity;
         tenure.formerHeldFor = m_now - held.heldSince;
