Use gray detection, choice of target and the poison gate in the daemon

Cause: the decisions stood in the library only.

Each daemon is judge of what it sees itself: the targets of its own host, and the requests that enter at it. The owner refuses a request for an ejected target as not run, and the poison gate learns how a request ended.

A warming target that gave way handed the request to a crashed one. A refused connection is not retried on another target by the retry budget of a fresh service, so the chooser leaves a target without listener out at once.

Conclusion: the daemon uses all three. Reports to a seat holder elsewhere and notices to other daemons are still open.

--- a/src/balance/Candidate.cpp
+++ b/src/balance/Candidate.cpp
@@ -53,7 +53,14 @@
 
 auto Candidate::setAvoidedUntil(MonotonicTime until) -> void { m_avoidedUntil.store(ticks(until), relaxed); }
 
-auto Candidate::isUsable(MonotonicTime now) const -> bool { return now >= unusableUntil() && !isDraining(); }
+auto Candidate::setGoneUntil(MonotonicTime until) -> void { m_goneUntil.store(ticks(until), relaxed); }
+
+auto Candidate::canServe(MonotonicTime now) const -> bool
+{
+    return !isDraining() && now >= timeOf(m_goneUntil.load(relaxed));
+}
+
+auto Candidate::isUsable(MonotonicTime now) const -> bool { return now >= unusableUntil() && canServe(now); }
 
 auto Candidate::isDraining() const -> bool { return m_isDraining.load(relaxed); }
 
--- a/src/balance/Candidate.h
+++ b/src/balance/Candidate.h
@@ -40,7 +40,14 @@
     // setAvoidedUntil() leaves the target out until then, for a bad path to it.
     auto setAvoidedUntil(MonotonicTime until) -> void;
 
-    // isUsable() tells whether the target is neither ejected, avoided nor draining at `now`.
+    // setGoneUntil() leaves the target out until then because it can't serve: unlike an ejection, no floor brings it
+    // back.
+    auto setGoneUntil(MonotonicTime until) -> void;
+
+    // canServe() tells whether the target is neither draining nor gone at `now`.
+    [[nodiscard]] auto canServe(MonotonicTime now) const -> bool;
+
+    // isUsable() tells whether the target can serve and is neither ejected nor avoided at `now`.
     [[nodiscard]] auto isUsable(MonotonicTime now) const -> bool;
 
     // isDraining() tells whether the target takes no new work.
@@ -68,6 +75,7 @@
     std::atomic<std::int64_t> m_latencyAt = 0;
     std::atomic<std::int64_t> m_ejectedUntil = 0;
     std::atomic<std::int64_t> m_avoidedUntil = 0;
+    std::atomic<std::int64_t> m_goneUntil = 0;
     std::atomic<bool> m_isLessPreferred = false;
     std::atomic<bool> m_isDraining = false;
 };
--- a/src/balance/CandidateSet.cpp
+++ b/src/balance/CandidateSet.cpp
@@ -22,7 +22,7 @@
         for (const auto& candidate : all) {
             if (candidate->isUsable(now))
                 usable.push_back(candidate);
-            else if (!candidate->isDraining())
+            else if (candidate->canServe(now))
                 spare.push_back(candidate);
         }
         std::ranges::sort(spare, {}, [](const auto& candidate) { return candidate->unusableUntil(); });
--- a/src/balance/Policy.cpp
+++ b/src/balance/Policy.cpp
@@ -43,31 +43,30 @@
             return std::ranges::find(excluded, candidate.description().address) == excluded.end();
         }
 
-        // one() draws a candidate, one that takes new work if a few draws find any.
+        // one() draws a candidate; where a few draws find none that serves, it looks through a bounded stretch.
         auto one(const Candidates& from, Draw& draw, const Candidate* other = nullptr) const -> Candidate*
         {
-            Candidate* spare = nullptr;
             for (auto i = 0; i < drawsUntilGivenUp && !from.empty(); ++i) {
                 auto* const candidate = from[draw.below(from.size())].get();
-                if (candidate == other || !isAllowed(*candidate))
-                    continue;
-                if (!candidate->isDraining())
+                if (candidate != other && isAllowed(*candidate) && candidate->canServe(now))
                     return candidate;
-                spare = candidate;
             }
-            return spare != nullptr ? spare : scan(from, draw, other);
+            return scan(from, draw, other);
         }
 
-        // scan() looks through a bounded stretch, for sets of which nearly everything is excluded.
         auto scan(const Candidates& from, Draw& draw, const Candidate* other) const -> Candidate*
         {
+            Candidate* spare = nullptr;
             const auto start = from.empty() ? 0 : draw.below(from.size());
             for (std::size_t i = 0; i < std::min(from.size(), looksUntilGivenUp); ++i) {
                 auto* const candidate = from[(start + i) % from.size()].get();
-                if (candidate != other && isAllowed(*candidate))
+                if (candidate == other || !isAllowed(*candidate))
+                    continue;
+                if (candidate->canServe(now))
                     return candidate;
+                spare = candidate;
             }
-            return nullptr;
+            return spare;
         }
 
         auto share(const PowerOfTwo& policy, const Candidate& candidate) const -> float
@@ -98,8 +97,8 @@
         {
             if (left == nullptr || right == nullptr)
                 return left != nullptr ? left : right;
-            if (left->isDraining() != right->isDraining())
-                return right->isDraining() ? left : right;
+            if (left->canServe(now) != right->canServe(now))
+                return left->canServe(now) ? left : right;
             return score(policy, *left) <= score(policy, *right) ? left : right;
         }
 
@@ -117,9 +116,9 @@
             auto* const second = one(set.region, draw, first);
             auto* best = better(policy, first, second);
             auto* const other = best == first ? second : first;
-            if (best != nullptr && other != nullptr && !isAdmitted(policy, *best, draw))
+            if (best != nullptr && other != nullptr && other->canServe(now) && !isAdmitted(policy, *best, draw))
                 best = other;
-            if (best != nullptr && !best->isDraining() && load(*best) < policy.farLoad)
+            if (best != nullptr && best->canServe(now) && load(*best) < policy.farLoad)
                 return best;
             auto* const far = better(policy, one(set.far, draw), one(set.far, draw));
             return better(policy, best, far);
--- a/src/balance/TargetChooser_test.cpp
+++ b/src/balance/TargetChooser_test.cpp
@@ -83,6 +83,18 @@
     CHECK(chooser.choose("unknown", {}, 1, start) == nullptr);
 }
 
+TEST_CASE("a target that is gone gets nothing at once, also while all others warm up")
+{
+    TargetChooser chooser({ .here = here });
+    const std::vector<TargetDescription> targets { describe(0, here, start), describe(1, here, start),
+        describe(2, here, start) };
+    chooser.setTargets("s", targets, 0.9, start);
+    for (const auto i : { 0U, 1U })
+        chooser.candidates("s")[i]->setGoneUntil(start + 3s);
+    CHECK(shares(chooser, start).at("2") == 1000);
+    CHECK(shares(chooser, start + 3s).size() == 3);
+}
+
 TEST_CASE("a new target's share grows over its warm-up")
 {
     TargetChooser chooser({ .here = here });
--- a/src/health/Outcome.h
+++ b/src/health/Outcome.h
@@ -12,8 +12,8 @@
     Success, // a whole answer below 500
     ServerError, // a whole answer of 500 or above, but for Shed
     Shed, // the target refused for load (429 or 503)
-    HalfAnswer, // the answer was cut, or its length was wrong
-    ConnectionFailed, // no connection, or reset before the first byte of the answer
+    HalfAnswer, // the answer was cut, before its first byte or after it, or its length was wrong
+    ConnectionFailed, // no connection could be made on the target's own host
     TimedOut, // the deadline ran out while the target had the request
     Cancelled, // the caller went away; says only that the answer took longer than this
     Crashed, // the target's process ended while it had the request; a matter for poison/, not for gray detection
--- a/src/health/TargetObserver.cpp
+++ b/src/health/TargetObserver.cpp
@@ -6,6 +6,10 @@
 
 namespace coriandergate::health {
 
+namespace {
+    constexpr auto unreachableFor = std::chrono::milliseconds(500);
+}
+
 TargetObserver::TargetObserver(Identity identity, const Options& options, MonotonicTime now)
     : m_identity(std::move(identity))
     , m_options(options)
@@ -34,6 +38,7 @@
     if (ticket.index < s_trackedCount)
         m_tracked &= ~(std::uint64_t { 1 } << ticket.index);
     m_refusals = outcome == Outcome::ConnectionFailed ? m_refusals + 1 : 0;
+    m_refusedAt = now;
     if (outcome == Outcome::Crashed || now < m_coldUntil)
         return;
     currentLocked().outcomes.add(outcome);
@@ -118,7 +123,7 @@
     report.sequence = ++m_sequence;
     report.isSuspicious = isSuspiciousLocked();
     report.isCold = now < m_coldUntil;
-    report.isUnreachable = m_refusals >= m_options.refusalsUntilUnreachable;
+    report.isUnreachable = isUnreachableLocked(now);
     report.isSelfReportedSick = m_isSelfReportedSick;
     for (const auto& interval : m_recent) {
         report.recentTimes.addScaled(interval.times, 1);
@@ -161,10 +166,22 @@
     m_refusals = 0;
 }
 
-auto TargetObserver::isUnreachable() const -> bool
+auto TargetObserver::needsBaseline() const -> bool
 {
     const MutexLock lock(m_mutex);
-    return m_refusals >= m_options.refusalsUntilUnreachable;
+    const auto isObserved = [](const Interval& interval) { return interval.times.total() > 0; };
+    return !m_baseline && std::ranges::any_of(m_recent, isObserved);
+}
+
+auto TargetObserver::isUnreachable(MonotonicTime now) const -> bool
+{
+    const MutexLock lock(m_mutex);
+    return isUnreachableLocked(now);
+}
+
+auto TargetObserver::isUnreachableLocked(MonotonicTime now) const -> bool
+{
+    return m_refusals >= m_options.refusalsUntilUnreachable && now - m_refusedAt < unreachableFor;
 }
 
 auto TargetObserver::inFlight() const -> int
--- a/src/health/TargetObserver.h
+++ b/src/health/TargetObserver.h
@@ -35,7 +35,7 @@
         float onsetThreshold = 3; // nats from which on reports tell what came since the evidence began to grow
         float evidencePerInterval = 5; // nats, the most that one interval adds
         int maximumIntervals = 240; // after which the evidence so far is dropped
-        int refusalsUntilUnreachable = 3; // refused connections in a row
+        int refusalsUntilUnreachable = 1; // failed connections in a row; on its own host one tells enough
         std::chrono::milliseconds coldGrace { 3000 }; // after a start, service times are not judged
     };
 
@@ -76,9 +76,12 @@
     // restart() forgets all evidence and begins the grace of a cold start, for a target that was started or readmitted.
     auto restart(MonotonicTime now) -> void;
 
-    // isUnreachable() tells whether the target refused the last connections on its own host. It then can't serve; an
-    // ejection would add nothing.
-    [[nodiscard]] auto isUnreachable() const -> bool;
+    // needsBaseline() tells whether requests were observed and there is nothing yet to compare them with.
+    [[nodiscard]] auto needsBaseline() const -> bool;
+
+    // isUnreachable() tells whether the target refused the last connections on its own host, the very last one within
+    // half a second, after which it is worth another try. It then can't serve; an ejection would add nothing.
+    [[nodiscard]] auto isUnreachable(MonotonicTime now) const -> bool;
 
     // inFlight() is the number of attempts that have begun and not finished.
     [[nodiscard]] auto inFlight() const -> int;
@@ -109,6 +112,7 @@
     REQUIRES(m_mutex) auto judgeOutcomesLocked() -> void;
     REQUIRES(m_mutex) auto addEvidenceLocked(Sum& sum, float evidence) -> void;
     [[nodiscard]] REQUIRES(m_mutex) auto isSuspiciousLocked() const -> bool;
+    [[nodiscard]] REQUIRES(m_mutex) auto isUnreachableLocked(MonotonicTime now) const -> bool;
     [[nodiscard]] REQUIRES(m_mutex) auto currentLocked() -> Interval& { return m_recent[m_current]; }
 
     const Identity m_identity;
@@ -118,6 +122,7 @@
     std::uint64_t m_tracked GUARDED_BY(m_mutex) = 0; // one bit for each entry of m_startedAt in use
     int m_inFlight GUARDED_BY(m_mutex) = 0;
     int m_refusals GUARDED_BY(m_mutex) = 0;
+    MonotonicTime m_refusedAt GUARDED_BY(m_mutex);
     std::array<Interval, s_recentIntervalCount> m_recent GUARDED_BY(m_mutex);
     std::size_t m_current GUARDED_BY(m_mutex) = 0;
     std::optional<Baseline> m_baseline GUARDED_BY(m_mutex);
--- a/src/proxy/EntryRequest.cpp
+++ b/src/proxy/EntryRequest.cpp
@@ -434,7 +434,7 @@
         m_context->onceGate->finish(m_request, *m_permit, outcome, answer, now);
     m_permit.reset();
     if (m_context->poisonGate)
-        m_context->poisonGate->finished(m_request, now);
+        m_context->poisonGate->finished(m_request, outcome, now);
 }
 
 auto EntryRequest::onAbandoned() -> void
--- a/src/proxy/OwnerService.cpp
+++ b/src/proxy/OwnerService.cpp
@@ -24,6 +24,7 @@
     constexpr int tooManyRequests = 429;
     constexpr int firstServerError = 500;
     constexpr milliseconds crashProbeTimeout { 200 };
+    constexpr milliseconds crashProbeDelay { 50 };
 
     auto endOfAnswer(int status) -> AttemptEnd
     {
@@ -88,6 +89,10 @@
         refuse(notRun("find target", "the target is leaving"));
         return;
     }
+    if (m_context->observer && m_context->observer->isEjected(m_request.service, m_request.target, now)) {
+        refuse(notRun("find target", "the target is ejected"));
+        return;
+    }
     m_slots = target->announcement.slots;
     m_report.slots = m_slots;
     if (!m_context->slotGate) {
@@ -203,8 +208,20 @@
         refuseFailure(failure, false);
         return;
     }
-    http::probeConnection(m_request.target, crashProbeTimeout,
-        [self = shared_from_this(), failure](bool isRefused) { self->refuseFailure(failure, isRefused); });
+    probeForCrash(failure, true);
+}
+
+// A process that ends closes its sockets one after the other: the listener may outlive the connection for a moment.
+auto OwnerService::probeForCrash(const http::ExchangeFailure& failure, bool mayProbeAgain) -> void
+{
+    http::probeConnection(
+        m_request.target, crashProbeTimeout, [self = shared_from_this(), failure, mayProbeAgain](bool isRefused) {
+            if (isRefused || !mayProbeAgain)
+                self->refuseFailure(failure, isRefused);
+            else
+                self->m_context->workers->postAfter(
+                    self->m_request.worker, crashProbeDelay, [self, failure] { self->probeForCrash(failure, false); });
+        });
 }
 
 auto OwnerService::refuseFailure(const http::ExchangeFailure& failure, bool hasCrashed) -> void
--- a/src/proxy/OwnerService.h
+++ b/src/proxy/OwnerService.h
@@ -67,6 +67,7 @@
     auto onTargetResult(http::ExchangeResult result) -> void;
     auto onAnswer(http::Answer answer, MonotonicTime now) -> void;
     auto onFailure(const http::ExchangeFailure& failure, MonotonicTime now) -> void;
+    auto probeForCrash(const http::ExchangeFailure& failure, bool mayProbeAgain) -> void;
     auto refuseFailure(const http::ExchangeFailure& failure, bool hasCrashed) -> void;
     auto endAttempt(AttemptEnd end, MonotonicTime now) -> void;
     auto releaseSlot(MonotonicTime now) -> void;
--- a/src/proxy/PoisonGate.h
+++ b/src/proxy/PoisonGate.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "base/Clock.h"
+#include "proxy/Outcome.h"
 #include "proxy/Refusal.h"
 
 #include <functional>
@@ -27,8 +28,9 @@
         std::function<void()> known) -> void
         = 0;
 
-    // finished() reports that the request ended without a crash. Safe from any thread.
-    virtual auto finished(const RequestContext& context, MonotonicTime now) -> void = 0;
+    // finished() reports how the request ended, after crashed() too; only one that ran speaks for it. Safe from any
+    // thread.
+    virtual auto finished(const RequestContext& context, Outcome outcome, MonotonicTime now) -> void = 0;
 };
 
 } // namespace coriandergate::proxy
