--- a/src/proxy/EntryRequest.cpp
+++ b/src/proxy/EntryRequest.cpp
@@ -428,7 +428,7 @@
 {
     const auto now = monotonicNow();
     if (m_context->poisonGate)
-        m_context->poisonGate->finished(m_request, now);
+        m_context->poisonGate->finished(m_request, outcome, now);
 }
 
 auto EntryRequest::onAbandoned() -> void
