Say through the health page what a daemon still lacks

Cause: a daemon that knows no seat map refused requests with a key while its health page said serving. Change: parts of the daemon add checks to a readiness list; the events of health and poison get numbers of their own, since seats used the same ones.

--- a/src/daemon/BalancedTargetChooser.cpp
+++ b/src/daemon/BalancedTargetChooser.cpp
@@ -100,12 +100,13 @@
     std::unordered_map<std::string, MonotonicTime> startedAt;
     for (const auto& service : m_services)
         targets[service] = {};
-    for (const auto& [announcement, state] : snapshot.targets) {
+    for (const auto& target : snapshot.targets) {
+        const auto& announcement = target.announcement;
         const auto known = m_startedAt.find(announcement.address);
         const auto started = known != m_startedAt.end() ? known->second : now;
         startedAt[announcement.address] = started;
         targets[announcement.service].push_back({ announcement.address, m_context.self.address, m_context.locality,
-            static_cast<int>(announcement.slots), started, state == member::TargetState::Draining });
+            static_cast<int>(announcement.slots), started, target.state == member::TargetState::Draining });
     }
     m_startedAt = std::move(startedAt);
     const auto configuration = m_context.snapshot();
--- a/src/daemon/CorePlugin.cpp
+++ b/src/daemon/CorePlugin.cpp
@@ -4,6 +4,7 @@
 #include "daemon/DrainState.h"
 #include "daemon/LocalTargetChooser.h"
 #include "daemon/PeerRouter.h"
+#include "daemon/Readiness.h"
 #include "http/WorkerPool.h"
 #include "kernel/Kernel.h"
 #include "kernel/PluginRegistration.h"
@@ -94,6 +95,7 @@
     kernel.provide(std::make_shared<AdminRouter>());
     kernel.provide(std::make_shared<PeerRouter>());
     kernel.provide(std::make_shared<DrainState>());
+    kernel.provide(std::make_shared<Readiness>());
     kernel.provide(std::make_shared<prometheus::Registry>());
 
     m_expiry = std::make_unique<QTimer>();
--- a/src/daemon/HealthPlugin.cpp
+++ b/src/daemon/HealthPlugin.cpp
@@ -30,12 +30,12 @@
 
     const kernel::PluginRegistration registration { "health", 30, [] { return std::make_unique<HealthPlugin>(); } };
 
-    const log::Event targetEjected { 1401, log::Severity::Warning, "target ejected",
+    const log::Event targetEjected { 1801, log::Severity::Warning, "target ejected",
         "the target is gray: see cause, and its own logs" };
-    const log::Event targetReadmitted { 1402, log::Severity::Info, "target readmitted",
+    const log::Event targetReadmitted { 1802, log::Severity::Info, "target readmitted",
         "the target takes requests again and is watched more closely for a minute" };
     const log::Event floorReached {
-        1403, log::Severity::Warning, "ejection withheld",
+        1803, log::Severity::Warning, "ejection withheld",
         "a gray target stays in service because healthy capacity would fall below the floor, or a seat was just taken"
     };
 
--- a/src/daemon/HealthPlugin_test.cpp
+++ b/src/daemon/HealthPlugin_test.cpp
@@ -82,24 +82,24 @@
     DaemonUnderTest daemon({ "--cold-grace-ms=0", "--warm-up-ms=0", "--ejection-hold-ms=60000" });
     const auto targets = startTargets(daemon, 5, { "--service=demo", "--slots=6", "--service-time=10" });
     CHECK(callUntil(daemon, [n = 0]() mutable { return ++n > 300; }).failed == 0);
-    CHECK(countOf(daemon.process().output(), "CG1401") == 0);
+    CHECK(countOf(daemon.process().output(), "CG1801") == 0);
     targets[0]->setMode(R"({"slowFactor": 10})");
     targets[1]->setMode(R"({"slowFactor": 10})");
     const auto slowAt = monotonicNow();
     std::optional<MonotonicTime> ejectedAt;
     const auto tally = callUntil(daemon, [&] {
         const auto output = daemon.process().output();
-        if (!ejectedAt && output.find("CG1401") != std::string::npos)
+        if (!ejectedAt && output.find("CG1801") != std::string::npos)
             ejectedAt = monotonicNow();
-        return ejectedAt && output.find("CG1403") != std::string::npos;
+        return ejectedAt && output.find("CG1803") != std::string::npos;
     });
     CHECK(tally.failed == 0);
     const auto output = daemon.process().output();
     REQUIRE(ejectedAt);
     WARN("ejected after " << std::chrono::duration_cast<std::chrono::milliseconds>(*ejectedAt - slowAt).count()
                           << " ms");
-    CHECK(countOf(output, "CG1401") == 1);
-    CHECK(countOf(output, "CG1403") > 0);
+    CHECK(countOf(output, "CG1801") == 1);
+    CHECK(countOf(output, "CG1803") > 0);
     const auto isFirst = output.find("target ejected target=" + targets[0]->address()) != std::string::npos;
     auto& ejected = *targets[isFirst ? 0 : 1];
     const auto before = ejected.seen()["requests"].size();
--- a/src/daemon/JudgePoisonGate.cpp
+++ b/src/daemon/JudgePoisonGate.cpp
@@ -18,9 +18,9 @@
     constexpr auto askAgain = std::chrono::milliseconds(50);
     constexpr auto step = "check for poison";
 
-    const log::Event suspected { 1411, log::Severity::Warning, "request suspected",
+    const log::Event suspected { 1811, log::Severity::Warning, "request suspected",
         "its target crashed while it ran; it runs alone from now on" };
-    const log::Event poisoned { 1412, log::Severity::Error, "request poisonous",
+    const log::Event poisoned { 1812, log::Severity::Error, "request poisonous",
         "a second target crashed under it; it is refused for ten minutes: mend the target, which should not crash" };
 
 } // namespace
--- a/src/daemon/PagesPlugin.cpp
+++ b/src/daemon/PagesPlugin.cpp
@@ -2,6 +2,7 @@
 
 #include "daemon/AdminRouter.h"
 #include "daemon/DrainState.h"
+#include "daemon/Readiness.h"
 #include "http/Exchange.h"
 #include "kernel/Kernel.h"
 #include "kernel/PluginRegistration.h"
@@ -26,13 +27,13 @@
     const auto holder = kernel.find<proxy::SnapshotHolder>();
     const auto drainState = kernel.find<DrainState>();
     const auto registry = kernel.find<prometheus::Registry>();
-    router->add("GET", "/healthz", [holder, drainState](std::shared_ptr<http::Exchange> exchange) {
-        if (drainState->isDraining())
-            exchange->answer(http::makeAnswer(unavailable, "text/plain", "draining\n"));
-        else if (!holder->current())
-            exchange->answer(http::makeAnswer(unavailable, "text/plain", "no configuration is known yet\n"));
-        else
-            exchange->answer(http::makeAnswer(200, "text/plain", "serving\n"));
+    const auto readiness = kernel.find<Readiness>();
+    readiness->add([drainState] { return drainState->isDraining() ? "draining" : ""; });
+    readiness->add([holder] { return holder->current() ? "" : "no configuration is known yet"; });
+    router->add("GET", "/healthz", [readiness](std::shared_ptr<http::Exchange> exchange) {
+        const auto lacking = readiness->lacking();
+        exchange->answer(lacking.empty() ? http::makeAnswer(200, "text/plain", "serving\n")
+                                         : http::makeAnswer(unavailable, "text/plain", lacking + "\n"));
     });
     router->add("GET", "/metrics", [registry](std::shared_ptr<http::Exchange> exchange) {
         const prometheus::TextSerializer serializer;
--- a/src/daemon/SeatPlugin.cpp
+++ b/src/daemon/SeatPlugin.cpp
@@ -1,5 +1,6 @@
 #include "daemon/SeatPlugin.h"
 
+#include "daemon/Readiness.h"
 #include "daemon/SeatService.h"
 #include "kernel/Kernel.h"
 #include "kernel/PluginRegistration.h"
@@ -26,6 +27,8 @@
     m_service->addMethods(*kernel.find<rpc::RpcRegistry>());
     kernel.provide(m_service->directory());
     kernel.provide(m_service->authority());
+    kernel.find<Readiness>()->add(
+        [directory = m_service->directory()] { return directory->map().epoch > 0 ? "" : "no seat map is known yet"; });
     m_timer = std::make_unique<QTimer>();
     m_timer->setTimerType(Qt::PreciseTimer);
     QObject::connect(m_timer.get(), &QTimer::timeout, m_timer.get(), [this] { m_service->tick(); });
--- a/src/proxy/EntryRequest.cpp
+++ b/src/proxy/EntryRequest.cpp
@@ -403,7 +403,7 @@
         return;
     if (m_choice)
         m_context->serviceBoard->answered(m_request.route.service, monotonicNow());
-    settle();
+    settle(Outcome::Ran);
     http::removeHopByHop(answer.headers);
     answer.headers.replace(headers::requestId, m_request.id);
     answer.headers.add(headers::outcome, outcomeText(Outcome::Ran));
@@ -419,12 +419,12 @@
     // An attempt before the last one may have run, whatever became of the last.
     if (m_mayHaveRun && truthful.outcome == Outcome::NotRun)
         truthful.outcome = Outcome::MayHaveRun;
-    settle();
+    settle(truthful.outcome);
     logEnd(truthful.status, truthful.outcome, truthful.error.toText());
     m_exchange->answer(refusalAnswer(truthful, m_request.id));
 }
 
-auto EntryRequest::settle() -> void
+auto EntryRequest::settle(Outcome outcome) -> void
 {
     const auto now = monotonicNow();
     if (m_context->poisonGate)
@@ -442,7 +442,7 @@
     if (isUnderWay)
         reportAttempt(AttemptReport::Result::Cancelled, 0, std::nullopt);
     const auto outcome = isUnderWay ? Outcome::MayHaveRun : Outcome::NotRun;
-    settle();
+    settle(outcome);
     logEnd(callerLeft, outcome, "the caller left");
 }
 
--- a/src/proxy/EntryRequest.h
+++ b/src/proxy/EntryRequest.h
@@ -58,7 +58,7 @@
 
     auto answer(http::Answer answer) -> void;
     auto refuse(const Refusal& refusal) -> void;
-    auto settle() -> void;
+    auto settle(Outcome outcome) -> void;
     auto onAbandoned() -> void;
     auto logEnd(int status, Outcome outcome, const std::string& reason) const -> void;
     [[nodiscard]] auto isOver() const -> bool { return m_isOver; }
