Hold clients' accounts to their limits in the daemon, by seats and shares

Cause: every daemon let any number of an account's requests pass.

Change: SeatPlugin leases and guards seats over calls between daemons, keeps the seat map in the table service and plans a new one when a daemon comes or goes; SharePlugin is the proxy's rate gate. A small fleet's holder guards itself as well, since of two guards both were needed for anything: with three daemons the loss of one left the account unserved for good. The first holder ever starts with full buckets. A refusal says whether the account is above its limit (429) or no home answered (503). Daemons that only the map names are taken to live, and gossip is told of them.

The use-by time still travels to the daemon beside the target as time left, so a request that stalls on that one hop may come late.

--- a/src/daemon/SeatService.cpp
+++ b/src/daemon/SeatService.cpp
@@ -89,11 +89,12 @@
     , m_ledger(std::make_shared<seat::GuardLedger>(m_self, seat::SeatOptions {}))
     , m_authority(std::make_shared<seat::SeatAuthority>(m_self, *m_ledger, seat::SeatOptions {}))
     , m_directory(std::make_shared<seat::SeatDirectory>())
-    , m_startedAt(monotonicNow())
 {
     const auto settings = kernel.find<settings::Settings>();
     m_plannerOptions.seatCount = static_cast<std::size_t>(settings->integer("seat-count"));
     openStore(kernel, *settings);
+    const auto mustMeetFirst = !m_hasSharedStore && !settings->list("peers").empty();
+    m_planFrom = monotonicNow() + (mustMeetFirst ? settleTime : milliseconds::zero());
     addMetrics(kernel);
 }
 
@@ -235,6 +236,10 @@
     m_directory->adopt(map);
     send(m_authority->adopt(map, now));
     m_peers->raiseVersions(0, map.epoch);
+    std::vector<std::string> addresses;
+    for (const auto& daemon : unknownDaemons(map))
+        addresses.push_back(daemon.address);
+    m_peers->addPeers(addresses);
     m_epochGauge->Set(static_cast<double>(map.epoch));
     log::logEvent(mapAdopted, { { "epoch", std::to_string(map.epoch) } });
 }
@@ -272,7 +277,7 @@
 auto SeatService::maintain() -> void
 {
     fetchMap();
-    if (!isPlanner() || monotonicNow() < m_startedAt + settleTime)
+    if (!isPlanner() || monotonicNow() < m_planFrom)
         return;
     askStarted();
     readRow();
@@ -393,6 +398,22 @@
     });
 }
 
+// Daemons that the map names and gossip has never spoken of: they are taken to live, and gossip is told of them.
+auto SeatService::unknownDaemons(const seat::SeatMap& map) const -> std::vector<DaemonIdentity>
+{
+    std::set<DaemonIdentity> unknown;
+    const auto peers = m_peers->current();
+    const auto note = [&](const DaemonIdentity& daemon) {
+        if (daemon.address != m_self.address && !peers->find(daemon.address))
+            unknown.insert(daemon);
+    };
+    for (const auto& seat : map.seats) {
+        note(seat.holder);
+        std::for_each(seat.guards.begin(), seat.guards.end(), note);
+    }
+    return { unknown.begin(), unknown.end() };
+}
+
 auto SeatService::liveDaemons() const -> std::vector<seat::DaemonStatement>
 {
     std::vector<seat::DaemonStatement> live { { m_self, m_locality, false } };
@@ -400,6 +421,8 @@
         if (peer.state != member::MemberState::Dead)
             live.push_back({ peer.identity, peer.locality, peer.state == member::MemberState::Leaving });
     }
+    for (const auto& daemon : unknownDaemons(m_directory->map()))
+        live.push_back({ daemon, m_locality, false });
     return live;
 }
 
--- a/src/seat/SeatAuthority.h
+++ b/src/seat/SeatAuthority.h
@@ -95,13 +95,14 @@
     struct Seat {
         SeatAssignment assignment;
         std::uint32_t rank = 0;
+        bool isFirst = false; // there was no holder before; a map forgets earlier epochs only once a later one started
         Phase phase = Phase::Waiting;
-        std::vector<PromiseRound> rounds;
-        std::map<DaemonIdentity, GuardView> views;
+        std::vector<PromiseRound> rounds {};
+        std::map<DaemonIdentity, GuardView> views {};
         std::uint64_t lastSequence = 0;
-        std::optional<MonotonicTime> nextSend;
-        std::optional<MonotonicTime> carriedEnd; // of this daemon's own leases in the last epoch
-        std::optional<SeatTenure> tenure; // the last one begun
+        std::optional<MonotonicTime> nextSend {};
+        std::optional<MonotonicTime> carriedEnd {}; // of this daemon's own leases in the last epoch
+        std::optional<SeatTenure> tenure {}; // the last one begun
     };
 
     using Messages = std::vector<SeatMessage>;
--- a/src/share/ShareDecision.h
+++ b/src/share/ShareDecision.h
@@ -22,9 +22,11 @@
     MonotonicTime until;
 };
 
-// ShareRefused: the request must not go; a token may be free after `retryAfter`.
+// ShareRefused: the request must not go; a token may be free after `retryAfter`. The account `isOverLimit`, or else no
+// home of it answered in time.
 struct ShareRefused {
     std::chrono::milliseconds retryAfter { 0 };
+    bool isOverLimit = true;
 };
 
 using ShareDecision = std::variant<ShareGranted, ShareWaiting, ShareRefused>;
--- a/src/share/ShareHolder.h
+++ b/src/share/ShareHolder.h
@@ -80,6 +80,7 @@
         MonotonicTime closedUntil;
         bool isExhausted = false;
         MonotonicDuration roundTrip {}; // 0: not asked yet
+        MonotonicTime answeredAt; // last by its home
     };
 
     struct Account {
