--- a/src/share/ShareHome.cpp
+++ b/src/share/ShareHome.cpp
@@ -66,6 +66,7 @@
     grant.isHome = true;
     if (seat->term != tenure->term) {
         seat->term = tenure->term;
+        seat->isFirst = tenure->isFirst;
         seat->startAt = tenure->since + m_options.maximumWait;
         seat->accounts.clear();
     }
@@ -74,7 +75,7 @@
         grant.retryAfter = m_options.maximumWait;
         return grant;
     }
-    const auto start = TokenBucket::emptyAt(*limits, seat->startAt);
+    const auto start = seat->isFirst ? TokenBucket(now) : TokenBucket::emptyAt(*limits, seat->startAt);
     auto& account = seat->accounts.try_emplace(keyOf(ask), Account { start, *limits }).first->second;
     applyLimits(account, *limits, now);
     issue(account, ask, now, grant);
