--- a/src/daemon/MemberPlugin_test.cpp
+++ b/src/daemon/MemberPlugin_test.cpp
@@ -66,6 +66,8 @@
     CHECK(target.seen()["requests"].size() == 1);
     target.setMode(R"({"drain": true})");
     REQUIRE(eventually([&] { return metric(entry, "coriandergate_remote_targets") == 0; }));
+    // A leaving target still takes for a moment what has nowhere else to go, and then nothing more.
+    REQUIRE(eventually([&] { return statusOfCall(owner) == 503; }));
     const auto before = target.seen()["requests"].size();
     CHECK(statusOfCall(entry) == 503);
     CHECK(statusOfCall(owner) == 503);
