--- a/src/balance/TargetChooser_benchmark.cpp
+++ b/src/balance/TargetChooser_benchmark.cpp
@@ -15,7 +15,7 @@
     auto made = std::make_unique<TargetChooser>(TargetChooser::Options { .here = { "r", "a" } });
     std::vector<TargetDescription> targets;
     for (std::int64_t i = 0; i < targetCount; ++i)
-        targets.push_back({ std::to_string(i), "owner", { "r", i % 2 == 0 ? "a" : "b" }, 6, {}, false });
+        targets.push_back({ std::to_string(i), { "owner", 1 }, { "r", i % 2 == 0 ? "a" : "b" }, 6, {}, false });
     made->setTargets("ledger", targets, 0.7, monotonicNow());
     return made;
 }
