--- a/src/balance/TargetChooser.cpp
+++ b/src/balance/TargetChooser.cpp
@@ -10,9 +10,9 @@
     // threadNumber() numbers the threads in the order of their first choice.
     auto threadNumber() -> std::size_t
     {
-        static std::atomic<std::size_t> nextNumber = 0;
-        thread_local const auto number = nextNumber.fetch_add(1);
-        return number;
+        static std::atomic<std::size_t> s_next = 0;
+        thread_local const auto s_number = s_next.fetch_add(1);
+        return s_number;
     }
 }
 
--- a/src/balance/TargetChooser_benchmark.cpp
+++ b/src/balance/TargetChooser_benchmark.cpp
@@ -22,13 +22,13 @@
 
 auto chooseTarget(benchmark::State& state) -> void
 {
-    static std::unique_ptr<TargetChooser> chooser;
+    static std::unique_ptr<TargetChooser> s_chooser;
     if (state.thread_index() == 0)
-        chooser = makeChooser(state.range(0));
+        s_chooser = makeChooser(state.range(0));
     std::mt19937_64 random(static_cast<std::uint64_t>(state.thread_index()));
     auto now = monotonicNow();
     for (auto _ : state) {
-        const auto target = chooser->choose("ledger", {}, random(), now);
+        const auto target = s_chooser->choose("ledger", {}, random(), now);
         target->start();
         now += std::chrono::microseconds(1);
         target->finish(std::chrono::milliseconds(20), now);
--- a/src/health/TargetObserver_benchmark.cpp
+++ b/src/health/TargetObserver_benchmark.cpp
@@ -16,10 +16,10 @@
 
 auto observe(benchmark::State& state) -> void
 {
-    static std::array<std::unique_ptr<TargetObserver>, targetCount> observers;
+    static std::array<std::unique_ptr<TargetObserver>, targetCount> s_observers;
     auto now = monotonicNow();
     if (state.thread_index() == 0) {
-        for (auto& observer : observers) {
+        for (auto& observer : s_observers) {
             observer = std::make_unique<TargetObserver>(
                 TargetObserver::Identity { "ledger", "a", 6 }, TargetObserver::Options(), now - std::chrono::hours(1));
             observer->setBaseline({ 18, 2, 0, 0.005f });
@@ -27,7 +27,7 @@
     }
     auto next = static_cast<std::size_t>(state.thread_index());
     for (auto _ : state) {
-        auto& observer = *observers[next++ % targetCount];
+        auto& observer = *s_observers[next++ % targetCount];
         const auto ticket = observer.begin(now);
         now += std::chrono::microseconds(1);
         observer.finish(ticket, Outcome::Success, now);
@@ -57,11 +57,11 @@
 
 auto checkSuspect(benchmark::State& state) -> void
 {
-    static poison::SuspectTable table;
+    static poison::SuspectTable s_table;
     const auto now = monotonicNow();
     std::uint64_t fingerprint = 1;
     for (auto _ : state)
-        benchmark::DoNotOptimize(table.standingOf(fingerprint += 0x9e3779b97f4a7c15ULL, now));
+        benchmark::DoNotOptimize(s_table.standingOf(fingerprint += 0x9e3779b97f4a7c15ULL, now));
     state.SetItemsProcessed(state.iterations());
 }
 
