--- a/src/daemon/BalancedTargetChooser.h
+++ b/src/daemon/BalancedTargetChooser.h
@@ -1,15 +1,17 @@
-// The proxy's choice of target by balance/TargetChooser, over the targets of this host.
+// The proxy's choice of target by balance/TargetChooser, over the targets of this host and those behind other daemons.
 #pragma once
 
 #include "balance/TargetChooser.h"
+#include "health/PathTracker.h"
 #include "proxy/TargetChooser.h"
 
 #include <atomic>
+#include <optional>
 #include <set>
 #include <unordered_map>
 
 namespace coriandergate::member {
-class TargetRegistry;
+class PeerTable;
 }
 namespace coriandergate::proxy {
 struct ProxyContext;
@@ -21,7 +23,8 @@
 class BalancedTargetChooser : public proxy::TargetChooser {
 public:
     // BalancedTargetChooser() chooses among the targets that `context` knows; `context` must outlive it.
-    BalancedTargetChooser(const proxy::ProxyContext& context, const balance::TargetChooser::Options& options);
+    BalancedTargetChooser(const proxy::ProxyContext& context, std::shared_ptr<member::PeerTable> peers,
+        const balance::TargetChooser::Options& options);
 
     auto choose(std::string_view service, std::span<const std::string> excluded, MonotonicTime now)
         -> std::optional<proxy::TargetChoice> override;
@@ -44,16 +47,32 @@
 
     static constexpr std::size_t s_shardCount = 16;
 
+    // Versions tell whether any target came, went or changed.
+    struct Versions {
+        std::uint64_t targets = 0;
+        std::uint64_t peers = 0;
+
+        friend auto operator==(const Versions&, const Versions&) -> bool = default;
+    };
+
+    using Descriptions = std::map<std::string, std::vector<balance::TargetDescription>>;
+
     auto takeOverTargets(MonotonicTime now) -> void;
+    [[nodiscard]] auto presentVersions() const -> Versions;
+    [[nodiscard]] auto describeAll(MonotonicTime now) const -> Descriptions;
+    auto notePath(const balance::TargetDescription& target, const proxy::AttemptReport& report, MonotonicTime now)
+        -> void;
     [[nodiscard]] auto note(balance::CandidatePointer candidate, MonotonicTime now) -> std::uint64_t;
     [[nodiscard]] auto take(std::uint64_t ticket) -> UnderWay;
 
     const proxy::ProxyContext& m_context;
+    const std::shared_ptr<member::PeerTable> m_peers;
+    health::PathTracker m_paths;
     balance::TargetChooser m_chooser;
     Mutex m_mutex;
     std::set<std::string> m_services GUARDED_BY(m_mutex);
     std::unordered_map<std::string, MonotonicTime> m_startedAt GUARDED_BY(m_mutex);
-    std::atomic<std::uint64_t> m_version = ~std::uint64_t { 0 };
+    std::optional<Versions> m_versions GUARDED_BY(m_mutex);
     std::array<Shard, s_shardCount> m_shards;
     std::atomic<std::uint64_t> m_nextTicket = 1;
 };
