--- a/src/control/Confirmation.cpp
+++ b/src/control/Confirmation.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-    constexpr std::size_t mostSteps = 8; // reads of the plan's row before giving up
+    constexpr std::size_t mostSteps = 5; // reads of the plan's row before giving up
     constexpr std::size_t mostConflictRecords = 100;
 
     using store::Committed;
--- a/src/daemon/Control_test.cpp
+++ b/src/daemon/Control_test.cpp
@@ -3,6 +3,7 @@
 #include "fixture/DaemonUnderTest.h"
 #include "fixture/TargetUnderTest.h"
 #include "testing/Application.h"
+#include "testing/FaultProxy.h"
 #include "testing/LoopbackPort.h"
 #include "testing/SimpleCall.h"
 
@@ -10,6 +11,7 @@
 #include <nlohmann/json.hpp>
 
 #include <QTemporaryDir>
+#include <QTimer>
 #include <fstream>
 #include <functional>
 #include <thread>
@@ -22,6 +24,7 @@
 namespace {
 
 constexpr std::chrono::seconds patience { 15 };
+constexpr std::uint64_t largestReadBytes = 500;
 
 const std::string declaration = R"(services: [{ name: demo }]
 clientAccounts: [{ name: member, ratePerSecond: 1000, burst: 1000 }, { name: other, ratePerSecond: 5, burst: 5 }]
@@ -229,6 +232,50 @@
     CHECK(callApi(daemon, "GET", "/v1/history", {}).second["records"].size() == 2);
 }
 
+TEST_CASE("over a one-way partition to the store an outcome is unknown, and confirming again tells it")
+{
+    ensureApplication();
+    StoreUnderTest store;
+    const auto& address = store.address();
+    FaultProxy path({ .upstreamPort = static_cast<std::uint16_t>(std::stoi(address.substr(address.rfind(':') + 1))) });
+    Error reason;
+    REQUIRE(path.start(reason));
+    auto arguments = daemonArguments(store, {});
+    arguments.front() = "--store=127.0.0.1:" + std::to_string(path.port());
+    arguments[2] = "--store-timeout-ms=1000";
+    DaemonUnderTest daemon(arguments);
+    const auto plan = planOf(daemon, "/v1/plans", declaration);
+    path.setFault(DropAnswersFault {});
+    int status = 0;
+    json value;
+    std::tie(status, value) = confirm(daemon, plan);
+    // The read that comes first gets no answer: nothing was sent that could take effect.
+    CHECK(status == 503);
+    CHECK(value["result"] == "notAccepted");
+    path.setFault(NoFault {});
+    // The answers stop once the transaction, much larger than any read, has gone through.
+    store.setFaults(R"({"delayMs": 400})");
+    QTimer cut;
+    auto seenBytes = path.bytesToUpstream();
+    QObject::connect(&cut, &QTimer::timeout, &cut, [&] {
+        if (path.bytesToUpstream() - std::exchange(seenBytes, path.bytesToUpstream()) > largestReadBytes)
+            path.setFault(DropAnswersFault {});
+    });
+    cut.start(5ms);
+    std::tie(status, value) = confirm(daemon, plan);
+    cut.stop();
+    CHECK(status == 504);
+    CHECK(value["result"] == "unknown");
+    path.setFault(NoFault {});
+    store.setFaults("{}");
+    CHECK(eventually([&] {
+        std::tie(status, value) = confirm(daemon, plan);
+        return status == 200;
+    }));
+    CHECK(value["wasAlready"] == true);
+    CHECK(callApi(daemon, "GET", "/v1/history", {}).second["records"].size() == 1);
+}
+
 TEST_CASE("a daemon that starts with the store away takes the newest from its peers, and no older one later")
 {
     ensureApplication();
--- a/tools/coriandergate-measure-configuration/main.cpp
+++ b/tools/coriandergate-measure-configuration/main.cpp
@@ -41,6 +41,7 @@
   --idle=SECONDS    Time over which the idle cost is counted [default: 20].
   --routes=COUNT    Routes of the configuration [default: 1].
   --accounts=COUNT  Client accounts of the configuration [default: 1].
+  --alone           The naive way: no daemon knows another, each asks the store.
   --cold-start      Also measure a daemon's way from its start to a served request.
 )";
 
@@ -180,8 +181,9 @@
     const auto store = line->substr(line->rfind(' ') + 1);
 
     std::vector<Daemon> daemons(static_cast<std::size_t>(number("--daemons")));
+    const auto isAlone = parsed["--alone"].asBool();
     for (auto& daemon : daemons)
-        daemon.start(tools, store, &daemon == &daemons.front() ? std::string() : daemons.front().peers);
+        daemon.start(tools, store, isAlone || &daemon == &daemons.front() ? std::string() : daemons.front().peers);
     const auto wireBytes = [&daemons] {
         double sum = 0;
         for (const auto& daemon : daemons)
@@ -194,7 +196,7 @@
     for (auto& daemon : daemons)
         (void)takenAt(daemon, 1);
 
-    json result { { "daemons", daemons.size() }, { "routes", number("--routes") },
+    json result { { "daemons", daemons.size() }, { "alone", isAlone }, { "routes", number("--routes") },
         { "accounts", number("--accounts") } };
     auto before = countsOf(store);
     auto bytesBefore = wireBytes();
