Go on from the version in force when the store has lost changes

Cause: after a store came back empty, a plan was made against what it had left, confirmed as version 1 and never taken by daemons at version 2; the status, which counted against the asked daemon's own version, called that in force.

Change: a plan starts from the daemon's configuration when that is newer than the store's; the status counts against the newest version of any daemon that answers, the asked one included.

--- a/src/control/OperatorApi.cpp
+++ b/src/control/OperatorApi.cpp
@@ -83,6 +83,16 @@
         return "expired";
     }
 
+    auto newestHead(const std::vector<DaemonStatus>& daemons) -> config::ConfigurationHead
+    {
+        config::ConfigurationHead newest;
+        for (const auto& daemon : daemons) {
+            if (daemon.head && daemon.head->version > newest.version)
+                newest = *daemon.head;
+        }
+        return newest;
+    }
+
     // Turns a ConfirmResult into an answer.
     struct ConfirmAnswer {
         auto operator()(const Accepted& accepted) const -> http::Answer
@@ -333,21 +343,23 @@
     checkFleet(*m_client, m_peers->peers(), m_options.checkTimeout,
         [self = shared_from_this(), call](const std::vector<DaemonStatus>& daemons) {
             const auto now = monotonicNow();
-            const auto head = self->m_keeper->head();
+            auto known = daemons;
+            known.push_back({ self->m_options.self, self->m_keeper->head() });
+            const auto newest = newestHead(known);
             auto behind = json::array();
             json unreachable = self->m_peers->lostPeers();
-            std::size_t inForce = 1;
-            for (const auto& daemon : daemons) {
+            std::size_t inForce = 0;
+            for (const auto& daemon : known) {
                 if (!daemon.head)
                     unreachable.push_back(daemon.address);
-                else if (daemon.head->version >= head.version)
+                else if (daemon.head->version == newest.version)
                     ++inForce;
                 else
                     behind.push_back({ { "address", daemon.address }, { "version", daemon.head->version } });
             }
             self->reply(call,
                 makeJson(statusOk,
-                    { { "daemon", self->m_options.self }, { "head", head },
+                    { { "daemon", self->m_options.self }, { "head", newest },
                         { "freshness", freshnessText(self->m_keeper->freshness(now)) },
                         { "contactAgeSeconds", toSeconds(self->m_keeper->contactAge(now)) },
                         { "storeAgeSeconds", toSeconds(self->m_keeper->storeAge(now)) },
--- a/src/control/internal/PlanMaking.cpp
+++ b/src/control/internal/PlanMaking.cpp
@@ -63,15 +63,19 @@
     if (const auto* unavailable = std::get_if<store::Unavailable>(&result))
         return notKept(unavailable->error);
     const auto& row = std::get<std::optional<store::Row>>(result);
-    if (!row)
-        return plan({});
     Error reason;
-    const auto head = decodeRecord<config::ConfigurationHead>(row->value, reason);
+    auto head = row ? decodeRecord<config::ConfigurationHead>(row->value, reason) : config::ConfigurationHead {};
     if (!head)
         return notKept(reason);
-    m_made.record.base = *head;
-    m_made.record.baseRowVersion = row->version;
-    if (m_known && m_known->configuration->version == head->version)
+    m_made.record.base = *std::move(head);
+    m_made.record.baseRowVersion = row ? row->version : 0;
+    // A version newer than the store's shows that the store lost changes: what is in force goes on from there.
+    if (m_known && m_known->configuration->version > m_made.record.base.version)
+        m_made.record.base = config::headOf(*m_known->configuration);
+    const auto version = m_made.record.base.version;
+    if (version == 0)
+        return plan({});
+    if (m_known && m_known->configuration->version == version)
         return plan(*m_known->configuration);
     fetchBase();
 }
@@ -102,7 +106,7 @@
     if (m_made.plan.changes.empty())
         return m_done(
             PlanRefused { { "plan", {}, "nothing changes against version " + std::to_string(base.version) } });
-    if (record.baseRowVersion != 0 && m_made.plan.base != record.base)
+    if (record.base.version != 0 && m_made.plan.base != record.base)
         return notKept({ "plan", record.base.toText(), "this daemon's configuration is not that of the store" });
     record.base = m_made.plan.base;
     record.target = m_made.plan.target;
--- a/src/daemon/Control_test.cpp
+++ b/src/daemon/Control_test.cpp
@@ -293,7 +293,10 @@
     REQUIRE(eventually([&] { return store.counts()["reads"] > 2; }));
     CHECK(versionOf(first) == 2);
     CHECK(versionOf(second) == 2);
-    CHECK(callApi(first, "POST", "/v1/plans", declaration).first == 201);
+    // A change goes on from what is in force, not from what the store has left.
+    withdrawKey(first, "key-1");
+    CHECK(eventually([&] { return versionOf(first) == 3 && versionOf(second) == 3; }));
+    CHECK(statusWithKey(second, "key-1") == 401);
 }
 
 TEST_CASE("a daemon paused while a key was withdrawn never lets that key through when it wakes")
