Put the store's word before the peers', and bound what is kept of theirs

Cause: a daemon that announced many false versions could delay a true one by a failed pull each, and grow the list of heard versions without bound.

Change: while the store names a newer version, only that one is pulled, from a peer that has the same or from the store; at most 64 peers' words are kept.

Conclusion: a false word costs at most the pulls of 64 peers while the store is away.

--- a/src/config/ConfigurationKeeper.cpp
+++ b/src/config/ConfigurationKeeper.cpp
@@ -17,6 +17,7 @@
     constexpr double leastJitter = 0.75; // of an interval
     constexpr double mostJitter = 1.25; // of an interval
     constexpr std::size_t mostBackoffDoublings = 10;
+    constexpr std::size_t mostHeardHeads = 64; // of peers; what is left out comes again
     constexpr int bootstrapWaitsBeforeStore = 3; // for a daemon that is no poller
 
     auto addressesOfDataCentre(std::span<const KeeperPeer> peers) -> std::vector<std::string>
@@ -104,15 +105,14 @@
         return std::nullopt;
     m_nextPull.reset();
     const auto stored = m_storeHead ? m_storeHead->head : ConfigurationHead {};
-    Pull pull { {}, m_head, m_head };
+    // What the store names comes before what peers say, true or not; a peer that has it spares the store a read.
+    const auto isStoreAhead = stored.version > m_head.version;
+    Pull pull { {}, m_head, isStoreAhead ? stored : m_head };
     for (const auto& [peer, heard] : m_peerHeads) {
-        const auto isDoubtful = heard.head.version == stored.version && heard.head != stored;
-        if (!isDoubtful && heard.head.version > pull.to.version)
+        const auto isWanted = isStoreAhead ? heard.head == stored : heard.head.version > pull.to.version;
+        if (isWanted)
             pull = { peer, m_head, heard.head };
     }
-    // A peer of the same version spares the store a read.
-    if (stored.version > pull.to.version)
-        pull = { {}, m_head, stored };
     if (pull.to == m_head)
         return std::nullopt;
     m_nextPull = now + (m_head.version == 0 ? m_options.snapshotTimeout : m_options.deltaTimeout);
@@ -175,6 +175,8 @@
 auto ConfigurationKeeper::onAnnouncement(const std::string& peer, const ConfigurationHead& head) -> void
 {
     const MutexLock lock(m_mutex);
+    if (m_peerHeads.size() >= mostHeardHeads)
+        return;
     auto& heard = m_peerHeads[peer];
     if (head.version > std::max(m_head.version, heard.head.version))
         heard = { head, MonotonicTime::min() };
--- a/src/config/ConfigurationKeeper_test.cpp
+++ b/src/config/ConfigurationKeeper_test.cpp
@@ -234,6 +234,8 @@
     CHECK_FALSE(pullOf(keeper.tick(start + 1s, {})).has_value());
     keeper.onStoreHead(headOfVersion(6), start);
     keeper.onAnnouncement("liar", { 6, "beef" });
+    for (int i = 0; i < 1000; ++i)
+        keeper.onAnnouncement("liar-" + std::to_string(i), { 99, "beef" });
     const auto fromStore = pullOf(keeper.tick(start + 1s, {}));
     REQUIRE(fromStore == Pull { "", headOfVersion(5), headOfVersion(6) });
     keeper.onPullFailed(*fromStore, start + 1s);
--- a/src/control/ChangeStore.h
+++ b/src/control/ChangeStore.h
@@ -47,7 +47,8 @@
     ChangeStore(store::TableService& table, store::ObjectStore& objects);
 
     // makePlan() plans the request's intent against the head of the store. `known` spares a read of the snapshot when
-    // it is that of the head; it may be null.
+    // it is that of the head, and is the base in its place when it is newer, since the store has then lost changes; it
+    // may be null.
     auto makePlan(PlanRequest request, std::shared_ptr<const config::Snapshot> known, KnownTargets targets,
         std::function<void(PlanResult)> done) -> void;
 
