--- a/src/daemon/CorePlugin.cpp
+++ b/src/daemon/CorePlugin.cpp
@@ -4,6 +4,7 @@
 #include "daemon/DrainState.h"
 #include "daemon/LocalTargetChooser.h"
 #include "daemon/PeerRouter.h"
+#include "daemon/Readiness.h"
 #include "http/WorkerPool.h"
 #include "kernel/Kernel.h"
 #include "kernel/PluginRegistration.h"
@@ -13,6 +14,7 @@
 #include "proxy/SnapshotHolder.h"
 #include "settings/SettingDefinition.h"
 #include "settings/Settings.h"
+#include "status/ServiceBoard.h"
 
 #include <QTimer>
 #include <prometheus/registry.h>
@@ -80,6 +82,7 @@
     }
     m_context->snapshot = [holder] { return holder->current(); };
     m_context->targets = m_targets;
+    m_context->serviceBoard = std::make_shared<status::ServiceBoard>();
     const auto& toldAddress = settings->text("peer-address");
     m_context->self = { toldAddress.empty() ? settings->text("peer-listen") : toldAddress, drawIncarnation() };
     m_context->locality = { settings->text("region"), settings->text("data-centre") };
@@ -92,6 +95,7 @@
     kernel.provide(std::make_shared<AdminRouter>());
     kernel.provide(std::make_shared<PeerRouter>());
     kernel.provide(std::make_shared<DrainState>());
+    kernel.provide(std::make_shared<Readiness>());
     kernel.provide(std::make_shared<prometheus::Registry>());
 
     m_expiry = std::make_unique<QTimer>();
--- a/src/once/OnceLedger.cpp
+++ b/src/once/OnceLedger.cpp
@@ -38,6 +38,14 @@
     seat->open(tenure, std::move(members), std::move(lost), now);
 }
 
+auto OnceLedger::renewSeat(const SeatTenure& tenure) -> void
+{
+    auto& shard = shardOf(tenure.seat);
+    const MutexLock lock(shard.mutex);
+    if (auto* ledger = shard.findLocked(tenure.seat))
+        ledger->follow(tenure);
+}
+
 auto OnceLedger::addReport(unsigned seat, std::uint64_t epoch, const WitnessReport& report, MonotonicTime now) -> void
 {
     auto& shard = shardOf(seat);
@@ -78,12 +86,12 @@
         ledger->finish(key, attempt, outcome, now);
 }
 
-auto OnceLedger::ownerLost(const DaemonIdentity& owner) -> void
+auto OnceLedger::daemonLost(const LostDaemon& lost) -> void
 {
     for (const auto& shard : m_shards) {
         const MutexLock lock(shard->mutex);
         for (const auto& [seat, ledger] : shard->seats)
-            ledger->ownerLost(owner);
+            ledger->daemonLost(lost);
     }
 }
 
--- a/src/once/internal/SeatLedger.h
+++ b/src/once/internal/SeatLedger.h
@@ -25,11 +25,12 @@
 
     auto open(const SeatTenure& tenure, std::vector<SeatRebuild::Member> members, std::vector<LostDaemon> lost,
         MonotonicTime now) -> void;
+    auto follow(const SeatTenure& tenure) -> void;
     auto addReport(std::uint64_t epoch, const WitnessReport& report, MonotonicTime now) -> void;
     [[nodiscard]] auto missingReports() const -> std::vector<DaemonIdentity>;
     auto begin(const PermitRequest& request, const SeatTenure& tenure, MonotonicTime now) -> PermitAnswer;
     auto finish(const OnceKey& key, const AttemptId& attempt, const AttemptOutcome& outcome, MonotonicTime now) -> void;
-    auto ownerLost(const DaemonIdentity& owner) -> void;
+    auto daemonLost(const LostDaemon& lost) -> void;
     [[nodiscard]] auto records(MonotonicTime now) const -> std::vector<OnceRecord>;
 
 private:
@@ -42,6 +43,7 @@
     };
     using Entries = std::unordered_map<OnceKey, Entry, OnceKeyHash>;
 
+    auto ownerLost(const DaemonIdentity& owner) -> void;
     auto learn(OnceRecord record, MonotonicTime now) -> void;
     auto grant(const PermitRequest& request, const SeatTenure& tenure, MonotonicTime now) -> PermitAnswer;
     [[nodiscard]] auto permitUnder(const SeatTenure& tenure, MonotonicTime now) const -> PermitAnswer;
@@ -59,6 +61,7 @@
     std::atomic<std::size_t>& m_allKeys;
     std::atomic<std::size_t>& m_allAnswerBytes;
     std::uint64_t m_epoch = 0;
+    MonotonicTime m_validUntil = MonotonicTime::min(); // of the tenure in m_epoch, as last seen
     std::optional<SeatRebuild> m_rebuild;
     Entries m_entries;
     std::multimap<MonotonicTime, OnceKey> m_byAge;
--- a/src/seat/SeatAuthority.cpp
+++ b/src/seat/SeatAuthority.cpp
@@ -38,7 +38,7 @@
     std::uint32_t number, const SeatAssignment& assignment, MonotonicTime now, Messages& messages) -> void
 {
     const auto rank = assignment.rankOf(m_self);
-    Seat next { assignment, rank.value_or(0), Phase::Waiting, {}, {}, 0, {}, {}, {} };
+    Seat next { assignment, rank.value_or(0), rank == 0U && assignment.former.empty() };
     if (const auto found = m_seats.find(number); found != m_seats.end()) {
         auto& existing = found->second;
         if (existing.assignment.epoch == assignment.epoch) {
@@ -116,7 +116,7 @@
     if (static_cast<std::size_t>(ended) >= majorityOf(seat.assignment.guards.size()))
         seat.phase = Phase::Stopped;
     if (!seat.tenure && leaseEnd(seat))
-        seat.tenure = SeatTenure { renewal.term, now, *leaseEnd(seat) };
+        seat.tenure = SeatTenure { renewal.term, now, *leaseEnd(seat), seat.isFirst };
 }
 
 auto SeatAuthority::handle(const Promise& promise, MonotonicTime now) -> void
@@ -145,7 +145,7 @@
         end = std::max(end.value_or(*seat.carriedEnd), *seat.carriedEnd);
     if (!end || now >= *end || !seat.tenure)
         return std::nullopt;
-    return SeatTenure { seat.tenure->term, seat.tenure->since, *end };
+    return SeatTenure { seat.tenure->term, seat.tenure->since, *end, seat.tenure->isFirst };
 }
 
 auto SeatAuthority::releaseAll(MonotonicTime) -> std::vector<SeatMessage>
@@ -168,6 +168,18 @@
     return held;
 }
 
+auto SeatAuthority::startedSeats(MonotonicTime now) const -> std::map<std::uint32_t, std::uint64_t>
+{
+    std::map<std::uint32_t, std::uint64_t> started;
+    const MutexLock lock(m_mutex);
+    for (const auto& [number, seat] : m_seats) {
+        const auto end = leaseEnd(seat);
+        if (seat.phase == Phase::Leasing && end && now < *end)
+            started.emplace(number, seat.assignment.epoch);
+    }
+    return started;
+}
+
 auto SeatAuthority::PromiseRound::isClear(MonotonicTime now, bool isOwn) const -> bool
 {
     const auto clear = std::count_if(guards.begin(), guards.end(), [this, now, isOwn](const auto& guard) {
--- a/src/seat/SeatAuthority.h
+++ b/src/seat/SeatAuthority.h
@@ -60,6 +60,10 @@
     // heldSeats() are the seats held at `now`.
     [[nodiscard]] auto heldSeats(MonotonicTime now) const -> std::vector<std::uint32_t>;
 
+    // startedSeats() are the seats whose present assignment's guards lease them to this daemon, with its epoch: all
+    // earlier epochs of these are closed.
+    [[nodiscard]] auto startedSeats(MonotonicTime now) const -> std::map<std::uint32_t, std::uint64_t>;
+
 private:
     // What one guard has said in an epoch.
     struct GuardView {
@@ -91,13 +95,14 @@
     struct Seat {
         SeatAssignment assignment;
         std::uint32_t rank = 0;
+        bool isFirst = false; // there was no holder before; a map forgets earlier epochs only once a later one started
         Phase phase = Phase::Waiting;
-        std::vector<PromiseRound> rounds;
-        std::map<DaemonIdentity, GuardView> views;
+        std::vector<PromiseRound> rounds {};
+        std::map<DaemonIdentity, GuardView> views {};
         std::uint64_t lastSequence = 0;
-        std::optional<MonotonicTime> nextSend;
-        std::optional<MonotonicTime> carriedEnd; // of this daemon's own leases in the last epoch
-        std::optional<SeatTenure> tenure; // the last one begun
+        std::optional<MonotonicTime> nextSend {};
+        std::optional<MonotonicTime> carriedEnd {}; // of this daemon's own leases in the last epoch
+        std::optional<SeatTenure> tenure {}; // the last one begun
     };
 
     using Messages = std::vector<SeatMessage>;
--- a/src/seat/SeatPlanner.cpp
+++ b/src/seat/SeatPlanner.cpp
@@ -96,8 +96,10 @@
                 guards.push_back(chooseGuard(guards, holder, number));
                 ++m_guards[guards.back()];
             }
-            if (guards.empty())
-                guards.push_back(holder); // a lone daemon guards itself
+            // Of two guards, both would be needed for anything: the holder itself, or a lone daemon, makes the number
+            // odd.
+            if (guards.size() % 2 == 0)
+                guards.push_back(holder);
             return guards;
         }
 
--- a/src/share/ShareHome.h
+++ b/src/share/ShareHome.h
@@ -58,7 +58,8 @@
     struct Seat {
         Mutex mutex;
         seat::SeatTerm term GUARDED_BY(mutex);
-        MonotonicTime startAt GUARDED_BY(mutex); // no token is issued before
+        bool isFirst GUARDED_BY(mutex) = false; // nobody issued tokens before: the buckets start full
+        MonotonicTime startAt GUARDED_BY(mutex); // else no token is issued before
         std::unordered_map<std::string, Account> accounts GUARDED_BY(mutex); // by account and split
     };
 
