Test the gate over several daemons and two losses

Cause: only a daemon that decides for itself alone was tested with real calls.

Change: five gates call each other over loopback, with a view of the fleet that the test sets: resends through another daemon, a permit of a replaced holder, the loss of the holder, then of an owner.

--- a/src/admission/ServiceTimes.cpp
+++ b/src/admission/ServiceTimes.cpp
@@ -20,8 +20,8 @@
         const auto ratio = Microseconds(serviceTime) / smallest;
         if (ratio <= 1)
             return 0;
-        static const auto logOfGrowth = std::log2(bucketGrowth);
-        return std::min(static_cast<std::size_t>(std::ceil(std::log2(ratio) / logOfGrowth)), bucketCount - 1);
+        static const auto s_logOfGrowth = std::log2(bucketGrowth);
+        return std::min(static_cast<std::size_t>(std::ceil(std::log2(ratio) / s_logOfGrowth)), bucketCount - 1);
     }
 
     auto upperBorder(std::size_t bucket) -> MonotonicDuration
--- /dev/null
+++ b/src/daemon/LedgerOnceGate_test.cpp
@@ -0,0 +1,246 @@
+// Several gates that call each other over loopback, with a view of the fleet that the test sets.
+#include "daemon/LedgerOnceGate.h"
+#include "daemon/PeerRouter.h"
+#include "http/Server.h"
+#include "http/WorkerPool.h"
+#include "proxy/ProxyContext.h"
+#include "proxy/RequestContext.h"
+#include "testing/Application.h"
+
+#include <QCoreApplication>
+#include <catch2/catch.hpp>
+#include <thread>
+
+using namespace coriandergate;
+using namespace coriandergate::daemon;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr unsigned seatCount = 4;
+
+// What all gates of a test believe.
+struct Belief {
+    mutable Mutex mutex;
+    std::vector<once::SeatRebuild::Member> members GUARDED_BY(mutex);
+    std::vector<once::LostDaemon> lost GUARDED_BY(mutex);
+    DaemonIdentity holder GUARDED_BY(mutex);
+    std::optional<DaemonIdentity> former GUARDED_BY(mutex);
+    std::uint64_t epoch GUARDED_BY(mutex) = 1;
+    MonotonicTime heldSince GUARDED_BY(mutex) = monotonicNow();
+};
+
+class BelievedView : public OnceFleetView {
+public:
+    BelievedView(DaemonIdentity self, std::shared_ptr<Belief> belief)
+        : m_self(std::move(self))
+        , m_belief(std::move(belief))
+    {
+    }
+    auto seatCount() const -> unsigned override { return ::seatCount; }
+    auto holderOf(unsigned) const -> std::optional<DaemonIdentity> override
+    {
+        const MutexLock lock(m_belief->mutex);
+        return m_belief->holder;
+    }
+    auto rejectHolder(unsigned, const DaemonIdentity&) const -> void override { }
+    auto tenureOf(unsigned seat, MonotonicTime now) const -> std::optional<once::SeatTenure> override
+    {
+        const MutexLock lock(m_belief->mutex);
+        if (m_belief->holder != m_self)
+            return std::nullopt;
+        return once::SeatTenure { seat, m_belief->epoch, now + 2s, m_belief->heldSince, m_belief->former, {} };
+    }
+    auto members() const -> std::vector<once::SeatRebuild::Member> override
+    {
+        const MutexLock lock(m_belief->mutex);
+        return m_belief->members;
+    }
+    auto lost() const -> std::vector<once::LostDaemon> override
+    {
+        const MutexLock lock(m_belief->mutex);
+        return m_belief->lost;
+    }
+
+private:
+    DaemonIdentity m_self;
+    std::shared_ptr<Belief> m_belief;
+};
+
+struct Node {
+    Node(std::uint64_t number, const std::shared_ptr<Belief>& belief)
+        : workers(std::make_shared<http::WorkerPool>(http::WorkerPool::Options { 1 }))
+        , context(std::make_shared<proxy::ProxyContext>())
+        , server(*workers, {}, [this](std::shared_ptr<http::Exchange> exchange) { router.handle(std::move(exchange)); })
+    {
+        Error reason;
+        REQUIRE(server.listen(reason));
+        context->workers = workers;
+        context->clients.resize(1);
+        workers->runAndWait(
+            0, [this] { context->clients[0] = std::make_unique<http::Client>(http::Client::Options {}); });
+        context->self = { "127.0.0.1:" + std::to_string(server.port()), number };
+        context->locality = { "region", "dc-" + std::to_string(number) };
+        const auto view = std::make_shared<BelievedView>(context->self, belief);
+        gate = std::make_shared<LedgerOnceGate>(
+            LedgerOnceGate::Options {}, context, view, monotonicNow() - std::chrono::hours(9));
+        gate->addHandlers(router);
+    }
+    ~Node()
+    {
+        workers->runAndWait(0, [this] { context->clients[0].reset(); });
+    }
+
+    std::shared_ptr<http::WorkerPool> workers;
+    std::shared_ptr<proxy::ProxyContext> context;
+    PeerRouter router;
+    http::Server server;
+    std::shared_ptr<LedgerOnceGate> gate;
+};
+
+class Fleet {
+public:
+    explicit Fleet(std::size_t count)
+    {
+        testing::ensureApplication();
+        for (std::size_t number = 1; number <= count; ++number) {
+            nodes.push_back(std::make_unique<Node>(number, belief));
+            const MutexLock lock(belief->mutex);
+            belief->members.push_back({ nodes.back()->context->self, nodes.back()->context->locality.dataCentre });
+        }
+        hold(0);
+    }
+
+    // hold() makes node `index` the holder, in a new epoch, and lets it ask for reports.
+    auto hold(std::size_t index) -> void
+    {
+        {
+            const MutexLock lock(belief->mutex);
+            if (!belief->holder.address.empty()) {
+                belief->former = belief->holder;
+                ++belief->epoch;
+            }
+            belief->holder = nodes[index]->context->self;
+            belief->heldSince = monotonicNow();
+        }
+        waitFor([&] {
+            for (const auto& node : nodes) {
+                if (node)
+                    node->gate->tick(monotonicNow());
+            }
+            return nodes[index]->gate->missingReports() == 0;
+        });
+    }
+
+    auto lose(std::size_t index) -> void
+    {
+        const auto identity = nodes[index]->context->self;
+        const auto dataCentre = nodes[index]->context->locality.dataCentre;
+        nodes[index].reset();
+        const MutexLock lock(belief->mutex);
+        std::erase_if(belief->members, [&](const auto& member) { return member.identity == identity; });
+        belief->lost.push_back({ identity, dataCentre, monotonicNow() });
+    }
+
+    auto label(const std::string& key, std::uint64_t fingerprint = 7) -> std::string
+    {
+        proxy::RequestContext request;
+        request.clientAccount = "a";
+        request.idempotencyKey = key;
+        request.fingerprint = fingerprint;
+        return nodes.back()->gate->label(request);
+    }
+
+    auto begin(std::size_t owner, const std::string& label) -> proxy::OnceDecision
+    {
+        const auto decided = std::make_shared<std::optional<proxy::OnceDecision>>();
+        const auto isDecided = std::make_shared<std::atomic<bool>>(false);
+        const auto now = monotonicNow();
+        nodes[owner]->gate->begin(label, now + 5s, now, [decided, isDecided](proxy::OnceDecision decision) {
+            *decided = std::move(decision);
+            *isDecided = true;
+        });
+        waitFor([&] { return isDecided->load(); });
+        return **decided;
+    }
+
+    // run() takes one attempt at `key` through the target of `owner`.
+    auto run(std::size_t owner, const std::string& key) -> void
+    {
+        const auto attempt = label(key);
+        REQUIRE(std::holds_alternative<proxy::RunPermit>(begin(owner, attempt)));
+        REQUIRE_FALSE(nodes[owner]->gate->check(attempt, monotonicNow()));
+        CHECK(nodes[owner]->gate->check(attempt, monotonicNow())); // no second time
+        const auto answer = http::makeAnswer(201, "text/plain", key);
+        nodes[owner]->gate->finish(attempt, proxy::Outcome::Ran, &answer, monotonicNow());
+    }
+
+    std::shared_ptr<Belief> belief = std::make_shared<Belief>();
+    std::vector<std::unique_ptr<Node>> nodes;
+
+private:
+    static auto waitFor(const std::function<bool()>& condition) -> void
+    {
+        for (int round = 0; round < 1000; ++round) {
+            if (condition())
+                return;
+            QCoreApplication::processEvents();
+            std::this_thread::sleep_for(5ms);
+        }
+        FAIL("nothing came within 5 s");
+    }
+};
+
+auto outcomeOf(const proxy::OnceDecision& decision) -> proxy::Outcome
+{
+    const auto* refusal = std::get_if<proxy::Refusal>(&decision);
+    REQUIRE(refusal);
+    return refusal->outcome;
+}
+
+// What a resend is answered with once the owner's word has reached the holder.
+auto keptAnswer(Fleet& fleet, std::size_t owner, const std::string& key) -> std::string
+{
+    for (int round = 0; round < 200; ++round) {
+        const auto decision = fleet.begin(owner, fleet.label(key));
+        if (const auto* kept = std::get_if<proxy::KeptAnswer>(&decision))
+            return kept->answer.body;
+        CHECK(outcomeOf(decision) == proxy::Outcome::MayHaveRun);
+        std::this_thread::sleep_for(10ms);
+    }
+    return {};
+}
+
+} // namespace
+
+TEST_CASE("over several daemons a key runs once, also after the loss of its holder and of its owner")
+{
+    Fleet fleet(5); // 0 holds at first, 1 owns, 2 takes the resends, 3 holds later
+    const auto running = fleet.label("k1");
+    REQUIRE(std::holds_alternative<proxy::RunPermit>(fleet.begin(1, running)));
+    CHECK(outcomeOf(fleet.begin(1, running)) == proxy::Outcome::MayHaveRun); // the same attempt, repeated
+    CHECK(outcomeOf(fleet.begin(2, fleet.label("k1"))) == proxy::Outcome::MayHaveRun);
+    CHECK(outcomeOf(fleet.begin(2, fleet.label("k1", 8))) == proxy::Outcome::NotRun);
+    fleet.nodes[1]->gate->finish(running, proxy::Outcome::NotRun, nullptr, monotonicNow());
+    CHECK(fleet.nodes[1]->gate->check(running, monotonicNow())); // closed for good
+    fleet.run(2, "k2");
+    fleet.run(1, "k3");
+    CHECK(keptAnswer(fleet, 1, "k2") == "k2");
+
+    const auto held = fleet.label("k4"); // permitted by a holder that is replaced before its use
+    REQUIRE(std::holds_alternative<proxy::RunPermit>(fleet.begin(1, held)));
+    fleet.lose(0);
+    fleet.hold(3);
+    CHECK(fleet.nodes[1]->gate->check(held, monotonicNow()));
+    CHECK(keptAnswer(fleet, 1, "k2") == "k2");
+    const auto started = fleet.label("k5");
+    REQUIRE(std::holds_alternative<proxy::RunPermit>(fleet.begin(2, started)));
+    REQUIRE_FALSE(fleet.nodes[2]->gate->check(started, monotonicNow()));
+
+    fleet.lose(2); // the second loss: what runs there is remembered by the holder, and by its witness
+    fleet.hold(4);
+    CHECK(outcomeOf(fleet.begin(1, fleet.label("k5"))) == proxy::Outcome::MayHaveRun);
+    CHECK(keptAnswer(fleet, 1, "k3") == "k3");
+    // Two daemons of different data centres are gone: a key that nobody knows may have run.
+    CHECK(outcomeOf(fleet.begin(1, fleet.label("new"))) == proxy::Outcome::MayHaveRun);
+}
