Count daemons that gossip has forgotten as lost

Cause: gossip forgets a daemon 30 s after its planned stop. It then was neither a member to be asked nor a lost one, so a new holder took keys for new that only it and another lost daemon had known.

The ledger's benchmark spreads its keys like digests.

--- a/src/daemon/SeatFleetView.cpp
+++ b/src/daemon/SeatFleetView.cpp
@@ -32,6 +32,15 @@
 {
     const MutexLock lock(m_mutex);
     std::erase_if(m_replaced, [&](const once::LostDaemon& lost) { return lost.lostAt < now - 2 * m_retention; });
+    // Gossip forgets who left or has been dead for long; what they remembered is gone all the same.
+    for (auto seen = m_seen.begin(); seen != m_seen.end();) {
+        if (snapshot.find(seen->first) != nullptr) {
+            ++seen;
+            continue;
+        }
+        m_replaced.push_back({ seen->second.identity, seen->second.dataCentre, now });
+        seen = m_seen.erase(seen);
+    }
     for (const auto& peer : snapshot.peers) {
         auto& seen = m_seen[peer.identity.address];
         const auto isReplaced = !seen.identity.address.empty() && seen.identity != peer.identity;
--- a/src/daemon/SeatFleetView.h
+++ b/src/daemon/SeatFleetView.h
@@ -27,8 +27,8 @@
         std::shared_ptr<seat::SeatAuthority> authority, std::shared_ptr<member::PeerTable> peers,
         MonotonicDuration retention);
 
-    // observe() takes in a snapshot of the fleet, to notice runs that were replaced at their address. On the main
-    // thread.
+    // observe() takes in a snapshot of the fleet, to notice runs that were replaced at their address or have left. On
+    // the main thread.
     auto observe(const member::PeerSnapshot& snapshot, MonotonicTime now) -> void;
 
     [[nodiscard]] auto seatCount() const -> unsigned override;
@@ -47,7 +47,7 @@
     MonotonicDuration m_retention;
     mutable Mutex m_mutex;
     std::map<std::string, once::SeatRebuild::Member> m_seen GUARDED_BY(m_mutex); // the last run at each address
-    std::vector<once::LostDaemon> m_replaced GUARDED_BY(m_mutex);
+    std::vector<once::LostDaemon> m_replaced GUARDED_BY(m_mutex); // or gone
 };
 
 } // namespace coriandergate::daemon
--- a/src/once/OnceLedger_benchmark.cpp
+++ b/src/once/OnceLedger_benchmark.cpp
@@ -1,3 +1,4 @@
+#include "base/Hash.h"
 #include "once/OnceLedger.h"
 #include "once/OwnerAttempts.h"
 
@@ -29,7 +30,8 @@
     for (auto _ : state) {
         now += std::chrono::milliseconds(80); // 45,000 keys within the retention
         ++number;
-        const OnceKey key { number * 0x9E3779B97F4A7C15, number };
+        // Spread like digests: threads that met at one seat would otherwise meet at the next ones, too.
+        const OnceKey key { hashOf({ reinterpret_cast<const char*>(&number), sizeof number }), number };
         const SeatTenure tenure { seatOf(key, seatCount), 1, start + std::chrono::hours(9999), start, {}, {} };
         benchmark::DoNotOptimize(s_ledger->begin({ key, { 1, number }, owner, 7 }, tenure, now));
         s_ledger->finish(key, { 1, number }, Ran { 201, {} }, now);
