--- a/src/daemon/SeatService.h
+++ b/src/daemon/SeatService.h
@@ -90,6 +90,7 @@
     auto planAndWrite() -> void;
     auto onCommit(const store::CommitResult& result, const seat::SeatMap& map) -> void;
     [[nodiscard]] auto isPlanner() const -> bool;
+    [[nodiscard]] auto unknownDaemons(const seat::SeatMap& map) const -> std::vector<DaemonIdentity>;
     [[nodiscard]] auto liveDaemons() const -> std::vector<seat::DaemonStatement>;
     auto noteTenures(MonotonicTime now) -> void;
 
@@ -103,7 +104,7 @@
     std::shared_ptr<seat::SeatDirectory> m_directory;
     std::shared_ptr<store::TableService> m_store;
     bool m_hasSharedStore = false;
-    MonotonicTime m_startedAt;
+    MonotonicTime m_planFrom; // after the other daemons have been met
     MonotonicTime m_nextMaintain;
     std::vector<std::uint32_t> m_heldSeats;
     prometheus::Gauge* m_heldGauge = nullptr;
--- a/src/daemon/ShareGate.cpp
+++ b/src/daemon/ShareGate.cpp
@@ -20,6 +20,7 @@
 namespace {
 
     constexpr int tooManyRequests = 429;
+    constexpr int unavailable = 503;
     constexpr std::chrono::seconds cleanUpInterval { 5 };
 
     auto addCounter(prometheus::Registry& registry, const char* name, const char* help) -> prometheus::Counter&
@@ -61,7 +62,7 @@
             settled = early->second;
             m_early.erase(early);
         } else {
-            m_waiting.emplace(waiting->ticket, Waiting { context.clientAccount, std::move(decided) });
+            m_waiting.emplace(waiting->ticket, Waiting { context.clientAccount, decided });
         }
     }
     if (settled)
@@ -130,9 +131,11 @@
     }
     m_refused.Increment();
     const auto& refused = std::get<share::ShareRefused>(decision);
-    decided(proxy::Refusal { .status = tooManyRequests,
+    const auto* const reason = refused.isOverLimit ? "the client account is above its rate and burst"
+                                                   : "no daemon that counts the client account's requests answered";
+    decided(proxy::Refusal { .status = refused.isOverLimit ? tooManyRequests : unavailable,
         .outcome = proxy::Outcome::NotRun,
-        .error = { "acquire rate", account, "the client account is above its rate and burst" },
+        .error = { "acquire rate", account, reason },
         .retryAfter = refused.retryAfter,
         .mayTryOtherTarget = false });
 }
--- a/src/seat/SeatTenure.h
+++ b/src/seat/SeatTenure.h
@@ -12,6 +12,7 @@
     SeatTerm term;
     MonotonicTime since;
     MonotonicTime until;
+    bool isFirst = false; // nobody has held this seat before, as far as the store remembers
 };
 
 } // namespace coriandergate::seat
--- a/src/testing/BalanceTrace.cpp
+++ b/src/testing/BalanceTrace.cpp
@@ -47,7 +47,7 @@
         {
             std::vector<TargetDescription> targets;
             for (auto i = 0; i < options.targets; ++i)
-                targets.push_back({ std::to_string(i), "", { "r", i % 2 == 0 ? "a" : "b" }, slots, m_now - 1h, false });
+                targets.push_back({ std::to_string(i), {}, { "r", i % 2 == 0 ? "a" : "b" }, slots, m_now - 1h, false });
             for (auto i = 0; i < options.entries; ++i) {
                 m_entries.push_back(std::make_unique<TargetChooser>(
                     TargetChooser::Options { { "r", i % 2 == 0 ? "a" : "b" }, options.policy }));
