Take the digest of a table out of the gossip node, and pass on the configuration version

Change: internal/TableDigest; the plug-in raises the version in force and shows the fleet's newest as a metric.

--- a/src/daemon/MemberMetrics.cpp
+++ b/src/daemon/MemberMetrics.cpp
@@ -21,6 +21,11 @@
                           .Help("targets known behind other daemons")
                           .Register(registry)
                           .Add({}))
+    , m_fleetVersion(prometheus::BuildGauge()
+                         .Name("coriandergate_fleet_configuration_version")
+                         .Help("the newest configuration version that any daemon is known to have")
+                         .Register(registry)
+                         .Add({}))
 {
     auto& members = prometheus::BuildGauge()
                         .Name("coriandergate_members")
@@ -58,6 +63,7 @@
     for (const auto& [state, gauge] : m_members)
         gauge->Set(counts[state]);
     m_remoteTargets.Set(targets);
+    m_fleetVersion.Set(static_cast<double>(node.configurationVersion()));
     raise(*m_bytes["gossip-out"], gossip.bytesOut);
     raise(*m_bytes["gossip-in"], gossip.bytesIn);
     raise(*m_bytes["rpc-out"], calls.bytesOut);
--- a/src/daemon/MemberMetrics.h
+++ b/src/daemon/MemberMetrics.h
@@ -39,6 +39,7 @@
 
     std::map<member::MemberState, prometheus::Gauge*> m_members;
     prometheus::Gauge& m_remoteTargets;
+    prometheus::Gauge& m_fleetVersion;
     std::map<std::string, prometheus::Counter*> m_bytes;
     std::map<std::string, prometheus::Counter*> m_events;
 };
--- a/src/daemon/MemberPlugin.cpp
+++ b/src/daemon/MemberPlugin.cpp
@@ -1,6 +1,7 @@
 #include "daemon/MemberPlugin.h"
 
 #include "base/Error.h"
+#include "config/Snapshot.h"
 #include "daemon/DrainState.h"
 #include "daemon/ExchangeInbox.h"
 #include "daemon/FleetTargetChooser.h"
@@ -13,6 +14,7 @@
 #include "member/PeerTable.h"
 #include "member/TargetRegistry.h"
 #include "proxy/ProxyContext.h"
+#include "proxy/SnapshotHolder.h"
 #include "rpc/RpcClient.h"
 #include "rpc/RpcRegistry.h"
 #include "rpc/RpcTraffic.h"
@@ -143,6 +145,7 @@
     const auto context = kernel.find<proxy::ProxyContext>();
     m_targets = kernel.find<member::TargetRegistry>();
     m_drainState = kernel.find<DrainState>();
+    m_snapshots = kernel.find<proxy::SnapshotHolder>();
     m_calls = kernel.find<rpc::RpcClient>();
     m_peers = std::make_shared<member::PeerTable>();
     m_inbox = std::make_shared<ExchangeInbox>();
@@ -193,6 +196,8 @@
     updateTargets(now);
     for (const auto& answer : m_inbox->takeAll())
         takeAnswer(answer);
+    if (const auto snapshot = m_snapshots->current())
+        m_peers->raiseVersions(snapshot->configuration->version, 0);
     Envelopes out;
     {
         const MutexLock lock(m_mutex);
--- a/src/daemon/MemberPlugin.h
+++ b/src/daemon/MemberPlugin.h
@@ -22,6 +22,7 @@
 struct PeerSnapshot;
 }
 namespace coriandergate::proxy {
+class SnapshotHolder;
 struct ProxyContext;
 }
 namespace coriandergate::rpc {
@@ -58,6 +59,7 @@
     std::shared_ptr<member::TargetRegistry> m_targets;
     std::shared_ptr<member::PeerTable> m_peers;
     std::shared_ptr<DrainState> m_drainState;
+    std::shared_ptr<proxy::SnapshotHolder> m_snapshots;
     std::shared_ptr<rpc::RpcClient> m_calls;
     std::shared_ptr<ExchangeInbox> m_inbox;
     std::unique_ptr<QUdpSocket> m_socket;
--- a/src/member/GossipNode.cpp
+++ b/src/member/GossipNode.cpp
@@ -5,7 +5,6 @@
 #include "member/MemberProfile.h"
 
 #include <algorithm>
-#include <bit>
 #include <cmath>
 #include <utility>
 
@@ -15,8 +14,6 @@
 
     constexpr std::uint32_t maximumDoubts = 4;
     constexpr std::uint32_t isolationIntervals = 3;
-    constexpr std::size_t membersPerBucket = 6;
-    constexpr std::size_t maximumBuckets = 512;
     constexpr std::size_t maximumPull = 150;
     constexpr std::size_t maximumPush = 200;
     constexpr std::size_t maximumWanted = 8192;
@@ -29,18 +26,6 @@
     constexpr std::chrono::seconds forgetInterval { 5 };
     constexpr std::chrono::seconds queueTime { 20 };
 
-    auto bucketOf(const std::string& address, std::size_t count) -> std::size_t { return hashOf(address) % count; }
-
-    auto digestOf(const MemberUpdate& belief) -> std::uint32_t
-    {
-        auto digest = hashOf(belief.address, belief.generation);
-        digest ^= hashOf(belief.address, (std::uint64_t { belief.refutation } << 32) + belief.profileVersion);
-        // A suspicion passes or becomes a death by itself, so it makes no difference worth an exchange.
-        if (belief.state >= MemberState::Leaving)
-            digest = ~digest;
-        return static_cast<std::uint32_t>(digest);
-    }
-
     auto withoutProfile(MemberUpdate belief) -> MemberUpdate
     {
         belief.profile = nullptr;
@@ -266,8 +251,8 @@
         return;
     ++m_counters.exchanges;
     m_exchangedBytes = 0;
-    const auto hashes = bucketHashes(bucketCount());
-    send(peer, ExchangeDigest { hashes }, out);
+    const auto bucketCount = internal::TableDigest::bucketCountFor(m_table.size());
+    send(peer, ExchangeDigest { digest(bucketCount).hashes() }, out);
 }
 
 auto GossipNode::exchangePeer(MonotonicTime now) -> std::string
@@ -519,16 +504,14 @@
         m_queue.push(belief.address, true, now);
 }
 
-auto GossipNode::answerDigest(const ExchangeDigest& digest, const std::string& sender, Envelopes& out) -> void
+auto GossipNode::answerDigest(const ExchangeDigest& received, const std::string& sender, Envelopes& out) -> void
 {
-    const auto count = digest.bucketHashes.size();
-    const auto own = bucketHashes(count);
+    const auto own = digest(received.bucketHashes.size());
     auto message = makeMessage(ExchangeVersions {});
     std::size_t bytes = messageOverheadBytes;
     const auto add = [&](const MemberUpdate& belief) {
-        const auto bucket = bucketOf(belief.address, count);
         const auto size = encodedBytes(withoutProfile(belief));
-        if (own[bucket] == digest.bucketHashes[bucket] || bytes + size > m_options.exchangeBytes)
+        if (!own.differsAt(belief.address, received.bucketHashes) || bytes + size > m_options.exchangeBytes)
             return;
         bytes += size;
         message.updates.push_back(withoutProfile(belief));
@@ -606,18 +589,13 @@
     scheduleExchange(now, true);
 }
 
-auto GossipNode::bucketCount() const -> std::size_t
-{
-    return std::clamp<std::size_t>(std::bit_ceil(m_table.size() / membersPerBucket + 1), 1, maximumBuckets);
-}
-
-auto GossipNode::bucketHashes(std::size_t count) const -> std::vector<std::uint32_t>
+auto GossipNode::digest(std::size_t bucketCount) const -> internal::TableDigest
 {
-    std::vector<std::uint32_t> hashes(count);
-    hashes[bucketOf(m_self.address, count)] += digestOf(m_self);
+    internal::TableDigest digest(bucketCount);
+    digest.add(m_self);
     for (const auto& member : m_table.members())
-        hashes[bucketOf(member.belief.address, count)] += digestOf(member.belief);
-    return hashes;
+        digest.add(member.belief);
+    return digest;
 }
 
 auto GossipNode::makeMessage(GossipBody body) const -> GossipMessage
--- a/src/member/GossipNode.h
+++ b/src/member/GossipNode.h
@@ -22,6 +22,7 @@
 #include "member/Member.h"
 #include "member/RemoteTarget.h"
 #include "member/internal/MemberTable.h"
+#include "member/internal/TableDigest.h"
 #include "member/internal/UpdateQueue.h"
 
 #include <chrono>
@@ -161,15 +162,14 @@
     auto declareDead(Member& member, MonotonicTime now) -> void;
     auto refute(MonotonicTime now) -> void;
 
-    auto answerDigest(const ExchangeDigest& digest, const std::string& sender, Envelopes& out) -> void;
+    auto answerDigest(const ExchangeDigest& received, const std::string& sender, Envelopes& out) -> void;
     auto takeVersions(const GossipMessage& message, MonotonicTime now, Envelopes& out) -> void;
     auto answerPull(const ExchangePull& pull, const std::string& sender, Envelopes& out) -> void;
     auto takeProfiles(const GossipMessage& message, MonotonicTime now, Envelopes& out) -> void;
     auto pullNext(const std::string& from, std::vector<MemberUpdate> push, Envelopes& out) -> void;
     auto scheduleExchange(MonotonicTime now, bool foundDifference) -> void;
     [[nodiscard]] auto exchangePeer(MonotonicTime now) -> std::string;
-    [[nodiscard]] auto bucketHashes(std::size_t count) const -> std::vector<std::uint32_t>;
-    [[nodiscard]] auto bucketCount() const -> std::size_t;
+    [[nodiscard]] auto digest(std::size_t bucketCount) const -> internal::TableDigest;
 
     [[nodiscard]] auto makeMessage(GossipBody body) const -> GossipMessage;
     auto send(const std::string& to, GossipBody body, Envelopes& out) -> void;
--- /dev/null
+++ b/src/member/internal/TableDigest.cpp
@@ -0,0 +1,45 @@
+#include "member/internal/TableDigest.h"
+
+#include "base/Hash.h"
+#include "member/MemberUpdate.h"
+
+#include <algorithm>
+#include <bit>
+
+namespace coriandergate::member::internal {
+
+namespace {
+
+    constexpr std::size_t membersPerBucket = 6;
+    constexpr std::size_t maximumBuckets = 512;
+
+    auto digestOf(const MemberUpdate& belief) -> std::uint32_t
+    {
+        auto digest = hashOf(belief.address, belief.generation);
+        digest ^= hashOf(belief.address, (std::uint64_t { belief.refutation } << 32) + belief.profileVersion);
+        if (belief.state >= MemberState::Leaving)
+            digest = ~digest;
+        return static_cast<std::uint32_t>(digest);
+    }
+
+}
+
+auto TableDigest::bucketCountFor(std::size_t members) -> std::size_t
+{
+    return std::clamp<std::size_t>(std::bit_ceil(members / membersPerBucket + 1), 1, maximumBuckets);
+}
+
+auto TableDigest::add(const MemberUpdate& belief) -> void { m_hashes[bucketOf(belief.address)] += digestOf(belief); }
+
+auto TableDigest::differsAt(const std::string& address, std::span<const std::uint32_t> others) const -> bool
+{
+    const auto bucket = bucketOf(address);
+    return m_hashes[bucket] != others[bucket];
+}
+
+auto TableDigest::bucketOf(const std::string& address) const -> std::size_t
+{
+    return hashOf(address) % m_hashes.size();
+}
+
+} // namespace coriandergate::member::internal
