--- a/src/balance/TargetChooser_test.cpp
+++ b/src/balance/TargetChooser_test.cpp
@@ -18,7 +18,7 @@
 
 auto describe(int number, const Locality& locality, MonotonicTime startedAt = {}) -> TargetDescription
 {
-    return { std::to_string(number), "owner", locality, 6, startedAt, false };
+    return { std::to_string(number), { "owner", 1 }, locality, 6, startedAt, false };
 }
 
 // shares() counts which targets a thousand choices fall on.
--- a/src/balance/TargetDescription.h
+++ b/src/balance/TargetDescription.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "base/Clock.h"
+#include "base/DaemonIdentity.h"
 #include "base/Locality.h"
 
 #include <string>
@@ -11,7 +12,7 @@
 // TargetDescription is a value, taken from announcements.
 struct TargetDescription {
     std::string address; // of the target, host:port
-    std::string owner; // peer address of the daemon beside it
+    DaemonIdentity owner; // the daemon beside it
     Locality locality;
     int slots = 1;
     MonotonicTime startedAt; // when it was first heard of, for its warm-up
--- a/src/daemon/BalancePlugin.cpp
+++ b/src/daemon/BalancePlugin.cpp
@@ -4,6 +4,7 @@
 #include "daemon/BalancedTargetChooser.h"
 #include "kernel/Kernel.h"
 #include "kernel/PluginRegistration.h"
+#include "member/PeerTable.h"
 #include "proxy/ProxyContext.h"
 #include "settings/SettingDefinition.h"
 #include "settings/Settings.h"
@@ -35,7 +36,7 @@
     balance::PowerOfTwo policy;
     policy.warmUp = kernel.find<settings::Settings>()->duration("warm-up-ms");
     m_chooser = std::make_shared<BalancedTargetChooser>(
-        *context, balance::TargetChooser::Options { context->locality, policy });
+        *context, kernel.find<member::PeerTable>(), balance::TargetChooser::Options { context->locality, policy });
     context->targetChooser = m_chooser;
     m_timer = std::make_unique<QTimer>();
     QObject::connect(m_timer.get(), &QTimer::timeout, m_timer.get(), [this] { m_chooser->refresh(monotonicNow()); });
--- a/src/daemon/BalancedTargetChooser.cpp
+++ b/src/daemon/BalancedTargetChooser.cpp
@@ -1,6 +1,7 @@
 #include "daemon/BalancedTargetChooser.h"
 
 #include "config/Snapshot.h"
+#include "member/PeerTable.h"
 #include "member/TargetRegistry.h"
 #include "proxy/AttemptObserver.h"
 #include "proxy/ProxyContext.h"
@@ -27,9 +28,11 @@
 
 } // namespace
 
-BalancedTargetChooser::BalancedTargetChooser(
-    const proxy::ProxyContext& context, const balance::TargetChooser::Options& options)
+BalancedTargetChooser::BalancedTargetChooser(const proxy::ProxyContext& context,
+    std::shared_ptr<member::PeerTable> peers, const balance::TargetChooser::Options& options)
     : m_context(context)
+    , m_peers(std::move(peers))
+    , m_paths({})
     , m_chooser(options)
 {
 }
@@ -37,15 +40,14 @@
 auto BalancedTargetChooser::choose(std::string_view service, std::span<const std::string> excluded, MonotonicTime now)
     -> std::optional<proxy::TargetChoice>
 {
-    if (m_version.load() != m_context.targets->version())
-        takeOverTargets(now);
+    takeOverTargets(now);
     const std::vector<std::string_view> without(excluded.begin(), excluded.end());
     const auto candidate = m_chooser.choose(service, without, drawRandom(), now);
     if (!candidate)
         return std::nullopt;
     candidate->start();
     const auto& description = candidate->description();
-    return proxy::TargetChoice { std::string(service), description.address, m_context.self, description.locality,
+    return proxy::TargetChoice { std::string(service), description.address, description.owner, description.locality,
         note(candidate, now) };
 }
 
@@ -63,6 +65,7 @@
         candidate->finish(std::max<std::chrono::microseconds>(total, failurePenalty), now);
     else
         candidate->abandon();
+    notePath(candidate->description(), report, now);
     if (!report.owner)
         return;
     // Refused although the target was tried: nobody listens there.
@@ -79,42 +82,83 @@
     candidate->applyLoad(load, sentAt, now);
 }
 
+// What the owner does not account for was spent on the way to it. A path is judged from here, for this daemon only.
+auto BalancedTargetChooser::notePath(
+    const balance::TargetDescription& target, const proxy::AttemptReport& report, MonotonicTime now) -> void
+{
+    if (target.owner == m_context.self)
+        return;
+    if (report.result == proxy::AttemptReport::Result::Unreachable)
+        m_paths.observeLoss(target.owner.address, now);
+    if (report.result != proxy::AttemptReport::Result::Answered || !report.owner)
+        return;
+    const auto path = report.totalTime - report.owner->serviceTime - report.owner->queueTime;
+    m_paths.observe(
+        target.owner.address, target.locality, std::chrono::duration_cast<std::chrono::microseconds>(path), now);
+}
+
 auto BalancedTargetChooser::refresh(MonotonicTime now) -> void
 {
     takeOverTargets(now);
     const MutexLock lock(m_mutex);
-    for (const auto& service : m_services)
-        for (const auto& candidate : m_chooser.candidates(service))
-            if (m_context.observer && m_context.observer->isEjected(service, candidate->description().address, now))
+    for (const auto& service : m_services) {
+        for (const auto& candidate : m_chooser.candidates(service)) {
+            const auto& target = candidate->description();
+            const auto isLocal = target.owner == m_context.self;
+            const auto isOut = isLocal
+                ? m_context.observer && m_context.observer->isEjected(service, target.address, now)
+                : m_paths.isAvoided(target.owner.address, now);
+            if (isOut)
                 candidate->setAvoidedUntil(now + ejectionMemory);
+        }
+    }
     m_chooser.refresh(now);
 }
 
+auto BalancedTargetChooser::presentVersions() const -> Versions
+{
+    return { m_context.targets->version(), m_peers->current()->version };
+}
+
 auto BalancedTargetChooser::takeOverTargets(MonotonicTime now) -> void
 {
+    const auto versions = presentVersions();
     const MutexLock lock(m_mutex);
-    const auto snapshot = m_context.targets->snapshot(now);
-    if (m_version.exchange(snapshot.version) == snapshot.version)
+    if (m_versions == versions)
         return;
-    std::map<std::string, std::vector<balance::TargetDescription>> targets;
-    std::unordered_map<std::string, MonotonicTime> startedAt;
+    m_versions = versions;
+    auto targets = describeAll(now);
     for (const auto& service : m_services)
-        targets[service] = {};
-    for (const auto& target : snapshot.targets) {
-        const auto& announcement = target.announcement;
-        const auto known = m_startedAt.find(announcement.address);
-        const auto started = known != m_startedAt.end() ? known->second : now;
-        startedAt[announcement.address] = started;
-        targets[announcement.service].push_back({ announcement.address, m_context.self.address, m_context.locality,
-            static_cast<int>(announcement.slots), started, target.state == member::TargetState::Draining });
-    }
-    m_startedAt = std::move(startedAt);
+        targets.try_emplace(service);
+    std::unordered_map<std::string, MonotonicTime> startedAt;
     const auto configuration = m_context.snapshot();
-    for (const auto& [service, descriptions] : targets) {
+    for (auto& [service, descriptions] : targets) {
+        for (auto& description : descriptions) {
+            const auto known = m_startedAt.find(description.address);
+            description.startedAt = known != m_startedAt.end() ? known->second : now;
+            startedAt[description.address] = description.startedAt;
+        }
         const auto* declared = configuration ? configuration->service(service) : nullptr;
         m_services.insert(service);
         m_chooser.setTargets(service, descriptions, declared ? declared->healthyFloor : undeclaredFloor, now);
     }
+    m_startedAt = std::move(startedAt);
+}
+
+auto BalancedTargetChooser::describeAll(MonotonicTime now) const -> Descriptions
+{
+    Descriptions targets;
+    for (const auto& target : m_context.targets->snapshot(now).targets) {
+        const auto& announcement = target.announcement;
+        targets[announcement.service].push_back({ announcement.address, m_context.self, m_context.locality,
+            static_cast<int>(announcement.slots), now, target.state == member::TargetState::Draining });
+    }
+    const auto peers = m_peers->current();
+    for (const auto& [service, locations] : peers->targets)
+        for (const auto& location : locations)
+            targets[service].push_back(
+                { location.address, location.owner, location.locality, static_cast<int>(location.slots), now, false });
+    return targets;
 }
 
 auto BalancedTargetChooser::note(balance::CandidatePointer candidate, MonotonicTime now) -> std::uint64_t
