--- a/src/proxy/EntryRequest.cpp
+++ b/src/proxy/EntryRequest.cpp
@@ -7,14 +7,17 @@
 #include "http/Exchange.h"
 #include "http/WorkerPool.h"
 #include "log/Event.h"
+#include "member/TargetRegistry.h"
 #include "proxy/ForwardCodec.h"
 #include "proxy/KeyCarrier.h"
+#include "proxy/OnceGate.h"
 #include "proxy/PoisonGate.h"
 #include "proxy/ProxyContext.h"
 #include "proxy/ProxyHeaders.h"
 #include "proxy/RequestId.h"
 #include "proxy/RetryGate.h"
 #include "proxy/TargetChooser.h"
+#include "status/ServiceBoard.h"
 
 #include <algorithm>
 #include <utility>
@@ -198,7 +201,7 @@
 auto EntryRequest::acquireRate() -> void
 {
     if (!m_context->rateGate || m_request.clientAccount.empty()) {
-        beginOnce();
+        attempt();
         return;
     }
     m_context->rateGate->acquire(m_request, monotonicNow(), [self = shared_from_this()](RateDecision decision) {
@@ -209,40 +212,16 @@
             }
             self->m_useBy = std::get<RateGranted>(decision).useBy;
             if (!self->isOver())
-                self->beginOnce();
+                self->attempt();
         });
     });
 }
 
-auto EntryRequest::beginOnce() -> void
+auto EntryRequest::makeOnceLabel() const -> std::string
 {
     const bool needsPermit = m_request.route.repeatPolicy == config::RepeatPolicy::OnceOnly
         && !m_request.idempotencyKey.empty() && m_context->onceGate;
-    if (!needsPermit) {
-        attempt();
-        return;
-    }
-    m_context->onceGate->begin(m_request, monotonicNow(), [self = shared_from_this()](OnceDecision decision) {
-        self->m_context->runOn(self->m_request.worker,
-            [self, decision = std::move(decision)]() mutable { self->onOnceDecision(std::move(decision)); });
-    });
-}
-
-auto EntryRequest::onOnceDecision(OnceDecision decision) -> void
-{
-    if (auto* permit = std::get_if<RunPermit>(&decision)) {
-        m_permit = std::move(*permit);
-        if (isOver())
-            settle(Outcome::NotRun, nullptr);
-        else
-            attempt();
-        return;
-    }
-    if (auto* kept = std::get_if<KeptAnswer>(&decision)) {
-        answer(std::move(kept->answer));
-        return;
-    }
-    refuse(std::get<Refusal>(decision));
+    return needsPermit ? m_context->onceGate->label(m_request) : std::string();
 }
 
 auto EntryRequest::attempt() -> void
@@ -255,12 +234,15 @@
     if (m_tried.empty() && m_context->retryGate)
         m_context->retryGate->began(m_request, now);
     m_choice = m_context->targetChooser->choose(m_request.route.service, m_tried, now);
+    if (!m_choice)
+        m_choice = chooseLastResort(now);
     if (!m_choice && m_lastRefusal) {
         // No other target is left: what the last one did is what the caller should know.
         refuse(*m_lastRefusal);
         return;
     }
     if (!m_choice) {
+        m_context->serviceBoard->refused(m_request.route.service, now);
         auto refused = notRun(unavailable, "choose target", m_request.route.service, "no target can take the request");
         refused.retryAfter = milliseconds(1000);
         refuse(refused);
@@ -274,7 +256,7 @@
         .clientAccount = m_request.clientAccount,
         .keyDigest = m_request.keyDigest,
         .isOnceOnly = m_request.route.repeatPolicy == config::RepeatPolicy::OnceOnly,
-        .permit = m_permit ? m_permit->token : std::string(),
+        .onceLabel = makeOnceLabel(),
         .deadline = m_request.deadline - hopMargin,
         .useBy = m_useBy,
         .maximumAnswerBytes = m_request.route.maximumAnswerBytes,
@@ -286,6 +268,17 @@
         sendToOwner(std::move(request));
 }
 
+// A caller may have been told a moment ago that the route serves; a target that has just begun to leave keeps that
+// true.
+auto EntryRequest::chooseLastResort(MonotonicTime now) const -> std::optional<TargetChoice>
+{
+    const auto target = m_context->targets->lastResort(m_request.route.service, now);
+    if (!target || std::find(m_tried.begin(), m_tried.end(), target->announcement.address) != m_tried.end())
+        return std::nullopt;
+    return TargetChoice { m_request.route.service, target->announcement.address, m_context->self, m_context->locality,
+        TargetChoice::noTicket };
+}
+
 auto EntryRequest::sendLocally(OwnerRequest request) -> void
 {
     m_ownerRun = OwnerService::start(m_context, std::move(request), [weak = weak_from_this()](OwnerResult result) {
@@ -386,6 +379,7 @@
         && (!m_context->retryGate
             || m_context->retryGate->mayRetry(m_request, refusal, static_cast<int>(m_tried.size()), now));
     if (!mayRetry) {
+        m_context->serviceBoard->refused(m_request.route.service, now);
         refuse(refusal);
         return;
     }
@@ -398,7 +392,8 @@
     if (!m_choice)
         return;
     const auto now = monotonicNow();
-    m_context->targetChooser->finished(*m_choice, { result, status, now - m_attemptStartedAt, report }, now);
+    if (m_choice->ticket != TargetChoice::noTicket)
+        m_context->targetChooser->finished(*m_choice, { result, status, now - m_attemptStartedAt, report }, now);
     m_ownerRun = nullptr;
 }
 
@@ -406,7 +401,9 @@
 {
     if (std::exchange(m_isOver, true))
         return;
-    settle(Outcome::Ran, &answer);
+    if (m_choice)
+        m_context->serviceBoard->answered(m_request.route.service, monotonicNow());
+    settle(Outcome::Ran);
     http::removeHopByHop(answer.headers);
     answer.headers.replace(headers::requestId, m_request.id);
     answer.headers.add(headers::outcome, outcomeText(Outcome::Ran));
@@ -422,19 +419,16 @@
     // An attempt before the last one may have run, whatever became of the last.
     if (m_mayHaveRun && truthful.outcome == Outcome::NotRun)
         truthful.outcome = Outcome::MayHaveRun;
-    settle(truthful.outcome, nullptr);
+    settle(truthful.outcome);
     logEnd(truthful.status, truthful.outcome, truthful.error.toText());
     m_exchange->answer(refusalAnswer(truthful, m_request.id));
 }
 
-auto EntryRequest::settle(Outcome outcome, const http::Answer* answer) -> void
+auto EntryRequest::settle(Outcome outcome) -> void
 {
     const auto now = monotonicNow();
-    if (m_permit)
-        m_context->onceGate->finish(m_request, *m_permit, outcome, answer, now);
-    m_permit.reset();
     if (m_context->poisonGate)
-        m_context->poisonGate->finished(m_request, now);
+        m_context->poisonGate->finished(m_request, outcome, now);
 }
 
 auto EntryRequest::onAbandoned() -> void
@@ -448,7 +442,7 @@
     if (isUnderWay)
         reportAttempt(AttemptReport::Result::Cancelled, 0, std::nullopt);
     const auto outcome = isUnderWay ? Outcome::MayHaveRun : Outcome::NotRun;
-    settle(outcome, nullptr);
+    settle(outcome);
     logEnd(callerLeft, outcome, "the caller left");
 }
 
