--- a/src/seat/SeatAuthority.cpp
+++ b/src/seat/SeatAuthority.cpp
@@ -38,7 +38,7 @@
     std::uint32_t number, const SeatAssignment& assignment, MonotonicTime now, Messages& messages) -> void
 {
     const auto rank = assignment.rankOf(m_self);
-    Seat next { assignment, rank.value_or(0), Phase::Waiting, {}, {}, 0, {}, {}, {} };
+    Seat next { assignment, rank.value_or(0), rank == 0U && assignment.former.empty() };
     if (const auto found = m_seats.find(number); found != m_seats.end()) {
         auto& existing = found->second;
         if (existing.assignment.epoch == assignment.epoch) {
@@ -116,7 +116,7 @@
     if (static_cast<std::size_t>(ended) >= majorityOf(seat.assignment.guards.size()))
         seat.phase = Phase::Stopped;
     if (!seat.tenure && leaseEnd(seat))
-        seat.tenure = SeatTenure { renewal.term, now, *leaseEnd(seat) };
+        seat.tenure = SeatTenure { renewal.term, now, *leaseEnd(seat), seat.isFirst };
 }
 
 auto SeatAuthority::handle(const Promise& promise, MonotonicTime now) -> void
@@ -145,7 +145,7 @@
         end = std::max(end.value_or(*seat.carriedEnd), *seat.carriedEnd);
     if (!end || now >= *end || !seat.tenure)
         return std::nullopt;
-    return SeatTenure { seat.tenure->term, seat.tenure->since, *end };
+    return SeatTenure { seat.tenure->term, seat.tenure->since, *end, seat.tenure->isFirst };
 }
 
 auto SeatAuthority::releaseAll(MonotonicTime) -> std::vector<SeatMessage>
--- a/src/share/ShareHolder.cpp
+++ b/src/share/ShareHolder.cpp
@@ -281,7 +281,10 @@
 auto ShareHolder::noteUnanswered(Account& account, const AskInFlight& ask, MonotonicTime now) const -> void
 {
     m_directory.reject(ask.seat, ask.to);
-    account.splits[ask.split] = { now + unansweredPause, false, m_options.askTimeout };
+    auto& split = account.splits[ask.split];
+    split.closedUntil = now + unansweredPause;
+    split.isExhausted = false;
+    split.roundTrip = m_options.askTimeout;
 }
 
 auto ShareHolder::takeGrant(Account& account, const AskInFlight& ask, const ShareGrantItem& item, MonotonicTime now,
@@ -298,6 +301,7 @@
             account.lots.push_back(lot);
     }
     account.splits[ask.split].roundTrip = now - ask.sentAt;
+    account.splits[ask.split].answeredAt = now;
     serve(account, now, settled);
     if (item.delays.size() >= ask.needed)
         return;
@@ -324,8 +328,11 @@
 {
     const auto overdue = std::find_if(
         account.waiters.begin(), account.waiters.end(), [now](const auto& waiter) { return now < waiter.until; });
+    // A token that came too late, or was asked for at a home that has been heard, speaks for the limit.
+    const auto hasAnswered = std::any_of(account.splits.begin(), account.splits.end(),
+        [this, now](const auto& split) { return now < split.answeredAt + m_options.maximumWait; });
     for (auto waiter = account.waiters.begin(); waiter != overdue; ++waiter)
-        settled.push_back({ waiter->ticket, ShareRefused { m_options.maximumWait } });
+        settled.push_back({ waiter->ticket, ShareRefused { m_options.maximumWait, hasAnswered } });
     account.waiters.erase(account.waiters.begin(), overdue);
 }
 
