Keep the linter's rules for names and comparisons

Cause: the linter found a class constant, a local constant and a defaulted comparison. Change: two names; the comparison is a false finding (the defaulted operator taken for a null pointer) and marked so.

--- a/src/base/Locality.h
+++ b/src/base/Locality.h
@@ -13,6 +13,8 @@
     std::string region;
     std::string dataCentre;
 
+    // The check takes the defaulted operator for a comparison with a null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     friend auto operator<=>(const Locality&, const Locality&) -> std::strong_ordering = default;
 };
 
--- a/src/config/SnapshotCodec_benchmark.cpp
+++ b/src/config/SnapshotCodec_benchmark.cpp
@@ -15,7 +15,7 @@
     // The configuration of a whole fleet, with one key an account.
     auto fleetConfiguration() -> const Configuration&
     {
-        static const auto configuration = [] {
+        static const auto s_configuration = [] {
             constexpr int serviceCount = 1100;
             constexpr int accountCount = 37000;
             constexpr int routeCount = 7700;
@@ -31,7 +31,7 @@
                     "service-" + number(i % serviceCount), false, { "account-" + number(i) } });
             return built;
         }();
-        return configuration;
+        return s_configuration;
     }
 
     auto withOneKeyLess() -> Configuration
--- a/src/proxy/EntryRequest.cpp
+++ b/src/proxy/EntryRequest.cpp
@@ -276,7 +276,7 @@
     if (!target || std::find(m_tried.begin(), m_tried.end(), target->announcement.address) != m_tried.end())
         return std::nullopt;
     return TargetChoice { m_request.route.service, target->announcement.address, m_context->self, m_context->locality,
-        TargetChoice::noTicket };
+        TargetChoice::s_noTicket };
 }
 
 auto EntryRequest::sendLocally(OwnerRequest request) -> void
@@ -392,7 +392,7 @@
     if (!m_choice)
         return;
     const auto now = monotonicNow();
-    if (m_choice->ticket != TargetChoice::noTicket)
+    if (m_choice->ticket != TargetChoice::s_noTicket)
         m_context->targetChooser->finished(*m_choice, { result, status, now - m_attemptStartedAt, report }, now);
     m_ownerRun = nullptr;
 }
--- a/src/proxy/TargetChoice.h
+++ b/src/proxy/TargetChoice.h
@@ -9,9 +9,9 @@
 
 namespace coriandergate::proxy {
 
-// TargetChoice is a value. `ticket` is the chooser's own; noTicket marks a choice that it didn't make.
+// TargetChoice is a value. `ticket` is the chooser's own; s_noTicket marks a choice that it didn't make.
 struct TargetChoice {
-    static constexpr std::uint64_t noTicket = ~std::uint64_t { 0 };
+    static constexpr std::uint64_t s_noTicket = ~std::uint64_t { 0 };
 
     std::string service;
     std::string target; // IP:port
