Leave the choice among the fleet's targets to the balanced chooser

Cause: the balanced chooser now knows the targets behind other daemons and takes the place of FleetTargetChooser at every start.

Change: FleetTargetChooser is removed.

Conclusion: a caller of one daemon is served by a target of another through the balanced chooser.

--- a/src/daemon/MemberPlugin.cpp
+++ b/src/daemon/MemberPlugin.cpp
@@ -4,7 +4,6 @@
 #include "config/Snapshot.h"
 #include "daemon/DrainState.h"
 #include "daemon/ExchangeInbox.h"
-#include "daemon/FleetTargetChooser.h"
 #include "kernel/Kernel.h"
 #include "kernel/PluginRegistration.h"
 #include "log/Event.h"
@@ -157,7 +156,6 @@
     if (!bind(settings->text("peer-listen"), reason))
         return false;
     kernel.provide(m_peers);
-    context->targetChooser = std::make_shared<FleetTargetChooser>(m_targets, m_peers, context->self, context->locality);
     kernel.find<rpc::RpcRegistry>()->add(exchangeMethod,
         [this](const nlohmann::json& parameters, Error& why) { return answerExchange(parameters, why); });
     m_timer = std::make_unique<QTimer>();
