--- a/src/daemon/SeatService.cpp
+++ b/src/daemon/SeatService.cpp
@@ -49,7 +49,6 @@
     constexpr milliseconds maintainInterval { 500 };
     constexpr milliseconds messageTimeout { 1000 };
     constexpr milliseconds mapTimeout { 2000 };
-    constexpr milliseconds settleTime { 1500 }; // in which a new daemon learns of others before it plans a first map
     constexpr auto messagesMethod = "seat.messages";
     constexpr auto mapMethod = "seat.map";
     constexpr auto startedMethod = "seat.started";
@@ -93,8 +92,6 @@
     const auto settings = kernel.find<settings::Settings>();
     m_plannerOptions.seatCount = static_cast<std::size_t>(settings->integer("seat-count"));
     openStore(kernel, *settings);
-    const auto mustMeetFirst = !m_hasSharedStore && !settings->list("peers").empty();
-    m_planFrom = monotonicNow() + (mustMeetFirst ? settleTime : milliseconds::zero());
     addMetrics(kernel);
 }
 
@@ -235,7 +232,8 @@
     m_ledger->adopt(map, now);
     m_directory->adopt(map);
     send(m_authority->adopt(map, now));
-    m_peers->raiseVersions(0, map.epoch);
+    if (m_hasSharedStore)
+        m_peers->raiseVersions(0, map.epoch);
     std::vector<std::string> addresses;
     for (const auto& daemon : unknownDaemons(map))
         addresses.push_back(daemon.address);
@@ -248,7 +246,7 @@
 {
     const auto peers = m_peers->current();
     const auto epoch = m_directory->map().epoch;
-    if (peers->seatEpoch <= epoch)
+    if (!m_hasSharedStore || peers->seatEpoch <= epoch)
         return;
     std::vector<std::string> alive;
     for (const auto& peer : peers->peers) {
@@ -277,7 +275,7 @@
 auto SeatService::maintain() -> void
 {
     fetchMap();
-    if (!isPlanner() || monotonicNow() < m_planFrom)
+    if (!isPlanner())
         return;
     askStarted();
     readRow();
@@ -417,6 +415,9 @@
 auto SeatService::liveDaemons() const -> std::vector<seat::DaemonStatement>
 {
     std::vector<seat::DaemonStatement> live { { m_self, m_locality, false } };
+    // Without a common store nothing can be agreed: each daemon counts for itself alone.
+    if (!m_hasSharedStore)
+        return live;
     for (const auto& peer : m_peers->current()->peers) {
         if (peer.state != member::MemberState::Dead)
             live.push_back({ peer.identity, peer.locality, peer.state == member::MemberState::Leaving });
--- a/src/daemon/SeatService.h
+++ b/src/daemon/SeatService.h
@@ -104,7 +104,6 @@
     std::shared_ptr<seat::SeatDirectory> m_directory;
     std::shared_ptr<store::TableService> m_store;
     bool m_hasSharedStore = false;
-    MonotonicTime m_planFrom; // after the other daemons have been met
     MonotonicTime m_nextMaintain;
     std::vector<std::uint32_t> m_heldSeats;
     prometheus::Gauge* m_heldGauge = nullptr;
