--- a/src/testing/Application.cpp
+++ b/src/testing/Application.cpp
@@ -8,10 +8,10 @@
 {
     if (QCoreApplication::instance() != nullptr)
         return;
-    static int argumentCount = 1;
-    static char name[] = "coriandergate_tests";
-    static char* arguments[] = { name, nullptr };
-    static QCoreApplication application(argumentCount, arguments);
+    static int s_argumentCount = 1;
+    static char s_name[] = "coriandergate_tests";
+    static char* s_arguments[] = { s_name, nullptr };
+    static QCoreApplication s_application(s_argumentCount, s_arguments);
 }
 
 } // namespace coriandergate::testing
