--- a/tools/coriandergate-measure-path/main.cpp
+++ b/tools/coriandergate-measure-path/main.cpp
@@ -33,6 +33,7 @@
   --rounds=<number>     Slices for each way [default: 5].
   --service-time=<ms>   Of the target [default: 0].
   --workers=<number>    Threads of each daemon [default: 2].
+  --open                On an open route: without key, rate and share of the account.
 )";
 
 constexpr milliseconds patience { 15000 };
@@ -43,6 +44,7 @@
   - { name: bench, ratePerSecond: 100000, burst: 100000, keyDigests: [e229ec1be2faa7a5dec6aad7aff1591e1e9b1683ed3f08cce11be9bd06dd2c67] }
 routes:
   - { name: bench, pathPrefix: /, service: bench, repeatPolicy: idempotent }
+  - { name: bench-open, pathPrefix: /open, service: bench, isOpen: true, repeatPolicy: idempotent }
 )";
 
 // One started program, or the end of this one with its output.
@@ -83,14 +85,15 @@
         "--peers=" + peers, "--declaration=" + file, "--log-level=0", "--workers=" + workers };
 }
 
-auto makeOptions(const std::string& peer, double rate, double seconds, std::uint64_t seed) -> load::OpenLoop::Options
+auto makeOptions(const std::string& peer, const std::string& path, double rate, double seconds, std::uint64_t seed)
+    -> load::OpenLoop::Options
 {
     load::OpenLoop::Options options;
     options.peer = peer;
     options.requestsPerSecond = rate;
     options.duration = milliseconds(static_cast<std::int64_t>(seconds * 1000));
     options.seed = seed;
-    options.request.target = "/";
+    options.request.target = path;
     options.request.headers.add("Host", "bench");
     options.request.headers.add("X-Api-Key", "demo-key");
     return options;
@@ -112,10 +115,10 @@
 };
 
 // Sends until the whole path answers, so that start-up isn't measured.
-auto warmUp(const std::string& address) -> bool
+auto warmUp(const std::string& address, const std::string& path) -> bool
 {
     for (int tries = 0; tries < 60; ++tries) {
-        load::OpenLoop loop(makeOptions(address, 100, 0.2, 1));
+        load::OpenLoop loop(makeOptions(address, path, 100, 0.2, 1));
         const auto report = loop.run();
         const auto ended = report.endings().find("200 ran");
         if (ended != report.endings().end() && ended->second == report.requests())
@@ -145,6 +148,7 @@
     const auto rounds = std::stoul(arguments["--rounds"].asString());
     const auto workers = arguments["--workers"].asString();
 
+    const std::string path = arguments["--open"].asBool() ? "/open" : "/";
     QTemporaryDir folder;
     const auto file = folder.filePath("bench.yaml").toStdString();
     std::ofstream(file) << declaration;
@@ -160,14 +164,14 @@
     std::array<Way, 3> ways { Way { "direct", line.substr(line.rfind(' ') + 1), {}, {} },
         Way { "one daemon", owner.callers, {}, {} }, Way { "entry and owner", entry.callers, {}, {} } };
     for (std::size_t i = 1; i < ways.size(); ++i) {
-        if (!warmUp(ways[i].address)) {
+        if (!warmUp(ways[i].address, path)) {
             std::cerr << "no answers through " << ways[i].name << "\n" << entryDaemon.process().output();
             return 1;
         }
     }
     for (std::size_t round = 0; round < rounds; ++round) {
         for (auto& way : ways) {
-            load::OpenLoop loop(makeOptions(way.address, rate, seconds, round + 1));
+            load::OpenLoop loop(makeOptions(way.address, path, rate, seconds, round + 1));
             const auto report = loop.run();
             way.p50.push_back(report.quantile(0.5).count());
             way.p99.push_back(report.quantile(0.99).count());
