Digest a key once a request, and drop a chooser that nobody used

Cause: the entry digested a request's key twice and looked it up on open routes too, where the account isn't used; the local chooser was replaced at every start by the balanced one before the daemon served. Change: one digest, looked up by itself, after the check for an open route; LocalTargetChooser removed.

--- a/src/daemon/CorePlugin.cpp
+++ b/src/daemon/CorePlugin.cpp
@@ -2,7 +2,6 @@
 
 #include "daemon/AdminRouter.h"
 #include "daemon/DrainState.h"
-#include "daemon/LocalTargetChooser.h"
 #include "daemon/PeerRouter.h"
 #include "daemon/Readiness.h"
 #include "http/WorkerPool.h"
@@ -86,7 +85,6 @@
     const auto& toldAddress = settings->text("peer-address");
     m_context->self = { toldAddress.empty() ? settings->text("peer-listen") : toldAddress, drawIncarnation() };
     m_context->locality = { settings->text("region"), settings->text("data-centre") };
-    m_context->targetChooser = std::make_shared<LocalTargetChooser>(m_targets, m_context->self, m_context->locality);
 
     kernel.provide(m_workers);
     kernel.provide(m_targets);
--- a/src/proxy/EntryRequest.cpp
+++ b/src/proxy/EntryRequest.cpp
@@ -122,8 +122,6 @@
     if (!key && !reason.step.empty())
         return notRun(badRequest, reason.step, "", reason.reason);
     const auto& route = m_request.route;
-    const auto snapshot = m_context->snapshot();
-    const auto* account = key ? snapshot->keys.accountForKey(*key) : nullptr;
     if (route.isOpen)
         return std::nullopt;
     if (!key)
@@ -134,12 +132,15 @@
         refused.retryAfter = milliseconds(1000);
         return refused;
     }
+    auto digest = config::digestOfKey(*key);
+    const auto snapshot = m_context->snapshot();
+    const auto* account = snapshot->keys.accountForDigest(digest);
     if (!account)
         return notRun(unauthorized, "check key", route.name, "the key is not, or no longer, valid");
     if (auto refused = checkAccount(account->name))
         return refused;
     m_request.clientAccount = account->name;
-    m_request.keyDigest = config::digestOfKey(*key);
+    m_request.keyDigest = std::move(digest);
     return std::nullopt;
 }
 
