--- a/src/config/ClientAccount.h
+++ b/src/config/ClientAccount.h
@@ -1,6 +1,7 @@
 // A client account: its keys and its limits.
 #pragma once
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -12,6 +13,8 @@
     std::vector<std::string> keyDigests; // 64 lower-case hexadecimal digits each
     double ratePerSecond = 1; // requests a second, over all hosts together
     double burst = 1; // requests
+    bool isUnlimited = false; // then neither rate nor burst holds
+    std::optional<int> priority; // goes before the route's
 
     friend auto operator==(const ClientAccount&, const ClientAccount&) -> bool = default;
 };
--- a/src/config/Configuration.h
+++ b/src/config/Configuration.h
@@ -3,6 +3,7 @@
 // A Configuration is immutable once made; readers share it by std::shared_ptr<const Configuration>.
 #pragma once
 
+#include "config/CallerLimits.h"
 #include "config/ClientAccount.h"
 #include "config/Route.h"
 #include "config/Service.h"
@@ -18,6 +19,7 @@
     std::vector<Route> routes;
     std::vector<ClientAccount> clientAccounts;
     std::vector<Service> services;
+    CallerLimits callerLimits;
 
     friend auto operator==(const Configuration&, const Configuration&) -> bool = default;
 };
--- /dev/null
+++ b/src/dispatch/AttemptBudget.h
@@ -0,0 +1,55 @@
+// Bounds how many further attempts this entry makes, so that an outage is not multiplied by repeats.
+//
+// The whole fleet has a ratio of the requests and an allowance for each window; each entry takes its part of the
+// allowance and the same ratio of its own requests, so that the parts add up to no more than the whole.
+//
+// Load pattern: many targets failing at once while callers repeat.
+//
+//   AttemptBudget budget({ .ratio = 0.2, .allowance = 64, .window = 10s });
+//   budget.recordRequest("orders", now);
+//   if (budget.take("orders", hosts, now)) ...
+#pragma once
+
+#include "base/Clock.h"
+
+#include <chrono>
+#include <deque>
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace coriandergate::dispatch {
+
+// AttemptBudget is used by one thread.
+class AttemptBudget {
+public:
+    struct Options {
+        double ratio = 0.2; // further attempts for each request
+        double allowance = 64; // further attempts in each window, of all hosts together
+        std::chrono::milliseconds window { 10000 };
+        double usedPart = 0.7; // of both: the rest covers windows that the hosts count at different times
+    };
+
+    explicit AttemptBudget(const Options& options)
+        : m_options(options)
+    {
+    }
+
+    auto recordRequest(std::string_view service, MonotonicTime now) -> void;
+
+    // take() allows one further attempt at `service`, or not. `hosts` is how many share the allowance.
+    [[nodiscard]] auto take(std::string_view service, std::size_t hosts, MonotonicTime now) -> bool;
+
+private:
+    struct Counts {
+        std::deque<MonotonicTime> requests;
+        std::deque<MonotonicTime> attempts;
+    };
+
+    auto counts(std::string_view service, MonotonicTime now) -> Counts&;
+
+    Options m_options;
+    std::map<std::string, Counts, std::less<>> m_services;
+};
+
+} // namespace coriandergate::dispatch
--- /dev/null
+++ b/src/dispatch/TargetBoard.cpp
@@ -0,0 +1,152 @@
+#include "dispatch/TargetBoard.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace coriandergate::dispatch {
+
+namespace {
+
+    // Targets of equal cost are told apart by chance, within this part of a full target.
+    constexpr double chanceWeight = 0.06;
+    // A target that can't be taken now is still better than none once everything else was tried.
+    constexpr double unusable = std::numeric_limits<double>::infinity();
+    // A failing target whose trial is due goes before others for a repeatable request, so that it can come back.
+    constexpr double trialAdvantage = 0.35;
+
+    auto mix(std::uint64_t value) -> std::uint64_t
+    {
+        value ^= value >> 33;
+        value *= 0xff51afd7ed558ccdULL;
+        value ^= value >> 33;
+        return value;
+    }
+
+} // namespace
+
+TargetBoard::TargetBoard(const Options& options)
+    : m_options(options)
+{
+}
+
+auto TargetBoard::setTargets(const std::vector<Description>& descriptions) -> void
+{
+    std::map<std::string, TargetPointer, std::less<>> byAddress;
+    m_byService.clear();
+    for (const auto& description : descriptions) {
+        const auto known = m_byAddress.find(description.address);
+        const bool isSame = known != m_byAddress.end()
+            && known->second->description.service == description.service
+            && known->second->description.incarnation == description.incarnation;
+        auto target = isSame ? known->second : std::make_shared<Target>();
+        if (!isSame)
+            target->load.slots = description.slots;
+        target->description = description;
+        byAddress[description.address] = target;
+        m_byService[description.service].push_back(std::move(target));
+    }
+    m_byAddress = std::move(byAddress);
+}
+
+auto TargetBoard::expectedFill(const Target& target, MonotonicTime now) const -> double
+{
+    const auto slots = static_cast<double>(std::max<std::size_t>(1, target.load.slots));
+    const std::chrono::duration<double> age = now - target.loadToldAt;
+    const std::chrono::duration<double> memory = m_options.loadMemory;
+    const double remembered = std::exp2(-age / memory);
+    const auto told = static_cast<double>(target.load.running + target.load.waiting);
+    const double others = told * remembered + m_options.assumedLoad * slots * (1 - remembered);
+    const auto own = static_cast<double>(target.startedSince);
+    return std::max(others + own, static_cast<double>(target.underWay)) / slots;
+}
+
+auto TargetBoard::cost(const Target& target, const Need& need, MonotonicTime now) const -> double
+{
+    if (target.description.isLeaving || now < target.avoidUntil)
+        return unusable;
+    const bool isTrial = target.isFailing && now >= target.trialAt && need.isRepeatable;
+    if (target.isFailing && !isTrial)
+        return unusable;
+    double cost = expectedFill(target, now);
+    const auto& locality = target.description.locality;
+    if (locality.region != m_options.here.region)
+        cost += m_options.otherRegionWeight * need.distanceFactor;
+    else if (locality.dataCentre != m_options.here.dataCentre)
+        cost += m_options.otherDataCentreWeight * need.distanceFactor;
+    return isTrial ? cost - trialAdvantage : cost;
+}
+
+auto TargetBoard::choose(const Need& need, MonotonicTime now, std::uint64_t random) const -> TargetPointer
+{
+    const auto found = m_byService.find(need.service);
+    if (found == m_byService.end())
+        return nullptr;
+    TargetPointer best;
+    double least = unusable;
+    std::uint64_t index = 0;
+    for (const auto& target : found->second) {
+        ++index;
+        if (std::find(need.excluded.begin(), need.excluded.end(), target->description.address) != need.excluded.end())
+            continue;
+        const auto chance = static_cast<double>(mix(random + index) >> 40) / static_cast<double>(1ULL << 24);
+        const double total = cost(*target, need, now) + chanceWeight * chance;
+        if (total < least) {
+            least = total;
+            best = target;
+        }
+    }
+    return best;
+}
+
+auto TargetBoard::start(Target& target) -> void
+{
+    ++target.underWay;
+    ++target.startedSince;
+}
+
+auto TargetBoard::finish(Target& target) -> void
+{
+    if (target.underWay > 0)
+        --target.underWay;
+    if (target.startedSince > 0)
+        --target.startedSince;
+}
+
+auto TargetBoard::recordLoad(Target& target, const TargetLoad& load, MonotonicTime now) -> void
+{
+    target.load = load;
+    target.loadToldAt = now;
+    target.startedSince = 0;
+}
+
+auto TargetBoard::recordFailing(Target& target, std::chrono::milliseconds trialIn, MonotonicTime now) -> void
+{
+    target.isFailing = true;
+    target.trialAt = now + trialIn;
+}
+
+auto TargetBoard::recordSound(Target& target) -> void { target.isFailing = false; }
+
+auto TargetBoard::recordPathFailure(Target& target, MonotonicTime now) -> void
+{
+    target.pathBackoff = target.pathBackoff.count() == 0
+        ? m_options.firstPathBackoff
+        : std::min(target.pathBackoff * 2, m_options.longestPathBackoff);
+    target.avoidUntil = std::max(target.avoidUntil, now + target.pathBackoff);
+}
+
+auto TargetBoard::recordPath(Target& target) -> void { target.pathBackoff = std::chrono::milliseconds { 0 }; }
+
+auto TargetBoard::avoid(Target& target, MonotonicTime until) -> void
+{
+    target.avoidUntil = std::max(target.avoidUntil, until);
+}
+
+auto TargetBoard::targets(std::string_view service) const -> std::vector<TargetPointer>
+{
+    const auto found = m_byService.find(service);
+    return found == m_byService.end() ? std::vector<TargetPointer> {} : found->second;
+}
+
+} // namespace coriandergate::dispatch
--- /dev/null
+++ b/src/dispatch/TargetBoard.h
@@ -0,0 +1,117 @@
+// What an entry knows of the targets of each service, and its choice among them.
+//
+// A target's cost is how full it is, as it told last and as this entry has loaded it since, and how far away it is. The
+// nearest targets serve until they are fuller than those farther away by the weight of the distance.
+//
+// Load patterns: a data centre whose callers outgrow its targets; targets slowed several times; a path to some targets
+// that is cut while others reach them; targets that refuse or fail.
+//
+//   TargetBoard board({ .here = { "saurashtra", "rajkot-a" } });
+//   board.setTargets(descriptions);
+//   if (auto* target = board.choose({ .service = "ledger" }, now, random)) {
+//       board.start(*target);
+//       ...
+//       board.finish(*target);
+//   }
+#pragma once
+
+#include "base/Clock.h"
+#include "base/Locality.h"
+#include "dispatch/TargetLoad.h"
+
+#include <chrono>
+#include <map>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace coriandergate::dispatch {
+
+// TargetBoard is used by one thread.
+class TargetBoard {
+public:
+    struct Options {
+        Locality here;
+        // Weights in parts of a full target. A hop within the region costs about a millisecond, one between regions
+        // tens of them and a share of the narrow link.
+        double otherDataCentreWeight = 0.45;
+        double otherRegionWeight = 1.1;
+        std::chrono::milliseconds loadMemory { 1000 }; // after it, half of what a target told has faded
+        double assumedLoad = 0.4; // of the slots, for a target that told nothing lately
+        std::chrono::milliseconds firstPathBackoff { 700 }; // a path that failed isn't tried for so long
+        std::chrono::milliseconds longestPathBackoff { 6000 };
+    };
+
+    // Description is a target as it is announced.
+    struct Description {
+        std::string address; // of the daemon beside it
+        std::string service;
+        Locality locality;
+        std::size_t slots = 1;
+        bool isLeaving = false;
+        std::uint64_t incarnation = 0; // of the daemon beside it
+    };
+
+    // Target is a candidate. Pointers stay valid while a caller shares them.
+    struct Target {
+        Description description;
+        TargetLoad load;
+        MonotonicTime loadToldAt;
+        std::size_t startedSince = 0; // requests of this entry that began after the load was told
+        std::size_t underWay = 0; // requests of this entry
+        MonotonicTime avoidUntil; // it refused or its path failed
+        MonotonicTime trialAt; // a failing target may be tried with a repeatable request from then on
+        bool isFailing = false;
+        std::chrono::milliseconds pathBackoff { 0 };
+    };
+    using TargetPointer = std::shared_ptr<Target>;
+
+    struct Need {
+        std::string_view service;
+        bool isRepeatable = false;
+        double distanceFactor = 1; // for answers that are costly to carry far
+        std::span<const std::string> excluded; // addresses that were tried already
+    };
+
+    explicit TargetBoard(const Options& options);
+
+    // setTargets() takes over who is announced; what is known of those that stay is kept.
+    auto setTargets(const std::vector<Description>& descriptions) -> void;
+
+    // choose() is the target with the least cost, or null. `random` breaks ties.
+    [[nodiscard]] auto choose(const Need& need, MonotonicTime now, std::uint64_t random) const -> TargetPointer;
+
+    auto start(Target& target) -> void;
+    auto finish(Target& target) -> void;
+
+    // recordLoad() takes what the daemon beside the target told with an answer or a refusal.
+    auto recordLoad(Target& target, const TargetLoad& load, MonotonicTime now) -> void;
+
+    // recordFailing() notes that the target fails and when it may be tried again; recordSound() that it works.
+    auto recordFailing(Target& target, std::chrono::milliseconds trialIn, MonotonicTime now) -> void;
+    auto recordSound(Target& target) -> void;
+
+    // recordPathFailure() notes that the daemon beside the target wasn't reached; each one in a row doubles the time
+    // for which the path isn't tried. recordPath() notes that it was reached.
+    auto recordPathFailure(Target& target, MonotonicTime now) -> void;
+    auto recordPath(Target& target) -> void;
+
+    // avoid() leaves the target out until `until`.
+    auto avoid(Target& target, MonotonicTime until) -> void;
+
+    // expectedFill() is the part of the slots of `target` that is taken; above 1 requests wait.
+    [[nodiscard]] auto expectedFill(const Target& target, MonotonicTime now) const -> double;
+
+    [[nodiscard]] auto targets(std::string_view service) const -> std::vector<TargetPointer>;
+
+private:
+    [[nodiscard]] auto cost(const Target& target, const Need& need, MonotonicTime now) const -> double;
+
+    Options m_options;
+    std::map<std::string, TargetPointer, std::less<>> m_byAddress;
+    std::map<std::string, std::vector<TargetPointer>, std::less<>> m_byService;
+};
+
+} // namespace coriandergate::dispatch
--- /dev/null
+++ b/src/dispatch/TargetLoad.h
@@ -0,0 +1,17 @@
+// How busy a target is, as the daemon beside it tells.
+#pragma once
+
+#include <cstddef>
+
+namespace coriandergate::dispatch {
+
+// TargetLoad counts requests.
+struct TargetLoad {
+    std::size_t running = 0;
+    std::size_t waiting = 0;
+    std::size_t slots = 1; // requests that the target runs at the same time
+
+    friend auto operator==(const TargetLoad&, const TargetLoad&) -> bool = default;
+};
+
+} // namespace coriandergate::dispatch
--- /dev/null
+++ b/src/fleet/HostAnnouncer.h
@@ -0,0 +1,56 @@
+// Keeps this host's row in the store as it should be, through lost answers, refusals and late writes.
+//
+// Every write names the version that it replaces, so one that takes effect late can't undo a newer one.
+//
+//   HostAnnouncer announcer(io, feed, "hosts", "10.1.0.11");
+//   announcer.announce(record, [] { acknowledgeTarget(); });
+#pragma once
+
+#include "fleet/HostRecord.h"
+#include "fleet/StoreFeed.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+#include <vector>
+
+namespace coriandergate::fleet {
+
+// HostAnnouncer is used on the thread of its io_context.
+class HostAnnouncer {
+public:
+    using Stored = std::function<void()>;
+
+    HostAnnouncer(boost::asio::io_context& io, StoreFeed& feed, std::string table, std::string key);
+
+    // announce() writes `record` unless it stands there already, and calls `stored` once it does.
+    auto announce(const HostRecord& record, Stored stored) -> void;
+
+    // retract() removes the row and calls `stored` once it is gone.
+    auto retract(Stored stored) -> void;
+
+    // isStored() says that the store has confirmed what was announced last.
+    [[nodiscard]] auto isStored() const -> bool { return m_hasConfirmed && m_confirmed == m_wanted; }
+
+    auto stop() -> void;
+
+private:
+    auto set(std::optional<std::string> wanted, Stored stored) -> void;
+    auto write() -> void;
+    auto onWritten(const std::optional<std::string>& written, StoreFeed::Result result) -> void;
+    auto confirm() -> void;
+    auto retry() -> void;
+
+    StoreFeed& m_feed;
+    std::string m_table;
+    std::string m_key;
+    boost::asio::steady_timer m_timer;
+    std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
+    std::optional<std::string> m_wanted; // nothing: no row
+    std::optional<std::string> m_confirmed;
+    std::vector<Stored> m_waiting;
+    std::uint64_t m_version = 0; // of the row, as far as known
+    bool m_hasConfirmed = false;
+    bool m_isWriting = false;
+};
+
+} // namespace coriandergate::fleet
--- /dev/null
+++ b/src/fleet/HostDirectory.cpp
@@ -0,0 +1,46 @@
+#include "fleet/HostDirectory.h"
+
+namespace coriandergate::fleet {
+
+auto HostDirectory::apply(const std::vector<StoreRow>& rows, bool isWhole) -> std::vector<Error>
+{
+    std::vector<Error> faults;
+    if (isWhole)
+        m_hosts.clear();
+    for (const auto& row : rows) {
+        if (row.isRemoved) {
+            m_hosts.erase(row.key);
+            continue;
+        }
+        Error reason;
+        if (auto record = decodeHostRecord(row.key, row.value, reason))
+            m_hosts[row.key] = std::move(*record);
+        else
+            faults.push_back(reason);
+    }
+    return faults;
+}
+
+auto HostDirectory::find(const std::string& key) const -> const HostRecord*
+{
+    const auto found = m_hosts.find(key);
+    return found == m_hosts.end() ? nullptr : &found->second;
+}
+
+auto HostDirectory::targets() const -> std::vector<dispatch::TargetBoard::Description>
+{
+    std::vector<dispatch::TargetBoard::Description> targets;
+    for (const auto& [key, record] : m_hosts) {
+        if (record.state == HostRecord::State::Empty)
+            continue;
+        targets.push_back({ .address = record.peerAddress,
+            .service = record.service,
+            .locality = record.locality,
+            .slots = record.slots,
+            .isLeaving = record.state != HostRecord::State::Serving,
+            .incarnation = record.incarnation });
+    }
+    return targets;
+}
+
+} // namespace coriandergate::fleet
--- /dev/null
+++ b/src/fleet/HostDirectory.h
@@ -0,0 +1,38 @@
+// All hosts of the fleet, from their rows in the store.
+//
+//   HostDirectory directory;
+//   for (const auto& fault : directory.apply(rows, isWhole)) log(fault);
+//   board.setTargets(directory.targets());
+#pragma once
+
+#include "base/Error.h"
+#include "dispatch/TargetBoard.h"
+#include "fleet/HostRecord.h"
+#include "fleet/StoreFeed.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace coriandergate::fleet {
+
+// HostDirectory is used by one thread.
+class HostDirectory {
+public:
+    // apply() takes changed rows, or all rows when `isWhole`; rows that can't be read are left aside and returned.
+    auto apply(const std::vector<StoreRow>& rows, bool isWhole) -> std::vector<Error>;
+
+    // size() counts the hosts, also those whose target left or whose daemon doesn't answer.
+    [[nodiscard]] auto size() const -> std::size_t { return m_hosts.size(); }
+
+    // find() is the record of the host with that key, or null.
+    [[nodiscard]] auto find(const std::string& key) const -> const HostRecord*;
+
+    // targets() are the targets that may get work.
+    [[nodiscard]] auto targets() const -> std::vector<dispatch::TargetBoard::Description>;
+
+private:
+    std::map<std::string, HostRecord> m_hosts;
+};
+
+} // namespace coriandergate::fleet
--- /dev/null
+++ b/src/fleet/LocalTarget.cpp
@@ -0,0 +1,58 @@
+#include "fleet/LocalTarget.h"
+
+#include "base/Error.h"
+
+namespace coriandergate::fleet {
+
+auto LocalTarget::receive(const Heartbeat& heartbeat, Error& reason) -> Receipt
+{
+    const auto refuse = [&](const char* why) -> Receipt {
+        reason = { "receive heartbeat", heartbeat.id, why };
+        return Receipt::Foreign;
+    };
+    if (heartbeat.service != m_service)
+        return refuse("the service isn't that of this host");
+    if (heartbeat.address != m_address)
+        return refuse("the address isn't that of this host's target");
+    auto taken = heartbeat;
+    if (m_left && m_left->startedAt == heartbeat.startedAt && m_left->id == heartbeat.id)
+        taken.isLeaving = true;
+    else if (m_left && heartbeat.startedAt < m_left->startedAt)
+        return Receipt::Stale;
+    if (m_current) {
+        const bool isSame = m_current->startedAt == heartbeat.startedAt && m_current->id == heartbeat.id;
+        if (heartbeat.startedAt < m_current->startedAt || (isSame && heartbeat.sequence <= m_current->sequence))
+            return Receipt::Stale;
+        // Leaving is never taken back within an incarnation.
+        if (isSame)
+            taken.isLeaving = taken.isLeaving || m_current->isLeaving;
+        const bool isUnchanged
+            = isSame && m_current->isLeaving == taken.isLeaving && m_current->slots == taken.slots;
+        m_current = taken;
+        return isUnchanged ? Receipt::Unchanged : Receipt::Changed;
+    }
+    m_current = taken;
+    return Receipt::Changed;
+}
+
+auto LocalTarget::leave(const std::string& id, std::uint64_t startedAt) -> bool
+{
+    if (!m_current || m_current->id != id)
+        return false;
+    if (startedAt != 0 && startedAt < m_current->startedAt)
+        return false;
+    m_current->isLeaving = true;
+    m_left = Left { id, m_current->startedAt };
+    return true;
+}
+
+auto LocalTarget::recall(const std::string& id, std::uint64_t startedAt, bool isLeaving) -> void
+{
+    if (!isLeaving || id.empty())
+        return;
+    m_left = Left { id, startedAt };
+    if (m_current && m_current->id == id && m_current->startedAt == startedAt)
+        m_current->isLeaving = true;
+}
+
+} // namespace coriandergate::fleet
--- /dev/null
+++ b/src/fleet/LocalTarget.h
@@ -0,0 +1,75 @@
+// The target beside this daemon, as its own heartbeats tell: which incarnation lives, and whether it leaves.
+//
+// Heartbeats may come late, twice, from an incarnation that has crashed, or from a writer that isn't the target at all.
+//
+//   LocalTarget target("ledger", "10.1.0.11:8363");
+//   switch (target.receive(heartbeat, reason)) { ... }
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace coriandergate {
+struct Error;
+}
+
+namespace coriandergate::fleet {
+
+// Heartbeat is what a target says of itself, checked for types only.
+struct Heartbeat {
+    std::string id;
+    std::string service;
+    std::string address;
+    std::uint64_t startedAt = 0; // milliseconds since 1970; grows from one incarnation to the next
+    std::uint64_t sequence = 0; // grows within an incarnation
+    std::size_t slots = 1;
+    bool isLeaving = false;
+};
+
+// LocalTarget is a value; used by one thread.
+class LocalTarget {
+public:
+    enum class Receipt {
+        Unchanged,
+        Changed, // the target or its state is another than before
+        Stale, // of an earlier incarnation, or overtaken
+        Foreign, // not of the target of this host
+    };
+
+    LocalTarget(std::string service, std::string address)
+        : m_service(std::move(service))
+        , m_address(std::move(address))
+    {
+    }
+
+    // receive() takes a heartbeat; `reason` says why one is Foreign.
+    [[nodiscard]] auto receive(const Heartbeat& heartbeat, Error& reason) -> Receipt;
+
+    // leave() takes a target's farewell, by its id; false when another target lives here.
+    [[nodiscard]] auto leave(const std::string& id, std::uint64_t startedAt) -> bool;
+
+    // recall() takes over what an earlier daemon of this host had told the fleet, so that a leaving target stays one.
+    auto recall(const std::string& id, std::uint64_t startedAt, bool isLeaving) -> void;
+
+    // current() is the target that lives here; nothing before the first heartbeat.
+    [[nodiscard]] auto current() const -> const std::optional<Heartbeat>& { return m_current; }
+    [[nodiscard]] auto isServing() const -> bool { return m_current && !m_current->isLeaving; }
+    [[nodiscard]] auto address() const -> const std::string& { return m_address; }
+    [[nodiscard]] auto service() const -> const std::string& { return m_service; }
+
+private:
+    // Left is an incarnation that said farewell.
+    struct Left {
+        std::string id;
+        std::uint64_t startedAt = 0;
+    };
+
+    std::string m_service;
+    std::string m_address;
+    std::optional<Heartbeat> m_current;
+    std::optional<Left> m_left;
+};
+
+} // namespace coriandergate::fleet
--- /dev/null
+++ b/src/fleet/TableFollower.cpp
@@ -0,0 +1,100 @@
+#include "fleet/TableFollower.h"
+
+#include <algorithm>
+
+namespace coriandergate::fleet {
+
+using std::chrono::milliseconds;
+
+TableFollower::TableFollower(boost::asio::io_context& io, StoreFeed& feed, const Options& options)
+    : m_feed(feed)
+    , m_options(options)
+    , m_timer(io)
+{
+}
+
+auto TableFollower::start() -> void { read(); }
+
+auto TableFollower::stop() -> void
+{
+    *m_isAlive = false;
+    m_timer.cancel();
+}
+
+auto TableFollower::read() -> void
+{
+    m_feed.read(m_options.table, [this, alive = m_isAlive](StoreFeed::Result result) {
+        if (*alive)
+            onReadDone(std::move(result));
+    });
+}
+
+auto TableFollower::follow() -> void
+{
+    const auto wait = m_needsQuickAnswer ? milliseconds { 0 } : m_options.wait;
+    m_feed.follow({ m_options.table, m_after, wait }, [this, alive = m_isAlive](StoreFeed::Result result) {
+        if (*alive)
+            onFollowDone(std::move(result));
+    });
+}
+
+auto TableFollower::onReadDone(StoreFeed::Result result) -> void
+{
+    if (const auto* failure = std::get_if<StoreFailure>(&result)) {
+        retry(*failure);
+        return;
+    }
+    m_hasRead = true;
+    take(std::get<StoreAnswer>(result), true);
+    later(milliseconds { 0 });
+}
+
+auto TableFollower::onFollowDone(StoreFeed::Result result) -> void
+{
+    if (const auto* failure = std::get_if<StoreFailure>(&result)) {
+        if (failure->kind == StoreFailure::Kind::HistoryLost)
+            m_hasRead = false;
+        retry(*failure);
+        return;
+    }
+    const auto& answer = std::get<StoreAnswer>(result);
+    take(answer, false);
+    later(answer.rows.empty() ? milliseconds { 0 } : m_options.settle);
+}
+
+auto TableFollower::take(const StoreAnswer& answer, bool isWhole) -> void
+{
+    m_retry = milliseconds { 0 };
+    m_needsQuickAnswer = false;
+    m_after = std::max(m_after, answer.newestVersion);
+    if (m_rowsChanged && (isWhole || !answer.rows.empty()))
+        m_rowsChanged(answer.rows, isWhole);
+    if (m_answered)
+        m_answered(answer);
+}
+
+auto TableFollower::retry(const StoreFailure& failure) -> void
+{
+    m_needsQuickAnswer = true;
+    if (m_failed)
+        m_failed(failure.error);
+    m_retry = m_retry.count() == 0 ? m_options.firstRetry : std::min(m_retry * 2, m_options.longestRetry);
+    // Hosts that lost the store together don't come back together.
+    std::uniform_int_distribution<milliseconds::rep> spread(m_retry.count() / 2, m_retry.count());
+    later(milliseconds(spread(m_random)));
+}
+
+auto TableFollower::later(milliseconds delay) -> void
+{
+    m_timer.expires_after(delay);
+    m_timer.async_wait([this, alive = m_isAlive](const boost::system::error_code& error) {
+        if (error || !*alive)
+            return;
+        if (m_hasRead)
+            follow();
+        else
+            read();
+    });
+}
+
+} // namespace coriandergate::fleet
--- /dev/null
+++ b/src/fleet/TableFollower.h
@@ -0,0 +1,66 @@
+// Follows one table of the store: reads it once, then waits for its changes, and reads it anew when it missed some.
+//
+//   TableFollower follower(io, feed, { .table = "hosts", .wait = 4s });
+//   follower.onRows([](const std::vector<StoreRow>& rows, bool isWhole) { ... });
+//   follower.onAnswer([&](const StoreAnswer& answer) { proof.recordAnswer(...); });
+//   follower.start();
+#pragma once
+
+#include "fleet/StoreFeed.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+#include <random>
+
+namespace coriandergate::fleet {
+
+// TableFollower is used on the thread of its io_context.
+class TableFollower {
+public:
+    struct Options {
+        std::string table;
+        std::chrono::milliseconds wait { 2000 }; // of one long poll
+        std::chrono::milliseconds settle { 120 }; // after a change, so that several make one call
+        std::chrono::milliseconds firstRetry { 100 };
+        std::chrono::milliseconds longestRetry { 700 };
+    };
+    // RowsChanged gets changed rows, or, with `isWhole`, all rows that there are.
+    using RowsChanged = std::function<void(const std::vector<StoreRow>& rows, bool isWhole)>;
+    using Answered = std::function<void(const StoreAnswer& answer)>;
+    using Failed = std::function<void(const Error& error)>;
+
+    TableFollower(boost::asio::io_context& io, StoreFeed& feed, const Options& options);
+
+    auto onRows(RowsChanged callback) -> void { m_rowsChanged = std::move(callback); }
+    auto onAnswer(Answered callback) -> void { m_answered = std::move(callback); }
+    auto onFailure(Failed callback) -> void { m_failed = std::move(callback); }
+
+    auto start() -> void;
+
+    // stop() ends the following; no callback is called any more.
+    auto stop() -> void;
+
+private:
+    auto read() -> void;
+    auto follow() -> void;
+    auto onReadDone(StoreFeed::Result result) -> void;
+    auto onFollowDone(StoreFeed::Result result) -> void;
+    auto take(const StoreAnswer& answer, bool isWhole) -> void;
+    auto retry(const StoreFailure& failure) -> void;
+    auto later(std::chrono::milliseconds delay) -> void;
+
+    StoreFeed& m_feed;
+    Options m_options;
+    boost::asio::steady_timer m_timer;
+    std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
+    RowsChanged m_rowsChanged;
+    Answered m_answered;
+    Failed m_failed;
+    std::uint64_t m_after = 0;
+    std::chrono::milliseconds m_retry { 0 };
+    bool m_hasRead = false;
+    bool m_needsQuickAnswer = true; // the first answer after a failure shouldn't wait for a change
+    std::minstd_rand m_random { std::random_device {}() };
+};
+
+} // namespace coriandergate::fleet
--- a/src/http/AnswerParser.cpp
+++ b/src/http/AnswerParser.cpp
@@ -58,7 +58,7 @@
         const auto encoding = headers.find("Transfer-Encoding");
         if (encoding && (headers.find("Content-Length") || !isSameName(*encoding, "chunked")))
             return fail("an answer length that can be read in two ways");
-        if (parser->need_eof() && !options.isHead)
+        if (parser->need_eof() && !options.isHead && !options.mayEndWithConnection)
             return fail("the answer's length is not stated, so it can't be known to be whole");
         return true;
     }
@@ -106,6 +106,17 @@
     return used;
 }
 
+auto AnswerParser::finishAtEnd() -> void
+{
+    auto& state = *m_state;
+    if (state.progress != ParseProgress::NeedsMore || !state.parser->is_header_done() || !state.parser->need_eof())
+        return;
+    boost::beast::error_code error;
+    state.parser->put_eof(error);
+    if (!error && state.parser->is_done())
+        state.progress = ParseProgress::Complete;
+}
+
 auto AnswerParser::progress() const -> ParseProgress { return m_state->progress; }
 
 auto AnswerParser::hasStarted() const -> bool { return m_state->hasStarted; }
--- a/src/http/AnswerParser.h
+++ b/src/http/AnswerParser.h
@@ -1,7 +1,8 @@
 // Reads one HTTP/1 answer from bytes as they come, on Boost.Beast's parser, and says whether it is whole.
 //
 // An answer is whole only when its end is marked: by Content-Length, by the last chunk, or by its status. One that ends
-// with the connection could have been cut anywhere, so it fails. Interim answers (1xx) are skipped.
+// with the connection could have been cut anywhere, so it fails, unless `mayEndWithConnection` is set and the caller can
+// tell an orderly end from a reset. Interim answers (1xx) are skipped.
 //
 //   AnswerParser parser({ .isHead = false });
 //   parser.feed(bytes);
@@ -24,6 +25,7 @@
         std::size_t maximumHeaderBytes = 64 * 1024;
         std::size_t maximumBodyBytes = 32 * 1024 * 1024;
         bool isHead = false;
+        bool mayEndWithConnection = false; // then finishAtEnd() tells an answer without a length that it is whole
     };
 
     explicit AnswerParser(const Options& options);
@@ -35,6 +37,9 @@
     // Not thread-safe.
     auto feed(std::string_view bytes) -> std::size_t;
 
+    // finishAtEnd() says that the peer ended the connection in order; an answer without a stated length is whole then.
+    auto finishAtEnd() -> void;
+
     [[nodiscard]] auto progress() const -> ParseProgress;
 
     // hasStarted() says that some byte of the answer has been read.
--- a/src/log/Event.cpp
+++ b/src/log/Event.cpp
@@ -1,6 +1,9 @@
 #include "log/Event.h"
 
 #include <algorithm>
+#include <array>
+#include <chrono>
+#include <cstdio>
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/logger.h>
@@ -22,6 +25,18 @@
         return s_logger;
     }
 
+    // SinkSetting is set once, before the first event.
+    struct SinkSetting {
+        Severity minimum = Severity::Info;
+        LineSink sink;
+    };
+
+    auto sinkSetting() -> SinkSetting&
+    {
+        static SinkSetting s_setting;
+        return s_setting;
+    }
+
     auto levelOf(Severity severity) -> log4cxx::LevelPtr
     {
         switch (severity) {
@@ -87,18 +102,54 @@
     logger()->setLevel(levelOf(minimum));
 }
 
+auto startLogging(Severity minimum, LineSink sink) -> void { sinkSetting() = { minimum, std::move(sink) }; }
+
+namespace {
+
+    auto appendFields(std::string& line, std::initializer_list<Field> fields) -> void
+    {
+        for (const auto& field : fields) {
+            line += ' ';
+            line += field.name;
+            line += '=';
+            appendValue(line, field.value);
+        }
+    }
+
+    auto timeText() -> std::string
+    {
+        const auto now = std::chrono::system_clock::now().time_since_epoch();
+        const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+        std::array<char, 32> text {};
+        std::snprintf(text.data(), text.size(), "%lld.%03lld", static_cast<long long>(milliseconds / 1000),
+            static_cast<long long>(milliseconds % 1000));
+        return text.data();
+    }
+
+    auto logToSink(const SinkSetting& setting, const Event& event, std::initializer_list<Field> fields) -> void
+    {
+        if (event.severity < setting.minimum)
+            return;
+        std::string line = "time=" + timeText() + " level=" + nameOf(event.severity) + " event=CG"
+            + std::to_string(event.number) + " text=";
+        appendValue(line, event.text);
+        appendFields(line, fields);
+        setting.sink(std::move(line));
+    }
+
+} // namespace
+
 auto logEvent(const Event& event, std::initializer_list<Field> fields) -> void
 {
+    if (sinkSetting().sink) {
+        logToSink(sinkSetting(), event, fields);
+        return;
+    }
     const auto level = levelOf(event.severity);
     if (!logger()->isEnabledFor(level))
         return;
     std::string line = "CG" + std::to_string(event.number) + " " + event.text;
-    for (const auto& field : fields) {
-        line += ' ';
-        line += field.name;
-        line += '=';
-        appendValue(line, field.value);
-    }
+    appendFields(line, fields);
     logger()->forcedLog(level, line);
 }
 
--- a/src/log/Event.h
+++ b/src/log/Event.h
@@ -6,6 +6,7 @@
 //   // 2026-12-04T10:00:00.000Z INFO CG1201 target announced target=127.0.0.1:9001 service=ledger
 #pragma once
 
+#include <functional>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -39,6 +40,13 @@
 // startLogging() sends log lines of `minimum` and above to standard error. Call once, before the first event.
 auto startLogging(Severity minimum) -> void;
 
+// LineSink takes one whole line without its line break.
+using LineSink = std::function<void(std::string line)>;
+
+// startLogging() of this form hands lines of `minimum` and above to `sink` instead, as name=value pairs that begin with
+// time, level and event. Call once, before the first event; the sink is called on the thread that logs.
+auto startLogging(Severity minimum, LineSink sink) -> void;
+
 // logEvent() writes one line. Line breaks in values are escaped. Safe from any thread.
 auto logEvent(const Event& event, std::initializer_list<Field> fields) -> void;
 
--- /dev/null
+++ b/src/net/HttpServer.h
@@ -0,0 +1,81 @@
+// An HTTP/1.1 server on Boost.Asio's sockets and Boost.Beast's parser, for a program with one thread.
+//
+// Requests that a caller pipelines are handled side by side and answered in their order. A caller that leaves is noticed
+// while its request is handled (http::Exchange::onAbandoned). The exchange's peer() names the connection for as long as
+// it is open.
+//
+//   net::HttpServer server(io, {}, [](std::shared_ptr<http::Exchange> exchange) { exchange->answer(...); });
+//   if (!server.listen("127.0.0.1:7100", reason)) ...
+//   io.run();
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace coriandergate {
+struct Error;
+}
+
+namespace coriandergate::http {
+class Exchange;
+}
+
+namespace coriandergate::net {
+
+// HttpServer is used on the thread of its io_context only.
+class HttpServer {
+public:
+    struct Options {
+        std::size_t maximumHeaderBytes = 16 * 1024;
+        std::size_t maximumBodyBytes = 8 * 1024 * 1024;
+        std::chrono::milliseconds headerTimeout { 10000 }; // from the first byte of a request to its last
+        std::chrono::milliseconds idleTimeout { 60000 };
+        std::size_t maximumConnections = 2048;
+        std::size_t maximumPipelined = 16; // requests of one connection that are handled at the same time
+        std::size_t maximumBufferedBytes = 64 * 1024 * 1024; // of requests, over all connections
+    };
+    using Handler = std::function<void(std::shared_ptr<http::Exchange>)>;
+    // ConnectionClosed is told the peer() of a connection that ended.
+    using ConnectionClosed = std::function<void(const std::string& peer)>;
+
+    HttpServer(boost::asio::io_context& io, const Options& options, Handler handler);
+
+    // The destructor closes every connection.
+    ~HttpServer();
+
+    HttpServer(const HttpServer&) = delete;
+    auto operator=(const HttpServer&) -> HttpServer& = delete;
+
+    // listen() opens the port; false with a reason when it can't.
+    [[nodiscard]] auto listen(const std::string& address, Error& reason) -> bool;
+
+    // setOptions() holds from the next request of each connection on.
+    auto setOptions(const Options& options) -> void;
+
+    auto onConnectionClosed(ConnectionClosed callback) -> void;
+
+    // beginDrain() lets each connection end with its next answer.
+    auto beginDrain() -> void;
+
+    // finishDrain() closes the port and every connection on which no request is under way or has begun to arrive.
+    auto finishDrain() -> void;
+
+    // port() is the port that is listened on; for tests that ask for port 0.
+    [[nodiscard]] auto port() const -> std::uint16_t;
+
+    // openRequests() is the number of requests that wait for their answer or for it to be written.
+    [[nodiscard]] auto openRequests() const -> std::size_t;
+
+    [[nodiscard]] auto connections() const -> std::size_t;
+
+private:
+    struct State;
+    std::shared_ptr<State> m_state;
+};
+
+} // namespace coriandergate::net
--- /dev/null
+++ b/src/net/internal/HttpServerConnection.cpp
@@ -0,0 +1,307 @@
+#include "net/internal/HttpServerConnection.h"
+
+#include "http/Exchange.h"
+#include "http/Problem.h"
+#include "http/Serialize.h"
+#include "net/internal/HttpServerState.h"
+
+#include <algorithm>
+#include <boost/asio/write.hpp>
+
+namespace coriandergate::net::internal {
+
+using boost::asio::ip::tcp;
+using http::ParseProgress;
+using std::chrono::steady_clock;
+
+namespace {
+
+    // A peer that was answered for the last time gets so long to read the answer and close.
+    constexpr std::chrono::milliseconds lingerTimeout { 2000 };
+    // Bytes of requests that may wait unparsed behind those being handled.
+    constexpr std::size_t maximumUnparsedBytes = 256 * 1024;
+
+    auto parserOptions(const HttpServer::Options& options) -> http::RequestParser::Options
+    {
+        return { .maximumHeaderBytes = options.maximumHeaderBytes, .maximumBodyBytes = options.maximumBodyBytes };
+    }
+
+} // namespace
+
+HttpServerConnection::HttpServerConnection(HttpServerState& state, tcp::socket socket)
+    : m_state(&state)
+    , m_socket(std::move(socket))
+    , m_timer(m_socket.get_executor())
+    , m_parser(parserOptions(state.options))
+    , m_lastActivity(steady_clock::now())
+{
+}
+
+auto HttpServerConnection::start() -> void
+{
+    boost::system::error_code ignored; // a connection that is gone shows at the first read
+    m_socket.set_option(tcp::no_delay(true), ignored);
+    m_socket.non_blocking(true, ignored);
+    m_peer = std::to_string(m_state->nextConnection++);
+    armTimer();
+    read();
+}
+
+auto HttpServerConnection::isIdle() const -> bool
+{
+    return m_pending.empty() && !m_isWriting && m_outgoing.empty() && m_unparsed.empty() && !m_parser.hasStarted();
+}
+
+auto HttpServerConnection::close() -> void
+{
+    if (m_isClosed)
+        return;
+    m_isClosed = true;
+    const auto self = shared_from_this();
+    boost::system::error_code ignored; // it is closed either way
+    m_timer.cancel();
+    m_socket.close(ignored);
+    m_state->openRequests -= m_pending.size();
+    m_state->bufferedBytes -= m_unfinishedBytes;
+    for (const auto& pending : m_pending)
+        m_state->bufferedBytes -= pending.bufferedBytes;
+    const auto pending = std::move(m_pending);
+    m_pending.clear();
+    m_state->connections.erase(self);
+    for (const auto& request : pending) {
+        if (const auto exchange = request.exchange.lock())
+            exchange->abandon();
+    }
+    if (m_state->connectionClosed)
+        m_state->connectionClosed(m_peer);
+}
+
+auto HttpServerConnection::closeWhenIdle() -> void
+{
+    boost::system::error_code error;
+    if (!m_isClosed && isIdle() && m_socket.available(error) == 0)
+        close();
+}
+
+auto HttpServerConnection::read() -> void
+{
+    if (m_isReading || m_isClosed)
+        return;
+    m_isReading = true;
+    m_socket.async_read_some(boost::asio::buffer(m_readBuffer),
+        [self = shared_from_this()](
+            const boost::system::error_code& error, std::size_t bytes) { self->onRead(error, bytes); });
+}
+
+auto HttpServerConnection::onRead(const boost::system::error_code& error, std::size_t bytes) -> void
+{
+    m_isReading = false;
+    if (m_isClosed)
+        return;
+    if (error) {
+        close();
+        return;
+    }
+    m_lastActivity = steady_clock::now();
+    if (!m_isLast && !m_isShutDown) {
+        if (m_unparsed.empty() && !m_parser.hasStarted())
+            m_requestStart = m_lastActivity;
+        m_unparsed.append(m_readBuffer.data(), bytes);
+        parse();
+        if (!m_isClosed && !m_isShutDown && m_parser.hasStarted())
+            armTimer();
+    }
+    if (!m_isClosed && m_unparsed.size() < maximumUnparsedBytes)
+        read();
+}
+
+auto HttpServerConnection::parse() -> void
+{
+    // A handler that answers at once comes back here through flush().
+    if (m_isParsing)
+        return;
+    m_isParsing = true;
+    while (!m_isClosed && !m_isLast && !m_unparsed.empty()
+        && m_pending.size() < m_state->options.maximumPipelined) {
+        const auto used = m_parser.feed(m_unparsed);
+        m_unparsed.erase(0, used);
+        if (m_parser.progress() == ParseProgress::Failed) {
+            refuse(m_parser.failureStatus(), m_parser.failureReason());
+            break;
+        }
+        if (!accountUnfinished()) {
+            refuse(503, "the daemon holds as many request bytes as it may");
+            break;
+        }
+        if (m_parser.progress() != ParseProgress::Complete) {
+            if (m_parser.awaitsContinue() && m_pending.empty() && !m_isWriting) {
+                m_outgoing += "HTTP/1.1 100 Continue\r\n\r\n";
+                write();
+            }
+            break;
+        }
+        handleRequest();
+    }
+    m_isParsing = false;
+    if (!m_isClosed)
+        read();
+}
+
+auto HttpServerConnection::accountUnfinished() -> bool
+{
+    const auto bytes = m_parser.bodyBytes();
+    m_state->bufferedBytes += bytes - m_unfinishedBytes;
+    m_unfinishedBytes = bytes;
+    return m_state->bufferedBytes <= m_state->options.maximumBufferedBytes;
+}
+
+auto HttpServerConnection::handleRequest() -> void
+{
+    auto request = m_parser.takeRequest();
+    m_parser = http::RequestParser(parserOptions(m_state->options));
+    m_requestStart = steady_clock::now();
+    const auto number = m_nextNumber++;
+    Pending pending { .number = number,
+        .isHead = request.method == "HEAD",
+        .isKeepAlive = request.isKeepAlive,
+        .bufferedBytes = m_unfinishedBytes,
+        .exchange = {},
+        .answer = {} };
+    m_unfinishedBytes = 0;
+    const auto exchange = std::make_shared<http::Exchange>(
+        std::move(request), m_peer, 0, [weak = weak_from_this(), number](http::Answer&& answer) {
+            if (const auto self = weak.lock())
+                self->setAnswer(number, std::move(answer));
+        });
+    pending.exchange = exchange;
+    m_pending.push_back(std::move(pending));
+    ++m_state->openRequests;
+    if (m_state->handler)
+        m_state->handler(exchange);
+}
+
+auto HttpServerConnection::setAnswer(std::uint64_t number, http::Answer&& answer) -> void
+{
+    if (m_isClosed)
+        return;
+    const auto found = std::find_if(
+        m_pending.begin(), m_pending.end(), [number](const Pending& pending) { return pending.number == number; });
+    if (found == m_pending.end())
+        return;
+    found->answer = std::move(answer);
+    flush();
+}
+
+auto HttpServerConnection::refuse(int status, std::string_view reason) -> void
+{
+    // It comes behind the answers that are still owed on this connection.
+    Pending pending { .number = m_nextNumber++,
+        .isHead = false,
+        .isKeepAlive = false,
+        .bufferedBytes = 0,
+        .exchange = {},
+        .answer = http::makeAnswer(status, http::problemContentType, http::problemBody(status, reason)) };
+    m_pending.push_back(std::move(pending));
+    ++m_state->openRequests;
+    m_unparsed.clear();
+    flush();
+}
+
+auto HttpServerConnection::flush() -> void
+{
+    while (!m_isLast && !m_pending.empty() && m_pending.front().answer) {
+        auto& front = m_pending.front();
+        auto& answer = *front.answer;
+        // While others wait behind it, the connection is kept: they were read.
+        const bool isLast = !front.isKeepAlive || (m_state->isDraining && m_pending.size() == 1 && m_unparsed.empty());
+        answer.isKeepAlive = !isLast;
+        m_outgoing += http::serializeAnswer(answer, front.isHead);
+        m_state->bufferedBytes -= front.bufferedBytes;
+        m_pending.pop_front();
+        --m_state->openRequests;
+        m_isLast = isLast;
+    }
+    write();
+    if (!m_unparsed.empty())
+        parse();
+}
+
+auto HttpServerConnection::write() -> void
+{
+    if (m_isWriting || m_outgoing.empty() || m_isClosed)
+        return;
+    m_isWriting = true;
+    m_writing.swap(m_outgoing);
+    m_outgoing.clear();
+    boost::asio::async_write(m_socket, boost::asio::buffer(m_writing),
+        [self = shared_from_this()](
+            const boost::system::error_code& error, std::size_t) -> void { self->onWritten(error); });
+}
+
+auto HttpServerConnection::onWritten(const boost::system::error_code& error) -> void
+{
+    m_isWriting = false;
+    if (m_isClosed)
+        return;
+    if (error) {
+        close();
+        return;
+    }
+    m_lastActivity = steady_clock::now();
+    if (m_writing.capacity() > maximumUnparsedBytes)
+        m_writing = {};
+    if (!m_outgoing.empty())
+        write();
+    else if (m_isLast)
+        finishWriting();
+}
+
+// Closing a socket that holds unread bytes resets the connection, and the reset can overtake the answer. So only the
+// sending side is closed; the rest is read and dropped until the caller closes its side or a timeout ends it.
+auto HttpServerConnection::finishWriting() -> void
+{
+    if (m_isShutDown)
+        return;
+    m_isShutDown = true;
+    boost::system::error_code ignored; // the timer ends the connection in any case
+    m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+    m_timer.expires_after(lingerTimeout);
+    m_timer.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
+        if (!error)
+            self->close();
+    });
+}
+
+auto HttpServerConnection::armTimer() -> void
+{
+    const bool isArriving = m_parser.hasStarted();
+    const auto& options = m_state->options;
+    m_timer.expires_at(isArriving ? m_requestStart + options.headerTimeout : m_lastActivity + options.idleTimeout);
+    m_timer.async_wait([weak = weak_from_this()](const boost::system::error_code& error) {
+        const auto self = weak.lock();
+        if (!error && self)
+            self->onTimer();
+    });
+}
+
+// The timer is armed for the earliest time at which something could be overdue, not again for each request.
+auto HttpServerConnection::onTimer() -> void
+{
+    if (m_isClosed || m_isShutDown)
+        return;
+    const auto now = steady_clock::now();
+    const auto& options = m_state->options;
+    if (m_parser.hasStarted() && now >= m_requestStart + options.headerTimeout) {
+        refuse(408, "the request did not arrive in time");
+        return;
+    }
+    if (isIdle() && now >= m_lastActivity + options.idleTimeout) {
+        close();
+        return;
+    }
+    if (!isIdle())
+        m_lastActivity = now;
+    armTimer();
+}
+
+} // namespace coriandergate::net::internal
--- /dev/null
+++ b/src/net/internal/HttpServerConnection.h
@@ -0,0 +1,84 @@
+// One connection of a caller: reads requests, hands them to the server's handler and writes the answers in order.
+#pragma once
+
+#include "http/Answer.h"
+#include "http/RequestParser.h"
+
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace coriandergate::http {
+class Exchange;
+}
+
+namespace coriandergate::net::internal {
+
+struct HttpServerState;
+
+class HttpServerConnection : public std::enable_shared_from_this<HttpServerConnection> {
+public:
+    HttpServerConnection(HttpServerState& state, boost::asio::ip::tcp::socket socket);
+
+    auto start() -> void;
+
+    // close() ends the connection at once and abandons the requests under way.
+    auto close() -> void;
+
+    // closeWhenIdle() ends the connection if no request is under way and none has begun to arrive.
+    auto closeWhenIdle() -> void;
+
+private:
+    // Pending is one request from its last byte until its answer is in the write buffer.
+    struct Pending {
+        std::uint64_t number = 0;
+        bool isHead = false;
+        bool isKeepAlive = true;
+        std::size_t bufferedBytes = 0;
+        std::weak_ptr<http::Exchange> exchange;
+        std::optional<http::Answer> answer;
+    };
+
+    auto read() -> void;
+    auto onRead(const boost::system::error_code& error, std::size_t bytes) -> void;
+    auto parse() -> void;
+    auto accountUnfinished() -> bool;
+    auto handleRequest() -> void;
+    auto setAnswer(std::uint64_t number, http::Answer&& answer) -> void;
+    auto refuse(int status, std::string_view reason) -> void;
+    auto flush() -> void;
+    auto write() -> void;
+    auto onWritten(const boost::system::error_code& error) -> void;
+    auto finishWriting() -> void;
+    auto armTimer() -> void;
+    auto onTimer() -> void;
+    [[nodiscard]] auto isIdle() const -> bool;
+
+    HttpServerState* m_state;
+    boost::asio::ip::tcp::socket m_socket;
+    boost::asio::steady_timer m_timer;
+    std::string m_peer;
+    http::RequestParser m_parser;
+    std::string m_unparsed;
+    std::size_t m_unfinishedBytes = 0;
+    std::deque<Pending> m_pending;
+    std::uint64_t m_nextNumber = 0;
+    std::string m_outgoing;
+    std::string m_writing;
+    std::chrono::steady_clock::time_point m_lastActivity;
+    std::chrono::steady_clock::time_point m_requestStart;
+    std::array<char, 16384> m_readBuffer {};
+    bool m_isReading = false;
+    bool m_isWriting = false;
+    bool m_isLast = false; // the connection ends with what is in the write buffer
+    bool m_isShutDown = false;
+    bool m_isClosed = false;
+    bool m_isParsing = false;
+};
+
+} // namespace coriandergate::net::internal
--- /dev/null
+++ b/src/relay/EntryRequest.cpp
@@ -0,0 +1,558 @@
+#include "relay/EntryRequest.h"
+
+#include "http/Exchange.h"
+#include "log/Event.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cmath>
+#include <cstdio>
+
+namespace coriandergate::relay {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+    const log::Event requestEnded { 1900, log::Severity::Info, "caller answered",
+        "one line a request: its status, why, and what was known when it was decided" };
+    const log::Event attemptEnded { 1901, log::Severity::Info, "attempt ended",
+        "an attempt at a target that did not answer the caller; another may follow" };
+
+    constexpr int badRequest = 400;
+    constexpr int unauthorized = 401;
+    constexpr int notFound = 404;
+    constexpr int tooManyRequests = 429;
+    constexpr int badGateway = 502;
+    constexpr int serviceUnavailable = 503;
+    constexpr int gatewayTimeout = 504;
+    constexpr int firstServerError = 500;
+    // An answer that goes to a caller must be on its way before the caller's own clock runs out.
+    constexpr milliseconds answerMargin { 30 };
+    // How often a request looks for a target while none can be used.
+    constexpr milliseconds noTargetPause { 60 };
+    // Part of the time left that a request which can only be answered late may wait for a slot.
+    constexpr double latePart = 0.5;
+
+    auto secondsText(milliseconds time) -> std::string
+    {
+        std::array<char, 32> text {};
+        std::snprintf(text.data(), text.size(), "%.2f", std::chrono::duration<double>(time).count());
+        return text.data();
+    }
+
+} // namespace
+
+auto EntryRequest::start(EntryContext& context, std::shared_ptr<http::Exchange> exchange) -> void
+{
+    const auto request = std::make_shared<EntryRequest>(context, std::move(exchange));
+    request->begin();
+}
+
+EntryRequest::EntryRequest(EntryContext& context, std::shared_ptr<http::Exchange> exchange)
+    : m_context(context)
+    , m_exchange(std::move(exchange))
+    , m_snapshot(context.snapshot)
+    , m_readAt(monotonicNow())
+    , m_giveUpTimer(context.io)
+    , m_waitTimer(context.io)
+{
+}
+
+auto EntryRequest::isRepeatable() const -> bool
+{
+    return m_route->repeatPolicy == config::RepeatPolicy::Idempotent;
+}
+
+auto EntryRequest::left(MonotonicTime now) const -> milliseconds
+{
+    return std::chrono::duration_cast<milliseconds>(m_giveUpAt - now);
+}
+
+auto EntryRequest::latencyLeft(MonotonicTime now) const -> milliseconds
+{
+    return std::chrono::duration_cast<milliseconds>(m_readAt + m_route->targetLatency - now);
+}
+
+auto EntryRequest::begin() -> void
+{
+    const auto& headers = m_exchange->request().headers;
+    m_requestId = headers.find(m_context.headers.requestId).value_or("");
+    if (!m_snapshot) {
+        constexpr milliseconds soon { 500 };
+        refuse(serviceUnavailable, "no configuration yet", soon);
+        return;
+    }
+    if (m_requestId.empty()) {
+        refuse(badRequest, "the request has no id", std::nullopt);
+        return;
+    }
+    m_route = m_snapshot->match(headers.find("Host").value_or(""), m_exchange->request().target);
+    if (!m_route) {
+        refuse(notFound, "no route", std::nullopt);
+        return;
+    }
+    m_priority = m_route->priority;
+    readDeadline();
+    if (!checkKey() || !checkRate())
+        return;
+    m_exchange->onAbandoned([weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->onAbandoned();
+    });
+    m_giveUpTimer.expires_at(m_giveUpAt);
+    m_giveUpTimer.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
+        if (!error)
+            self->onGiveUp();
+    });
+}
+
+auto EntryRequest::readDeadline() -> void
+{
+    auto allowed = m_route->deadline;
+    const auto stated = m_exchange->request().headers.find(m_context.headers.deadline);
+    milliseconds::rep number = 0;
+    if (stated && std::from_chars(stated->data(), stated->data() + stated->size(), number).ec == std::errc {}
+        && number >= 0)
+        allowed = std::min(allowed, std::max(milliseconds { 1 }, milliseconds(number) - answerMargin));
+    m_giveUpAt = m_readAt + allowed;
+}
+
+auto EntryRequest::checkKey() -> bool
+{
+    if (m_route->isOpen || m_snapshot->configuration().clientAccounts.empty())
+        return true;
+    const auto now = SuspendAwareClock::now();
+    if (!m_context.proof.isFresh(now)) {
+        constexpr milliseconds soon { 1000 };
+        refuse(serviceUnavailable, "the configuration may be out of date", soon);
+        return false;
+    }
+    m_key = m_exchange->request().headers.find(m_context.headers.key).value_or("");
+    const auto* account = m_key.empty() ? nullptr : m_snapshot->keys().accountForKey(m_key);
+    if (!account) {
+        refuse(unauthorized, m_key.empty() ? "no key" : "unknown key", std::nullopt);
+        return false;
+    }
+    m_clientAccount = account->name;
+    m_priority = account->priority.value_or(m_priority);
+    return true;
+}
+
+auto EntryRequest::checkRate() -> bool
+{
+    if (m_clientAccount.empty()) {
+        prepare();
+        place();
+        return !m_isDone;
+    }
+    const auto& accounts = m_snapshot->configuration().clientAccounts;
+    const auto account = std::find_if(accounts.begin(), accounts.end(),
+        [this](const config::ClientAccount& candidate) { return candidate.name == m_clientAccount; });
+    const auto now = monotonicNow();
+    const auto hosts = m_context.hosts * (m_context.isNewcomer ? m_context.options.newcomerHosts : 1);
+    const auto patience = std::min(m_context.options.ratePatience, left(now));
+    const auto wait = m_context.shares.take(*account, hosts, patience, now);
+    if (!wait) {
+        refuse(tooManyRequests, "over the rate", m_context.shares.turnIn(m_clientAccount, now));
+        return false;
+    }
+    prepare();
+    if (wait->count() == 0) {
+        place();
+        return !m_isDone;
+    }
+    m_waitTimer.expires_after(*wait);
+    m_waitTimer.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
+        if (!error && !self->m_isDone)
+            self->place();
+    });
+    return true;
+}
+
+auto EntryRequest::prepare() -> void
+{
+    m_service = PolicySnapshot::serviceFor(*m_route, m_context.random());
+    m_context.attempts.recordRequest(m_service, monotonicNow());
+    auto& headers = m_exchange->request().headers;
+    const auto& names = m_context.headers;
+    http::removeHopByHop(headers);
+    headers.removeAll("Content-Length");
+    headers.removeAll("Expect");
+    for (const auto* name : { &names.key, &names.clientAccount, &names.callerService, &names.expectedTarget })
+        headers.removeAll(*name);
+}
+
+auto EntryRequest::chooseTarget() -> dispatch::TargetBoard::TargetPointer
+{
+    const auto now = monotonicNow();
+    return m_context.board.choose({ .service = m_service, .isRepeatable = isRepeatable() && m_runs == 0,
+                                      .excluded = m_excluded },
+        now, m_context.random());
+}
+
+auto EntryRequest::advanceStage() -> void
+{
+    m_triesInStage = 0;
+    switch (m_stage) {
+    case Stage::Quick:
+        m_stage = Stage::Waiting;
+        return;
+    case Stage::Waiting:
+        m_stage = Stage::Late;
+        return;
+    case Stage::Late:
+    case Stage::Over:
+        m_stage = Stage::Over;
+        return;
+    }
+}
+
+auto EntryRequest::place() -> void
+{
+    const auto& options = m_context.options;
+    const auto tries = [&options](Stage stage) -> std::size_t {
+        switch (stage) {
+        case Stage::Quick:
+            return options.quickTries;
+        case Stage::Waiting:
+            return options.waitingTries;
+        case Stage::Late:
+            return options.lateTries;
+        case Stage::Over:
+            return 0;
+        }
+        return 0;
+    };
+    while (m_stage != Stage::Over) {
+        m_target = m_triesInStage < tries(m_stage) ? chooseTarget() : nullptr;
+        if (m_target) {
+            ++m_triesInStage;
+            reserve();
+            return;
+        }
+        advanceStage();
+        if (m_stage == Stage::Waiting)
+            m_excluded.clear();
+    }
+    retryLater();
+}
+
+// No target can be used now. While the request could still be answered in time another may come free or come back;
+// after that it is refused.
+auto EntryRequest::retryLater() -> void
+{
+    const auto now = monotonicNow();
+    if (m_slotRefusals == 0 && latencyLeft(now) > noTargetPause) {
+        m_stage = Stage::Quick;
+        m_triesInStage = 0;
+        m_excluded.clear();
+        m_waitTimer.expires_after(noTargetPause);
+        m_waitTimer.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
+            if (!error && !self->m_isDone)
+                self->place();
+        });
+        return;
+    }
+    if (m_lastFailure)
+        finish(std::move(*m_lastFailure), "the target's failure");
+    else if (m_mayHaveRun)
+        fail(badGateway, "no target left after one may have run it");
+    else
+        refuse(serviceUnavailable, "no slot in time", noRoomRetryAfter());
+}
+
+auto EntryRequest::noRoomRetryAfter() -> milliseconds
+{
+    // Spread over as much time as the targets need to work off what is ahead of a newcomer.
+    const auto now = monotonicNow();
+    double fill = 0;
+    std::size_t count = 0;
+    for (const auto& target : m_context.board.targets(m_service)) {
+        fill += m_context.board.expectedFill(*target, now);
+        ++count;
+    }
+    const double mean = count == 0 ? 1 : fill / static_cast<double>(count);
+    const auto base = static_cast<double>(m_route->targetLatency.count()) * std::clamp(mean, 0.3, 2.0) / 2;
+    std::uniform_real_distribution<double> spread(0.5, 1.5);
+    const milliseconds wait(std::llround(base * spread(m_context.random)));
+    return std::clamp(wait, m_context.options.shortestRetryAfter, m_context.options.longestRetryAfter);
+}
+
+auto EntryRequest::patience(MonotonicTime now) const -> milliseconds
+{
+    switch (m_stage) {
+    case Stage::Quick:
+    case Stage::Over:
+        return milliseconds { 0 };
+    case Stage::Waiting:
+        return std::max(milliseconds { 0 }, latencyLeft(now));
+    case Stage::Late:
+        return std::chrono::duration_cast<milliseconds>(left(now) * latePart);
+    }
+    return milliseconds { 0 };
+}
+
+auto EntryRequest::reserve() -> void
+{
+    const auto now = monotonicNow();
+    m_context.board.start(*m_target);
+    const auto wait = patience(now);
+    const ReserveAsk ask { .requestId = m_requestId,
+        .service = m_service,
+        .priority = m_priority,
+        .isRepeatable = isRepeatable(),
+        .targetLatencyLeft = latencyLeft(now),
+        .patience = wait,
+        .isServedLate = m_stage == Stage::Late };
+    const bool isFar = m_target->description.locality.region != m_context.here.region;
+    const auto hopTime = isFar ? m_context.options.farHopTime : m_context.options.hopTime;
+    m_call = m_context.hops.send(m_target->description.address, encodeReserve(ask),
+        { .timeout = std::min(wait + hopTime, std::max(left(now), milliseconds { 1 })), .keepsConnection = true },
+        [self = shared_from_this()](net::HttpClient::Result result) { self->onReserved(std::move(result)); });
+}
+
+auto EntryRequest::releaseTarget() -> void
+{
+    if (m_target)
+        m_context.board.finish(*m_target);
+    m_target = nullptr;
+    m_call = 0;
+}
+
+auto EntryRequest::takeNews(const http::Answer& answer) -> void
+{
+    const auto text = answer.headers.find(loadHeader);
+    const auto news = text ? decodeNews(*text) : std::nullopt;
+    if (!news)
+        return;
+    const auto now = monotonicNow();
+    m_context.board.recordPath(*m_target);
+    m_context.board.recordLoad(*m_target, news->load, now);
+    if (news->trialIn)
+        m_context.board.recordFailing(*m_target, *news->trialIn, now);
+    else
+        m_context.board.recordSound(*m_target);
+}
+
+auto EntryRequest::onReserved(net::HttpClient::Result result) -> void
+{
+    if (m_isDone)
+        return;
+    if (const auto* failure = std::get_if<http::ExchangeFailure>(&result)) {
+        ++m_context.counters.pathFailures;
+        log::logEvent(attemptEnded,
+            { { "request", m_requestId }, { "peer", m_target->description.address }, { "step", "reserve" },
+                { "outcome", "not-run" }, { "why", failure->error.toText() } });
+        // An idle connection that the peer had closed says nothing of the path.
+        if (!(failure->wasReusedConnection && failure->wasReset))
+            m_context.board.recordPathFailure(*m_target, monotonicNow());
+        if (failure->wasReset || failure->wasTimeout)
+            m_excluded.push_back(m_target->description.address);
+        releaseTarget();
+        place();
+        return;
+    }
+    const auto& answer = std::get<http::Answer>(result);
+    takeNews(answer);
+    constexpr int ok = 200;
+    if (answer.status == ok) {
+        run();
+        return;
+    }
+    onSlotRefused(answer);
+}
+
+auto EntryRequest::onSlotRefused(const http::Answer& answer) -> void
+{
+    m_context.hops.release(m_call);
+    // A target without a free slot may have one later; one that leaves or fails won't.
+    constexpr milliseconds leavingPause { 1000 };
+    if (answer.body == "no slot in time")
+        ++m_slotRefusals;
+    else if (answer.body != "target fails")
+        m_context.board.avoid(*m_target, monotonicNow() + leavingPause);
+    m_excluded.push_back(m_target->description.address);
+    releaseTarget();
+    place();
+}
+
+auto EntryRequest::run() -> void
+{
+    const auto now = monotonicNow();
+    // The key may have been withdrawn while the request waited.
+    const auto& current = m_context.snapshot;
+    if (!m_clientAccount.empty() && current != m_snapshot && !current->keys().accountForKey(m_key)) {
+        m_context.hops.cancel(m_call);
+        releaseTarget();
+        if (m_mayHaveRun)
+            fail(badGateway, "the key was withdrawn after a target may have run it");
+        else
+            refuse(unauthorized, "the key was withdrawn", std::nullopt);
+        return;
+    }
+    if (m_runs > 0 && !m_context.attempts.take(m_service, m_context.hosts, now)) {
+        m_context.hops.cancel(m_call);
+        releaseTarget();
+        m_stage = Stage::Over;
+        m_slotRefusals = std::max<std::size_t>(1, m_slotRefusals);
+        retryLater();
+        return;
+    }
+    RunAsk ask { .request = m_exchange->request(),
+        .requestId = m_requestId,
+        .callerService = m_context.service,
+        .clientAccount = m_clientAccount,
+        .isRepeatable = isRepeatable(),
+        .timeLeft = left(now),
+        .targetLatencyLeft = latencyLeft(now),
+        .expiresAt = {} };
+    if (const auto storeTime = m_context.proof.storeTime(SuspendAwareClock::now()))
+        ask.expiresAt = *storeTime + ask.timeLeft;
+    const bool isSent = m_context.hops.sendNext(m_call, encodeRun(ask),
+        { .timeout = std::max(left(now), milliseconds { 1 }), .isHead = ask.request.method == "HEAD" },
+        [self = shared_from_this()](net::HttpClient::Result result) { self->onRun(std::move(result)); });
+    if (!isSent) {
+        m_excluded.push_back(m_target->description.address);
+        releaseTarget();
+        place();
+        return;
+    }
+    if (m_runs++ > 0)
+        ++m_context.counters.repeats;
+}
+
+auto EntryRequest::onRun(net::HttpClient::Result result) -> void
+{
+    if (m_isDone)
+        return;
+    if (const auto* failure = std::get_if<http::ExchangeFailure>(&result)) {
+        log::logEvent(attemptEnded,
+            { { "request", m_requestId }, { "peer", m_target->description.address }, { "step", "run" },
+                { "outcome", "may-have-run" }, { "why", failure->error.toText() } });
+        m_context.board.recordPathFailure(*m_target, monotonicNow());
+        m_mayHaveRun = true;
+        m_excluded.push_back(m_target->description.address);
+        releaseTarget();
+        tryAgainOr(http::makeAnswer(badGateway, "text/plain", "the way to the target broke"),
+            "the way to the target broke");
+        return;
+    }
+    auto answer = std::get<http::Answer>(std::move(result));
+    takeNews(answer);
+    const auto outcome = outcomeOf(answer.headers.find(outcomeHeader).value_or(""));
+    m_excluded.push_back(m_target->description.address);
+    if (outcome == HopOutcome::Answered) {
+        onTargetAnswer(std::move(answer));
+        return;
+    }
+    log::logEvent(attemptEnded,
+        { { "request", m_requestId }, { "peer", m_target->description.address }, { "step", "run" },
+            { "outcome", std::string(outcomeName(outcome.value_or(HopOutcome::MayHaveRun))) },
+            { "status", std::to_string(answer.status) } });
+    releaseTarget();
+    if (outcome == HopOutcome::NotRun) {
+        place();
+        return;
+    }
+    m_mayHaveRun = true;
+    const int status = answer.status == gatewayTimeout ? gatewayTimeout : badGateway;
+    tryAgainOr(http::makeAnswer(status, "text/plain", "the target gave no whole answer"),
+        "the target gave no whole answer");
+}
+
+auto EntryRequest::onTargetAnswer(http::Answer answer) -> void
+{
+    answer.headers.removeAll(outcomeHeader);
+    answer.headers.removeAll(loadHeader);
+    releaseTarget();
+    if (answer.status < firstServerError) {
+        finish(std::move(answer), "answered");
+        return;
+    }
+    m_mayHaveRun = true;
+    m_lastFailure = answer;
+    tryAgainOr(std::move(answer), "the target's failure");
+}
+
+auto EntryRequest::tryAgainOr(http::Answer lastAnswer, std::string_view why) -> void
+{
+    const auto now = monotonicNow();
+    const bool hasTime = left(now) > m_route->targetLatency / 4;
+    if (isRepeatable() && m_runs < m_route->maximumAttempts && hasTime) {
+        m_stage = Stage::Quick;
+        m_triesInStage = 0;
+        place();
+        return;
+    }
+    finish(std::move(lastAnswer), why);
+}
+
+auto EntryRequest::onGiveUp() -> void
+{
+    if (m_isDone)
+        return;
+    const auto call = m_call;
+    releaseTarget();
+    m_context.hops.cancel(call);
+    if (m_runs > 0)
+        fail(gatewayTimeout, "no answer in time");
+    else
+        refuse(serviceUnavailable, "no slot before the deadline", noRoomRetryAfter());
+}
+
+auto EntryRequest::onAbandoned() -> void
+{
+    if (m_isDone)
+        return;
+    m_isDone = true;
+    const auto call = m_call;
+    releaseTarget();
+    m_context.hops.cancel(call);
+    m_giveUpTimer.cancel();
+    m_waitTimer.cancel();
+    ++m_context.counters.ended["caller left"];
+    log::logEvent(requestEnded,
+        { { "request", m_requestId }, { "status", "none" }, { "why", "caller left" },
+            { "ms", std::to_string(std::chrono::duration_cast<milliseconds>(monotonicNow() - m_readAt).count()) } });
+}
+
+auto EntryRequest::refuse(int status, std::string_view why, std::optional<milliseconds> retryAfter) -> void
+{
+    auto answer = http::makeAnswer(status, "text/plain", std::string(why));
+    if (retryAfter) {
+        const auto wait
+            = std::clamp(*retryAfter, m_context.options.shortestRetryAfter, m_context.options.longestRetryAfter);
+        answer.headers.add(m_context.headers.retryAfter, secondsText(wait));
+    }
+    finish(std::move(answer), why);
+}
+
+auto EntryRequest::fail(int status, std::string_view why) -> void
+{
+    finish(http::makeAnswer(status, "text/plain", std::string(why)), why);
+}
+
+auto EntryRequest::finish(http::Answer answer, std::string_view why) -> void
+{
+    m_isDone = true;
+    m_giveUpTimer.cancel();
+    m_waitTimer.cancel();
+    const auto took = std::chrono::duration_cast<milliseconds>(monotonicNow() - m_readAt);
+    ++m_context.counters.ended[std::to_string(answer.status) + " " + std::string(why)];
+    if (why == "answered")
+        m_context.counters.recordLatency(took);
+    const auto proofAge = m_context.proof.age(SuspendAwareClock::now());
+    log::logEvent(requestEnded,
+        { { "request", m_requestId }, { "status", std::to_string(answer.status) }, { "why", std::string(why) },
+            { "ms", std::to_string(took.count()) }, { "route", m_route ? m_route->name : "" },
+            { "service", m_service }, { "account", m_clientAccount }, { "runs", std::to_string(m_runs) },
+            { "version", m_snapshot ? std::to_string(m_snapshot->configuration().version) : "" },
+            { "proof-age-ms", proofAge ? std::to_string(proofAge->count()) : "" } });
+    if (!m_requestId.empty() && !answer.headers.find(m_context.headers.requestId))
+        answer.headers.add(m_context.headers.requestId, m_requestId);
+    m_exchange->answer(std::move(answer));
+}
+
+} // namespace coriandergate::relay
--- /dev/null
+++ b/src/relay/EntryRequest.h
@@ -0,0 +1,96 @@
+// One request of a caller, from its last byte to its answer.
+//
+//   EntryRequest::start(context, exchange);
+#pragma once
+
+#include "config/ClientAccount.h"
+#include "config/Route.h"
+#include "http/Request.h"
+#include "net/HttpClient.h"
+#include "relay/EntryContext.h"
+#include "relay/HopMessages.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace coriandergate::http {
+class Exchange;
+}
+
+namespace coriandergate::relay {
+
+// EntryRequest lives as long as its answer is owed.
+class EntryRequest : public std::enable_shared_from_this<EntryRequest> {
+public:
+    // start() takes a whole request and answers it once, later or at once. `context` outlives the request.
+    static auto start(EntryContext& context, std::shared_ptr<http::Exchange> exchange) -> void;
+
+    EntryRequest(EntryContext& context, std::shared_ptr<http::Exchange> exchange);
+
+private:
+    // Stage says what a request may still hope for.
+    enum class Stage {
+        Quick, // a free slot
+        Waiting, // a slot in time for its target latency
+        Late, // a slot before its deadline
+        Over,
+    };
+
+    auto begin() -> void;
+    [[nodiscard]] auto checkKey() -> bool;
+    [[nodiscard]] auto checkRate() -> bool;
+    auto readDeadline() -> void;
+    auto prepare() -> void;
+    auto place() -> void;
+    [[nodiscard]] auto chooseTarget() -> dispatch::TargetBoard::TargetPointer;
+    auto advanceStage() -> void;
+    auto reserve() -> void;
+    [[nodiscard]] auto patience(MonotonicTime now) const -> std::chrono::milliseconds;
+    auto onReserved(net::HttpClient::Result result) -> void;
+    auto onSlotRefused(const http::Answer& answer) -> void;
+    auto run() -> void;
+    auto onRun(net::HttpClient::Result result) -> void;
+    auto onTargetAnswer(http::Answer answer) -> void;
+    auto tryAgainOr(http::Answer lastAnswer, std::string_view why) -> void;
+    auto takeNews(const http::Answer& answer) -> void;
+    auto releaseTarget() -> void;
+    auto retryLater() -> void;
+    auto onGiveUp() -> void;
+    auto onAbandoned() -> void;
+    auto refuse(int status, std::string_view why, std::optional<std::chrono::milliseconds> retryAfter) -> void;
+    auto fail(int status, std::string_view why) -> void;
+    auto finish(http::Answer answer, std::string_view why) -> void;
+    [[nodiscard]] auto left(MonotonicTime now) const -> std::chrono::milliseconds;
+    [[nodiscard]] auto latencyLeft(MonotonicTime now) const -> std::chrono::milliseconds;
+    [[nodiscard]] auto isRepeatable() const -> bool;
+    [[nodiscard]] auto noRoomRetryAfter() -> std::chrono::milliseconds;
+
+    EntryContext& m_context;
+    std::shared_ptr<http::Exchange> m_exchange;
+    std::shared_ptr<const PolicySnapshot> m_snapshot;
+    const config::Route* m_route = nullptr;
+    std::string m_key;
+    std::string m_clientAccount;
+    std::string m_requestId;
+    std::string m_service;
+    int m_priority = 0;
+    MonotonicTime m_readAt;
+    MonotonicTime m_giveUpAt;
+    boost::asio::steady_timer m_giveUpTimer;
+    boost::asio::steady_timer m_waitTimer;
+    Stage m_stage = Stage::Quick;
+    std::size_t m_triesInStage = 0;
+    std::size_t m_slotRefusals = 0;
+    std::vector<std::string> m_excluded;
+    dispatch::TargetBoard::TargetPointer m_target;
+    net::HttpClient::Call m_call = 0;
+    std::size_t m_runs = 0; // attempts that may have reached a target
+    bool m_mayHaveRun = false;
+    std::optional<http::Answer> m_lastFailure; // a target's own
+    bool m_isDone = false;
+};
+
+} // namespace coriandergate::relay
--- /dev/null
+++ b/src/relay/HopMessages.cpp
@@ -0,0 +1,161 @@
+#include "relay/HopMessages.h"
+
+#include "base/Error.h"
+#include "http/Serialize.h"
+
+#include <array>
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <vector>
+
+namespace coriandergate::relay {
+
+using nlohmann::json;
+using std::chrono::milliseconds;
+
+namespace {
+
+    auto toHttp(std::string_view path, const json& body) -> std::string
+    {
+        http::Request request;
+        request.method = "POST";
+        request.target = path;
+        request.headers.add("Host", "peer");
+        const auto bytes = json::to_cbor(body);
+        request.body.assign(bytes.begin(), bytes.end());
+        return http::serializeRequest(request);
+    }
+
+    auto decodeWith(const std::string& body, Error& reason, const std::function<void(const json&)>& read) -> bool
+    {
+        try {
+            read(json::from_cbor(body));
+            return true;
+        } catch (const json::exception& exception) {
+            reason = { "decode hop message", "", exception.what() };
+            return false;
+        }
+    }
+
+    // Messages are arrays, so that names don't travel with each.
+    enum ReserveField { ReserveId, ReserveService, ReservePriority, ReserveRepeatable, ReserveLatency, ReservePatience,
+        ReserveLate };
+    enum RunField { RunId, RunMethod, RunTarget, RunHeaders, RunBody, RunCaller, RunAccount, RunRepeatable, RunLeft,
+        RunLatency, RunExpires };
+
+    constexpr std::array<std::pair<HopOutcome, std::string_view>, 3> outcomeNames { {
+        { HopOutcome::Answered, "answered" },
+        { HopOutcome::NotRun, "not-run" },
+        { HopOutcome::MayHaveRun, "may-have-run" },
+    } };
+
+} // namespace
+
+auto encodeReserve(const ReserveAsk& ask) -> std::string
+{
+    return toHttp(reservePath,
+        json::array({ ask.requestId, ask.service, ask.priority, ask.isRepeatable, ask.targetLatencyLeft.count(),
+            ask.patience.count(), ask.isServedLate }));
+}
+
+auto decodeReserve(const std::string& body, Error& reason) -> std::optional<ReserveAsk>
+{
+    ReserveAsk ask;
+    const bool isRead = decodeWith(body, reason, [&ask](const json& value) {
+        ask.requestId = value.at(ReserveId).get<std::string>();
+        ask.service = value.at(ReserveService).get<std::string>();
+        ask.priority = value.at(ReservePriority).get<int>();
+        ask.isRepeatable = value.at(ReserveRepeatable).get<bool>();
+        ask.targetLatencyLeft = milliseconds(value.at(ReserveLatency).get<milliseconds::rep>());
+        ask.patience = milliseconds(value.at(ReservePatience).get<milliseconds::rep>());
+        ask.isServedLate = value.at(ReserveLate).get<bool>();
+    });
+    return isRead ? std::optional(std::move(ask)) : std::nullopt;
+}
+
+auto encodeRun(const RunAsk& ask) -> std::string
+{
+    auto headers = json::array();
+    for (const auto& header : ask.request.headers) {
+        headers.push_back(header.name);
+        headers.push_back(header.value);
+    }
+    const json::binary_t body(std::vector<std::uint8_t>(ask.request.body.begin(), ask.request.body.end()));
+    return toHttp(runPath,
+        json::array({ ask.requestId, ask.request.method, ask.request.target, headers, body, ask.callerService,
+            ask.clientAccount, ask.isRepeatable, ask.timeLeft.count(), ask.targetLatencyLeft.count(),
+            ask.expiresAt ? json(ask.expiresAt->count()) : json() }));
+}
+
+auto decodeRun(const std::string& body, Error& reason) -> std::optional<RunAsk>
+{
+    RunAsk ask;
+    const bool isRead = decodeWith(body, reason, [&ask](const json& value) {
+        ask.requestId = value.at(RunId).get<std::string>();
+        ask.request.method = value.at(RunMethod).get<std::string>();
+        ask.request.target = value.at(RunTarget).get<std::string>();
+        const auto& headers = value.at(RunHeaders);
+        for (std::size_t i = 0; i + 1 < headers.size(); i += 2)
+            ask.request.headers.add(headers.at(i).get<std::string>(), headers.at(i + 1).get<std::string>());
+        const auto& bytes = value.at(RunBody).get_binary();
+        ask.request.body.assign(bytes.begin(), bytes.end());
+        ask.callerService = value.at(RunCaller).get<std::string>();
+        ask.clientAccount = value.at(RunAccount).get<std::string>();
+        ask.isRepeatable = value.at(RunRepeatable).get<bool>();
+        ask.timeLeft = milliseconds(value.at(RunLeft).get<milliseconds::rep>());
+        ask.targetLatencyLeft = milliseconds(value.at(RunLatency).get<milliseconds::rep>());
+        if (!value.at(RunExpires).is_null())
+            ask.expiresAt = milliseconds(value.at(RunExpires).get<milliseconds::rep>());
+    });
+    return isRead ? std::optional(std::move(ask)) : std::nullopt;
+}
+
+auto outcomeName(HopOutcome outcome) -> std::string_view
+{
+    for (const auto& [value, name] : outcomeNames) {
+        if (value == outcome)
+            return name;
+    }
+    return "may-have-run";
+}
+
+auto outcomeOf(std::string_view name) -> std::optional<HopOutcome>
+{
+    for (const auto& [value, known] : outcomeNames) {
+        if (known == name)
+            return value;
+    }
+    return std::nullopt;
+}
+
+auto encodeNews(const TargetNews& news) -> std::string
+{
+    auto text = std::to_string(news.load.running) + "," + std::to_string(news.load.waiting) + ","
+        + std::to_string(news.load.slots);
+    if (news.trialIn)
+        text += "," + std::to_string(news.trialIn->count());
+    return text;
+}
+
+auto decodeNews(std::string_view text) -> std::optional<TargetNews>
+{
+    std::vector<std::uint64_t> numbers;
+    const auto* at = text.data();
+    const auto* end = text.data() + text.size();
+    while (at < end) {
+        std::uint64_t number = 0;
+        const auto parsed = std::from_chars(at, end, number);
+        if (parsed.ec != std::errc {} || (parsed.ptr != end && *parsed.ptr != ','))
+            return std::nullopt;
+        numbers.push_back(number);
+        at = parsed.ptr == end ? end : parsed.ptr + 1;
+    }
+    if (numbers.size() < 3)
+        return std::nullopt;
+    TargetNews news { { numbers[0], numbers[1], numbers[2] }, std::nullopt };
+    if (numbers.size() > 3)
+        news.trialIn = milliseconds(numbers[3]);
+    return news;
+}
+
+} // namespace coriandergate::relay
--- /dev/null
+++ b/src/relay/HopMessages.h
@@ -0,0 +1,79 @@
+// What an entry and the daemon beside a target say to each other, in CBOR within HTTP.
+//
+// A request crosses in two steps on one connection. The entry asks for a slot; the daemon answers once one is free, or
+// refuses. Only then the entry sends the request itself. So until its last step the entry knows for certain that the
+// target hasn't seen the request, and a path that fails costs nothing.
+#pragma once
+
+#include "dispatch/TargetLoad.h"
+#include "http/Request.h"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace coriandergate {
+struct Error;
+}
+
+namespace coriandergate::relay {
+
+inline constexpr std::string_view reservePath = "/reserve";
+inline constexpr std::string_view runPath = "/run";
+// Stands with every answer to a run: how the attempt ended at the target.
+inline constexpr std::string_view outcomeHeader = "Coriandergate-Outcome";
+// Stands with every answer: running, waiting, slots and, of a failing target, the milliseconds to its next trial.
+inline constexpr std::string_view loadHeader = "Coriandergate-Load";
+
+// HopOutcome says how an attempt ended.
+enum class HopOutcome {
+    Answered, // the target's own whole answer
+    NotRun, // the target has not seen the request or refused it, and never will run it
+    MayHaveRun, // no whole answer of the target came
+};
+
+// ReserveAsk asks for a slot of a target.
+struct ReserveAsk {
+    std::string requestId; // for the logs
+    std::string service;
+    int priority = 0;
+    bool isRepeatable = false;
+    std::chrono::milliseconds targetLatencyLeft { 0 }; // an answer later than this is of less use
+    std::chrono::milliseconds patience { 0 }; // for a slot
+    bool isServedLate = false; // the target latency can't be kept any more; the request waits behind those that can
+};
+
+// RunAsk is the request itself.
+struct RunAsk {
+    http::Request request;
+    std::string requestId;
+    std::string callerService;
+    std::string clientAccount; // empty for an open route
+    bool isRepeatable = false;
+    std::chrono::milliseconds timeLeft { 0 };
+    std::chrono::milliseconds targetLatencyLeft { 0 };
+    std::optional<std::chrono::milliseconds> expiresAt; // on the store's clock, which both daemons know
+};
+
+// TargetNews is what the daemon beside a target tells of it.
+struct TargetNews {
+    dispatch::TargetLoad load;
+    std::optional<std::chrono::milliseconds> trialIn; // of a failing target
+};
+
+// The encoders make whole HTTP requests. Safe from any thread.
+[[nodiscard]] auto encodeReserve(const ReserveAsk& ask) -> std::string;
+[[nodiscard]] auto encodeRun(const RunAsk& ask) -> std::string;
+
+// The decoders read the body of such a request; nothing, with a reason, when it can't be read. Safe from any thread.
+[[nodiscard]] auto decodeReserve(const std::string& body, Error& reason) -> std::optional<ReserveAsk>;
+[[nodiscard]] auto decodeRun(const std::string& body, Error& reason) -> std::optional<RunAsk>;
+
+[[nodiscard]] auto outcomeName(HopOutcome outcome) -> std::string_view;
+[[nodiscard]] auto outcomeOf(std::string_view name) -> std::optional<HopOutcome>;
+[[nodiscard]] auto encodeNews(const TargetNews& news) -> std::string;
+[[nodiscard]] auto decodeNews(std::string_view text) -> std::optional<TargetNews>;
+
+} // namespace coriandergate::relay
--- /dev/null
+++ b/src/relay/PolicySnapshot.cpp
@@ -0,0 +1,58 @@
+#include "relay/PolicySnapshot.h"
+
+#include <algorithm>
+
+namespace coriandergate::relay {
+
+namespace {
+
+    auto hostName(std::string_view host) -> std::string
+    {
+        std::string name(host.substr(0, host.find(':')));
+        std::transform(name.begin(), name.end(), name.begin(),
+            [](char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c; });
+        return name;
+    }
+
+} // namespace
+
+PolicySnapshot::PolicySnapshot(config::Configuration configuration)
+    : m_configuration(std::make_shared<const config::Configuration>(std::move(configuration)))
+    , m_keys(m_configuration)
+{
+    for (const auto& route : m_configuration->routes)
+        m_byHost[hostName(route.host)].push_back(&route);
+    for (auto& [host, routes] : m_byHost) {
+        std::stable_sort(routes.begin(), routes.end(), [](const config::Route* left, const config::Route* right) {
+            return left->pathPrefix.size() > right->pathPrefix.size();
+        });
+    }
+}
+
+auto PolicySnapshot::match(std::string_view host, std::string_view path) const -> const config::Route*
+{
+    const auto found = m_byHost.find(hostName(host));
+    if (found == m_byHost.end())
+        return nullptr;
+    const auto route = std::find_if(found->second.begin(), found->second.end(),
+        [path](const config::Route* candidate) { return path.starts_with(candidate->pathPrefix); });
+    return route == found->second.end() ? nullptr : *route;
+}
+
+auto PolicySnapshot::serviceFor(const config::Route& route, std::uint64_t random) -> const std::string&
+{
+    double total = 0;
+    for (const auto& part : route.split)
+        total += part.weight;
+    if (total <= 0)
+        return route.service;
+    double drawn = static_cast<double>(random >> 11) / static_cast<double>(1ULL << 53) * total;
+    for (const auto& part : route.split) {
+        drawn -= part.weight;
+        if (drawn < 0)
+            return part.service;
+    }
+    return route.split.back().service;
+}
+
+} // namespace coriandergate::relay
--- /dev/null
+++ b/src/sidecar/Adapter.h
@@ -0,0 +1,41 @@
+// What the sidecar daemon needs from the platform it runs on; the platform's adapter fills it in.
+#pragma once
+
+#include "config/Configuration.h"
+#include "fleet/LocalTarget.h"
+#include "relay/HeaderNames.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace coriandergate {
+struct Error;
+}
+
+namespace coriandergate::http {
+struct Request;
+}
+
+namespace coriandergate::sidecar {
+
+// Farewell says that a target leaves for good; it goes on serving for a while.
+struct Farewell {
+    std::string id;
+    std::uint64_t startedAt = 0; // 0 when it isn't told
+};
+
+using ControlCall = std::variant<fleet::Heartbeat, Farewell>;
+
+// Adapter is a value. Its functions only translate; failures name the field that can't be read.
+struct Adapter {
+    relay::HeaderNames headers;
+    std::string readinessPath;
+    std::string operatorTable; // where operators write
+    std::string configurationKey; // their configuration's row in it
+    std::function<std::optional<config::Configuration>(const std::string& text, Error& reason)> decodeConfiguration;
+    std::function<std::optional<ControlCall>(const http::Request& request, Error& reason)> decodeControlCall;
+};
+
+} // namespace coriandergate::sidecar
--- /dev/null
+++ b/src/sidecar/Sidecar.cpp
@@ -0,0 +1,457 @@
+#include "sidecar/Sidecar.h"
+
+#include "base/Error.h"
+#include "fleet/HostAnnouncer.h"
+#include "fleet/HostDirectory.h"
+#include "fleet/TableFollower.h"
+#include "http/Exchange.h"
+#include "log/Event.h"
+#include "net/HttpServer.h"
+#include "relay/EntryRequest.h"
+#include "relay/OwnerRelay.h"
+#include "sidecar/MetricsPage.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+namespace coriandergate::sidecar {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+    const log::Event started { 1920, log::Severity::Info, "sidecar started", "the ports that it listens on" };
+    const log::Event stopBegan { 1921, log::Severity::Info, "planned stop began", "no new work is taken" };
+    const log::Event stopEnded { 1922, log::Severity::Info, "planned stop ended",
+        "requests that are still open were cut; more than none means that the grace was too short for them" };
+    const log::Event configurationTaken { 1923, log::Severity::Info, "configuration in force", "its version" };
+    const log::Event configurationRefused { 1924, log::Severity::Error, "configuration refused",
+        "the last good one stays in force; the reason names the field" };
+    const log::Event storeLost { 1925, log::Severity::Warning, "store lost",
+        "requests with keys are refused once the newest answer is too old" };
+    const log::Event storeRegained { 1926, log::Severity::Info, "store regained", "nothing" };
+    const log::Event targetChanged { 1927, log::Severity::Info, "target changed",
+        "the target of this host and whether it leaves" };
+    const log::Event controlCallRefused { 1928, log::Severity::Warning, "control call refused",
+        "something that isn't the target of this host calls its address" };
+    const log::Event hostsChanged { 1929, log::Severity::Info, "hosts changed", "how many hosts share every limit" };
+    const log::Event hostRecordRefused { 1930, log::Severity::Warning, "host record refused",
+        "the row is left aside; the reason names what can't be read" };
+
+    constexpr const char* hostTable = "hosts";
+    // One long poll for the configuration. Half of the shortest time for which a withdrawn key may still work, so that
+    // one lost answer leaves time for another.
+    constexpr milliseconds configurationWait { 2000 };
+    // One long poll for the hosts, whose changes are told as they come.
+    constexpr milliseconds hostsWait { 4000 };
+    // A host counts as known to all others after this: any of them that didn't hear of it takes no keys by then.
+    constexpr milliseconds newcomerTime { 7000 };
+    // A target that leaves is told so at the latest after this; it waits a second.
+    constexpr milliseconds longestAcknowledgement { 650 };
+    // Part of the revocation bound for which an answer of the store counts as news; the rest covers the way of a request.
+    constexpr double freshPart = 0.88;
+    // The platform asks every second whether callers may come, and believes the second refusal.
+    constexpr milliseconds callersLeaveAfter { 2300 };
+    constexpr milliseconds stopPollPeriod { 40 };
+    constexpr milliseconds stopMargin { 400 }; // before the process is killed
+
+    auto freshness(const HostSettings& settings) -> milliseconds
+    {
+        return std::chrono::duration_cast<milliseconds>(settings.revocationBound * freshPart);
+    }
+
+    auto callerOptions(const HostSettings& settings, const config::CallerLimits& limits) -> net::HttpServer::Options
+    {
+        constexpr std::size_t bytesPerMegabyte = 1024 * 1024;
+        constexpr std::size_t bufferPart = 4; // a quarter of the memory may hold requests
+        constexpr std::size_t connectionPart = 2; // half of the descriptors may serve callers
+        net::HttpServer::Options options;
+        options.maximumHeaderBytes = limits.maximumHeaderBytes;
+        options.maximumBodyBytes = limits.maximumBodyBytes;
+        options.headerTimeout = limits.headerTimeout;
+        options.idleTimeout = limits.idleTimeout;
+        options.maximumBufferedBytes = settings.memoryMegabytes * bytesPerMegabyte / bufferPart;
+        options.maximumConnections = settings.fileDescriptors / connectionPart;
+        return options;
+    }
+
+} // namespace
+
+struct Sidecar::State {
+    State(boost::asio::io_context& ioContext, const HostSettings& hostSettings, Adapter platformAdapter,
+        fleet::StoreFeed& store);
+
+    auto start(Error& reason) -> bool;
+    auto stop() -> void;
+    auto pollStop() -> void;
+    auto isReady() const -> bool;
+    auto handleControl(const std::shared_ptr<http::Exchange>& exchange) -> void;
+    auto receive(const fleet::Heartbeat& heartbeat, const std::shared_ptr<http::Exchange>& exchange) -> void;
+    auto receive(const Farewell& farewell, const std::shared_ptr<http::Exchange>& exchange) -> void;
+    auto acknowledgeWhenStored(const std::shared_ptr<http::Exchange>& exchange) -> void;
+    auto onTargetChanged() -> void;
+    auto announce(fleet::HostAnnouncer::Stored stored) -> void;
+    auto onConfigurationRows(const std::vector<fleet::StoreRow>& rows) -> void;
+    auto onHostRows(const std::vector<fleet::StoreRow>& rows, bool isWhole) -> void;
+    auto onHostsKnown() -> void;
+    auto onStoreAnswer(const fleet::StoreAnswer& answer) -> void;
+    auto onStoreFailure(const Error& error) -> void;
+    auto metricsPage() const -> std::string;
+
+    boost::asio::io_context& io;
+    HostSettings settings;
+    Adapter adapter;
+    fleet::LocalTarget target;
+    fleet::HostDirectory directory;
+    fleet::HostAnnouncer announcer;
+    fleet::TableFollower configurationFollower;
+    fleet::TableFollower hostFollower;
+    dispatch::FreshnessProof proof;
+    dispatch::TargetBoard board;
+    dispatch::AttemptBudget attempts;
+    dispatch::RateShares shares;
+    net::HttpClient hops;
+    relay::EntryContext entry;
+    relay::OwnerRelay owner;
+    net::HttpServer callers;
+    net::HttpServer peers;
+    net::HttpServer control;
+    net::HttpServer readiness;
+    net::HttpServer metrics;
+    boost::asio::steady_timer newcomerTimer;
+    boost::asio::steady_timer stopTimer;
+    std::uint64_t incarnation;
+    MonotonicTime stopBeganAt;
+    bool isStopping = false;
+    bool isDraining = false;
+    bool knowsHosts = false;
+    bool hasStore = false;
+};
+
+Sidecar::State::State(boost::asio::io_context& ioContext, const HostSettings& hostSettings, Adapter platformAdapter,
+    fleet::StoreFeed& store)
+    : io(ioContext)
+    , settings(hostSettings)
+    , adapter(std::move(platformAdapter))
+    , target(settings.service, settings.targetAddress)
+    , announcer(io, store, hostTable, settings.hostAddress)
+    , configurationFollower(io, store, { .table = adapter.operatorTable, .wait = configurationWait })
+    , hostFollower(io, store, { .table = hostTable, .wait = hostsWait })
+    , proof({ .maximumAge = freshness(settings) })
+    , board({ .here = settings.locality })
+    , attempts({ .ratio = settings.attemptRatio,
+          .allowance = settings.attemptAllowance,
+          .window = settings.attemptWindow })
+    , shares({ .window = settings.rateWindow, .overage = settings.rateOverage, .slack = settings.rateSlack },
+          monotonicNow())
+    , hops(io, { .connectTimeout = milliseconds(400), .idleTimeout = milliseconds(30000), .maximumIdlePerPeer = 4 })
+    , entry { .io = io,
+        .options = {},
+        .headers = adapter.headers,
+        .service = settings.service,
+        .here = settings.locality,
+        .hops = hops,
+        .board = board,
+        .attempts = attempts,
+        .shares = shares,
+        .proof = proof,
+        .snapshot = nullptr }
+    , owner(io, target, { .headers = adapter.headers })
+    , callers(io, callerOptions(settings, {}),
+          [this](std::shared_ptr<http::Exchange> exchange) {
+              relay::EntryRequest::start(entry, std::move(exchange));
+          })
+    , peers(io,
+          { .maximumBodyBytes = settings.memoryMegabytes * 1024 * 1024 / 8,
+              .idleTimeout = milliseconds(60000),
+              .maximumConnections = settings.fileDescriptors / 3 },
+          [this](std::shared_ptr<http::Exchange> exchange) { owner.handle(std::move(exchange)); })
+    , control(io, {}, [this](std::shared_ptr<http::Exchange> exchange) { handleControl(exchange); })
+    , readiness(io, {},
+          [this](std::shared_ptr<http::Exchange> exchange) {
+              const bool isAsked = exchange->request().target == adapter.readinessPath;
+              exchange->answer(http::makeAnswer(!isAsked ? 404 : isReady() ? 200 : 503, "text/plain", ""));
+          })
+    , metrics(io, {},
+          [this](std::shared_ptr<http::Exchange> exchange) {
+              exchange->answer(http::makeAnswer(200, "text/plain; version=0.0.4", metricsPage()));
+          })
+    , newcomerTimer(io)
+    , stopTimer(io)
+    , incarnation(static_cast<std::uint64_t>(SuspendAwareClock::now().time_since_epoch().count())
+          ^ (static_cast<std::uint64_t>(entry.random()) << 40))
+{
+}
+
+auto Sidecar::State::start(Error& reason) -> bool
+{
+    peers.onConnectionClosed([this](const std::string& connection) { owner.dropConnection(connection); });
+    owner.setStoreTime([this] { return proof.storeTime(SuspendAwareClock::now()); });
+    if (!callers.listen(settings.callerListen, reason) || !peers.listen(settings.peerListen, reason)
+        || !control.listen(settings.controlListen, reason) || !readiness.listen(settings.readyListen, reason))
+        return false;
+    if (!settings.metricsListen.empty() && !metrics.listen(settings.metricsListen, reason))
+        return false;
+    configurationFollower.onRows([this](const auto& rows, bool) { onConfigurationRows(rows); });
+    configurationFollower.onAnswer([this](const fleet::StoreAnswer& answer) { onStoreAnswer(answer); });
+    configurationFollower.onFailure([this](const Error& error) { onStoreFailure(error); });
+    hostFollower.onRows([this](const auto& rows, bool isWhole) { onHostRows(rows, isWhole); });
+    configurationFollower.start();
+    hostFollower.start();
+    log::logEvent(started,
+        { { "host", settings.hostName }, { "callers", settings.callerListen }, { "peers", settings.peerListen },
+            { "control", settings.controlListen }, { "ready", settings.readyListen },
+            { "metrics", settings.metricsListen }, { "service", settings.service },
+            { "version", CORIANDERGATE_VERSION } });
+    return true;
+}
+
+auto Sidecar::State::isReady() const -> bool
+{
+    return !isStopping && entry.snapshot && knowsHosts && proof.isFresh(SuspendAwareClock::now());
+}
+
+auto Sidecar::State::onStoreAnswer(const fleet::StoreAnswer& answer) -> void
+{
+    proof.recordAnswer(answer.sentAt, answer.receivedAt, answer.storeTime);
+    if (!hasStore)
+        log::logEvent(storeRegained, {});
+    hasStore = true;
+}
+
+auto Sidecar::State::onStoreFailure(const Error& error) -> void
+{
+    if (!hasStore)
+        return;
+    hasStore = false;
+    const auto age = proof.age(SuspendAwareClock::now());
+    log::logEvent(storeLost,
+        { { "why", error.toText() }, { "proof-age-ms", age ? std::to_string(age->count()) : "" } });
+}
+
+auto Sidecar::State::onConfigurationRows(const std::vector<fleet::StoreRow>& rows) -> void
+{
+    for (const auto& row : rows) {
+        if (row.key != adapter.configurationKey || row.isRemoved)
+            continue;
+        Error reason;
+        auto configuration = adapter.decodeConfiguration(row.value, reason);
+        if (!configuration) {
+            log::logEvent(configurationRefused, { { "reason", reason.toText() } });
+            continue;
+        }
+        // An answer that was overtaken must not bring an older version back.
+        if (entry.snapshot && configuration->version <= entry.snapshot->configuration().version)
+            continue;
+        entry.snapshot = std::make_shared<const relay::PolicySnapshot>(std::move(*configuration));
+        const auto& taken = entry.snapshot->configuration();
+        callers.setOptions(callerOptions(settings, taken.callerLimits));
+        log::logEvent(configurationTaken,
+            { { "version", std::to_string(taken.version) }, { "routes", std::to_string(taken.routes.size()) },
+                { "accounts", std::to_string(taken.clientAccounts.size()) },
+                { "row-version", std::to_string(row.version) } });
+    }
+}
+
+auto Sidecar::State::onHostRows(const std::vector<fleet::StoreRow>& rows, bool isWhole) -> void
+{
+    for (const auto& fault : directory.apply(rows, isWhole))
+        log::logEvent(hostRecordRefused, { { "reason", fault.toText() } });
+    if (!knowsHosts)
+        onHostsKnown();
+    board.setTargets(directory.targets());
+    entry.hosts = std::max<std::size_t>(1, directory.size());
+    log::logEvent(hostsChanged,
+        { { "hosts", std::to_string(entry.hosts) }, { "targets", std::to_string(directory.targets().size()) } });
+}
+
+auto Sidecar::State::onHostsKnown() -> void
+{
+    knowsHosts = true;
+    if (const auto* earlier = directory.find(settings.hostAddress)) {
+        target.recall(
+            earlier->targetId, earlier->targetStartedAt, earlier->state == fleet::HostRecord::State::Leaving);
+    } else {
+        entry.isNewcomer = true;
+    }
+    owner.open();
+    owner.onTargetChanged();
+    announce([this] {
+        newcomerTimer.expires_after(newcomerTime);
+        newcomerTimer.async_wait([this](const boost::system::error_code& error) {
+            if (!error)
+                entry.isNewcomer = false;
+        });
+    });
+}
+
+auto Sidecar::State::announce(fleet::HostAnnouncer::Stored stored) -> void
+{
+    if (!knowsHosts)
+        return;
+    fleet::HostRecord record { .peerAddress = settings.peerListen,
+        .incarnation = incarnation,
+        .locality = settings.locality,
+        .service = settings.service };
+    if (const auto& current = target.current()) {
+        record.targetId = current->id;
+        record.targetStartedAt = current->startedAt;
+        record.slots = current->slots;
+        record.state = current->isLeaving ? fleet::HostRecord::State::Leaving : fleet::HostRecord::State::Serving;
+    }
+    if (isStopping && record.state == fleet::HostRecord::State::Serving)
+        record.state = fleet::HostRecord::State::Stopping;
+    announcer.announce(record, std::move(stored));
+}
+
+auto Sidecar::State::handleControl(const std::shared_ptr<http::Exchange>& exchange) -> void
+{
+    Error reason;
+    const auto call = adapter.decodeControlCall(exchange->request(), reason);
+    if (!call) {
+        log::logEvent(controlCallRefused, { { "reason", reason.toText() } });
+        exchange->answer(http::makeAnswer(400, "text/plain", reason.toText()));
+        return;
+    }
+    std::visit([&](const auto& message) { receive(message, exchange); }, *call);
+}
+
+namespace {
+
+    auto acknowledge(const std::shared_ptr<http::Exchange>& exchange) -> void
+    {
+        exchange->answer(http::makeAnswer(200, "application/json", "{}"));
+    }
+
+} // namespace
+
+auto Sidecar::State::receive(const fleet::Heartbeat& heartbeat, const std::shared_ptr<http::Exchange>& exchange)
+    -> void
+{
+    Error reason;
+    switch (target.receive(heartbeat, reason)) {
+    case fleet::LocalTarget::Receipt::Foreign:
+        log::logEvent(controlCallRefused, { { "reason", reason.toText() } });
+        exchange->answer(http::makeAnswer(400, "text/plain", reason.toText()));
+        return;
+    case fleet::LocalTarget::Receipt::Unchanged:
+    case fleet::LocalTarget::Receipt::Stale:
+        acknowledge(exchange);
+        return;
+    case fleet::LocalTarget::Receipt::Changed:
+        break;
+    }
+    onTargetChanged();
+    if (target.isServing()) {
+        announce(nullptr);
+        acknowledge(exchange);
+    } else {
+        acknowledgeWhenStored(exchange);
+    }
+}
+
+auto Sidecar::State::receive(const Farewell& farewell, const std::shared_ptr<http::Exchange>& exchange) -> void
+{
+    // Nothing is sent to a target that isn't known here, so its farewell can be confirmed at once.
+    if (!target.leave(farewell.id, farewell.startedAt)) {
+        acknowledge(exchange);
+        return;
+    }
+    onTargetChanged();
+    acknowledgeWhenStored(exchange);
+}
+
+// From here on nothing new is sent to the target by this daemon, which alone can reach it. Waiting for the store lets a
+// daemon that takes this one's place know it too.
+auto Sidecar::State::acknowledgeWhenStored(const std::shared_ptr<http::Exchange>& exchange) -> void
+{
+    const auto timer = std::make_shared<boost::asio::steady_timer>(io, longestAcknowledgement);
+    announce([exchange, timer] {
+        timer->cancel();
+        acknowledge(exchange);
+    });
+    timer->async_wait([exchange, timer](const boost::system::error_code& error) {
+        if (!error)
+            acknowledge(exchange);
+    });
+}
+
+auto Sidecar::State::onTargetChanged() -> void
+{
+    const auto& current = *target.current();
+    log::logEvent(targetChanged,
+        { { "target", current.id }, { "started-at", std::to_string(current.startedAt) },
+            { "slots", std::to_string(current.slots) }, { "sequence", std::to_string(current.sequence) },
+            { "state", current.isLeaving ? "leaving" : "serving" } });
+    owner.onTargetChanged();
+}
+
+auto Sidecar::State::stop() -> void
+{
+    if (isStopping)
+        return;
+    isStopping = true;
+    stopBeganAt = monotonicNow();
+    log::logEvent(stopBegan, { { "open", std::to_string(callers.openRequests()) },
+                                 { "running", std::to_string(owner.running()) } });
+    owner.setStopping();
+    callers.beginDrain();
+    // A host whose target has left is gone for good; another's target stays while its daemon is started again.
+    if (target.current() && !target.isServing())
+        announcer.retract(nullptr);
+    else
+        announce(nullptr);
+    pollStop();
+}
+
+auto Sidecar::State::pollStop() -> void
+{
+    const auto now = monotonicNow();
+    const auto open = callers.openRequests() + owner.running();
+    if (now >= stopBeganAt + callersLeaveAfter && !isDraining) {
+        isDraining = true;
+        callers.finishDrain();
+    }
+    const bool isOver = now >= stopBeganAt + settings.stopGrace - stopMargin;
+    if ((isDraining && open == 0) || isOver) {
+        log::logEvent(stopEnded, { { "open", std::to_string(open) } });
+        configurationFollower.stop();
+        hostFollower.stop();
+        announcer.stop();
+        io.stop();
+        return;
+    }
+    if (isDraining)
+        callers.finishDrain();
+    stopTimer.expires_after(stopPollPeriod);
+    stopTimer.async_wait([this](const boost::system::error_code& error) {
+        if (!error)
+            pollStop();
+    });
+}
+
+auto Sidecar::State::metricsPage() const -> std::string
+{
+    return makeMetricsPage({ .counters = entry.counters,
+        .news = owner.news(monotonicNow()),
+        .proofAge = proof.age(SuspendAwareClock::now()),
+        .version = entry.snapshot ? entry.snapshot->configuration().version : 0,
+        .hosts = entry.hosts,
+        .callerConnections = callers.connections(),
+        .openRequests = callers.openRequests(),
+        .targetConnections = owner.targetConnections(),
+        .hopConnections = hops.connectionsOpened() });
+}
+
+Sidecar::Sidecar(
+    boost::asio::io_context& io, const HostSettings& settings, Adapter adapter, fleet::StoreFeed& store)
+    : m_state(std::make_unique<State>(io, settings, std::move(adapter), store))
+{
+}
+
+Sidecar::~Sidecar() = default;
+
+auto Sidecar::start(Error& reason) -> bool { return m_state->start(reason); }
+
+auto Sidecar::stop() -> void { m_state->stop(); }
+
+} // namespace coriandergate::sidecar
