Hand out accounts' rates from homes that every host can work out

Change: all of a rate comes from two homes a region, found by hashing over the hosts' rows; a home begins empty, waits until a former one must have noticed, and hands out nothing on stale news. Hosts' rows are dated by the answers to the poll for the configuration; restarts change no row; one failed answer makes the next repeatable request a trial.

--- a/cmake/SidecarOnly.cmake
+++ b/cmake/SidecarOnly.cmake
@@ -6,10 +6,11 @@
 find_package(Threads REQUIRED)
 find_package(PkgConfig REQUIRED)
 pkg_check_modules(LIBSODIUM REQUIRED IMPORTED_TARGET libsodium)
+pkg_check_modules(LIBXXHASH REQUIRED IMPORTED_TARGET libxxhash)
 find_library(LOG4CXX_LIBRARY log4cxx REQUIRED)
 
 file(GLOB_RECURSE SIDECAR_SOURCES CONFIGURE_DEPENDS
-    src/base/Error.cpp src/log/*.cpp src/net/*.cpp src/dispatch/*.cpp src/fleet/*.cpp src/relay/*.cpp src/sidecar/*.cpp
+    src/base/*.cpp src/log/*.cpp src/net/*.cpp src/dispatch/*.cpp src/fleet/*.cpp src/relay/*.cpp src/sidecar/*.cpp
     platform/*.cpp tools/coriandergate-sidecar/*.cpp)
 list(FILTER SIDECAR_SOURCES EXCLUDE REGEX "(_test|_benchmark)\\.cpp$")
 list(APPEND SIDECAR_SOURCES
@@ -21,5 +22,5 @@
 target_include_directories(coriandergate-sidecar PRIVATE src ${CMAKE_SOURCE_DIR})
 target_compile_definitions(coriandergate-sidecar PRIVATE CORIANDERGATE_VERSION="${PROJECT_VERSION}")
 target_link_libraries(coriandergate-sidecar PRIVATE
-    Boost::headers nlohmann_json::nlohmann_json prometheus-cpp::core PkgConfig::LIBSODIUM docopt ${LOG4CXX_LIBRARY}
+    Boost::headers nlohmann_json::nlohmann_json prometheus-cpp::core PkgConfig::LIBSODIUM PkgConfig::LIBXXHASH docopt ${LOG4CXX_LIBRARY}
     Threads::Threads)
--- a/src/dispatch/TargetBoard.cpp
+++ b/src/dispatch/TargetBoard.cpp
@@ -37,8 +37,7 @@
     for (const auto& description : descriptions) {
         const auto known = m_byAddress.find(description.address);
         const bool isSame = known != m_byAddress.end()
-            && known->second->description.service == description.service
-            && known->second->description.incarnation == description.incarnation;
+            && known->second->description.service == description.service;
         auto target = isSame ? known->second : std::make_shared<Target>();
         if (!isSame)
             target->load.slots = description.slots;
--- a/src/dispatch/TargetBoard.h
+++ b/src/dispatch/TargetBoard.h
@@ -51,7 +51,6 @@
         Locality locality;
         std::size_t slots = 1;
         bool isLeaving = false;
-        std::uint64_t incarnation = 0; // of the daemon beside it
     };
 
     // Target is a candidate. Pointers stay valid while a caller shares them.
--- a/src/dispatch/TargetHealth.cpp
+++ b/src/dispatch/TargetHealth.cpp
@@ -23,12 +23,14 @@
 {
     const double value = outcome == Outcome::Succeeded ? 0 : outcome == Outcome::Late ? m_options.lateFailure : 1;
     m_score += m_options.newestWeight * (value - m_score);
+    m_slowScore += m_options.slowWeight * (value - m_slowScore);
     const bool wasFailing = m_isFailing;
     if (!m_isFailing && m_score > m_options.failingAbove) {
         m_isFailing = true;
         m_isTrialUnderWay = false;
         m_gap = m_options.firstTrialGap;
-        m_trialAt = now + m_gap;
+        // The first trial follows at once.
+        m_trialAt = now;
         m_lastTrialAt = now;
     } else if (m_isFailing) {
         m_isTrialUnderWay = false;
@@ -40,7 +42,7 @@
             const auto grown = std::chrono::duration_cast<milliseconds>(m_gap * m_options.gapGrowth);
             m_gap = std::min(grown, m_options.longestTrialGap);
         }
-        m_isFailing = m_score >= m_options.soundBelow;
+        m_isFailing = m_score >= m_options.soundBelow || m_slowScore >= m_options.slowSoundBelow;
     }
     return wasFailing != m_isFailing;
 }
--- a/src/dispatch/TargetHealth.h
+++ b/src/dispatch/TargetHealth.h
@@ -21,13 +21,15 @@
 public:
     struct Options {
         double newestWeight = 0.4; // of the newest outcome in the failure score, 0 to 1
-        double failingAbove = 0.55; // two failures in a row after good answers
-        double soundBelow = 0.2; // three good answers in a row after that
+        double failingAbove = 0.35; // a failure after good answers: a trial tells chance from sickness at little cost
+        double soundBelow = 0.25; // a good answer after one failure, three after several
+        double slowWeight = 0.12; // of the newest outcome in a second score with a longer memory
+        double slowSoundBelow = 0.3; // failing parts of requests above this aren't chance
         double lateFailure = 0.6; // what an answer counts that came long after its target latency
-        std::chrono::milliseconds firstTrialGap { 300 };
+        std::chrono::milliseconds firstTrialGap { 150 };
         std::chrono::milliseconds longestTrialGap { 1000 };
         double gapGrowth = 1.5;
-        std::chrono::milliseconds onceOnlyTrialAfter { 1500 }; // without any repeatable request to try it with
+        std::chrono::milliseconds onceOnlyTrialAfter { 1000 }; // without any repeatable request to try it with
     };
 
     enum class Outcome {
@@ -68,6 +70,7 @@
 private:
     Options m_options;
     double m_score = 0;
+    double m_slowScore = 0;
     bool m_isFailing = false;
     bool m_isTrialUnderWay = false;
     MonotonicTime m_trialAt;
--- a/src/fleet/HostDirectory.cpp
+++ b/src/fleet/HostDirectory.cpp
@@ -1,13 +1,21 @@
 #include "fleet/HostDirectory.h"
 
+#include <set>
+
 namespace coriandergate::fleet {
 
 auto HostDirectory::apply(const std::vector<StoreRow>& rows, bool isWhole) -> std::vector<Error>
 {
     std::vector<Error> faults;
-    if (isWhole)
+    if (isWhole) {
         m_hosts.clear();
+        m_versions.clear();
+    }
     for (const auto& row : rows) {
+        auto& version = m_versions[row.key];
+        if (row.version < version)
+            continue;
+        version = row.version;
         if (row.isRemoved) {
             m_hosts.erase(row.key);
             continue;
@@ -27,6 +35,24 @@
     return found == m_hosts.end() ? nullptr : &found->second;
 }
 
+auto HostDirectory::hostsOf(const std::string& region) const -> std::vector<std::string>
+{
+    std::vector<std::string> hosts;
+    for (const auto& [key, record] : m_hosts) {
+        if (record.locality.region == region)
+            hosts.push_back(key);
+    }
+    return hosts;
+}
+
+auto HostDirectory::regions() const -> std::vector<std::string>
+{
+    std::set<std::string> regions;
+    for (const auto& [key, record] : m_hosts)
+        regions.insert(record.locality.region);
+    return { regions.begin(), regions.end() };
+}
+
 auto HostDirectory::targets() const -> std::vector<dispatch::TargetBoard::Description>
 {
     std::vector<dispatch::TargetBoard::Description> targets;
@@ -37,8 +63,7 @@
             .service = record.service,
             .locality = record.locality,
             .slots = record.slots,
-            .isLeaving = record.state != HostRecord::State::Serving,
-            .incarnation = record.incarnation });
+            .isLeaving = record.state != HostRecord::State::Serving });
     }
     return targets;
 }
--- a/src/fleet/HostDirectory.h
+++ b/src/fleet/HostDirectory.h
@@ -19,7 +19,8 @@
 // HostDirectory is used by one thread.
 class HostDirectory {
 public:
-    // apply() takes changed rows, or all rows when `isWhole`; rows that can't be read are left aside and returned.
+    // apply() takes changed rows, or all rows when `isWhole`; older ones than those known change nothing. Rows that
+    // can't be read are left aside and returned.
     auto apply(const std::vector<StoreRow>& rows, bool isWhole) -> std::vector<Error>;
 
     // size() counts the hosts, also those whose target left or whose daemon doesn't answer.
@@ -28,11 +29,16 @@
     // find() is the record of the host with that key, or null.
     [[nodiscard]] auto find(const std::string& key) const -> const HostRecord*;
 
+    // hostsOf() are the keys of the hosts of `region`, sorted; regions() are all regions that have hosts.
+    [[nodiscard]] auto hostsOf(const std::string& region) const -> std::vector<std::string>;
+    [[nodiscard]] auto regions() const -> std::vector<std::string>;
+
     // targets() are the targets that may get work.
     [[nodiscard]] auto targets() const -> std::vector<dispatch::TargetBoard::Description>;
 
 private:
     std::map<std::string, HostRecord> m_hosts;
+    std::map<std::string, std::uint64_t> m_versions; // of the rows seen last, also of removed ones
 };
 
 } // namespace coriandergate::fleet
--- a/src/fleet/HostRecord.cpp
+++ b/src/fleet/HostRecord.cpp
@@ -17,16 +17,13 @@
             return "serving";
         case HostRecord::State::Leaving:
             return "leaving";
-        case HostRecord::State::Stopping:
-            return "stopping";
         }
         return "empty";
     }
 
     auto stateOf(const std::string& name) -> std::optional<HostRecord::State>
     {
-        for (const auto state : { HostRecord::State::Empty, HostRecord::State::Serving, HostRecord::State::Leaving,
-                 HostRecord::State::Stopping }) {
+        for (const auto state : { HostRecord::State::Empty, HostRecord::State::Serving, HostRecord::State::Leaving }) {
             if (name == nameOf(state))
                 return state;
         }
@@ -37,8 +34,7 @@
 
 auto encodeHostRecord(const HostRecord& record) -> std::string
 {
-    const nlohmann::json value = { { "peer", record.peerAddress }, { "incarnation", record.incarnation },
-        { "region", record.locality.region }, { "dataCentre", record.locality.dataCentre },
+    const nlohmann::json value = { { "peer", record.peerAddress }, { "region", record.locality.region }, { "dataCentre", record.locality.dataCentre },
         { "service", record.service }, { "target", record.targetId }, { "startedAt", record.targetStartedAt },
         { "slots", record.slots }, { "state", nameOf(record.state) } };
     return value.dump();
@@ -50,7 +46,6 @@
         const auto value = nlohmann::json::parse(text);
         HostRecord record;
         value.at("peer").get_to(record.peerAddress);
-        value.at("incarnation").get_to(record.incarnation);
         value.at("region").get_to(record.locality.region);
         value.at("dataCentre").get_to(record.locality.dataCentre);
         value.at("service").get_to(record.service);
--- a/src/fleet/HostRecord.h
+++ b/src/fleet/HostRecord.h
@@ -19,17 +19,16 @@
 
 namespace coriandergate::fleet {
 
-// HostRecord is a value. It says where to ask; the daemon beside the target decides what it takes.
+// HostRecord is a value. It says where to ask; the daemon beside the target decides what it takes. A daemon that is
+// started again writes the same record, so that a restart changes no row.
 struct HostRecord {
     enum class State {
         Empty, // no target is known on the host
         Serving,
         Leaving, // the target gets no new work
-        Stopping, // the daemon gets no new work; its target may stay
     };
 
     std::string peerAddress; // where other daemons reach this host's daemon
-    std::uint64_t incarnation = 0; // of the daemon
     Locality locality;
     std::string service;
     std::string targetId;
--- a/src/fleet/TableFollower.h
+++ b/src/fleet/TableFollower.h
@@ -8,6 +8,7 @@
 
 #include "fleet/StoreFeed.h"
 
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
 #include <random>
@@ -37,6 +38,15 @@
 
     auto start() -> void;
 
+    // catchUp() asks once for what changed since the last answer, beside a long poll that may have lost its way.
+    auto catchUp() -> void;
+
+    // after() is the version up to which every change has been told.
+    [[nodiscard]] auto after() const -> std::uint64_t { return m_after; }
+
+    // skipTo() says that nothing of this table changed up to `version`.
+    auto skipTo(std::uint64_t version) -> void { m_after = std::max(m_after, version); }
+
     // stop() ends the following; no callback is called any more.
     auto stop() -> void;
 
@@ -59,6 +69,7 @@
     std::uint64_t m_after = 0;
     std::chrono::milliseconds m_retry { 0 };
     bool m_hasRead = false;
+    bool m_isCatchingUp = false;
     bool m_needsQuickAnswer = true; // the first answer after a failure shouldn't wait for a change
     std::minstd_rand m_random { std::random_device {}() };
 };
--- a/src/relay/EntryContext.h
+++ b/src/relay/EntryContext.h
@@ -3,7 +3,6 @@
 
 #include "dispatch/AttemptBudget.h"
 #include "dispatch/FreshnessProof.h"
-#include "dispatch/RateShares.h"
 #include "dispatch/TargetBoard.h"
 #include "net/HttpClient.h"
 #include "relay/EntryCounters.h"
@@ -11,10 +10,15 @@
 #include "relay/PolicySnapshot.h"
 
 #include <boost/asio/io_context.hpp>
+#include <map>
 #include <memory>
 #include <random>
 #include <string>
 
+namespace coriandergate::fleet {
+class HostDirectory;
+}
+
 namespace coriandergate::relay {
 
 // EntryContext is used on the thread of its io_context and outlives every request.
@@ -22,8 +26,9 @@
     struct Options {
         std::chrono::milliseconds hopTime { 150 }; // for a daemon of the same region to answer, beyond the wait for a slot
         std::chrono::milliseconds farHopTime { 260 }; // the same for one of another region
-        std::chrono::milliseconds ratePatience { 150 }; // a request waits so long for its account's turn
-        std::size_t newcomerHosts = 3; // a host takes this part of its share until every other host counts it
+        std::chrono::milliseconds rateHopTime { 120 }; // for the home of an account in this region to answer
+        std::chrono::milliseconds farRateHopTime { 250 }; // for one of another region
+        std::chrono::milliseconds rateHomeBackoff { 1000 }; // a home that wasn't reached isn't asked for so long
         std::chrono::milliseconds shortestRetryAfter { 200 };
         std::chrono::milliseconds longestRetryAfter { 3000 };
         std::size_t quickTries = 3; // targets asked for a free slot before the request waits for one
@@ -39,11 +44,13 @@
     net::HttpClient& hops;
     dispatch::TargetBoard& board;
     dispatch::AttemptBudget& attempts;
-    dispatch::RateShares& shares;
-    dispatch::FreshnessProof& proof;
+    dispatch::FreshnessProof& proof; // of the configuration
+    dispatch::FreshnessProof& hostsProof; // of the list of hosts
+    const fleet::HostDirectory& directory;
     std::shared_ptr<const PolicySnapshot> snapshot; // null before the first configuration
-    std::size_t hosts = 1; // that share every account and the attempts
-    bool isNewcomer = false;
+    std::size_t hosts = 1; // that share the allowance for further attempts
+    std::map<std::string, MonotonicTime> avoidedRateHomes; // until when, by host, after it wasn't reached
+    std::map<std::string, MonotonicTime> spentRateHomes; // until when, by account and host, after it had none left
     EntryCounters counters;
     std::mt19937_64 random { std::random_device {}() };
 };
--- a/src/relay/EntryRequest.cpp
+++ b/src/relay/EntryRequest.cpp
@@ -1,5 +1,7 @@
 #include "relay/EntryRequest.h"
 
+#include "dispatch/RatePool.h"
+#include "fleet/HostDirectory.h"
 #include "http/Exchange.h"
 #include "log/Event.h"
 
@@ -95,7 +97,7 @@
     }
     m_priority = m_route->priority;
     readDeadline();
-    if (!checkKey() || !checkRate())
+    if (!checkKey())
         return;
     m_exchange->onAbandoned([weak = weak_from_this()] {
         if (const auto self = weak.lock())
@@ -106,6 +108,7 @@
         if (!error)
             self->onGiveUp();
     });
+    checkRate();
 }
 
 auto EntryRequest::readDeadline() -> void
@@ -124,7 +127,7 @@
     if (m_route->isOpen || m_snapshot->configuration().clientAccounts.empty())
         return true;
     const auto now = SuspendAwareClock::now();
-    if (!m_context.proof.isFresh(now)) {
+    if (!m_context.proof.isFresh(now) || !m_context.hostsProof.isFresh(now)) {
         constexpr milliseconds soon { 1000 };
         refuse(serviceUnavailable, "the configuration may be out of date", soon);
         return false;
@@ -135,40 +138,111 @@
         refuse(unauthorized, m_key.empty() ? "no key" : "unknown key", std::nullopt);
         return false;
     }
-    m_clientAccount = account->name;
+    m_clientAccount = account;
     m_priority = account->priority.value_or(m_priority);
     return true;
 }
 
-auto EntryRequest::checkRate() -> bool
+auto EntryRequest::checkRate() -> void
+{
+    if (m_clientAccount && !m_clientAccount->isUnlimited)
+        askRateHomes();
+    else
+        onWithinRate();
+}
+
+// Homes in this region are asked first, then one of another.
+auto EntryRequest::askRateHomes() -> void
 {
-    if (m_clientAccount.empty()) {
-        prepare();
-        place();
-        return !m_isDone;
-    }
-    const auto& accounts = m_snapshot->configuration().clientAccounts;
-    const auto account = std::find_if(accounts.begin(), accounts.end(),
-        [this](const config::ClientAccount& candidate) { return candidate.name == m_clientAccount; });
     const auto now = monotonicNow();
-    const auto hosts = m_context.hosts * (m_context.isNewcomer ? m_context.options.newcomerHosts : 1);
-    const auto patience = std::min(m_context.options.ratePatience, left(now));
-    const auto wait = m_context.shares.take(*account, hosts, patience, now);
-    if (!wait) {
-        refuse(tooManyRequests, "over the rate", m_context.shares.turnIn(m_clientAccount, now));
+    std::vector<std::string> near;
+    for (const auto& region : m_context.directory.regions()) {
+        for (const auto& home : dispatch::rateHomes(m_clientAccount->name, m_context.directory.hostsOf(region))) {
+            if (isRateHomeSpent(home, now))
+                continue;
+            const auto avoided = m_context.avoidedRateHomes.find(home);
+            if (avoided != m_context.avoidedRateHomes.end() && now < avoided->second)
+                continue;
+            (region == m_context.here.region ? near : m_rateHomes).push_back(home);
+        }
+    }
+    // The last one is asked first.
+    if (m_rateHomes.size() > 1)
+        m_rateHomes = { m_rateHomes[m_context.random() % m_rateHomes.size()] };
+    std::shuffle(near.begin(), near.end(), m_context.random);
+    m_rateHomes.insert(m_rateHomes.end(), near.begin(), near.end());
+    askNextRateHome();
+}
+
+auto EntryRequest::isRateHomeSpent(const std::string& home, MonotonicTime now) -> bool
+{
+    const auto spent = m_context.spentRateHomes.find(m_clientAccount->name + '@' + home);
+    if (spent == m_context.spentRateHomes.end() || now >= spent->second)
         return false;
+    noteTurn(std::chrono::ceil<milliseconds>(spent->second - now));
+    return true;
+}
+
+auto EntryRequest::noteTurn(milliseconds turnIn) -> void
+{
+    m_turnIn = std::min(m_turnIn.value_or(turnIn), turnIn);
+}
+
+auto EntryRequest::askNextRateHome() -> void
+{
+    if (m_rateHomes.empty()) {
+        if (m_turnIn)
+            refuse(tooManyRequests, "over the rate", m_turnIn);
+        else
+            refuse(serviceUnavailable, "the rate can't be checked", m_context.options.rateHomeBackoff);
+        return;
     }
-    prepare();
-    if (wait->count() == 0) {
-        place();
-        return !m_isDone;
+    const auto home = std::move(m_rateHomes.back());
+    m_rateHomes.pop_back();
+    const auto* record = m_context.directory.find(home);
+    if (!record) {
+        askNextRateHome();
+        return;
     }
-    m_waitTimer.expires_after(*wait);
-    m_waitTimer.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
-        if (!error && !self->m_isDone)
-            self->place();
-    });
-    return true;
+    const bool isFar = record->locality.region != m_context.here.region;
+    const auto hopTime = isFar ? m_context.options.farRateHopTime : m_context.options.rateHopTime;
+    m_call = m_context.hops.send(record->peerAddress, encodeRate({ m_clientAccount->name }),
+        { .timeout = std::min(hopTime, std::max(left(monotonicNow()), milliseconds { 1 })) },
+        [self = shared_from_this(), home](const net::HttpClient::Result& result) {
+            self->onRateAnswer(home, result);
+        });
+}
+
+auto EntryRequest::onRateAnswer(const std::string& home, const net::HttpClient::Result& result) -> void
+{
+    m_call = 0;
+    if (m_isDone)
+        return;
+    const auto now = monotonicNow();
+    const auto* answer = std::get_if<http::Answer>(&result);
+    constexpr int ok = 200;
+    if (answer && answer->status == ok) {
+        onWithinRate();
+        return;
+    }
+    const auto turnIn = answer && answer->status == tooManyRequests ? decodeTurn(answer->body) : std::nullopt;
+    if (turnIn) {
+        m_context.spentRateHomes[m_clientAccount->name + '@' + home] = now + *turnIn;
+        noteTurn(*turnIn);
+    } else {
+        m_context.avoidedRateHomes[home] = now + m_context.options.rateHomeBackoff;
+        const auto* failure = std::get_if<http::ExchangeFailure>(&result);
+        log::logEvent(attemptEnded,
+            { { "request", m_requestId }, { "peer", home }, { "step", "ask for rate" }, { "outcome", "not-run" },
+                { "why", failure ? failure->error.toText() : "the home can't tell" } });
+    }
+    askNextRateHome();
+}
+
+auto EntryRequest::onWithinRate() -> void
+{
+    prepare();
+    place();
 }
 
 auto EntryRequest::prepare() -> void
@@ -383,7 +457,7 @@
     const auto now = monotonicNow();
     // The key may have been withdrawn while the request waited.
     const auto& current = m_context.snapshot;
-    if (!m_clientAccount.empty() && current != m_snapshot && !current->keys().accountForKey(m_key)) {
+    if (m_clientAccount && current != m_snapshot && !current->keys().accountForKey(m_key)) {
         m_context.hops.cancel(m_call);
         releaseTarget();
         if (m_mayHaveRun)
@@ -403,7 +477,7 @@
     RunAsk ask { .request = m_exchange->request(),
         .requestId = m_requestId,
         .callerService = m_context.service,
-        .clientAccount = m_clientAccount,
+        .clientAccount = m_clientAccount ? m_clientAccount->name : "",
         .isRepeatable = isRepeatable(),
         .timeLeft = left(now),
         .targetLatencyLeft = latencyLeft(now),
@@ -547,7 +621,7 @@
     log::logEvent(requestEnded,
         { { "request", m_requestId }, { "status", std::to_string(answer.status) }, { "why", std::string(why) },
             { "ms", std::to_string(took.count()) }, { "route", m_route ? m_route->name : "" },
-            { "service", m_service }, { "account", m_clientAccount }, { "runs", std::to_string(m_runs) },
+            { "service", m_service }, { "account", m_clientAccount ? m_clientAccount->name : "" }, { "runs", std::to_string(m_runs) },
             { "version", m_snapshot ? std::to_string(m_snapshot->configuration().version) : "" },
             { "proof-age-ms", proofAge ? std::to_string(proofAge->count()) : "" } });
     if (!m_requestId.empty() && !answer.headers.find(m_context.headers.requestId))
--- a/src/relay/EntryRequest.h
+++ b/src/relay/EntryRequest.h
@@ -41,7 +41,13 @@
 
     auto begin() -> void;
     [[nodiscard]] auto checkKey() -> bool;
-    [[nodiscard]] auto checkRate() -> bool;
+    auto checkRate() -> void;
+    auto askRateHomes() -> void;
+    auto askNextRateHome() -> void;
+    [[nodiscard]] auto isRateHomeSpent(const std::string& home, MonotonicTime now) -> bool;
+    auto noteTurn(std::chrono::milliseconds turnIn) -> void;
+    auto onRateAnswer(const std::string& home, const net::HttpClient::Result& result) -> void;
+    auto onWithinRate() -> void;
     auto readDeadline() -> void;
     auto prepare() -> void;
     auto place() -> void;
@@ -73,7 +79,9 @@
     std::shared_ptr<const PolicySnapshot> m_snapshot;
     const config::Route* m_route = nullptr;
     std::string m_key;
-    std::string m_clientAccount;
+    const config::ClientAccount* m_clientAccount = nullptr; // of m_snapshot; null for an open route
+    std::vector<std::string> m_rateHomes; // still to be asked, the last one next
+    std::optional<std::chrono::milliseconds> m_turnIn; // until some home has a request left; nothing if none said so
     std::string m_requestId;
     std::string m_service;
     int m_priority = 0;
--- a/src/relay/HopMessages.cpp
+++ b/src/relay/HopMessages.cpp
@@ -110,6 +110,29 @@
     return isRead ? std::optional(std::move(ask)) : std::nullopt;
 }
 
+auto encodeRate(const RateAsk& ask) -> std::string
+{
+    return toHttp(ratePath, json::array({ ask.clientAccount }));
+}
+
+auto decodeRate(const std::string& body, Error& reason) -> std::optional<RateAsk>
+{
+    RateAsk ask;
+    const bool isRead
+        = decodeWith(body, reason, [&ask](const json& value) { ask.clientAccount = value.at(0).get<std::string>(); });
+    return isRead ? std::optional(std::move(ask)) : std::nullopt;
+}
+
+auto encodeTurn(milliseconds turnIn) -> std::string { return std::to_string(turnIn.count()); }
+
+auto decodeTurn(std::string_view text) -> std::optional<milliseconds>
+{
+    milliseconds::rep number = 0;
+    const auto* end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, number);
+    return parsed.ec == std::errc {} && parsed.ptr == end ? std::optional(milliseconds(number)) : std::nullopt;
+}
+
 auto outcomeName(HopOutcome outcome) -> std::string_view
 {
     for (const auto& [value, name] : outcomeNames) {
--- a/src/relay/HopMessages.h
+++ b/src/relay/HopMessages.h
@@ -22,6 +22,7 @@
 
 inline constexpr std::string_view reservePath = "/reserve";
 inline constexpr std::string_view runPath = "/run";
+inline constexpr std::string_view ratePath = "/rate";
 // Stands with every answer to a run: how the attempt ended at the target.
 inline constexpr std::string_view outcomeHeader = "Coriandergate-Outcome";
 // Stands with every answer: running, waiting, slots and, of a failing target, the milliseconds to its next trial.
@@ -57,6 +58,11 @@
     std::optional<std::chrono::milliseconds> expiresAt; // on the store's clock, which both daemons know
 };
 
+// RateAsk asks the home of a client account for one request of its rate.
+struct RateAsk {
+    std::string clientAccount;
+};
+
 // TargetNews is what the daemon beside a target tells of it.
 struct TargetNews {
     dispatch::TargetLoad load;
@@ -66,11 +72,18 @@
 // The encoders make whole HTTP requests. Safe from any thread.
 [[nodiscard]] auto encodeReserve(const ReserveAsk& ask) -> std::string;
 [[nodiscard]] auto encodeRun(const RunAsk& ask) -> std::string;
+[[nodiscard]] auto encodeRate(const RateAsk& ask) -> std::string;
 
 // The decoders read the body of such a request; nothing, with a reason, when it can't be read. Safe from any thread.
 [[nodiscard]] auto decodeReserve(const std::string& body, Error& reason) -> std::optional<ReserveAsk>;
 [[nodiscard]] auto decodeRun(const std::string& body, Error& reason) -> std::optional<RunAsk>;
 
+[[nodiscard]] auto decodeRate(const std::string& body, Error& reason) -> std::optional<RateAsk>;
+
+// The turn says in how many milliseconds a home that refused has the next request of the account.
+[[nodiscard]] auto encodeTurn(std::chrono::milliseconds turnIn) -> std::string;
+[[nodiscard]] auto decodeTurn(std::string_view text) -> std::optional<std::chrono::milliseconds>;
+
 [[nodiscard]] auto outcomeName(HopOutcome outcome) -> std::string_view;
 [[nodiscard]] auto outcomeOf(std::string_view name) -> std::optional<HopOutcome>;
 [[nodiscard]] auto encodeNews(const TargetNews& news) -> std::string;
--- a/src/sidecar/HostSettings.h
+++ b/src/sidecar/HostSettings.h
@@ -14,6 +14,7 @@
     std::string hostName;
     std::string hostAddress; // IP number, the key of the host's row in the store
     Locality locality;
+    std::size_t regions = 1; // of the whole deployment
     std::string callerListen; // for callers of this host
     std::string peerListen; // for other daemons
     std::string controlListen; // for the target of this host
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -1,6 +1,7 @@
 #include "sidecar/Sidecar.h"
 
 #include "base/Error.h"
+#include "dispatch/RatePool.h"
 #include "fleet/HostAnnouncer.h"
 #include "fleet/HostDirectory.h"
 #include "fleet/TableFollower.h"
@@ -11,6 +12,7 @@
 #include "relay/OwnerRelay.h"
 #include "sidecar/MetricsPage.h"
 
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 
 namespace coriandergate::sidecar {
@@ -37,14 +39,18 @@
     const log::Event hostRecordRefused { 1930, log::Severity::Warning, "host record refused",
         "the row is left aside; the reason names what can't be read" };
 
+    const log::Event limitsChanged { 1933, log::Severity::Info, "limits of a client account changed",
+        "its rate a second and its burst over all hosts; 0 stands for no limit" };
+
     constexpr const char* hostTable = "hosts";
-    // One long poll for the configuration. Half of the shortest time for which a withdrawn key may still work, so that
-    // one lost answer leaves time for another.
-    constexpr milliseconds configurationWait { 2000 };
+    // One long poll for the configuration: half of the time for which a withdrawn key may still work.
+    constexpr milliseconds configurationWait { 2600 };
     // One long poll for the hosts, whose changes are told as they come.
-    constexpr milliseconds hostsWait { 4000 };
-    // A host counts as known to all others after this: any of them that didn't hear of it takes no keys by then.
-    constexpr milliseconds newcomerTime { 7000 };
+    constexpr milliseconds hostsWait { 15000 };
+    // Rows of hosts change several at a time.
+    constexpr milliseconds hostsSettle { 300 };
+    // A host without a target tells so when no heartbeat came after this; targets send one every second or two.
+    constexpr milliseconds firstHeartbeatTime { 1700 };
     // A target that leaves is told so at the latest after this; it waits a second.
     constexpr milliseconds longestAcknowledgement { 650 };
     // Part of the revocation bound for which an answer of the store counts as news; the rest covers the way of a request.
@@ -59,6 +65,24 @@
         return std::chrono::duration_cast<milliseconds>(settings.revocationBound * freshPart);
     }
 
+    auto logChangedLimits(const relay::PolicySnapshot* before, const config::Configuration& after) -> void
+    {
+        for (const auto& account : after.clientAccounts) {
+            const config::ClientAccount* known = nullptr;
+            if (before) {
+                const auto& accounts = before->configuration().clientAccounts;
+                const auto found = std::find_if(accounts.begin(), accounts.end(),
+                    [&account](const config::ClientAccount& candidate) { return candidate.name == account.name; });
+                known = found == accounts.end() ? nullptr : &*found;
+            }
+            if (known && known->ratePerSecond == account.ratePerSecond && known->burst == account.burst)
+                continue;
+            log::logEvent(limitsChanged,
+                { { "account", account.name }, { "rate", std::to_string(account.ratePerSecond) },
+                    { "burst", std::to_string(account.burst) }, { "version", std::to_string(after.version) } });
+        }
+    }
+
     auto callerOptions(const HostSettings& settings, const config::CallerLimits& limits) -> net::HttpServer::Options
     {
         constexpr std::size_t bytesPerMegabyte = 1024 * 1024;
@@ -95,6 +119,9 @@
     auto onHostsKnown() -> void;
     auto onStoreAnswer(const fleet::StoreAnswer& answer) -> void;
     auto onStoreFailure(const Error& error) -> void;
+    auto handlePeer(const std::shared_ptr<http::Exchange>& exchange) -> void;
+    auto handleRate(const std::shared_ptr<http::Exchange>& exchange) -> void;
+    auto rateLimits() const -> dispatch::RateLimits;
     auto metricsPage() const -> std::string;
 
     boost::asio::io_context& io;
@@ -105,10 +132,11 @@
     fleet::HostAnnouncer announcer;
     fleet::TableFollower configurationFollower;
     fleet::TableFollower hostFollower;
-    dispatch::FreshnessProof proof;
+    dispatch::FreshnessProof proof; // of the configuration
+    dispatch::FreshnessProof hostsProof; // of the list of hosts
     dispatch::TargetBoard board;
     dispatch::AttemptBudget attempts;
-    dispatch::RateShares shares;
+    dispatch::RatePool pool;
     net::HttpClient hops;
     relay::EntryContext entry;
     relay::OwnerRelay owner;
@@ -117,9 +145,8 @@
     net::HttpServer control;
     net::HttpServer readiness;
     net::HttpServer metrics;
-    boost::asio::steady_timer newcomerTimer;
+    boost::asio::steady_timer firstHeartbeatTimer;
     boost::asio::steady_timer stopTimer;
-    std::uint64_t incarnation;
     MonotonicTime stopBeganAt;
     bool isStopping = false;
     bool isDraining = false;
@@ -135,13 +162,15 @@
     , target(settings.service, settings.targetAddress)
     , announcer(io, store, hostTable, settings.hostAddress)
     , configurationFollower(io, store, { .table = adapter.operatorTable, .wait = configurationWait })
-    , hostFollower(io, store, { .table = hostTable, .wait = hostsWait })
+    , hostFollower(io, store, { .table = hostTable, .wait = hostsWait, .settle = hostsSettle })
     , proof({ .maximumAge = freshness(settings) })
+    , hostsProof({ .maximumAge = freshness(settings) })
     , board({ .here = settings.locality })
     , attempts({ .ratio = settings.attemptRatio,
           .allowance = settings.attemptAllowance,
           .window = settings.attemptWindow })
-    , shares({ .window = settings.rateWindow, .overage = settings.rateOverage, .slack = settings.rateSlack },
+    , pool({ .limits = rateLimits(),
+               .part = 1 / static_cast<double>(settings.regions * dispatch::rateHomesOfRegion) },
           monotonicNow())
     , hops(io, { .connectTimeout = milliseconds(400), .idleTimeout = milliseconds(30000), .maximumIdlePerPeer = 4 })
     , entry { .io = io,
@@ -152,8 +181,9 @@
         .hops = hops,
         .board = board,
         .attempts = attempts,
-        .shares = shares,
         .proof = proof,
+        .hostsProof = hostsProof,
+        .directory = directory,
         .snapshot = nullptr }
     , owner(io, target, { .headers = adapter.headers })
     , callers(io, callerOptions(settings, {}),
@@ -164,7 +194,7 @@
           { .maximumBodyBytes = settings.memoryMegabytes * 1024 * 1024 / 8,
               .idleTimeout = milliseconds(60000),
               .maximumConnections = settings.fileDescriptors / 3 },
-          [this](std::shared_ptr<http::Exchange> exchange) { owner.handle(std::move(exchange)); })
+          [this](std::shared_ptr<http::Exchange> exchange) { handlePeer(exchange); })
     , control(io, {}, [this](std::shared_ptr<http::Exchange> exchange) { handleControl(exchange); })
     , readiness(io, {},
           [this](std::shared_ptr<http::Exchange> exchange) {
@@ -175,10 +205,8 @@
           [this](std::shared_ptr<http::Exchange> exchange) {
               exchange->answer(http::makeAnswer(200, "text/plain; version=0.0.4", metricsPage()));
           })
-    , newcomerTimer(io)
+    , firstHeartbeatTimer(io)
     , stopTimer(io)
-    , incarnation(static_cast<std::uint64_t>(SuspendAwareClock::now().time_since_epoch().count())
-          ^ (static_cast<std::uint64_t>(entry.random()) << 40))
 {
 }
 
@@ -194,6 +222,9 @@
     configurationFollower.onRows([this](const auto& rows, bool) { onConfigurationRows(rows); });
     configurationFollower.onAnswer([this](const fleet::StoreAnswer& answer) { onStoreAnswer(answer); });
     configurationFollower.onFailure([this](const Error& error) { onStoreFailure(error); });
+    hostFollower.onAnswer([this](const fleet::StoreAnswer& answer) {
+        hostsProof.recordAnswer(answer.sentAt, answer.receivedAt, answer.storeTime);
+    });
     hostFollower.onRows([this](const auto& rows, bool isWhole) { onHostRows(rows, isWhole); });
     configurationFollower.start();
     hostFollower.start();
@@ -216,6 +247,18 @@
     if (!hasStore)
         log::logEvent(storeRegained, {});
     hasStore = true;
+    // Versions are counted over the whole store, one a transaction. When all that are newer than what the hosts' rows
+    // were told up to are changes of this table, those rows are as fresh as this answer.
+    if (!knowsHosts)
+        return;
+    const auto changes = static_cast<std::uint64_t>(std::count_if(answer.rows.begin(), answer.rows.end(),
+        [this](const fleet::StoreRow& row) { return row.version > hostFollower.after(); }));
+    if (hostFollower.after() + changes >= answer.newestVersion) {
+        hostFollower.skipTo(answer.newestVersion);
+        hostsProof.recordAnswer(answer.sentAt, answer.receivedAt, answer.storeTime);
+    } else {
+        hostFollower.catchUp();
+    }
 }
 
 auto Sidecar::State::onStoreFailure(const Error& error) -> void
@@ -228,6 +271,43 @@
         { { "why", error.toText() }, { "proof-age-ms", age ? std::to_string(age->count()) : "" } });
 }
 
+auto Sidecar::State::rateLimits() const -> dispatch::RateLimits
+{
+    return { .window = settings.rateWindow, .overage = settings.rateOverage, .slack = settings.rateSlack };
+}
+
+auto Sidecar::State::handlePeer(const std::shared_ptr<http::Exchange>& exchange) -> void
+{
+    if (exchange->request().target == relay::ratePath)
+        handleRate(exchange);
+    else
+        owner.handle(exchange);
+}
+
+auto Sidecar::State::handleRate(const std::shared_ptr<http::Exchange>& exchange) -> void
+{
+    constexpr int overRate = 429;
+    constexpr int cannotTell = 503;
+    const auto now = SuspendAwareClock::now();
+    Error reason;
+    const auto ask = relay::decodeRate(exchange->request().body, reason);
+    // A home that may have been replaced without knowing hands out nothing.
+    if (!ask || isStopping || !entry.snapshot || !proof.isFresh(now) || !hostsProof.isFresh(now)) {
+        exchange->answer(http::makeAnswer(cannotTell, "text/plain", ""));
+        return;
+    }
+    const auto& accounts = entry.snapshot->configuration().clientAccounts;
+    const auto account = std::find_if(accounts.begin(), accounts.end(),
+        [&ask](const config::ClientAccount& candidate) { return candidate.name == ask->clientAccount; });
+    if (account == accounts.end()) {
+        exchange->answer(http::makeAnswer(cannotTell, "text/plain", ""));
+        return;
+    }
+    const auto decision = pool.take(*account, settings.hostAddress, monotonicNow());
+    exchange->answer(http::makeAnswer(
+        decision.isGranted ? 200 : overRate, "text/plain", decision.isGranted ? "" : relay::encodeTurn(decision.turnIn)));
+}
+
 auto Sidecar::State::onConfigurationRows(const std::vector<fleet::StoreRow>& rows) -> void
 {
     for (const auto& row : rows) {
@@ -242,6 +322,7 @@
         // An answer that was overtaken must not bring an older version back.
         if (entry.snapshot && configuration->version <= entry.snapshot->configuration().version)
             continue;
+        logChangedLimits(entry.snapshot.get(), *configuration);
         entry.snapshot = std::make_shared<const relay::PolicySnapshot>(std::move(*configuration));
         const auto& taken = entry.snapshot->configuration();
         callers.setOptions(callerOptions(settings, taken.callerLimits));
@@ -259,6 +340,7 @@
     if (!knowsHosts)
         onHostsKnown();
     board.setTargets(directory.targets());
+    pool.setHosts(directory.hostsOf(settings.locality.region), monotonicNow());
     entry.hosts = std::max<std::size_t>(1, directory.size());
     log::logEvent(hostsChanged,
         { { "hosts", std::to_string(entry.hosts) }, { "targets", std::to_string(directory.targets().size()) } });
@@ -270,17 +352,20 @@
     if (const auto* earlier = directory.find(settings.hostAddress)) {
         target.recall(
             earlier->targetId, earlier->targetStartedAt, earlier->state == fleet::HostRecord::State::Leaving);
-    } else {
-        entry.isNewcomer = true;
     }
     owner.open();
     owner.onTargetChanged();
-    announce([this] {
-        newcomerTimer.expires_after(newcomerTime);
-        newcomerTimer.async_wait([this](const boost::system::error_code& error) {
-            if (!error)
-                entry.isNewcomer = false;
-        });
+    if (target.current()) {
+        announce(nullptr);
+        return;
+    }
+    // The first heartbeat comes soon, and one change of the row costs every host less than two.
+    if (directory.find(settings.hostAddress))
+        return;
+    firstHeartbeatTimer.expires_after(firstHeartbeatTime);
+    firstHeartbeatTimer.async_wait([this](const boost::system::error_code& error) {
+        if (!error && !target.current())
+            announce(nullptr);
     });
 }
 
@@ -289,7 +374,6 @@
     if (!knowsHosts)
         return;
     fleet::HostRecord record { .peerAddress = settings.peerListen,
-        .incarnation = incarnation,
         .locality = settings.locality,
         .service = settings.service };
     if (const auto& current = target.current()) {
@@ -298,8 +382,6 @@
         record.slots = current->slots;
         record.state = current->isLeaving ? fleet::HostRecord::State::Leaving : fleet::HostRecord::State::Serving;
     }
-    if (isStopping && record.state == fleet::HostRecord::State::Serving)
-        record.state = fleet::HostRecord::State::Stopping;
     announcer.announce(record, std::move(stored));
 }
 
@@ -398,8 +480,6 @@
     // A host whose target has left is gone for good; another's target stays while its daemon is started again.
     if (target.current() && !target.isServing())
         announcer.retract(nullptr);
-    else
-        announce(nullptr);
     pollStop();
 }
 
--- a/tools/coriandergate-measure-configuration/main.cpp
+++ b/tools/coriandergate-measure-configuration/main.cpp
@@ -96,7 +96,10 @@
     const auto number = [](int i) { return std::to_string(100000 + i); };
     for (int i = 0; i < accounts; ++i)
         configuration.clientAccounts.push_back(
-            { "account-" + number(i), { config::digestOfKey("key-" + number(i)) }, 10, 20 });
+            { .name = "account-" + number(i),
+                .keyDigests = { config::digestOfKey("key-" + number(i)) },
+                .ratePerSecond = 10,
+                .burst = 20 });
     for (int i = 0; i < routes; ++i) {
         config::Route route;
         route.name = "route-" + number(i);
