Take refusals and slowness for what they are, and let a target come back in steps

A target that had failed for 9 s got its next full work 14 s after it was sound. Ruled out: slower detection; retrying at the same target (counts as an arrival all the same). Change: refusals are told to entries as a share and weigh in the choice; only failures and silence make a target failing; trials grow with each good answer; when most targets of a service fail, none is left out. An answer counts as open until it is written.

--- a/src/dispatch/AttemptBudget.cpp
+++ b/src/dispatch/AttemptBudget.cpp
@@ -4,23 +4,17 @@
 
 namespace coriandergate::dispatch {
 
-namespace {
-
-    auto dropBefore(std::deque<MonotonicTime>& times, MonotonicTime oldest) -> void
-    {
-        while (!times.empty() && times.front() < oldest)
-            times.pop_front();
-    }
-
-} // namespace
-
 auto AttemptBudget::counts(std::string_view service, MonotonicTime now) -> Counts&
 {
     auto found = m_services.find(service);
     if (found == m_services.end())
         found = m_services.emplace(std::string(service), Counts {}).first;
-    dropBefore(found->second.requests, now - m_options.window);
-    dropBefore(found->second.attempts, now - m_options.window);
+    auto& [requests, attempts] = found->second;
+    const auto oldest = now - m_options.window;
+    while (!requests.empty() && requests.front() < oldest)
+        requests.pop_front();
+    while (!attempts.empty() && attempts.front().first < oldest)
+        attempts.pop_front();
     return found->second;
 }
 
@@ -29,15 +23,30 @@
     counts(service, now).requests.push_back(now);
 }
 
-auto AttemptBudget::take(std::string_view service, std::size_t hosts, MonotonicTime now) -> bool
+auto AttemptBudget::hasRoom(std::string_view service, double attempts, std::size_t hosts, MonotonicTime now) -> bool
 {
-    auto& window = counts(service, now);
+    const auto& window = counts(service, now);
     const double allowance = m_options.allowance / static_cast<double>(std::max<std::size_t>(1, hosts));
     const double allowed
         = m_options.usedPart * (m_options.ratio * static_cast<double>(window.requests.size()) + allowance);
-    if (static_cast<double>(window.attempts.size()) + 1 > allowed)
+    double made = 0;
+    for (const auto& [time, count] : window.attempts)
+        made += count;
+    return made + attempts <= allowed;
+}
+
+auto AttemptBudget::take(
+    std::string_view service, const CallsPerRun& calls, std::size_t hosts, MonotonicTime now) -> bool
+{
+    if (!hasRoom(service, 1, hosts, now))
         return false;
-    window.attempts.push_back(now);
+    for (const auto& [called, count] : calls) {
+        if (!hasRoom(called, count, hosts, now))
+            return false;
+    }
+    counts(service, now).attempts.emplace_back(now, 1);
+    for (const auto& [called, count] : calls)
+        counts(called, now).attempts.emplace_back(now, count);
     return true;
 }
 
--- a/src/dispatch/AttemptBudget.h
+++ b/src/dispatch/AttemptBudget.h
@@ -5,9 +5,11 @@
 //
 // Load pattern: many targets failing at once while callers repeat.
 //
+// A run that calls other services repeats its calls too, so these are counted at the services called.
+//
 //   AttemptBudget budget({ .ratio = 0.2, .allowance = 64, .window = 10s });
 //   budget.recordRequest("orders", now);
-//   if (budget.take("orders", hosts, now)) ...
+//   if (budget.take("orders", { { "stock", 1.4 } }, hosts, now)) ...
 #pragma once
 
 #include "base/Clock.h"
@@ -17,6 +19,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace coriandergate::dispatch {
 
@@ -37,15 +40,21 @@
 
     auto recordRequest(std::string_view service, MonotonicTime now) -> void;
 
-    // take() allows one further attempt at `service`, or not. `hosts` is how many share the allowance.
-    [[nodiscard]] auto take(std::string_view service, std::size_t hosts, MonotonicTime now) -> bool;
+    // CallsPerRun says how many calls of each other service a run makes, on average.
+    using CallsPerRun = std::map<std::string, double, std::less<>>;
+
+    // take() allows one further attempt at `service`, whose run makes `calls`, or not. `hosts` is how many share the
+    // allowance.
+    [[nodiscard]] auto take(std::string_view service, const CallsPerRun& calls, std::size_t hosts, MonotonicTime now)
+        -> bool;
 
 private:
     struct Counts {
         std::deque<MonotonicTime> requests;
-        std::deque<MonotonicTime> attempts;
+        std::deque<std::pair<MonotonicTime, double>> attempts;
     };
 
+    [[nodiscard]] auto hasRoom(std::string_view service, double attempts, std::size_t hosts, MonotonicTime now) -> bool;
     auto counts(std::string_view service, MonotonicTime now) -> Counts&;
 
     Options m_options;
--- a/src/dispatch/TargetBoard.cpp
+++ b/src/dispatch/TargetBoard.cpp
@@ -60,20 +60,32 @@
     return std::max(others + own, static_cast<double>(target.underWay)) / slots;
 }
 
-auto TargetBoard::cost(const Target& target, const Need& need, MonotonicTime now) const -> double
+auto TargetBoard::cost(const Target& target, const Need& need, bool takesFailing, MonotonicTime now) const -> double
 {
     if (target.description.isLeaving || now < target.avoidUntil)
         return unusable;
     const bool isTrial = target.isFailing && now >= target.trialAt && need.isRepeatable;
-    if (target.isFailing && !isTrial)
+    if (target.isFailing && !isTrial && !takesFailing)
         return unusable;
-    double cost = expectedFill(target, now);
+    double cost = expectedFill(target, now) + m_options.refusedWeight * target.refusedShare;
     const auto& locality = target.description.locality;
     if (locality.region != m_options.here.region)
         cost += m_options.otherRegionWeight * need.distanceFactor;
     else if (locality.dataCentre != m_options.here.dataCentre)
         cost += m_options.otherDataCentreWeight * need.distanceFactor;
-    return isTrial ? cost - trialAdvantage : cost;
+    if (isTrial)
+        return cost - trialAdvantage;
+    return target.isFailing ? cost + m_options.failingWeight : cost;
+}
+
+auto TargetBoard::mostFail(std::string_view service) const -> bool
+{
+    const auto found = m_byService.find(service);
+    if (found == m_byService.end())
+        return false;
+    const auto failing = std::count_if(
+        found->second.begin(), found->second.end(), [](const TargetPointer& target) { return target->isFailing; });
+    return static_cast<double>(failing) > m_options.mostShare * static_cast<double>(found->second.size());
 }
 
 auto TargetBoard::choose(const Need& need, MonotonicTime now, std::uint64_t random) const -> TargetPointer
@@ -81,6 +93,7 @@
     const auto found = m_byService.find(need.service);
     if (found == m_byService.end())
         return nullptr;
+    const bool takesFailing = mostFail(need.service);
     TargetPointer best;
     double least = unusable;
     std::uint64_t index = 0;
@@ -89,7 +102,7 @@
         if (std::find(need.excluded.begin(), need.excluded.end(), target->description.address) != need.excluded.end())
             continue;
         const auto chance = static_cast<double>(mix(random + index) >> 40) / static_cast<double>(1ULL << 24);
-        const double total = cost(*target, need, now) + chanceWeight * chance;
+        const double total = cost(*target, need, takesFailing, now) + chanceWeight * chance;
         if (total < least) {
             least = total;
             best = target;
@@ -112,8 +125,9 @@
         --target.startedSince;
 }
 
-auto TargetBoard::recordLoad(Target& target, const TargetLoad& load, MonotonicTime now) -> void
+auto TargetBoard::recordLoad(Target& target, const TargetLoad& load, double refusedShare, MonotonicTime now) -> void
 {
+    target.refusedShare = refusedShare;
     target.load = load;
     target.loadToldAt = now;
     target.startedSince = 0;
--- a/src/dispatch/TargetBoard.h
+++ b/src/dispatch/TargetBoard.h
@@ -38,6 +38,9 @@
         // tens of them and a share of the narrow link.
         double otherDataCentreWeight = 0.45;
         double otherRegionWeight = 1.1;
+        double refusedWeight = 1.5; // for a target that refuses all that reaches it
+        double failingWeight = 0.5; // for a failing target while most of its service fails
+        double mostShare = 0.5; // of a service's targets; when more fail, none is left out for it
         std::chrono::milliseconds loadMemory { 1000 }; // after it, half of what a target told has faded
         double assumedLoad = 0.4; // of the slots, for a target that told nothing lately
         std::chrono::milliseconds firstPathBackoff { 700 }; // a path that failed isn't tried for so long
@@ -63,6 +66,7 @@
         MonotonicTime avoidUntil; // it refused or its path failed
         MonotonicTime trialAt; // a failing target may be tried with a repeatable request from then on
         bool isFailing = false;
+        double refusedShare = 0; // of the requests that reached it lately
         std::chrono::milliseconds pathBackoff { 0 };
     };
     using TargetPointer = std::shared_ptr<Target>;
@@ -79,6 +83,9 @@
     // setTargets() takes over who is announced; what is known of those that stay is kept.
     auto setTargets(const std::vector<Description>& descriptions) -> void;
 
+    // mostFail() says that most targets of `service` fail, so that failing ones are taken too.
+    [[nodiscard]] auto mostFail(std::string_view service) const -> bool;
+
     // choose() is the target with the least cost, or null. `random` breaks ties.
     [[nodiscard]] auto choose(const Need& need, MonotonicTime now, std::uint64_t random) const -> TargetPointer;
 
@@ -86,7 +93,7 @@
     auto finish(Target& target) -> void;
 
     // recordLoad() takes what the daemon beside the target told with an answer or a refusal.
-    auto recordLoad(Target& target, const TargetLoad& load, MonotonicTime now) -> void;
+    auto recordLoad(Target& target, const TargetLoad& load, double refusedShare, MonotonicTime now) -> void;
 
     // recordFailing() notes that the target fails and when it may be tried again; recordSound() that it works.
     auto recordFailing(Target& target, std::chrono::milliseconds trialIn, MonotonicTime now) -> void;
@@ -106,7 +113,8 @@
     [[nodiscard]] auto targets(std::string_view service) const -> std::vector<TargetPointer>;
 
 private:
-    [[nodiscard]] auto cost(const Target& target, const Need& need, MonotonicTime now) const -> double;
+    [[nodiscard]] auto cost(const Target& target, const Need& need, bool takesFailing, MonotonicTime now) const
+        -> double;
 
     Options m_options;
     std::map<std::string, TargetPointer, std::less<>> m_byAddress;
--- a/src/dispatch/TargetHealth.cpp
+++ b/src/dispatch/TargetHealth.cpp
@@ -10,48 +10,59 @@
 {
     if (!m_isFailing)
         return Admission::Sound;
-    if (m_isTrialUnderWay || now < m_trialAt)
+    if (m_trialsUnderWay >= trialsAtOnce() || now < m_trialAt)
         return Admission::Refused;
-    if (!isRepeatable && now < m_lastTrialAt + m_options.onceOnlyTrialAfter)
+    const bool mayTryOnceOnly = m_goodTrials > 0 || now >= m_lastTrialAt + m_options.onceOnlyTrialAfter;
+    if (!isRepeatable && !mayTryOnceOnly)
         return Admission::Refused;
-    m_isTrialUnderWay = true;
+    ++m_trialsUnderWay;
     m_lastTrialAt = now;
     return Admission::Trial;
 }
 
+auto TargetHealth::abandonTrial() -> void
+{
+    if (m_trialsUnderWay > 0)
+        --m_trialsUnderWay;
+}
+
 auto TargetHealth::recordEnd(Outcome outcome, MonotonicTime now) -> bool
 {
-    const double value = outcome == Outcome::Succeeded ? 0 : outcome == Outcome::Late ? m_options.lateFailure : 1;
-    m_score += m_options.newestWeight * (value - m_score);
-    m_slowScore += m_options.slowWeight * (value - m_slowScore);
+    const bool isGood = outcome == Outcome::Succeeded;
+    const double value = isGood ? 0 : outcome == Outcome::Silent ? m_options.silentFailure : 1;
+    m_failureShare += m_options.newestWeight * (value - m_failureShare);
     const bool wasFailing = m_isFailing;
-    if (!m_isFailing && m_score > m_options.failingAbove) {
-        m_isFailing = true;
-        m_isTrialUnderWay = false;
+    if (isGood) {
+        if (!m_isFailing)
+            return false;
+        ++m_goodTrials;
+        m_trialAt = now;
         m_gap = m_options.firstTrialGap;
+        const auto needed = m_failureShare > m_options.chanceShare ? m_options.answersToClear : 1;
+        m_isFailing = m_goodTrials < needed;
+        return wasFailing != m_isFailing;
+    }
+    m_goodTrials = 0;
+    if (!m_isFailing) {
         // The first trial follows at once.
+        m_isFailing = true;
+        m_trialsUnderWay = 0;
+        m_gap = m_options.firstTrialGap;
         m_trialAt = now;
         m_lastTrialAt = now;
-    } else if (m_isFailing) {
-        m_isTrialUnderWay = false;
-        if (outcome == Outcome::Succeeded) {
-            m_trialAt = now;
-            m_gap = m_options.firstTrialGap;
-        } else {
-            m_trialAt = now + m_gap;
-            const auto grown = std::chrono::duration_cast<milliseconds>(m_gap * m_options.gapGrowth);
-            m_gap = std::min(grown, m_options.longestTrialGap);
-        }
-        m_isFailing = m_score >= m_options.soundBelow || m_slowScore >= m_options.slowSoundBelow;
+        return true;
     }
-    return wasFailing != m_isFailing;
+    m_trialAt = now + m_gap;
+    const auto grown = std::chrono::duration_cast<milliseconds>(m_gap * m_options.gapGrowth);
+    m_gap = std::min(grown, m_options.longestTrialGap);
+    return false;
 }
 
 auto TargetHealth::reset() -> void { *this = TargetHealth(m_options); }
 
 auto TargetHealth::trialIn(MonotonicTime now) const -> milliseconds
 {
-    if (m_isTrialUnderWay)
+    if (m_trialsUnderWay >= trialsAtOnce())
         return m_options.firstTrialGap;
     return std::max(milliseconds { 0 }, std::chrono::ceil<milliseconds>(m_trialAt - now));
 }
--- a/src/dispatch/TargetHealth.h
+++ b/src/dispatch/TargetHealth.h
@@ -1,7 +1,9 @@
 // Whether the target beside this daemon fails, judged by everything that it answered to all entries.
 //
-// Its own health page isn't asked: it can lie either way. A target that fails keeps getting single repeatable requests,
-// farther apart while they fail, and takes everything again after a few successes.
+// Its own health page isn't asked: it can lie either way. One failure makes the target a suspect, which gets single
+// repeatable requests as trials, farther apart while they fail. A good answer clears chance failures; a target that
+// failed more lately needs several, and takes more at a time with each. Refusals and slow answers aren't failures: where
+// all targets refuse or are slow, leaving some out helps nobody.
 //
 // Load patterns: a target that fails a part of its requests; one that hangs; one slowed several times.
 //
@@ -13,6 +15,7 @@
 #include "base/Clock.h"
 
 #include <chrono>
+#include <cstddef>
 
 namespace coriandergate::dispatch {
 
@@ -20,21 +23,19 @@
 class TargetHealth {
 public:
     struct Options {
-        double newestWeight = 0.4; // of the newest outcome in the failure score, 0 to 1
-        double failingAbove = 0.35; // a failure after good answers: a trial tells chance from sickness at little cost
-        double soundBelow = 0.25; // a good answer after one failure, three after several
-        double slowWeight = 0.12; // of the newest outcome in a second score with a longer memory
-        double slowSoundBelow = 0.3; // failing parts of requests above this aren't chance
-        double lateFailure = 0.6; // what an answer counts that came long after its target latency
-        std::chrono::milliseconds firstTrialGap { 150 };
-        std::chrono::milliseconds longestTrialGap { 1000 };
+        double newestWeight = 0.12; // of the newest outcome in the share of failures
+        double chanceShare = 0.25; // of failures lately, up to which one good answer clears a target; above it several
+        std::size_t answersToClear = 3;
+        std::chrono::milliseconds firstTrialGap { 120 };
+        std::chrono::milliseconds longestTrialGap { 700 };
         double gapGrowth = 1.5;
-        std::chrono::milliseconds onceOnlyTrialAfter { 1000 }; // without any repeatable request to try it with
+        std::chrono::milliseconds onceOnlyTrialAfter { 800 }; // without any repeatable request to try it with
+        double silentFailure = 0.6; // what a request counts while the target gives no answer at all
     };
 
     enum class Outcome {
         Succeeded,
-        Late,
+        Silent, // it gave no answer to any request for longer than an answer takes
         Failed,
     };
 
@@ -56,7 +57,7 @@
     auto recordEnd(Outcome outcome, MonotonicTime now) -> bool;
 
     // abandonTrial() says that a trial ended without an outcome.
-    auto abandonTrial() -> void { m_isTrialUnderWay = false; }
+    auto abandonTrial() -> void;
 
     // reset() begins anew, for a new incarnation of the target.
     auto reset() -> void;
@@ -65,14 +66,16 @@
     [[nodiscard]] auto trialIn(MonotonicTime now) const -> std::chrono::milliseconds;
 
     [[nodiscard]] auto isFailing() const -> bool { return m_isFailing; }
-    [[nodiscard]] auto score() const -> double { return m_score; }
+    [[nodiscard]] auto failureShare() const -> double { return m_failureShare; }
 
 private:
+    [[nodiscard]] auto trialsAtOnce() const -> std::size_t { return std::size_t { 1 } << m_goodTrials; }
+
     Options m_options;
-    double m_score = 0;
-    double m_slowScore = 0;
+    double m_failureShare = 0;
     bool m_isFailing = false;
-    bool m_isTrialUnderWay = false;
+    std::size_t m_trialsUnderWay = 0;
+    std::size_t m_goodTrials = 0; // in a row
     MonotonicTime m_trialAt;
     MonotonicTime m_lastTrialAt;
     std::chrono::milliseconds m_gap { 0 };
--- a/src/fleet/LocalTarget.cpp
+++ b/src/fleet/LocalTarget.cpp
@@ -2,6 +2,8 @@
 
 #include "base/Error.h"
 
+#include <algorithm>
+
 namespace coriandergate::fleet {
 
 auto LocalTarget::receive(const Heartbeat& heartbeat, Error& reason) -> Receipt
@@ -15,7 +17,7 @@
     if (heartbeat.address != m_address)
         return refuse("the address isn't that of this host's target");
     auto taken = heartbeat;
-    if (m_left && m_left->startedAt == heartbeat.startedAt && m_left->id == heartbeat.id)
+    if (m_left && m_left->id == heartbeat.id && heartbeat.startedAt <= m_left->startedAt)
         taken.isLeaving = true;
     else if (m_left && heartbeat.startedAt < m_left->startedAt)
         return Receipt::Stale;
@@ -37,13 +39,14 @@
 
 auto LocalTarget::leave(const std::string& id, std::uint64_t startedAt) -> bool
 {
-    if (!m_current || m_current->id != id)
-        return false;
-    if (startedAt != 0 && startedAt < m_current->startedAt)
+    const bool isCurrent = m_current && m_current->id == id && (startedAt == 0 || startedAt >= m_current->startedAt);
+    if (m_current && !isCurrent)
         return false;
-    m_current->isLeaving = true;
-    m_left = Left { id, m_current->startedAt };
-    return true;
+    // A daemon that was just started may hear the farewell before any heartbeat; a late one must not undo it.
+    m_left = Left { id, isCurrent ? std::max(startedAt, m_current->startedAt) : startedAt };
+    if (isCurrent)
+        m_current->isLeaving = true;
+    return isCurrent;
 }
 
 auto LocalTarget::recall(const std::string& id, std::uint64_t startedAt, bool isLeaving) -> void
--- a/src/fleet/LocalTarget.h
+++ b/src/fleet/LocalTarget.h
@@ -47,7 +47,8 @@
     // receive() takes a heartbeat; `reason` says why one is Foreign.
     [[nodiscard]] auto receive(const Heartbeat& heartbeat, Error& reason) -> Receipt;
 
-    // leave() takes a target's farewell, by its id; false when another target lives here.
+    // leave() takes a target's farewell, by its id and its start (0 when it isn't told); false when no such target is
+    // known here. One that isn't known yet is remembered, so that a heartbeat of it which comes late isn't believed.
     [[nodiscard]] auto leave(const std::string& id, std::uint64_t startedAt) -> bool;
 
     // recall() takes over what an earlier daemon of this host had told the fleet, so that a leaving target stays one.
--- /dev/null
+++ b/src/fleet/LocalTarget_test.cpp
@@ -0,0 +1,114 @@
+#include "fleet/LocalTarget.h"
+
+#include "base/Error.h"
+
+#include <catch2/catch.hpp>
+
+namespace coriandergate::fleet {
+
+namespace {
+
+    using Receipt = LocalTarget::Receipt;
+
+    auto heartbeat(std::uint64_t startedAt, std::uint64_t sequence) -> Heartbeat
+    {
+        return { .id = "i-1",
+            .service = "ledger",
+            .address = "10.1.0.11:8363",
+            .startedAt = startedAt,
+            .sequence = sequence,
+            .slots = 5 };
+    }
+
+    auto makeTarget() -> LocalTarget { return { "ledger", "10.1.0.11:8363" }; }
+
+} // namespace
+
+TEST_CASE("a heartbeat makes the target known, and its next one changes nothing")
+{
+    auto target = makeTarget();
+    Error reason;
+    CHECK(target.receive(heartbeat(100, 1), reason) == Receipt::Changed);
+    CHECK(target.receive(heartbeat(100, 2), reason) == Receipt::Unchanged);
+    CHECK(target.isServing());
+}
+
+TEST_CASE("heartbeats that were overtaken, or of an incarnation that has ended, are left aside")
+{
+    auto target = makeTarget();
+    Error reason;
+    CHECK(target.receive(heartbeat(200, 5), reason) == Receipt::Changed);
+    CHECK(target.receive(heartbeat(200, 5), reason) == Receipt::Stale);
+    CHECK(target.receive(heartbeat(200, 4), reason) == Receipt::Stale);
+    CHECK(target.receive(heartbeat(100, 9), reason) == Receipt::Stale);
+    CHECK(target.current()->startedAt == 200);
+}
+
+TEST_CASE("another incarnation under the same id begins anew")
+{
+    auto target = makeTarget();
+    Error reason;
+    auto leaving = heartbeat(100, 7);
+    leaving.isLeaving = true;
+    CHECK(target.receive(leaving, reason) == Receipt::Changed);
+    CHECK(target.receive(heartbeat(300, 1), reason) == Receipt::Changed);
+    CHECK(target.isServing());
+}
+
+TEST_CASE("leaving is never taken back within an incarnation")
+{
+    auto target = makeTarget();
+    Error reason;
+    CHECK(target.receive(heartbeat(100, 1), reason) == Receipt::Changed);
+    CHECK(target.leave("i-1", 100));
+    CHECK(target.receive(heartbeat(100, 2), reason) == Receipt::Unchanged);
+    CHECK_FALSE(target.isServing());
+}
+
+// Found on a hunted day: a daemon that had just been started confirmed a farewell and then sent requests to the target,
+// since a heartbeat from before came after it.
+TEST_CASE("a farewell before any heartbeat is remembered")
+{
+    auto target = makeTarget();
+    Error reason;
+    CHECK_FALSE(target.leave("i-1", 100));
+    CHECK(target.receive(heartbeat(100, 26), reason) == Receipt::Changed);
+    CHECK_FALSE(target.isServing());
+}
+
+TEST_CASE("a farewell of an earlier target doesn't make the present one leave")
+{
+    auto target = makeTarget();
+    Error reason;
+    CHECK(target.receive(heartbeat(300, 1), reason) == Receipt::Changed);
+    CHECK_FALSE(target.leave("i-0", 100));
+    CHECK_FALSE(target.leave("i-1", 100));
+    CHECK(target.isServing());
+}
+
+TEST_CASE("what an earlier daemon of the host told of a leaving target is kept")
+{
+    auto target = makeTarget();
+    Error reason;
+    target.recall("i-1", 100, true);
+    CHECK(target.receive(heartbeat(100, 3), reason) == Receipt::Changed);
+    CHECK_FALSE(target.isServing());
+    CHECK(target.receive(heartbeat(200, 1), reason) == Receipt::Changed);
+    CHECK(target.isServing());
+}
+
+TEST_CASE("heartbeats of another service or address name no target of this host")
+{
+    auto target = makeTarget();
+    Error reason;
+    auto foreign = heartbeat(100, 1);
+    foreign.service = "archive";
+    CHECK(target.receive(foreign, reason) == Receipt::Foreign);
+    CHECK(reason.reason == "the service isn't that of this host");
+    foreign = heartbeat(100, 1);
+    foreign.address = "10.1.0.12:8363";
+    CHECK(target.receive(foreign, reason) == Receipt::Foreign);
+    CHECK_FALSE(target.current());
+}
+
+} // namespace coriandergate::fleet
--- a/src/net/internal/HttpServerConnection.cpp
+++ b/src/net/internal/HttpServerConnection.cpp
@@ -61,7 +61,8 @@
     boost::system::error_code ignored; // it is closed either way
     m_timer.cancel();
     m_socket.close(ignored);
-    m_state->openRequests -= m_pending.size();
+    m_state->openRequests -= m_pending.size() + m_unwrittenAnswers;
+    m_unwrittenAnswers = 0;
     m_state->bufferedBytes -= m_unfinishedBytes;
     for (const auto& pending : m_pending)
         m_state->bufferedBytes -= pending.bufferedBytes;
@@ -218,7 +219,7 @@
         m_outgoing += http::serializeAnswer(answer, front.isHead);
         m_state->bufferedBytes -= front.bufferedBytes;
         m_pending.pop_front();
-        --m_state->openRequests;
+        ++m_unwrittenAnswers;
         m_isLast = isLast;
     }
     write();
@@ -250,9 +251,13 @@
     m_lastActivity = steady_clock::now();
     if (m_writing.capacity() > maximumUnparsedBytes)
         m_writing = {};
-    if (!m_outgoing.empty())
+    if (!m_outgoing.empty()) {
         write();
-    else if (m_isLast)
+        return;
+    }
+    m_state->openRequests -= m_unwrittenAnswers;
+    m_unwrittenAnswers = 0;
+    if (m_isLast)
         finishWriting();
 }
 
--- a/src/net/internal/HttpServerConnection.h
+++ b/src/net/internal/HttpServerConnection.h
@@ -66,6 +66,7 @@
     http::RequestParser m_parser;
     std::string m_unparsed;
     std::size_t m_unfinishedBytes = 0;
+    std::size_t m_unwrittenAnswers = 0;
     std::deque<Pending> m_pending;
     std::uint64_t m_nextNumber = 0;
     std::string m_outgoing;
--- a/src/relay/EntryContext.h
+++ b/src/relay/EntryContext.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "dispatch/AttemptBudget.h"
+#include "dispatch/CallRatio.h"
 #include "dispatch/FreshnessProof.h"
 #include "dispatch/TargetBoard.h"
 #include "net/HttpClient.h"
@@ -44,6 +45,7 @@
     net::HttpClient& hops;
     dispatch::TargetBoard& board;
     dispatch::AttemptBudget& attempts;
+    dispatch::CallRatio& calls; // of this host's target
     dispatch::FreshnessProof& proof; // of the configuration
     dispatch::FreshnessProof& hostsProof; // of the list of hosts
     const fleet::HostDirectory& directory;
@@ -51,6 +53,7 @@
     std::size_t hosts = 1; // that share the allowance for further attempts
     std::map<std::string, MonotonicTime> avoidedRateHomes; // until when, by host, after it wasn't reached
     std::map<std::string, MonotonicTime> spentRateHomes; // until when, by account and host, after it had none left
+    std::map<std::string, dispatch::AttemptBudget::CallsPerRun> callsPerRun; // by service, as told last
     EntryCounters counters;
     std::mt19937_64 random { std::random_device {}() };
 };
--- a/src/relay/EntryRequest.cpp
+++ b/src/relay/EntryRequest.cpp
@@ -248,7 +248,10 @@
 auto EntryRequest::prepare() -> void
 {
     m_service = PolicySnapshot::serviceFor(*m_route, m_context.random());
-    m_context.attempts.recordRequest(m_service, monotonicNow());
+    const auto now = monotonicNow();
+    m_context.attempts.recordRequest(m_service, now);
+    if (!m_clientAccount && m_service != m_context.service)
+        m_context.calls.recordCall(m_service, now);
     auto& headers = m_exchange->request().headers;
     const auto& names = m_context.headers;
     http::removeHopByHop(headers);
@@ -379,6 +382,7 @@
         .isRepeatable = isRepeatable(),
         .targetLatencyLeft = latencyLeft(now),
         .patience = wait,
+        .takesFailing = m_context.board.mostFail(m_service),
         .isServedLate = m_stage == Stage::Late };
     const bool isFar = m_target->description.locality.region != m_context.here.region;
     const auto hopTime = isFar ? m_context.options.farHopTime : m_context.options.hopTime;
@@ -403,7 +407,7 @@
         return;
     const auto now = monotonicNow();
     m_context.board.recordPath(*m_target);
-    m_context.board.recordLoad(*m_target, news->load, now);
+    m_context.board.recordLoad(*m_target, news->load, news->refusedShare, now);
     if (news->trialIn)
         m_context.board.recordFailing(*m_target, *news->trialIn, now);
     else
@@ -432,6 +436,8 @@
     takeNews(answer);
     constexpr int ok = 200;
     if (answer.status == ok) {
+        if (const auto calls = answer.headers.find(callsHeader))
+            m_context.callsPerRun[m_service] = decodeCalls(*calls);
         run();
         return;
     }
@@ -466,7 +472,7 @@
             refuse(unauthorized, "the key was withdrawn", std::nullopt);
         return;
     }
-    if (m_runs > 0 && !m_context.attempts.take(m_service, m_context.hosts, now)) {
+    if (m_runs > 0 && !m_context.attempts.take(m_service, m_context.callsPerRun[m_service], m_context.hosts, now)) {
         m_context.hops.cancel(m_call);
         releaseTarget();
         m_stage = Stage::Over;
--- a/src/relay/HopMessages.cpp
+++ b/src/relay/HopMessages.cpp
@@ -3,8 +3,12 @@
 #include "base/Error.h"
 #include "http/Serialize.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
+#include <cstdio>
+#include <functional>
 #include <nlohmann/json.hpp>
 #include <vector>
 
@@ -39,10 +43,13 @@
 
     // Messages are arrays, so that names don't travel with each.
     enum ReserveField { ReserveId, ReserveService, ReservePriority, ReserveRepeatable, ReserveLatency, ReservePatience,
-        ReserveLate };
+        ReserveLate,
+        ReserveFailing };
     enum RunField { RunId, RunMethod, RunTarget, RunHeaders, RunBody, RunCaller, RunAccount, RunRepeatable, RunLeft,
         RunLatency, RunExpires };
 
+    constexpr double percent = 100;
+
     constexpr std::array<std::pair<HopOutcome, std::string_view>, 3> outcomeNames { {
         { HopOutcome::Answered, "answered" },
         { HopOutcome::NotRun, "not-run" },
@@ -55,7 +62,7 @@
 {
     return toHttp(reservePath,
         json::array({ ask.requestId, ask.service, ask.priority, ask.isRepeatable, ask.targetLatencyLeft.count(),
-            ask.patience.count(), ask.isServedLate }));
+            ask.patience.count(), ask.isServedLate, ask.takesFailing }));
 }
 
 auto decodeReserve(const std::string& body, Error& reason) -> std::optional<ReserveAsk>
@@ -69,6 +76,7 @@
         ask.targetLatencyLeft = milliseconds(value.at(ReserveLatency).get<milliseconds::rep>());
         ask.patience = milliseconds(value.at(ReservePatience).get<milliseconds::rep>());
         ask.isServedLate = value.at(ReserveLate).get<bool>();
+        ask.takesFailing = value.at(ReserveFailing).get<bool>();
     });
     return isRead ? std::optional(std::move(ask)) : std::nullopt;
 }
@@ -154,7 +162,7 @@
 auto encodeNews(const TargetNews& news) -> std::string
 {
     auto text = std::to_string(news.load.running) + "," + std::to_string(news.load.waiting) + ","
-        + std::to_string(news.load.slots);
+        + std::to_string(news.load.slots) + "," + std::to_string(std::lround(news.refusedShare * percent));
     if (news.trialIn)
         text += "," + std::to_string(news.trialIn->count());
     return text;
@@ -175,10 +183,39 @@
     }
     if (numbers.size() < 3)
         return std::nullopt;
-    TargetNews news { { numbers[0], numbers[1], numbers[2] }, std::nullopt };
+    TargetNews news { { numbers[0], numbers[1], numbers[2] }, 0, std::nullopt };
     if (numbers.size() > 3)
-        news.trialIn = milliseconds(numbers[3]);
+        news.refusedShare = static_cast<double>(numbers[3]) / percent;
+    if (numbers.size() > 4)
+        news.trialIn = milliseconds(numbers[4]);
     return news;
 }
 
+auto encodeCalls(const dispatch::AttemptBudget::CallsPerRun& calls) -> std::string
+{
+    std::string text;
+    for (const auto& [service, count] : calls) {
+        std::array<char, 16> number {};
+        std::snprintf(number.data(), number.size(), "%.2f", count);
+        text += (text.empty() ? "" : ",") + service + "=" + number.data();
+    }
+    return text;
+}
+
+auto decodeCalls(std::string_view text) -> dispatch::AttemptBudget::CallsPerRun
+{
+    dispatch::AttemptBudget::CallsPerRun calls;
+    while (!text.empty()) {
+        const auto part = text.substr(0, text.find(','));
+        const auto equals = part.rfind('=');
+        double count = 0;
+        const auto* end = part.data() + part.size();
+        if (equals != std::string_view::npos
+            && std::from_chars(part.data() + equals + 1, end, count).ec == std::errc {})
+            calls[std::string(part.substr(0, equals))] = count;
+        text.remove_prefix(std::min(text.size(), part.size() + 1));
+    }
+    return calls;
+}
+
 } // namespace coriandergate::relay
--- a/src/relay/HopMessages.h
+++ b/src/relay/HopMessages.h
@@ -5,6 +5,7 @@
 // target hasn't seen the request, and a path that fails costs nothing.
 #pragma once
 
+#include "dispatch/AttemptBudget.h"
 #include "dispatch/TargetLoad.h"
 #include "http/Request.h"
 
@@ -25,8 +26,11 @@
 inline constexpr std::string_view ratePath = "/rate";
 // Stands with every answer to a run: how the attempt ended at the target.
 inline constexpr std::string_view outcomeHeader = "Coriandergate-Outcome";
-// Stands with every answer: running, waiting, slots and, of a failing target, the milliseconds to its next trial.
+// Stands with every answer: running, waiting, slots, percent of requests refused and, of a failing target, the
+// milliseconds to its next trial.
 inline constexpr std::string_view loadHeader = "Coriandergate-Load";
+// Stands with a granted slot for a repeatable request: what a run of it calls besides, "service=ratio,...".
+inline constexpr std::string_view callsHeader = "Coriandergate-Calls";
 
 // HopOutcome says how an attempt ended.
 enum class HopOutcome {
@@ -43,6 +47,7 @@
     bool isRepeatable = false;
     std::chrono::milliseconds targetLatencyLeft { 0 }; // an answer later than this is of less use
     std::chrono::milliseconds patience { 0 }; // for a slot
+    bool takesFailing = false; // most targets fail, so that a failing one is better than none
     bool isServedLate = false; // the target latency can't be kept any more; the request waits behind those that can
 };
 
@@ -66,6 +71,7 @@
 // TargetNews is what the daemon beside a target tells of it.
 struct TargetNews {
     dispatch::TargetLoad load;
+    double refusedShare = 0; // of the requests that reached it lately
     std::optional<std::chrono::milliseconds> trialIn; // of a failing target
 };
 
@@ -88,5 +94,7 @@
 [[nodiscard]] auto outcomeOf(std::string_view name) -> std::optional<HopOutcome>;
 [[nodiscard]] auto encodeNews(const TargetNews& news) -> std::string;
 [[nodiscard]] auto decodeNews(std::string_view text) -> std::optional<TargetNews>;
+[[nodiscard]] auto encodeCalls(const dispatch::AttemptBudget::CallsPerRun& calls) -> std::string;
+[[nodiscard]] auto decodeCalls(std::string_view text) -> dispatch::AttemptBudget::CallsPerRun;
 
 } // namespace coriandergate::relay
--- a/src/relay/OwnerRelay.cpp
+++ b/src/relay/OwnerRelay.cpp
@@ -28,6 +28,8 @@
     constexpr int badGateway = 502;
     constexpr int gatewayTimeout = 504;
     constexpr int misdirected = 421;
+    // Weight of the newest request in the share of refused ones: about the last eight count.
+    constexpr double refusedWeight = 0.12;
     // Requests that can only be answered late wait behind all that can be answered in time.
     constexpr int latePriority = 100;
 
@@ -46,6 +48,7 @@
     std::shared_ptr<http::Exchange> exchange; // until it is answered
     bool isGranted = false;
     bool isTrial = false;
+    bool isRepeatable = false;
     std::unique_ptr<boost::asio::steady_timer> timer; // for a granted slot whose request doesn't come
 };
 
@@ -55,16 +58,18 @@
     std::string requestId;
     bool isTrial = false;
     bool isRepeatable = false;
-    bool isCountedAsLate = false;
+    bool isCountedAsSilent = false;
     bool isDone = false;
     MonotonicTime startedAt;
     net::HttpClient::Call call = 0;
     std::unique_ptr<boost::asio::steady_timer> stuckTimer;
 };
 
-OwnerRelay::OwnerRelay(boost::asio::io_context& io, const fleet::LocalTarget& target, const Options& options)
+OwnerRelay::OwnerRelay(boost::asio::io_context& io, const fleet::LocalTarget& target, dispatch::CallRatio& calls,
+    const Options& options)
     : m_io(io)
     , m_target(target)
+    , m_calls(calls)
     , m_options(options)
     , m_client(io, { .connectTimeout = options.targetConnectTimeout })
     , m_slots({})
@@ -77,7 +82,7 @@
 
 auto OwnerRelay::news(MonotonicTime now) const -> TargetNews
 {
-    TargetNews news { m_slots.load(), std::nullopt };
+    TargetNews news { m_slots.load(), m_refusedShare, std::nullopt };
     if (m_health.isFailing())
         news.trialIn = m_health.trialIn(now);
     return news;
@@ -120,8 +125,8 @@
         refuse(exchange, ask->requestId, why);
         return;
     }
-    const auto admission = m_health.admit(ask->isRepeatable, now);
-    if (admission == TargetHealth::Admission::Refused) {
+    const auto admission = m_health.admit(ask->isRepeatable || ask->takesFailing, now);
+    if (admission == TargetHealth::Admission::Refused && !ask->takesFailing) {
         refuse(exchange, ask->requestId, "target fails");
         return;
     }
@@ -145,6 +150,7 @@
     reservation->connection = exchange->peer();
     reservation->requestId = ask->requestId;
     reservation->exchange = exchange;
+    reservation->isRepeatable = ask->isRepeatable;
     reservation->isTrial = admission == TargetHealth::Admission::Trial;
     m_reservations[exchange->peer()] = reservation;
     if (decision == SlotQueue::Decision::Granted) {
@@ -165,7 +171,12 @@
             releaseReservation(connection);
     });
     http::Answer answer;
-    answer.headers.add(loadHeader, encodeNews(news(monotonicNow())));
+    const auto now = monotonicNow();
+    answer.headers.add(loadHeader, encodeNews(news(now)));
+    if (reservation.isRepeatable) {
+        if (const auto calls = encodeCalls(m_calls.perRun(now)); !calls.empty())
+            answer.headers.add(callsHeader, calls);
+    }
     std::exchange(reservation.exchange, nullptr)->answer(std::move(answer));
 }
 
@@ -314,6 +325,8 @@
 auto OwnerRelay::send(const std::shared_ptr<Run>& run, RunAsk ask) -> void
 {
     run->startedAt = monotonicNow();
+    if (ask.isRepeatable)
+        m_calls.recordRun(run->startedAt);
     const auto request = targetRequest(ask, ask.timeLeft);
     const net::HttpClient::SendOptions options { .timeout = ask.timeLeft,
         .maximumAnswerBytes = m_options.maximumAnswerBytes,
@@ -348,8 +361,11 @@
 {
     if (run->isDone)
         return;
-    run->isCountedAsLate = true;
-    recordEnd(TargetHealth::Outcome::Late, "no answer within the target latency");
+    // A target that answers others is only slow.
+    if (m_lastAnswerAt > run->startedAt)
+        return;
+    run->isCountedAsSilent = true;
+    recordEnd(TargetHealth::Outcome::Silent, "no answer to any request within the target latency");
 }
 
 auto OwnerRelay::recordEnd(TargetHealth::Outcome outcome, std::string_view why) -> void
@@ -359,7 +375,7 @@
     const auto& target = m_target.current();
     log::logEvent(m_health.isFailing() ? targetFails : targetSound,
         { { "target", target ? target->id : "" }, { "why", std::string(why) },
-            { "score", std::to_string(m_health.score()) } });
+            { "failure-share", std::to_string(m_health.failureShare()) } });
 }
 
 auto OwnerRelay::finishRun(Run& run, std::optional<milliseconds> serviceTime) -> void
@@ -395,7 +411,7 @@
     }
     const auto& failure = std::get<http::ExchangeFailure>(result);
     // A target that doesn't take connections fails for every request.
-    if (!run->isCountedAsLate)
+    if (!run->isCountedAsSilent)
         recordEnd(TargetHealth::Outcome::Failed, failure.error.toText());
     if (!failure.mayHaveRun)
         recordEnd(TargetHealth::Outcome::Failed, failure.error.toText());
@@ -405,25 +421,36 @@
         http::makeAnswer(status, "text/plain", ""), failure.error.toText());
 }
 
+// A target that refuses while it is full has less room than it announced; one that refuses otherwise is gray, and how
+// much so is told to the entries.
+auto OwnerRelay::noteRefusal(const http::Answer& answer, MonotonicTime now) -> void
+{
+    m_refusedShare += refusedWeight * (1 - m_refusedShare);
+    const auto told = answer.headers.find(m_options.headers.load);
+    const auto load = told ? decodeNews(*told) : std::nullopt;
+    if (load && load->load.running >= load->load.slots)
+        m_slots.narrow(now + m_options.narrowFor);
+}
+
 auto OwnerRelay::onAnswer(Run& run, http::Answer answer) -> void
 {
     const auto& names = m_options.headers;
     const auto now = monotonicNow();
     const auto took = millisecondsSince(run.startedAt, now);
+    m_lastAnswerAt = now;
     const bool isRefusal = answer.headers.find(names.notRun).has_value() || answer.status == misdirected;
     if (isRefusal) {
-        m_slots.narrow(now + m_options.narrowFor);
-        if (!run.isCountedAsLate)
-            recordEnd(TargetHealth::Outcome::Late, "the target refused a request");
+        noteRefusal(answer, now);
         finishRun(run, std::nullopt);
         reply(run, HopOutcome::NotRun, http::makeAnswer(serviceUnavailable, "text/plain", ""), "target refused");
         return;
     }
+    m_refusedShare -= refusedWeight * m_refusedShare;
     const bool isItsOwn = answer.headers.find(names.signature).has_value()
         && answer.headers.find(names.requestId).has_value() && !answer.headers.find("Content-Encoding");
     constexpr int firstServerError = 500;
     const bool isGood = isItsOwn && answer.status < firstServerError;
-    if (!run.isCountedAsLate)
+    if (!run.isCountedAsSilent)
         recordEnd(isGood ? TargetHealth::Outcome::Succeeded : TargetHealth::Outcome::Failed,
             isItsOwn ? "status " + std::to_string(answer.status) : "an answer that isn't the target's");
     finishRun(run, isGood ? std::optional(took) : std::nullopt);
--- a/src/relay/OwnerRelay.h
+++ b/src/relay/OwnerRelay.h
@@ -8,6 +8,7 @@
 //   server.onConnectionClosed([&](const std::string& peer) { owner.dropConnection(peer); });
 #pragma once
 
+#include "dispatch/CallRatio.h"
 #include "dispatch/SlotQueue.h"
 #include "dispatch/TargetHealth.h"
 #include "relay/HeaderNames.h"
@@ -46,7 +47,9 @@
     };
     using StoreTime = std::function<std::optional<std::chrono::milliseconds>()>;
 
-    OwnerRelay(boost::asio::io_context& io, const fleet::LocalTarget& target, const Options& options);
+    // `calls` counts the runs here and outlives the relay.
+    OwnerRelay(boost::asio::io_context& io, const fleet::LocalTarget& target, dispatch::CallRatio& calls,
+        const Options& options);
     ~OwnerRelay();
 
     // handle() serves one message of an entry.
@@ -90,12 +93,14 @@
     auto onAnswer(Run& run, http::Answer answer) -> void;
     auto finishRun(Run& run, std::optional<std::chrono::milliseconds> serviceTime) -> void;
     auto reply(Run& run, HopOutcome outcome, http::Answer answer, std::string_view why) -> void;
+    auto noteRefusal(const http::Answer& answer, MonotonicTime now) -> void;
     auto recordEnd(dispatch::TargetHealth::Outcome outcome, std::string_view why) -> void;
     [[nodiscard]] auto refusalReason(const ReserveAsk& ask) const -> std::string_view;
     [[nodiscard]] auto targetRequest(const RunAsk& ask, std::chrono::milliseconds timeLeft) const -> http::Request;
 
     boost::asio::io_context& m_io;
     const fleet::LocalTarget& m_target;
+    dispatch::CallRatio& m_calls;
     Options m_options;
     net::HttpClient m_client;
     dispatch::SlotQueue m_slots;
@@ -106,6 +111,8 @@
     std::map<Ticket, std::string> m_waiting; // connection of each waiting reservation
     Ticket m_nextTicket = 1;
     std::string m_knownTarget;
+    double m_refusedShare = 0; // of the requests that reached the target lately
+    MonotonicTime m_lastAnswerAt;
     bool m_isOpen = false;
     bool m_isStopping = false;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
--- /dev/null
+++ b/src/sidecar/RunSidecar.cpp
@@ -0,0 +1,147 @@
+#include "sidecar/RunSidecar.h"
+
+#include "base/Error.h"
+#include "fleet/StoreFeed.h"
+#include "log/Event.h"
+#include "sidecar/LogOutput.h"
+#include "sidecar/Sidecar.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <docopt/docopt.h>
+#include <iostream>
+#include <map>
+
+namespace coriandergate::sidecar {
+
+namespace {
+
+    const log::Event settingsRead { 1931, log::Severity::Info, "settings read",
+        "what changed holds from the next start of the daemon" };
+    const log::Event settingsRefused { 1932, log::Severity::Error, "settings refused",
+        "those read last stay in force; the reason names the field" };
+
+    constexpr int exitStartFailed = 1;
+    constexpr int exitBadSettings = 2;
+
+    constexpr auto usage = R"(coriandergate-sidecar: the daemon that stands on each target host of the platform
+
+Usage:
+  coriandergate-sidecar [--settings=FILE] [--log-level=LEVEL]
+  coriandergate-sidecar --check-settings [--settings=FILE]
+  coriandergate-sidecar --event-catalogue
+  coriandergate-sidecar (-h | --help)
+  coriandergate-sidecar --version
+
+Options:
+  --settings=FILE     the settings file; by default what CORIANDERGATE_BOOT names
+  --log-level=LEVEL   least severity of log lines: 0 info, 1 warning, 2 error [default: 0]
+  --check-settings    read the settings, say what is wrong with them, and end
+  --event-catalogue   print every log event
+)";
+
+    auto settingsPath(const std::map<std::string, docopt::value>& arguments, const Port& port) -> std::string
+    {
+        const auto found = arguments.find("--settings");
+        if (found != arguments.end() && found->second.isString())
+            return found->second.asString();
+        const char* path = std::getenv(port.settingsVariable.c_str());
+        return path ? path : "";
+    }
+
+    // Reads the settings again at each SIGHUP and says whether they changed.
+    class SettingsWatch {
+    public:
+        SettingsWatch(boost::asio::io_context& io, const Port& port, std::string path, HostSettings inForce)
+            : m_signals(io, SIGHUP)
+            , m_port(port)
+            , m_path(std::move(path))
+            , m_inForce(std::move(inForce))
+        {
+            await();
+        }
+
+    private:
+        auto await() -> void
+        {
+            m_signals.async_wait([this](const boost::system::error_code& error, int) {
+                if (error)
+                    return;
+                readAgain();
+                await();
+            });
+        }
+
+        auto readAgain() -> void
+        {
+            std::vector<Error> faults;
+            const auto read = m_port.readSettings(m_path, faults);
+            for (const auto& fault : faults)
+                log::logEvent(settingsRefused, { { "reason", fault.toText() } });
+            if (read)
+                log::logEvent(settingsRead, { { "changed", *read == m_inForce ? "no" : "yes" } });
+        }
+
+        boost::asio::signal_set m_signals;
+        const Port& m_port;
+        std::string m_path;
+        HostSettings m_inForce;
+    };
+
+    auto serve(const HostSettings& settings, const std::string& path, const Port& port, log::Severity minimum) -> int
+    {
+        std::signal(SIGPIPE, SIG_IGN);
+        constexpr int oneThread = 1;
+        boost::asio::io_context io(oneThread);
+        LogOutput output(io);
+        log::startLogging(minimum, [&output](const std::string& line) { output.add(line); });
+        const auto store = port.makeStore(io, settings.storeAddress);
+        Sidecar daemon(io, settings, port.adapter, *store);
+        Error reason;
+        if (!daemon.start(reason)) {
+            std::cerr << reason.toText() << '\n';
+            output.flush();
+            return exitStartFailed;
+        }
+        boost::asio::signal_set stopSignals(io, SIGTERM, SIGINT);
+        stopSignals.async_wait([&daemon](const boost::system::error_code& error, int) {
+            if (!error)
+                daemon.stop();
+        });
+        const SettingsWatch watch(io, port, path, settings);
+        io.run();
+        output.flush();
+        return 0;
+    }
+
+} // namespace
+
+auto runSidecar(int argc, char** argv, const Port& port) -> int
+{
+    const auto version = std::string("coriandergate-sidecar ") + CORIANDERGATE_VERSION;
+    const auto arguments = docopt::docopt(usage, { argv + 1, argv + argc }, true, version);
+    if (arguments.at("--event-catalogue").asBool()) {
+        std::cout << log::catalogueText();
+        return 0;
+    }
+    const auto path = settingsPath(arguments, port);
+    std::vector<Error> faults;
+    const auto settings = port.readSettings(path, faults);
+    for (const auto& fault : faults)
+        std::cerr << fault.toText() << '\n';
+    const auto level = arguments.at("--log-level").asString();
+    if (level != "0" && level != "1" && level != "2") {
+        std::cerr << "read arguments (--log-level): 0, 1 or 2 is needed\n";
+        return exitBadSettings;
+    }
+    if (!settings)
+        return exitBadSettings;
+    if (arguments.at("--check-settings").asBool()) {
+        std::cout << "settings are good: " << path << '\n';
+        return 0;
+    }
+    return serve(*settings, path, port, static_cast<log::Severity>(level.front() - '0'));
+}
+
+} // namespace coriandergate::sidecar
--- /dev/null
+++ b/src/sidecar/RunSidecar.h
@@ -0,0 +1,38 @@
+// The whole of the sidecar program but its main(), which brings the platform's adapter.
+//
+//   auto main(int argc, char** argv) -> int { return sidecar::runSidecar(argc, argv, platformPort()); }
+#pragma once
+
+#include "sidecar/Adapter.h"
+#include "sidecar/HostSettings.h"
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace coriandergate {
+struct Error;
+}
+
+namespace coriandergate::fleet {
+class StoreFeed;
+}
+
+namespace coriandergate::sidecar {
+
+// Port is how the program reaches the platform it runs on.
+struct Port {
+    Adapter adapter;
+    std::string settingsVariable; // the environment variable that names the settings file
+    std::function<std::optional<HostSettings>(const std::string& path, std::vector<Error>& faults)> readSettings;
+    std::function<std::unique_ptr<fleet::StoreFeed>(boost::asio::io_context& io, const std::string& address)> makeStore;
+};
+
+// runSidecar() reads the settings and serves until SIGTERM or SIGINT. The result is the exit status: 0 after a planned
+// stop, 1 when the start failed, 2 for bad settings or arguments.
+[[nodiscard]] auto runSidecar(int argc, char** argv, const Port& port) -> int;
+
+} // namespace coriandergate::sidecar
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -58,6 +58,7 @@
     // The platform asks every second whether callers may come, and believes the second refusal.
     constexpr milliseconds callersLeaveAfter { 2300 };
     constexpr milliseconds stopPollPeriod { 40 };
+    constexpr milliseconds answerTravelTime { 120 };
     constexpr milliseconds stopMargin { 400 }; // before the process is killed
 
     auto freshness(const HostSettings& settings) -> milliseconds
@@ -136,6 +137,7 @@
     dispatch::FreshnessProof hostsProof; // of the list of hosts
     dispatch::TargetBoard board;
     dispatch::AttemptBudget attempts;
+    dispatch::CallRatio calls;
     dispatch::RatePool pool;
     net::HttpClient hops;
     relay::EntryContext entry;
@@ -148,6 +150,7 @@
     boost::asio::steady_timer firstHeartbeatTimer;
     boost::asio::steady_timer stopTimer;
     MonotonicTime stopBeganAt;
+    MonotonicTime lastOpenAt; // something was open
     bool isStopping = false;
     bool isDraining = false;
     bool knowsHosts = false;
@@ -181,11 +184,12 @@
         .hops = hops,
         .board = board,
         .attempts = attempts,
+        .calls = calls,
         .proof = proof,
         .hostsProof = hostsProof,
         .directory = directory,
         .snapshot = nullptr }
-    , owner(io, target, { .headers = adapter.headers })
+    , owner(io, target, calls, { .headers = adapter.headers })
     , callers(io, callerOptions(settings, {}),
           [this](std::shared_ptr<http::Exchange> exchange) {
               relay::EntryRequest::start(entry, std::move(exchange));
@@ -492,7 +496,11 @@
         callers.finishDrain();
     }
     const bool isOver = now >= stopBeganAt + settings.stopGrace - stopMargin;
-    if ((isDraining && open == 0) || isOver) {
+    if (open > 0)
+        lastOpenAt = now;
+    // Answers that were written last are still on their way to their callers.
+    const bool isEmpty = isDraining && now >= lastOpenAt + answerTravelTime;
+    if (isEmpty || isOver) {
         log::logEvent(stopEnded, { { "open", std::to_string(open) } });
         configurationFollower.stop();
         hostFollower.stop();
