Try failing targets only where the budget holds a second attempt

Ruled out: more good answers to clear a target (5 instead of 3), no trials with once-only requests: within noise. Change: trials need room for a repeat; gaps up to 1.2 s; marks expire a second after the trial was due.

--- a/src/dispatch/AttemptBudget.cpp
+++ b/src/dispatch/AttemptBudget.cpp
@@ -35,15 +35,20 @@
     return made + attempts <= allowed;
 }
 
-auto AttemptBudget::take(
+auto AttemptBudget::mayTake(
     std::string_view service, const CallsPerRun& calls, std::size_t hosts, MonotonicTime now) -> bool
 {
     if (!hasRoom(service, 1, hosts, now))
         return false;
-    for (const auto& [called, count] : calls) {
-        if (!hasRoom(called, count, hosts, now))
-            return false;
-    }
+    return std::all_of(calls.begin(), calls.end(),
+        [this, hosts, now](const auto& call) { return hasRoom(call.first, call.second, hosts, now); });
+}
+
+auto AttemptBudget::take(
+    std::string_view service, const CallsPerRun& calls, std::size_t hosts, MonotonicTime now) -> bool
+{
+    if (!mayTake(service, calls, hosts, now))
+        return false;
     counts(service, now).attempts.emplace_back(now, 1);
     for (const auto& [called, count] : calls)
         counts(called, now).attempts.emplace_back(now, count);
--- a/src/dispatch/AttemptBudget.h
+++ b/src/dispatch/AttemptBudget.h
@@ -30,7 +30,7 @@
         double ratio = 0.2; // further attempts for each request
         double allowance = 64; // further attempts in each window, of all hosts together
         std::chrono::milliseconds window { 10000 };
-        double usedPart = 0.7; // of both: the rest covers windows that the hosts count at different times
+        double usedPart = 0.8; // of both: the rest covers windows that the hosts count at different times
     };
 
     explicit AttemptBudget(const Options& options)
@@ -43,6 +43,10 @@
     // CallsPerRun says how many calls of each other service a run makes, on average.
     using CallsPerRun = std::map<std::string, double, std::less<>>;
 
+    // mayTake() says whether take() would allow it.
+    [[nodiscard]] auto mayTake(std::string_view service, const CallsPerRun& calls, std::size_t hosts, MonotonicTime now)
+        -> bool;
+
     // take() allows one further attempt at `service`, whose run makes `calls`, or not. `hosts` is how many share the
     // allowance.
     [[nodiscard]] auto take(std::string_view service, const CallsPerRun& calls, std::size_t hosts, MonotonicTime now)
--- a/src/dispatch/TargetBoard.cpp
+++ b/src/dispatch/TargetBoard.cpp
@@ -64,8 +64,9 @@
 {
     if (target.description.isLeaving || now < target.avoidUntil)
         return unusable;
-    const bool isTrial = target.isFailing && now >= target.trialAt && need.isRepeatable;
-    if (target.isFailing && !isTrial && !takesFailing)
+    const bool isFailing = isKnownToFail(target, now);
+    const bool isTrial = isFailing && now >= target.trialAt && need.isRepeatable;
+    if (isFailing && !isTrial && !takesFailing)
         return unusable;
     double cost = expectedFill(target, now) + m_options.refusedWeight * target.refusedShare;
     const auto& locality = target.description.locality;
@@ -75,16 +76,21 @@
         cost += m_options.otherDataCentreWeight * need.distanceFactor;
     if (isTrial)
         return cost - trialAdvantage;
-    return target.isFailing ? cost + m_options.failingWeight : cost;
+    return isFailing ? cost + m_options.failingWeight : cost;
 }
 
-auto TargetBoard::mostFail(std::string_view service) const -> bool
+auto TargetBoard::isKnownToFail(const Target& target, MonotonicTime now) const -> bool
+{
+    return target.isFailing && now < target.trialAt + m_options.failingMemory;
+}
+
+auto TargetBoard::mostFail(std::string_view service, MonotonicTime now) const -> bool
 {
     const auto found = m_byService.find(service);
     if (found == m_byService.end())
         return false;
-    const auto failing = std::count_if(
-        found->second.begin(), found->second.end(), [](const TargetPointer& target) { return target->isFailing; });
+    const auto failing = std::count_if(found->second.begin(), found->second.end(),
+        [this, now](const TargetPointer& target) { return isKnownToFail(*target, now); });
     return static_cast<double>(failing) > m_options.mostShare * static_cast<double>(found->second.size());
 }
 
@@ -93,7 +99,7 @@
     const auto found = m_byService.find(need.service);
     if (found == m_byService.end())
         return nullptr;
-    const bool takesFailing = mostFail(need.service);
+    const bool takesFailing = mostFail(need.service, now);
     TargetPointer best;
     double least = unusable;
     std::uint64_t index = 0;
--- a/src/dispatch/TargetBoard.h
+++ b/src/dispatch/TargetBoard.h
@@ -39,6 +39,7 @@
         double otherDataCentreWeight = 0.45;
         double otherRegionWeight = 1.1;
         double refusedWeight = 1.5; // for a target that refuses all that reaches it
+        std::chrono::milliseconds failingMemory { 1000 }; // after its trial was due a target may have become sound
         double failingWeight = 0.5; // for a failing target while most of its service fails
         double mostShare = 0.5; // of a service's targets; when more fail, none is left out for it
         std::chrono::milliseconds loadMemory { 1000 }; // after it, half of what a target told has faded
@@ -84,7 +85,7 @@
     auto setTargets(const std::vector<Description>& descriptions) -> void;
 
     // mostFail() says that most targets of `service` fail, so that failing ones are taken too.
-    [[nodiscard]] auto mostFail(std::string_view service) const -> bool;
+    [[nodiscard]] auto mostFail(std::string_view service, MonotonicTime now) const -> bool;
 
     // choose() is the target with the least cost, or null. `random` breaks ties.
     [[nodiscard]] auto choose(const Need& need, MonotonicTime now, std::uint64_t random) const -> TargetPointer;
@@ -113,6 +114,7 @@
     [[nodiscard]] auto targets(std::string_view service) const -> std::vector<TargetPointer>;
 
 private:
+    [[nodiscard]] auto isKnownToFail(const Target& target, MonotonicTime now) const -> bool;
     [[nodiscard]] auto cost(const Target& target, const Need& need, bool takesFailing, MonotonicTime now) const
         -> double;
 
--- a/src/dispatch/TargetHealth.cpp
+++ b/src/dispatch/TargetHealth.cpp
@@ -12,7 +12,7 @@
         return Admission::Sound;
     if (m_trialsUnderWay >= trialsAtOnce() || now < m_trialAt)
         return Admission::Refused;
-    const bool mayTryOnceOnly = m_goodTrials > 0 || now >= m_lastTrialAt + m_options.onceOnlyTrialAfter;
+    const bool mayTryOnceOnly = m_goodTrials >= m_options.answersToTryOnceOnly || now >= m_lastTrialAt + m_options.onceOnlyTrialAfter;
     if (!isRepeatable && !mayTryOnceOnly)
         return Admission::Refused;
     ++m_trialsUnderWay;
--- a/src/dispatch/TargetHealth.h
+++ b/src/dispatch/TargetHealth.h
@@ -24,12 +24,13 @@
 public:
     struct Options {
         double newestWeight = 0.12; // of the newest outcome in the share of failures
-        double chanceShare = 0.25; // of failures lately, up to which one good answer clears a target; above it several
-        std::size_t answersToClear = 3;
+        double chanceShare = 0.15; // of failures lately, up to which one good answer clears a target; above it several
+        std::size_t answersToClear = 4;
         std::chrono::milliseconds firstTrialGap { 120 };
-        std::chrono::milliseconds longestTrialGap { 700 };
+        std::chrono::milliseconds longestTrialGap { 1200 };
         double gapGrowth = 1.5;
-        std::chrono::milliseconds onceOnlyTrialAfter { 800 }; // without any repeatable request to try it with
+        std::size_t answersToTryOnceOnly = 2; // a request that can't be repeated is too dear for the first trials
+        std::chrono::milliseconds onceOnlyTrialAfter { 2000 }; // without any repeatable request to try it with
         double silentFailure = 0.6; // what a request counts while the target gives no answer at all
     };
 
--- a/src/relay/EntryRequest.cpp
+++ b/src/relay/EntryRequest.cpp
@@ -264,9 +264,11 @@
 auto EntryRequest::chooseTarget() -> dispatch::TargetBoard::TargetPointer
 {
     const auto now = monotonicNow();
-    return m_context.board.choose({ .service = m_service, .isRepeatable = isRepeatable() && m_runs == 0,
-                                      .excluded = m_excluded },
-        now, m_context.random());
+    // A request is a trial only where it can be sent again when the trial fails.
+    const bool mayTry = isRepeatable() && m_runs == 0 && m_route->maximumAttempts > 1
+        && m_context.attempts.mayTake(m_service, m_context.callsPerRun[m_service], m_context.hosts, now);
+    return m_context.board.choose(
+        { .service = m_service, .isRepeatable = mayTry, .excluded = m_excluded }, now, m_context.random());
 }
 
 auto EntryRequest::advanceStage() -> void
@@ -382,7 +384,7 @@
         .isRepeatable = isRepeatable(),
         .targetLatencyLeft = latencyLeft(now),
         .patience = wait,
-        .takesFailing = m_context.board.mostFail(m_service),
+        .takesFailing = m_context.board.mostFail(m_service, now),
         .isServedLate = m_stage == Stage::Late };
     const bool isFar = m_target->description.locality.region != m_context.here.region;
     const auto hopTime = isFar ? m_context.options.farHopTime : m_context.options.hopTime;
