--- a/cmake/SidecarOnly.cmake
+++ b/cmake/SidecarOnly.cmake
@@ -12,7 +12,7 @@
 file(GLOB_RECURSE SIDECAR_SOURCES CONFIGURE_DEPENDS
     src/base/*.cpp src/log/*.cpp src/net/*.cpp src/dispatch/*.cpp src/fleet/*.cpp src/relay/*.cpp src/sidecar/*.cpp
     platform/*.cpp tools/coriandergate-sidecar/*.cpp)
-list(FILTER SIDECAR_SOURCES EXCLUDE REGEX "(_test|_benchmark)\\.cpp$")
+list(FILTER SIDECAR_SOURCES EXCLUDE REGEX "(_test|_benchmark)\\.cpp$|/platform/testing/")
 list(APPEND SIDECAR_SOURCES
     src/http/Answer.cpp src/http/AnswerParser.cpp src/http/Exchange.cpp src/http/HeaderList.cpp src/http/Problem.cpp
     src/http/RequestParser.cpp src/http/Serialize.cpp src/config/KeyDigest.cpp src/config/KeyIndex.cpp
--- a/src/dispatch/AttemptBudget.cpp
+++ b/src/dispatch/AttemptBudget.cpp
@@ -35,8 +35,8 @@
     return made + attempts <= allowed;
 }
 
-auto AttemptBudget::mayTake(
-    std::string_view service, const CallsPerRun& calls, std::size_t hosts, MonotonicTime now) -> bool
+auto AttemptBudget::mayTake(std::string_view service, const CallsPerRun& calls, std::size_t hosts, MonotonicTime now)
+    -> bool
 {
     if (!hasRoom(service, 1, hosts, now))
         return false;
@@ -44,8 +44,8 @@
         [this, hosts, now](const auto& call) { return hasRoom(call.first, call.second, hosts, now); });
 }
 
-auto AttemptBudget::take(
-    std::string_view service, const CallsPerRun& calls, std::size_t hosts, MonotonicTime now) -> bool
+auto AttemptBudget::take(std::string_view service, const CallsPerRun& calls, std::size_t hosts, MonotonicTime now)
+    -> bool
 {
     if (!mayTake(service, calls, hosts, now))
         return false;
--- /dev/null
+++ b/src/dispatch/AttemptBudget_test.cpp
@@ -0,0 +1,84 @@
+#include "dispatch/AttemptBudget.h"
+
+#include "dispatch/CallRatio.h"
+
+#include <catch2/catch.hpp>
+
+namespace coriandergate::dispatch {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+    auto at(std::chrono::milliseconds time) -> MonotonicTime { return MonotonicTime(time); }
+
+    const AttemptBudget::Options options { .ratio = 0.2, .allowance = 64, .window = 10s };
+
+} // namespace
+
+TEST_CASE("further attempts keep to the ratio and to this host's part of the allowance")
+{
+    AttemptBudget budget(options);
+    for (int i = 0; i < 100; ++i)
+        budget.recordRequest("orders", at(i * 10ms));
+    int taken = 0;
+    while (budget.take("orders", {}, 32, at(1s)))
+        ++taken;
+    CHECK(taken <= 22);
+    CHECK(taken >= 15);
+    CHECK_FALSE(budget.take("orders", {}, 32, at(9s)));
+    CHECK(budget.take("orders", {}, 32, at(11001ms)));
+}
+
+TEST_CASE("the attempts of all hosts together stay within the fleet's budget while all targets fail")
+{
+    constexpr std::size_t hosts = 34;
+    int taken = 0;
+    int requests = 0;
+    for (std::size_t host = 0; host < hosts; ++host) {
+        AttemptBudget budget(options);
+        for (int i = 0; i < 50; ++i) {
+            budget.recordRequest("orders", at(i * 200ms));
+            ++requests;
+            while (budget.take("orders", {}, hosts, at(i * 200ms)))
+                ++taken;
+        }
+    }
+    CHECK(taken <= 0.2 * requests + 64);
+}
+
+// Seen on a hunted day: repeats of runs that call another service used up that service's budget unseen.
+TEST_CASE("a repeat counts its calls at the service that they go to")
+{
+    AttemptBudget budget(options);
+    const AttemptBudget::CallsPerRun calls { { "stock", 1.4 } };
+    for (int i = 0; i < 1000; ++i)
+        budget.recordRequest("orders", at(0ms));
+    for (int i = 0; i < 100; ++i)
+        budget.recordRequest("stock", at(0ms));
+    int taken = 0;
+    while (budget.take("orders", calls, 64, at(1s)))
+        ++taken;
+    CHECK(taken * 1.4 <= 0.2 * 100 + 1);
+    CHECK(taken > 5);
+    CHECK_FALSE(budget.mayTake("orders", calls, 64, at(1s)));
+    CHECK(budget.mayTake("orders", {}, 64, at(1s)));
+}
+
+TEST_CASE("the ratio of calls to runs is learnt from both, and forgotten when they stop")
+{
+    CallRatio ratio;
+    CHECK(ratio.perRun(at(0ms)).empty());
+    for (int i = 0; i < 20; ++i) {
+        ratio.recordRun(at(i * 100ms));
+        ratio.recordCall("stock", at(i * 100ms));
+        if (i % 2 == 0)
+            ratio.recordCall("stock", at(i * 100ms));
+    }
+    const auto calls = ratio.perRun(at(2s));
+    REQUIRE(calls.count("stock") == 1);
+    CHECK(calls.at("stock") == Approx(1.5).epsilon(0.05));
+    CHECK(ratio.perRun(at(120s)).empty());
+}
+
+} // namespace coriandergate::dispatch
--- a/src/dispatch/FreshnessProof.h
+++ b/src/dispatch/FreshnessProof.h
@@ -31,7 +31,8 @@
     }
 
     // recordAnswer() notes a whole answer: when its question was sent, when it came, and the store's clock in it.
-    auto recordAnswer(SuspendAwareTime sentAt, SuspendAwareTime receivedAt, std::chrono::milliseconds storeTime) -> void;
+    auto recordAnswer(SuspendAwareTime sentAt, SuspendAwareTime receivedAt, std::chrono::milliseconds storeTime)
+        -> void;
 
     // age() is the age of the newest proof; nothing before the first answer.
     [[nodiscard]] auto age(SuspendAwareTime now) const -> std::optional<std::chrono::milliseconds>;
--- a/src/dispatch/RatePool.cpp
+++ b/src/dispatch/RatePool.cpp
@@ -15,8 +15,8 @@
     for (const auto& host : hosts)
         byWeight.emplace_back(hashOf(host, seed), host);
     const auto count = std::min(rateHomesOfRegion, byWeight.size());
-    std::partial_sort(byWeight.begin(), byWeight.begin() + static_cast<std::ptrdiff_t>(count), byWeight.end(),
-        std::greater<> {});
+    std::partial_sort(
+        byWeight.begin(), byWeight.begin() + static_cast<std::ptrdiff_t>(count), byWeight.end(), std::greater<> {});
     std::vector<std::string> homes;
     for (std::size_t i = 0; i < count; ++i)
         homes.push_back(byWeight[i].second);
--- a/src/dispatch/RatePool.h
+++ b/src/dispatch/RatePool.h
@@ -1,11 +1,11 @@
 // Client accounts' rates, counted over all hosts together: handed out one request at a time by the account's homes.
 //
-// Each account has a few homes in each region: the hosts that its name hashes to. All hosts find them from the same list,
-// so nothing is elected. A host that becomes a home begins with nothing, and only after a host that was a home before
-// must have noticed.
+// Each account has a few homes in each region: the hosts that its name hashes to. All hosts find them from the same
+// list, so nothing is elected. A host that becomes a home begins with nothing, and only after a host that was a home
+// before must have noticed.
 //
-// Load patterns: callers of one account gathered at few hosts; one account at several times its rate; hosts that come and
-// go; a home that is cut off or paused.
+// Load patterns: callers of one account gathered at few hosts; one account at several times its rate; hosts that come
+// and go; a home that is cut off or paused.
 //
 //   RatePool pool({ .limits = limits, .part = 0.25 });
 //   pool.setHosts(hosts, now);
--- a/src/dispatch/SlotQueue.h
+++ b/src/dispatch/SlotQueue.h
@@ -2,11 +2,11 @@
 //
 // A request waits only where it can still be served in time: the wait that those before it make likely must fit into
 // what it may wait. Otherwise it is refused at once, so that the entry can turn to another target. The most urgent
-// priority goes first; within one, whoever's time runs out first. A more urgent request takes the place of a less urgent
-// one that has no chance any more.
+// priority goes first; within one, whoever's time runs out first. A more urgent request takes the place of a less
+// urgent one that has no chance any more.
 //
-// Load patterns: everyone at once; targets slowed several times; a less urgent kind crowding out a more urgent one; long
-// tails that outlive the caller.
+// Load patterns: everyone at once; targets slowed several times; a less urgent kind crowding out a more urgent one;
+// long tails that outlive the caller.
 //
 //   SlotQueue queue({ .slots = 5 });
 //   switch (queue.reserve({ .ticket = 7, ... }, now)) { case Granted: ... case Waits: ... case Refused: ... }
--- a/src/dispatch/TargetBoard.cpp
+++ b/src/dispatch/TargetBoard.cpp
@@ -36,8 +36,7 @@
     m_byService.clear();
     for (const auto& description : descriptions) {
         const auto known = m_byAddress.find(description.address);
-        const bool isSame = known != m_byAddress.end()
-            && known->second->description.service == description.service;
+        const bool isSame = known != m_byAddress.end() && known->second->description.service == description.service;
         auto target = isSame ? known->second : std::make_shared<Target>();
         if (!isSame)
             target->load.slots = description.slots;
@@ -48,19 +47,37 @@
     m_byAddress = std::move(byAddress);
 }
 
-auto TargetBoard::expectedFill(const Target& target, MonotonicTime now) const -> double
+auto TargetBoard::typicalFill(std::string_view service, MonotonicTime now) const -> double
+{
+    const auto found = m_byService.find(service);
+    if (found == m_byService.end())
+        return 0;
+    double sum = 0;
+    std::size_t count = 0;
+    for (const auto& target : found->second) {
+        if (target->loadToldAt == MonotonicTime {} || now > target->loadToldAt + 2 * m_options.loadMemory)
+            continue;
+        const auto slots = static_cast<double>(std::max<std::size_t>(1, target->load.slots));
+        sum += static_cast<double>(target->load.running + target->load.waiting) / slots;
+        ++count;
+    }
+    return count == 0 ? 0 : sum / static_cast<double>(count);
+}
+
+auto TargetBoard::expectedFill(const Target& target, double typicalFill, MonotonicTime now) const -> double
 {
     const auto slots = static_cast<double>(std::max<std::size_t>(1, target.load.slots));
     const std::chrono::duration<double> age = now - target.loadToldAt;
     const std::chrono::duration<double> memory = m_options.loadMemory;
     const double remembered = std::exp2(-age / memory);
     const auto told = static_cast<double>(target.load.running + target.load.waiting);
-    const double others = told * remembered + m_options.assumedLoad * slots * (1 - remembered);
+    const double others = told * remembered + typicalFill * slots * (1 - remembered);
     const auto own = static_cast<double>(target.startedSince);
     return std::max(others + own, static_cast<double>(target.underWay)) / slots;
 }
 
-auto TargetBoard::cost(const Target& target, const Need& need, bool takesFailing, MonotonicTime now) const -> double
+auto TargetBoard::cost(
+    const Target& target, const Need& need, double typicalFill, bool takesFailing, MonotonicTime now) const -> double
 {
     if (target.description.isLeaving || now < target.avoidUntil)
         return unusable;
@@ -68,7 +85,7 @@
     const bool isTrial = isFailing && now >= target.trialAt && need.isRepeatable;
     if (isFailing && !isTrial && !takesFailing)
         return unusable;
-    double cost = expectedFill(target, now) + m_options.refusedWeight * target.refusedShare;
+    double cost = expectedFill(target, typicalFill, now) + m_options.refusedWeight * target.refusedShare;
     const auto& locality = target.description.locality;
     if (locality.region != m_options.here.region)
         cost += m_options.otherRegionWeight * need.distanceFactor;
@@ -100,6 +117,7 @@
     if (found == m_byService.end())
         return nullptr;
     const bool takesFailing = mostFail(need.service, now);
+    const double typical = typicalFill(need.service, now);
     TargetPointer best;
     double least = unusable;
     std::uint64_t index = 0;
@@ -108,7 +126,7 @@
         if (std::find(need.excluded.begin(), need.excluded.end(), target->description.address) != need.excluded.end())
             continue;
         const auto chance = static_cast<double>(mix(random + index) >> 40) / static_cast<double>(1ULL << 24);
-        const double total = cost(*target, need, takesFailing, now) + chanceWeight * chance;
+        const double total = cost(*target, need, typical, takesFailing, now) + chanceWeight * chance;
         if (total < least) {
             least = total;
             best = target;
--- a/src/dispatch/TargetBoard.h
+++ b/src/dispatch/TargetBoard.h
@@ -1,6 +1,7 @@
 // What an entry knows of the targets of each service, and its choice among them.
 //
-// A target's cost is how full it is, as it told last and as this entry has loaded it since, and how far away it is. The
+// A target's cost is how full it is, as it told last and as this entry has loaded it since, and how far away it is. One
+// that told nothing lately is taken for as full as the others of its service are on average. The
 // nearest targets serve until they are fuller than those farther away by the weight of the distance.
 //
 // Load patterns: a data centre whose callers outgrow its targets; targets slowed several times; a path to some targets
@@ -43,7 +44,6 @@
         double failingWeight = 0.5; // for a failing target while most of its service fails
         double mostShare = 0.5; // of a service's targets; when more fail, none is left out for it
         std::chrono::milliseconds loadMemory { 1000 }; // after it, half of what a target told has faded
-        double assumedLoad = 0.4; // of the slots, for a target that told nothing lately
         std::chrono::milliseconds firstPathBackoff { 700 }; // a path that failed isn't tried for so long
         std::chrono::milliseconds longestPathBackoff { 6000 };
     };
@@ -109,14 +109,18 @@
     auto avoid(Target& target, MonotonicTime until) -> void;
 
     // expectedFill() is the part of the slots of `target` that is taken; above 1 requests wait.
-    [[nodiscard]] auto expectedFill(const Target& target, MonotonicTime now) const -> double;
+    // `typicalFill` stands for what it didn't tell lately.
+    [[nodiscard]] auto expectedFill(const Target& target, double typicalFill, MonotonicTime now) const -> double;
+
+    // typicalFill() is the mean of what the targets of `service` told lately; 0 when none did.
+    [[nodiscard]] auto typicalFill(std::string_view service, MonotonicTime now) const -> double;
 
     [[nodiscard]] auto targets(std::string_view service) const -> std::vector<TargetPointer>;
 
 private:
     [[nodiscard]] auto isKnownToFail(const Target& target, MonotonicTime now) const -> bool;
-    [[nodiscard]] auto cost(const Target& target, const Need& need, bool takesFailing, MonotonicTime now) const
-        -> double;
+    [[nodiscard]] auto cost(const Target& target, const Need& need, double typicalFill, bool takesFailing,
+        MonotonicTime now) const -> double;
 
     Options m_options;
     std::map<std::string, TargetPointer, std::less<>> m_byAddress;
--- a/src/dispatch/TargetHealth.cpp
+++ b/src/dispatch/TargetHealth.cpp
@@ -12,7 +12,8 @@
         return Admission::Sound;
     if (m_trialsUnderWay >= trialsAtOnce() || now < m_trialAt)
         return Admission::Refused;
-    const bool mayTryOnceOnly = m_goodTrials >= m_options.answersToTryOnceOnly || now >= m_lastTrialAt + m_options.onceOnlyTrialAfter;
+    const bool mayTryOnceOnly
+        = m_goodTrials >= m_options.answersToTryOnceOnly || now >= m_lastTrialAt + m_options.onceOnlyTrialAfter;
     if (!isRepeatable && !mayTryOnceOnly)
         return Admission::Refused;
     ++m_trialsUnderWay;
@@ -20,7 +21,7 @@
     return Admission::Trial;
 }
 
-auto TargetHealth::abandonTrial() -> void
+auto TargetHealth::endTrial() -> void
 {
     if (m_trialsUnderWay > 0)
         --m_trialsUnderWay;
--- a/src/dispatch/TargetHealth.h
+++ b/src/dispatch/TargetHealth.h
@@ -2,8 +2,8 @@
 //
 // Its own health page isn't asked: it can lie either way. One failure makes the target a suspect, which gets single
 // repeatable requests as trials, farther apart while they fail. A good answer clears chance failures; a target that
-// failed more lately needs several, and takes more at a time with each. Refusals and slow answers aren't failures: where
-// all targets refuse or are slow, leaving some out helps nobody.
+// failed more lately needs several, and takes more at a time with each. Refusals and slow answers aren't failures:
+// where all targets refuse or are slow, leaving some out helps nobody.
 //
 // Load patterns: a target that fails a part of its requests; one that hangs; one slowed several times.
 //
@@ -57,8 +57,8 @@
     // recordEnd() notes how a request ended; true when the judgement changed.
     auto recordEnd(Outcome outcome, MonotonicTime now) -> bool;
 
-    // abandonTrial() says that a trial ended without an outcome.
-    auto abandonTrial() -> void;
+    // endTrial() says that a trial which admit() began is over, whether or not recordEnd() was told how.
+    auto endTrial() -> void;
 
     // reset() begins anew, for a new incarnation of the target.
     auto reset() -> void;
--- a/src/fleet/HostRecord.cpp
+++ b/src/fleet/HostRecord.cpp
@@ -34,9 +34,9 @@
 
 auto encodeHostRecord(const HostRecord& record) -> std::string
 {
-    const nlohmann::json value = { { "peer", record.peerAddress }, { "region", record.locality.region }, { "dataCentre", record.locality.dataCentre },
-        { "service", record.service }, { "target", record.targetId }, { "startedAt", record.targetStartedAt },
-        { "slots", record.slots }, { "state", nameOf(record.state) } };
+    const nlohmann::json value = { { "peer", record.peerAddress }, { "region", record.locality.region },
+        { "dataCentre", record.locality.dataCentre }, { "service", record.service }, { "target", record.targetId },
+        { "startedAt", record.targetStartedAt }, { "slots", record.slots }, { "state", nameOf(record.state) } };
     return value.dump();
 }
 
--- a/src/fleet/LocalTarget.cpp
+++ b/src/fleet/LocalTarget.cpp
@@ -28,8 +28,7 @@
         // Leaving is never taken back within an incarnation.
         if (isSame)
             taken.isLeaving = taken.isLeaving || m_current->isLeaving;
-        const bool isUnchanged
-            = isSame && m_current->isLeaving == taken.isLeaving && m_current->slots == taken.slots;
+        const bool isUnchanged = isSame && m_current->isLeaving == taken.isLeaving && m_current->slots == taken.slots;
         m_current = taken;
         return isUnchanged ? Receipt::Unchanged : Receipt::Changed;
     }
--- a/src/fleet/TableFollower.cpp
+++ b/src/fleet/TableFollower.cpp
@@ -43,14 +43,15 @@
     if (!m_hasRead || m_isCatchingUp)
         return;
     m_isCatchingUp = true;
-    m_feed.follow({ m_options.table, m_after, milliseconds { 0 } }, [this, alive = m_isAlive](StoreFeed::Result result) {
-        if (!*alive)
-            return;
-        m_isCatchingUp = false;
-        // A failure shows at the long poll as well, which retries.
-        if (const auto* answer = std::get_if<StoreAnswer>(&result))
-            take(*answer, false);
-    });
+    m_feed.follow(
+        { m_options.table, m_after, milliseconds { 0 } }, [this, alive = m_isAlive](StoreFeed::Result result) {
+            if (!*alive)
+                return;
+            m_isCatchingUp = false;
+            // A failure shows at the long poll as well, which retries.
+            if (const auto* answer = std::get_if<StoreAnswer>(&result))
+                take(*answer, false);
+        });
 }
 
 auto TableFollower::onReadDone(StoreFeed::Result result) -> void
--- a/src/http/AnswerParser.h
+++ b/src/http/AnswerParser.h
@@ -1,8 +1,8 @@
 // Reads one HTTP/1 answer from bytes as they come, on Boost.Beast's parser, and says whether it is whole.
 //
 // An answer is whole only when its end is marked: by Content-Length, by the last chunk, or by its status. One that ends
-// with the connection could have been cut anywhere, so it fails, unless `mayEndWithConnection` is set and the caller can
-// tell an orderly end from a reset. Interim answers (1xx) are skipped.
+// with the connection could have been cut anywhere, so it fails, unless `mayEndWithConnection` is set and the caller
+// can tell an orderly end from a reset. Interim answers (1xx) are skipped.
 //
 //   AnswerParser parser({ .isHead = false });
 //   parser.feed(bytes);
--- a/src/net/HttpServer.h
+++ b/src/net/HttpServer.h
@@ -1,8 +1,8 @@
 // An HTTP/1.1 server on Boost.Asio's sockets and Boost.Beast's parser, for a program with one thread.
 //
-// Requests that a caller pipelines are handled side by side and answered in their order. A caller that leaves is noticed
-// while its request is handled (http::Exchange::onAbandoned). The exchange's peer() names the connection for as long as
-// it is open.
+// Requests that a caller pipelines are handled side by side and answered in their order. A caller that leaves is
+// noticed while its request is handled (http::Exchange::onAbandoned). The exchange's peer() names the connection for as
+// long as it is open.
 //
 //   net::HttpServer server(io, {}, [](std::shared_ptr<http::Exchange> exchange) { exchange->answer(...); });
 //   if (!server.listen("127.0.0.1:7100", reason)) ...
--- a/src/net/internal/HttpClientConnection.cpp
+++ b/src/net/internal/HttpClientConnection.cpp
@@ -81,8 +81,8 @@
     armTimer(endpoint ? std::min(m_deadline, steady_clock::now() + m_options.connectTimeout) : steady_clock::now());
     if (!endpoint)
         return;
-    m_socket.async_connect(*endpoint,
-        [self = shared_from_this()](const boost::system::error_code& error) { self->onConnected(error); });
+    m_socket.async_connect(
+        *endpoint, [self = shared_from_this()](const boost::system::error_code& error) { self->onConnected(error); });
 }
 
 auto HttpClientConnection::onConnected(const boost::system::error_code& error) -> void
@@ -171,8 +171,7 @@
             return;
         }
         if (++m_skippedAnswers > maximumSkippedAnswers) {
-            fail({ .stage = Stage::ReadAnswer, .mayHaveRun = true, .error = {} },
-                "too many answers to other requests");
+            fail({ .stage = Stage::ReadAnswer, .mayHaveRun = true, .error = {} }, "too many answers to other requests");
             return;
         }
         m_hasAnswerStarted = false;
--- a/src/net/internal/HttpServerConnection.cpp
+++ b/src/net/internal/HttpServerConnection.cpp
@@ -122,8 +122,7 @@
     if (m_isParsing)
         return;
     m_isParsing = true;
-    while (!m_isClosed && !m_isLast && !m_unparsed.empty()
-        && m_pending.size() < m_state->options.maximumPipelined) {
+    while (!m_isClosed && !m_isLast && !m_unparsed.empty() && m_pending.size() < m_state->options.maximumPipelined) {
         const auto used = m_parser.feed(m_unparsed);
         m_unparsed.erase(0, used);
         if (m_parser.progress() == ParseProgress::Failed) {
--- a/src/relay/EntryRequest.cpp
+++ b/src/relay/EntryRequest.cpp
@@ -32,6 +32,8 @@
     constexpr int firstServerError = 500;
     // An answer that goes to a caller must be on its way before the caller's own clock runs out.
     constexpr milliseconds answerMargin { 30 };
+    // A hop's own timeout lies behind the request's, so that it speaks of the way and not of a caller's little time.
+    constexpr milliseconds giveUpFirst { 1000 };
     // How often a request looks for a target while none can be used.
     constexpr milliseconds noTargetPause { 60 };
     // Part of the time left that a request which can only be answered late may wait for a slot.
@@ -62,10 +64,7 @@
 {
 }
 
-auto EntryRequest::isRepeatable() const -> bool
-{
-    return m_route->repeatPolicy == config::RepeatPolicy::Idempotent;
-}
+auto EntryRequest::isRepeatable() const -> bool { return m_route->repeatPolicy == config::RepeatPolicy::Idempotent; }
 
 auto EntryRequest::left(MonotonicTime now) const -> milliseconds
 {
@@ -183,10 +182,7 @@
     return true;
 }
 
-auto EntryRequest::noteTurn(milliseconds turnIn) -> void
-{
-    m_turnIn = std::min(m_turnIn.value_or(turnIn), turnIn);
-}
+auto EntryRequest::noteTurn(milliseconds turnIn) -> void { m_turnIn = std::min(m_turnIn.value_or(turnIn), turnIn); }
 
 auto EntryRequest::askNextRateHome() -> void
 {
@@ -208,9 +204,7 @@
     const auto hopTime = isFar ? m_context.options.farRateHopTime : m_context.options.rateHopTime;
     m_call = m_context.hops.send(record->peerAddress, encodeRate({ m_clientAccount->name }),
         { .timeout = std::min(hopTime, std::max(left(monotonicNow()), milliseconds { 1 })) },
-        [self = shared_from_this(), home](const net::HttpClient::Result& result) {
-            self->onRateAnswer(home, result);
-        });
+        [self = shared_from_this(), home](const net::HttpClient::Result& result) { self->onRateAnswer(home, result); });
 }
 
 auto EntryRequest::onRateAnswer(const std::string& home, const net::HttpClient::Result& result) -> void
@@ -346,13 +340,7 @@
 {
     // Spread over as much time as the targets need to work off what is ahead of a newcomer.
     const auto now = monotonicNow();
-    double fill = 0;
-    std::size_t count = 0;
-    for (const auto& target : m_context.board.targets(m_service)) {
-        fill += m_context.board.expectedFill(*target, now);
-        ++count;
-    }
-    const double mean = count == 0 ? 1 : fill / static_cast<double>(count);
+    const double mean = m_context.board.typicalFill(m_service, now);
     const auto base = static_cast<double>(m_route->targetLatency.count()) * std::clamp(mean, 0.3, 2.0) / 2;
     std::uniform_real_distribution<double> spread(0.5, 1.5);
     const milliseconds wait(std::llround(base * spread(m_context.random)));
@@ -389,7 +377,7 @@
     const bool isFar = m_target->description.locality.region != m_context.here.region;
     const auto hopTime = isFar ? m_context.options.farHopTime : m_context.options.hopTime;
     m_call = m_context.hops.send(m_target->description.address, encodeReserve(ask),
-        { .timeout = std::min(wait + hopTime, std::max(left(now), milliseconds { 1 })), .keepsConnection = true },
+        { .timeout = wait + hopTime, .keepsConnection = true },
         [self = shared_from_this()](net::HttpClient::Result result) { self->onReserved(std::move(result)); });
 }
 
@@ -493,7 +481,7 @@
     if (const auto storeTime = m_context.proof.storeTime(SuspendAwareClock::now()))
         ask.expiresAt = *storeTime + ask.timeLeft;
     const bool isSent = m_context.hops.sendNext(m_call, encodeRun(ask),
-        { .timeout = std::max(left(now), milliseconds { 1 }), .isHead = ask.request.method == "HEAD" },
+        { .timeout = left(now) + giveUpFirst, .isHead = ask.request.method == "HEAD" },
         [self = shared_from_this()](net::HttpClient::Result result) { self->onRun(std::move(result)); });
     if (!isSent) {
         m_excluded.push_back(m_target->description.address);
@@ -517,8 +505,8 @@
         m_mayHaveRun = true;
         m_excluded.push_back(m_target->description.address);
         releaseTarget();
-        tryAgainOr(http::makeAnswer(badGateway, "text/plain", "the way to the target broke"),
-            "the way to the target broke");
+        tryAgainOr(
+            http::makeAnswer(badGateway, "text/plain", "the way to the target broke"), "the way to the target broke");
         return;
     }
     auto answer = std::get<http::Answer>(std::move(result));
@@ -540,8 +528,8 @@
     }
     m_mayHaveRun = true;
     const int status = answer.status == gatewayTimeout ? gatewayTimeout : badGateway;
-    tryAgainOr(http::makeAnswer(status, "text/plain", "the target gave no whole answer"),
-        "the target gave no whole answer");
+    tryAgainOr(
+        http::makeAnswer(status, "text/plain", "the target gave no whole answer"), "the target gave no whole answer");
 }
 
 auto EntryRequest::onTargetAnswer(http::Answer answer) -> void
@@ -628,8 +616,8 @@
     const auto proofAge = m_context.proof.age(SuspendAwareClock::now());
     log::logEvent(requestEnded,
         { { "request", m_requestId }, { "status", std::to_string(answer.status) }, { "why", std::string(why) },
-            { "ms", std::to_string(took.count()) }, { "route", m_route ? m_route->name : "" },
-            { "service", m_service }, { "account", m_clientAccount ? m_clientAccount->name : "" }, { "runs", std::to_string(m_runs) },
+            { "ms", std::to_string(took.count()) }, { "route", m_route ? m_route->name : "" }, { "service", m_service },
+            { "account", m_clientAccount ? m_clientAccount->name : "" }, { "runs", std::to_string(m_runs) },
             { "version", m_snapshot ? std::to_string(m_snapshot->configuration().version) : "" },
             { "proof-age-ms", proofAge ? std::to_string(proofAge->count()) : "" } });
     if (!m_requestId.empty() && !answer.headers.find(m_context.headers.requestId))
--- a/src/relay/HopMessages.cpp
+++ b/src/relay/HopMessages.cpp
@@ -42,11 +42,29 @@
     }
 
     // Messages are arrays, so that names don't travel with each.
-    enum ReserveField { ReserveId, ReserveService, ReservePriority, ReserveRepeatable, ReserveLatency, ReservePatience,
+    enum ReserveField {
+        ReserveId,
+        ReserveService,
+        ReservePriority,
+        ReserveRepeatable,
+        ReserveLatency,
+        ReservePatience,
         ReserveLate,
-        ReserveFailing };
-    enum RunField { RunId, RunMethod, RunTarget, RunHeaders, RunBody, RunCaller, RunAccount, RunRepeatable, RunLeft,
-        RunLatency, RunExpires };
+        ReserveFailing
+    };
+    enum RunField {
+        RunId,
+        RunMethod,
+        RunTarget,
+        RunHeaders,
+        RunBody,
+        RunCaller,
+        RunAccount,
+        RunRepeatable,
+        RunLeft,
+        RunLatency,
+        RunExpires
+    };
 
     constexpr double percent = 100;
 
@@ -118,10 +136,7 @@
     return isRead ? std::optional(std::move(ask)) : std::nullopt;
 }
 
-auto encodeRate(const RateAsk& ask) -> std::string
-{
-    return toHttp(ratePath, json::array({ ask.clientAccount }));
-}
+auto encodeRate(const RateAsk& ask) -> std::string { return toHttp(ratePath, json::array({ ask.clientAccount })); }
 
 auto decodeRate(const std::string& body, Error& reason) -> std::optional<RateAsk>
 {
--- a/src/relay/OwnerRelay.cpp
+++ b/src/relay/OwnerRelay.cpp
@@ -65,8 +65,8 @@
     std::unique_ptr<boost::asio::steady_timer> stuckTimer;
 };
 
-OwnerRelay::OwnerRelay(boost::asio::io_context& io, const fleet::LocalTarget& target, dispatch::CallRatio& calls,
-    const Options& options)
+OwnerRelay::OwnerRelay(
+    boost::asio::io_context& io, const fleet::LocalTarget& target, dispatch::CallRatio& calls, const Options& options)
     : m_io(io)
     , m_target(target)
     , m_calls(calls)
@@ -141,7 +141,7 @@
     const auto decision = m_slots.reserve(request, now);
     if (decision == SlotQueue::Decision::Refused) {
         if (admission == TargetHealth::Admission::Trial)
-            m_health.abandonTrial();
+            m_health.endTrial();
         refuse(exchange, ask->requestId, "no slot in time");
         return;
     }
@@ -165,11 +165,11 @@
 {
     reservation.isGranted = true;
     reservation.timer = std::make_unique<boost::asio::steady_timer>(m_io, m_options.reservationTimeout);
-    reservation.timer->async_wait([this, alive = m_isAlive, connection = reservation.connection](
-                                      const boost::system::error_code& error) {
-        if (!error && *alive)
-            releaseReservation(connection);
-    });
+    reservation.timer->async_wait(
+        [this, alive = m_isAlive, connection = reservation.connection](const boost::system::error_code& error) {
+            if (!error && *alive)
+                releaseReservation(connection);
+        });
     http::Answer answer;
     const auto now = monotonicNow();
     answer.headers.add(loadHeader, encodeNews(news(now)));
@@ -199,7 +199,7 @@
     const auto reservation = found->second;
     m_reservations.erase(found);
     if (reservation->isTrial)
-        m_health.abandonTrial();
+        m_health.endTrial();
     if (reservation->isGranted) {
         m_slots.finish(std::nullopt);
         serveWaiting();
@@ -222,7 +222,7 @@
         m_reservations.erase(waiting->second);
         m_waiting.erase(waiting);
         if (reservation->isTrial)
-            m_health.abandonTrial();
+            m_health.endTrial();
         refuse(reservation->exchange, reservation->requestId, "no slot in time");
     }
     while (const auto ticket = m_slots.next(now)) {
@@ -383,7 +383,7 @@
     run.isDone = true;
     run.stuckTimer.reset();
     if (run.isTrial)
-        m_health.abandonTrial();
+        m_health.endTrial();
     m_slots.finish(serviceTime);
     serveWaiting();
 }
@@ -395,7 +395,9 @@
     log::logEvent(runEnded,
         { { "request", run.requestId }, { "outcome", std::string(outcomeName(outcome)) },
             { "status", std::to_string(answer.status) }, { "why", std::string(why) }, { "load", load },
-            { "ms", std::to_string(run.startedAt == MonotonicTime {} ? 0 : millisecondsSince(run.startedAt, now).count()) } });
+            { "ms",
+                std::to_string(
+                    run.startedAt == MonotonicTime {} ? 0 : millisecondsSince(run.startedAt, now).count()) } });
     answer.headers.add(outcomeHeader, outcomeName(outcome));
     answer.headers.add(loadHeader, load);
     run.exchange->answer(std::move(answer));
@@ -410,9 +412,10 @@
         return;
     }
     const auto& failure = std::get<http::ExchangeFailure>(result);
-    // A target that doesn't take connections fails for every request.
-    if (!run->isCountedAsSilent)
+    // Where the caller's time ran out the target isn't to blame; onStuck() watches for one that is silent.
+    if (!failure.wasTimeout || !failure.mayHaveRun)
         recordEnd(TargetHealth::Outcome::Failed, failure.error.toText());
+    // A target that doesn't take connections fails for every request.
     if (!failure.mayHaveRun)
         recordEnd(TargetHealth::Outcome::Failed, failure.error.toText());
     finishRun(*run, std::nullopt);
--- a/src/relay/OwnerRelay.h
+++ b/src/relay/OwnerRelay.h
@@ -1,4 +1,5 @@
-// The daemon's side beside its target: grants slots, sends each request to the target once, and says truly how it ended.
+// The daemon's side beside its target: grants slots, sends each request to the target once, and says truly how it
+// ended.
 //
 // All requests to a target pass through here, so its slots, its leaving and its failures are known in one place. After
 // the target began to leave nothing more is sent to it, whatever entries still believe.
@@ -11,9 +12,9 @@
 #include "dispatch/CallRatio.h"
 #include "dispatch/SlotQueue.h"
 #include "dispatch/TargetHealth.h"
+#include "net/HttpClient.h"
 #include "relay/HeaderNames.h"
 #include "relay/HopMessages.h"
-#include "net/HttpClient.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
--- a/src/sidecar/MetricsPage.cpp
+++ b/src/sidecar/MetricsPage.cpp
@@ -42,8 +42,8 @@
 
     auto endedRequests(const relay::EntryCounters& counters) -> MetricFamily
     {
-        auto made = family("coriandergate_requests_ended_total", "requests of callers by how they ended",
-            MetricType::Counter);
+        auto made = family(
+            "coriandergate_requests_ended_total", "requests of callers by how they ended", MetricType::Counter);
         for (const auto& [how, count] : counters.ended) {
             ClientMetric metric;
             ClientMetric::Label label;
@@ -66,8 +66,8 @@
             cumulated += counters.latency[i];
             ClientMetric::Bucket bucket;
             bucket.cumulative_count = cumulated;
-            bucket.upper_bound = i < relay::EntryCounters::latencyBounds.size()
-                ? static_cast<double>(relay::EntryCounters::latencyBounds[i])
+            bucket.upper_bound = i < relay::EntryCounters::s_latencyBounds.size()
+                ? static_cast<double>(relay::EntryCounters::s_latencyBounds[i])
                 : std::numeric_limits<double>::infinity();
             metric.histogram.bucket.push_back(bucket);
         }
@@ -101,7 +101,8 @@
         gauge("coriandergate_hosts", "hosts that share every limit", static_cast<double>(figures.hosts)),
         gauge("coriandergate_caller_connections", "open connections of callers",
             static_cast<double>(figures.callerConnections)),
-        gauge("coriandergate_open_requests", "requests of callers under way", static_cast<double>(figures.openRequests)),
+        gauge(
+            "coriandergate_open_requests", "requests of callers under way", static_cast<double>(figures.openRequests)),
     };
     return prometheus::TextSerializer().Serialize(families);
 }
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -53,7 +53,8 @@
     constexpr milliseconds firstHeartbeatTime { 1700 };
     // A target that leaves is told so at the latest after this; it waits a second.
     constexpr milliseconds longestAcknowledgement { 650 };
-    // Part of the revocation bound for which an answer of the store counts as news; the rest covers the way of a request.
+    // Part of the revocation bound for which an answer of the store counts as news; the rest covers the way of a
+    // request.
     constexpr double freshPart = 0.88;
     // The platform asks every second whether callers may come, and believes the second refusal.
     constexpr milliseconds callersLeaveAfter { 2300 };
@@ -169,11 +170,9 @@
     , proof({ .maximumAge = freshness(settings) })
     , hostsProof({ .maximumAge = freshness(settings) })
     , board({ .here = settings.locality })
-    , attempts({ .ratio = settings.attemptRatio,
-          .allowance = settings.attemptAllowance,
-          .window = settings.attemptWindow })
-    , pool({ .limits = rateLimits(),
-               .part = 1 / static_cast<double>(settings.regions * dispatch::rateHomesOfRegion) },
+    , attempts(
+          { .ratio = settings.attemptRatio, .allowance = settings.attemptAllowance, .window = settings.attemptWindow })
+    , pool({ .limits = rateLimits(), .part = 1 / static_cast<double>(settings.regions * dispatch::rateHomesOfRegion) },
           monotonicNow())
     , hops(io, { .connectTimeout = milliseconds(400), .idleTimeout = milliseconds(30000), .maximumIdlePerPeer = 4 })
     , entry { .io = io,
@@ -191,9 +190,7 @@
         .snapshot = nullptr }
     , owner(io, target, calls, { .headers = adapter.headers })
     , callers(io, callerOptions(settings, {}),
-          [this](std::shared_ptr<http::Exchange> exchange) {
-              relay::EntryRequest::start(entry, std::move(exchange));
-          })
+          [this](std::shared_ptr<http::Exchange> exchange) { relay::EntryRequest::start(entry, std::move(exchange)); })
     , peers(io,
           { .maximumBodyBytes = settings.memoryMegabytes * 1024 * 1024 / 8,
               .idleTimeout = milliseconds(60000),
@@ -271,8 +268,8 @@
         return;
     hasStore = false;
     const auto age = proof.age(SuspendAwareClock::now());
-    log::logEvent(storeLost,
-        { { "why", error.toText() }, { "proof-age-ms", age ? std::to_string(age->count()) : "" } });
+    log::logEvent(
+        storeLost, { { "why", error.toText() }, { "proof-age-ms", age ? std::to_string(age->count()) : "" } });
 }
 
 auto Sidecar::State::rateLimits() const -> dispatch::RateLimits
@@ -308,8 +305,8 @@
         return;
     }
     const auto decision = pool.take(*account, settings.hostAddress, monotonicNow());
-    exchange->answer(http::makeAnswer(
-        decision.isGranted ? 200 : overRate, "text/plain", decision.isGranted ? "" : relay::encodeTurn(decision.turnIn)));
+    exchange->answer(http::makeAnswer(decision.isGranted ? 200 : overRate, "text/plain",
+        decision.isGranted ? "" : relay::encodeTurn(decision.turnIn)));
 }
 
 auto Sidecar::State::onConfigurationRows(const std::vector<fleet::StoreRow>& rows) -> void
@@ -354,8 +351,7 @@
 {
     knowsHosts = true;
     if (const auto* earlier = directory.find(settings.hostAddress)) {
-        target.recall(
-            earlier->targetId, earlier->targetStartedAt, earlier->state == fleet::HostRecord::State::Leaving);
+        target.recall(earlier->targetId, earlier->targetStartedAt, earlier->state == fleet::HostRecord::State::Leaving);
     }
     owner.open();
     owner.onTargetChanged();
@@ -377,9 +373,9 @@
 {
     if (!knowsHosts)
         return;
-    fleet::HostRecord record { .peerAddress = settings.peerListen,
-        .locality = settings.locality,
-        .service = settings.service };
+    fleet::HostRecord record {
+        .peerAddress = settings.peerListen, .locality = settings.locality, .service = settings.service
+    };
     if (const auto& current = target.current()) {
         record.targetId = current->id;
         record.targetStartedAt = current->startedAt;
@@ -410,8 +406,7 @@
 
 } // namespace
 
-auto Sidecar::State::receive(const fleet::Heartbeat& heartbeat, const std::shared_ptr<http::Exchange>& exchange)
-    -> void
+auto Sidecar::State::receive(const fleet::Heartbeat& heartbeat, const std::shared_ptr<http::Exchange>& exchange) -> void
 {
     Error reason;
     switch (target.receive(heartbeat, reason)) {
@@ -477,8 +472,8 @@
         return;
     isStopping = true;
     stopBeganAt = monotonicNow();
-    log::logEvent(stopBegan, { { "open", std::to_string(callers.openRequests()) },
-                                 { "running", std::to_string(owner.running()) } });
+    log::logEvent(stopBegan,
+        { { "open", std::to_string(callers.openRequests()) }, { "running", std::to_string(owner.running()) } });
     owner.setStopping();
     callers.beginDrain();
     // A host whose target has left is gone for good; another's target stays while its daemon is started again.
@@ -530,8 +525,7 @@
         .hopConnections = hops.connectionsOpened() });
 }
 
-Sidecar::Sidecar(
-    boost::asio::io_context& io, const HostSettings& settings, Adapter adapter, fleet::StoreFeed& store)
+Sidecar::Sidecar(boost::asio::io_context& io, const HostSettings& settings, Adapter adapter, fleet::StoreFeed& store)
     : m_state(std::make_unique<State>(io, settings, std::move(adapter), store))
 {
 }
--- a/tools/coriandergate-measure-configuration/main.cpp
+++ b/tools/coriandergate-measure-configuration/main.cpp
@@ -95,11 +95,10 @@
     configuration.services.push_back({ "demo", 0.7, {}, {} });
     const auto number = [](int i) { return std::to_string(100000 + i); };
     for (int i = 0; i < accounts; ++i)
-        configuration.clientAccounts.push_back(
-            { .name = "account-" + number(i),
-                .keyDigests = { config::digestOfKey("key-" + number(i)) },
-                .ratePerSecond = 10,
-                .burst = 20 });
+        configuration.clientAccounts.push_back({ .name = "account-" + number(i),
+            .keyDigests = { config::digestOfKey("key-" + number(i)) },
+            .ratePerSecond = 10,
+            .burst = 20 });
     for (int i = 0; i < routes; ++i) {
         config::Route route;
         route.name = "route-" + number(i);
