Pass the store's news on within a data centre

Ruled out: one poll for several tables (the call takes one); longer waits (a withdrawn key must stop within 5 s). Change: two hosts of each data centre follow the store, the others follow one of them and fall back to the store; what is passed on is dated by the store's own clock.

--- a/src/dispatch/FreshnessProof.cpp
+++ b/src/dispatch/FreshnessProof.cpp
@@ -29,6 +29,14 @@
     m_provenAt = std::max(m_provenAt.value_or(provenAt), provenAt);
 }
 
+auto FreshnessProof::recordPassedOn(milliseconds storeTime) -> void
+{
+    if (!m_latestOffset)
+        return;
+    const SuspendAwareTime dated(storeTime + *m_latestOffset);
+    m_provenAt = std::max(m_provenAt.value_or(dated), dated);
+}
+
 auto FreshnessProof::age(SuspendAwareTime now) const -> std::optional<milliseconds>
 {
     if (!m_provenAt)
--- a/src/dispatch/FreshnessProof.h
+++ b/src/dispatch/FreshnessProof.h
@@ -34,6 +34,10 @@
     auto recordAnswer(SuspendAwareTime sentAt, SuspendAwareTime receivedAt, std::chrono::milliseconds storeTime)
         -> void;
 
+    // recordPassedOn() notes an answer that another daemon had from the store, by the store's clock in it. It proves
+    // nothing before this host has had an answer of its own, to compare the clocks by.
+    auto recordPassedOn(std::chrono::milliseconds storeTime) -> void;
+
     // age() is the age of the newest proof; nothing before the first answer.
     [[nodiscard]] auto age(SuspendAwareTime now) const -> std::optional<std::chrono::milliseconds>;
 
--- a/src/dispatch/FreshnessProof_test.cpp
+++ b/src/dispatch/FreshnessProof_test.cpp
@@ -52,4 +52,17 @@
     CHECK(*proof.storeTime(at(3000ms)) <= 1005ms);
 }
 
+TEST_CASE("news that another daemon passed on is as old as the store's time in it")
+{
+    FreshnessProof proof({ .maximumAge = 4500ms });
+    proof.recordPassedOn(70000ms);
+    CHECK_FALSE(proof.age(at(1000ms)));
+    proof.recordAnswer(at(1000ms), at(1004ms), 70000ms);
+    proof.recordPassedOn(72000ms);
+    CHECK(proof.age(at(4000ms)) <= 1004ms);
+    proof.recordPassedOn(71000ms);
+    CHECK(proof.age(at(4000ms)) <= 1004ms);
+    CHECK_FALSE(proof.isFresh(at(7505ms)));
+}
+
 } // namespace coriandergate::dispatch
--- /dev/null
+++ b/src/fleet/RelayedFeed.h
@@ -0,0 +1,108 @@
+// Follows the store through another daemon where that saves calls of the store, which are charged.
+//
+// In each data centre a few hosts, found by hashing over the list of hosts, follow the store themselves; the others
+// follow one of them, which answers at once when something changed or its own news was confirmed. An answer that was
+// passed on proves only the store's time that stands in it. When no relay answers with fresh news the store is asked.
+//
+//   RelayedFeed feed(io, store, hops, { .self = "10.1.0.11", .datedTable = "op" });
+//   feed.setHosts(directory, locality);
+//   feed.follow(...);                              // as of any StoreFeed
+//   feed.handle(exchange);                         // questions of other daemons
+#pragma once
+
+#include "base/Locality.h"
+#include "fleet/StoreFeed.h"
+#include "net/HttpClient.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <list>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace coriandergate::http {
+class Exchange;
+}
+
+namespace coriandergate::fleet {
+
+class HostDirectory;
+
+// RelayedFeed is used on the thread of its io_context. The store and the client outlive it.
+class RelayedFeed : public StoreFeed {
+public:
+    struct Options {
+        std::string self; // key of this host
+        std::string datedTable; // whose news is passed on each time it is confirmed, changed or not
+        std::size_t relaysOfDataCentre = 2; // so that one can be out of reach
+        std::chrono::milliseconds relayWait { 1200 }; // one long poll of a relay for the dated table
+        std::chrono::milliseconds answerTime { 200 }; // by which a relay's confirmed news may come later than that
+        std::chrono::milliseconds hopTime { 300 }; // for its answer to come
+        std::chrono::milliseconds oldestNews { 2000 }; // a relay with older news has lost the store
+        std::chrono::milliseconds relayBackoff { 3000 }; // a relay that failed isn't asked for so long
+    };
+    static constexpr std::string_view path = "/news";
+
+    RelayedFeed(boost::asio::io_context& io, StoreFeed& store, net::HttpClient& hops, const Options& options);
+
+    // setHosts() takes over the hosts, and which of them share this one's data centre.
+    auto setHosts(const HostDirectory& directory, const Locality& here) -> void;
+
+    // setStoreTime() tells how to read the store's clock.
+    auto setStoreTime(std::function<std::optional<std::chrono::milliseconds>()> storeTime) -> void;
+
+    auto read(const std::string& table, Callback done) -> void override;
+    auto follow(const Follow& follow, Callback done) -> void override;
+    auto write(const Write& write, Callback done) -> void override;
+
+    // handle() answers another daemon's question for news.
+    auto handle(const std::shared_ptr<http::Exchange>& exchange) -> void;
+
+private:
+    // Table is what a relay keeps of one table to pass on.
+    struct Table {
+        std::map<std::string, StoreRow> rows;
+        std::uint64_t newestVersion = 0;
+        std::chrono::milliseconds storeTime { 0 };
+        std::uint64_t confirmations = 0; // answers of the store so far
+        bool isKnown = false;
+    };
+
+    // Waiting is another daemon's question.
+    struct Waiting {
+        std::string table;
+        std::uint64_t after = 0;
+        std::uint64_t confirmations = 0; // when it was asked
+        std::shared_ptr<http::Exchange> exchange;
+        std::shared_ptr<boost::asio::steady_timer> timer;
+    };
+
+    [[nodiscard]] auto isRelay() const -> bool;
+    [[nodiscard]] auto chooseRelay(MonotonicTime now) -> std::string;
+    auto followStore(const Follow& follow, Callback done) -> void;
+    auto followRelay(const std::string& relay, const Follow& follow, Callback done) -> void;
+    auto remember(const std::string& table, const StoreAnswer& answer, bool isWhole) -> void;
+    static auto markMissing(Table& table, const StoreAnswer& whole) -> void;
+    [[nodiscard]] auto hasNewsFor(const Table& table, const Waiting& waiting) const -> bool;
+    auto wakeWaiting(const std::string& table) -> void;
+    auto refuseWaiting(const std::string& table) -> void;
+    auto answerFrom(const Table& table, std::uint64_t after, const std::shared_ptr<http::Exchange>& exchange) -> void;
+
+    boost::asio::io_context& m_io;
+    StoreFeed& m_store;
+    net::HttpClient& m_hops;
+    Options m_options;
+    std::function<std::optional<std::chrono::milliseconds>()> m_storeTime;
+    std::vector<std::string> m_relays; // of this data centre, by host
+    std::map<std::string, std::string> m_addresses; // of the relays
+    std::map<std::string, MonotonicTime> m_avoidUntil;
+    std::map<std::string, Table> m_tables;
+    std::list<Waiting> m_waiting;
+    std::minstd_rand m_random { std::random_device {}() };
+    std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
+};
+
+} // namespace coriandergate::fleet
--- a/src/fleet/StoreFeed.h
+++ b/src/fleet/StoreFeed.h
@@ -35,6 +35,7 @@
     std::chrono::milliseconds storeTime { 0 }; // the store's steady clock
     SuspendAwareTime sentAt; // when the question was sent
     SuspendAwareTime receivedAt;
+    bool isPassedOn = false; // another daemon told it: as new as its store time, not as its question
 };
 
 // StoreFailure says why there is no answer, and whether a write may still take effect.
--- a/src/fleet/TableFollower.cpp
+++ b/src/fleet/TableFollower.cpp
@@ -48,12 +48,30 @@
             if (!*alive)
                 return;
             m_isCatchingUp = false;
-            // A failure shows at the long poll as well, which retries.
-            if (const auto* answer = std::get_if<StoreAnswer>(&result))
-                take(*answer, false);
+            onCaughtUp(std::move(result));
         });
 }
 
+// What was missed may be too old to be told as changes, and the long poll, at another daemon, may never learn so. Other
+// failures show at the long poll as well, which retries.
+auto TableFollower::onCaughtUp(StoreFeed::Result result) -> void
+{
+    if (const auto* answer = std::get_if<StoreAnswer>(&result)) {
+        take(*answer, false);
+        return;
+    }
+    if (std::get<StoreFailure>(result).kind != StoreFailure::Kind::HistoryLost)
+        return;
+    m_isCatchingUp = true;
+    m_feed.read(m_options.table, [this, alive = m_isAlive](StoreFeed::Result whole) {
+        if (!*alive)
+            return;
+        m_isCatchingUp = false;
+        if (const auto* answer = std::get_if<StoreAnswer>(&whole))
+            take(*answer, true);
+    });
+}
+
 auto TableFollower::onReadDone(StoreFeed::Result result) -> void
 {
     if (const auto* failure = std::get_if<StoreFailure>(&result)) {
--- a/src/fleet/TableFollower.h
+++ b/src/fleet/TableFollower.h
@@ -53,6 +53,7 @@
 private:
     auto read() -> void;
     auto follow() -> void;
+    auto onCaughtUp(StoreFeed::Result result) -> void;
     auto onReadDone(StoreFeed::Result result) -> void;
     auto onFollowDone(StoreFeed::Result result) -> void;
     auto take(const StoreAnswer& answer, bool isWhole) -> void;
--- /dev/null
+++ b/src/fleet/TableFollower_test.cpp
@@ -0,0 +1,117 @@
+#include "fleet/TableFollower.h"
+
+#include <catch2/catch.hpp>
+
+namespace coriandergate::fleet {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+    // ScriptedFeed keeps every question until the test answers it.
+    class ScriptedFeed : public StoreFeed {
+    public:
+        auto read(const std::string&, Callback done) -> void override { reads.push_back(std::move(done)); }
+        auto follow(const Follow& follow, Callback done) -> void override
+        {
+            follows.emplace_back(follow, std::move(done));
+        }
+        auto write(const Write&, Callback) -> void override { }
+
+        auto answerRead(StoreFeed::Result result) -> void
+        {
+            const auto callback = std::move(reads.front());
+            reads.erase(reads.begin());
+            callback(std::move(result));
+        }
+        auto answerFollow(StoreFeed::Result result) -> void
+        {
+            const auto callback = std::move(follows.front().second);
+            follows.erase(follows.begin());
+            callback(std::move(result));
+        }
+
+        std::vector<Callback> reads;
+        std::vector<std::pair<Follow, Callback>> follows;
+    };
+
+    struct Following {
+        Following()
+        {
+            follower.onRows([this](const std::vector<StoreRow>& rows, bool isWhole) {
+                heard.insert(heard.end(), rows.begin(), rows.end());
+                wholes += isWhole ? 1 : 0;
+            });
+            follower.start();
+            feed.answerRead(StoreAnswer { .newestVersion = 10 });
+            runUntil([this] { return feed.follows.size() == 1; });
+        }
+
+        template <typename Condition> auto runUntil(const Condition& isTrue) -> bool
+        {
+            const auto end = std::chrono::steady_clock::now() + 2s;
+            while (!isTrue() && std::chrono::steady_clock::now() < end)
+                io.run_one_for(20ms);
+            return isTrue();
+        }
+
+        boost::asio::io_context io;
+        ScriptedFeed feed;
+        TableFollower follower { io, feed, { .table = "hosts", .wait = 2s, .settle = 10ms, .firstRetry = 10ms } };
+        std::vector<StoreRow> heard;
+        int wholes = 0;
+    };
+
+    auto failure(StoreFailure::Kind kind) -> StoreFailure { return { kind, { "follow", "store", "test" }, {} }; }
+
+} // namespace
+
+TEST_CASE("changes are told in order and followed from the newest version on")
+{
+    Following test;
+    CHECK(test.feed.follows[0].first.after == 10);
+    test.feed.answerFollow(StoreAnswer { .rows = { { "a", "1", 12, false } }, .newestVersion = 12 });
+    REQUIRE(test.runUntil([&] { return test.feed.follows.size() == 1; }));
+    CHECK(test.feed.follows[0].first.after == 12);
+    CHECK(test.heard.size() == 1);
+}
+
+TEST_CASE("after a failure the next question doesn't wait for a change")
+{
+    Following test;
+    test.feed.answerFollow(failure(StoreFailure::Kind::NotDone));
+    REQUIRE(test.runUntil([&] { return test.feed.follows.size() == 1; }));
+    CHECK(test.feed.follows[0].first.wait == 0ms);
+    test.feed.answerFollow(StoreAnswer { .newestVersion = 10 });
+    REQUIRE(test.runUntil([&] { return test.feed.follows.size() == 1; }));
+    CHECK(test.feed.follows[0].first.wait == 2s);
+}
+
+TEST_CASE("a lost history is mended by reading the table anew")
+{
+    Following test;
+    test.feed.answerFollow(failure(StoreFailure::Kind::HistoryLost));
+    REQUIRE(test.runUntil([&] { return test.feed.reads.size() == 1; }));
+    test.feed.answerRead(StoreAnswer { .rows = { { "a", "1", 30, false } }, .newestVersion = 40 });
+    CHECK(test.wholes == 2);
+    REQUIRE(test.runUntil([&] { return test.feed.follows.size() == 1; }));
+    CHECK(test.feed.follows[0].first.after == 40);
+}
+
+// Seen on a played day: where the long poll goes to another daemon, only the question beside it learns that the history
+// is lost, and hosts refused all requests with keys for nine seconds.
+TEST_CASE("catching up mends a lost history too, and doesn't start a second long poll")
+{
+    Following test;
+    test.follower.catchUp();
+    REQUIRE(test.feed.follows.size() == 2);
+    std::swap(test.feed.follows[0], test.feed.follows[1]);
+    test.feed.answerFollow(failure(StoreFailure::Kind::HistoryLost));
+    REQUIRE(test.feed.reads.size() == 1);
+    test.feed.answerRead(StoreAnswer { .rows = { { "a", "1", 30, false } }, .newestVersion = 40 });
+    CHECK(test.follower.after() == 40);
+    CHECK(test.heard.size() == 1);
+    CHECK_FALSE(test.runUntil([&] { return test.feed.follows.size() > 1; }));
+}
+
+} // namespace coriandergate::fleet
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -4,6 +4,7 @@
 #include "dispatch/RatePool.h"
 #include "fleet/HostAnnouncer.h"
 #include "fleet/HostDirectory.h"
+#include "fleet/RelayedFeed.h"
 #include "fleet/TableFollower.h"
 #include "http/Exchange.h"
 #include "log/Event.h"
@@ -85,6 +86,14 @@
         }
     }
 
+    auto record(dispatch::FreshnessProof& proof, const fleet::StoreAnswer& answer) -> void
+    {
+        if (answer.isPassedOn)
+            proof.recordPassedOn(answer.storeTime);
+        else
+            proof.recordAnswer(answer.sentAt, answer.receivedAt, answer.storeTime);
+    }
+
     auto callerOptions(const HostSettings& settings, const config::CallerLimits& limits) -> net::HttpServer::Options
     {
         constexpr std::size_t bytesPerMegabyte = 1024 * 1024;
@@ -131,6 +140,8 @@
     Adapter adapter;
     fleet::LocalTarget target;
     fleet::HostDirectory directory;
+    net::HttpClient hops;
+    fleet::RelayedFeed feed;
     fleet::HostAnnouncer announcer;
     fleet::TableFollower configurationFollower;
     fleet::TableFollower hostFollower;
@@ -140,7 +151,6 @@
     dispatch::AttemptBudget attempts;
     dispatch::CallRatio calls;
     dispatch::RatePool pool;
-    net::HttpClient hops;
     relay::EntryContext entry;
     relay::OwnerRelay owner;
     net::HttpServer callers;
@@ -164,9 +174,11 @@
     , settings(hostSettings)
     , adapter(std::move(platformAdapter))
     , target(settings.service, settings.targetAddress)
-    , announcer(io, store, hostTable, settings.hostAddress)
-    , configurationFollower(io, store, { .table = adapter.operatorTable, .wait = configurationWait })
-    , hostFollower(io, store, { .table = hostTable, .wait = hostsWait, .settle = hostsSettle })
+    , hops(io, { .connectTimeout = milliseconds(400), .idleTimeout = milliseconds(30000), .maximumIdlePerPeer = 4 })
+    , feed(io, store, hops, { .self = settings.hostAddress, .datedTable = adapter.operatorTable })
+    , announcer(io, feed, hostTable, settings.hostAddress)
+    , configurationFollower(io, feed, { .table = adapter.operatorTable, .wait = configurationWait })
+    , hostFollower(io, feed, { .table = hostTable, .wait = hostsWait, .settle = hostsSettle })
     , proof({ .maximumAge = freshness(settings) })
     , hostsProof({ .maximumAge = freshness(settings) })
     , board({ .here = settings.locality })
@@ -174,7 +186,6 @@
           { .ratio = settings.attemptRatio, .allowance = settings.attemptAllowance, .window = settings.attemptWindow })
     , pool({ .limits = rateLimits(), .part = 1 / static_cast<double>(settings.regions * dispatch::rateHomesOfRegion) },
           monotonicNow())
-    , hops(io, { .connectTimeout = milliseconds(400), .idleTimeout = milliseconds(30000), .maximumIdlePerPeer = 4 })
     , entry { .io = io,
         .options = {},
         .headers = adapter.headers,
@@ -214,7 +225,9 @@
 auto Sidecar::State::start(Error& reason) -> bool
 {
     peers.onConnectionClosed([this](const std::string& connection) { owner.dropConnection(connection); });
-    owner.setStoreTime([this] { return proof.storeTime(SuspendAwareClock::now()); });
+    const auto storeTime = [this] { return proof.storeTime(SuspendAwareClock::now()); };
+    owner.setStoreTime(storeTime);
+    feed.setStoreTime(storeTime);
     if (!callers.listen(settings.callerListen, reason) || !peers.listen(settings.peerListen, reason)
         || !control.listen(settings.controlListen, reason) || !readiness.listen(settings.readyListen, reason))
         return false;
@@ -223,9 +236,7 @@
     configurationFollower.onRows([this](const auto& rows, bool) { onConfigurationRows(rows); });
     configurationFollower.onAnswer([this](const fleet::StoreAnswer& answer) { onStoreAnswer(answer); });
     configurationFollower.onFailure([this](const Error& error) { onStoreFailure(error); });
-    hostFollower.onAnswer([this](const fleet::StoreAnswer& answer) {
-        hostsProof.recordAnswer(answer.sentAt, answer.receivedAt, answer.storeTime);
-    });
+    hostFollower.onAnswer([this](const fleet::StoreAnswer& answer) { record(hostsProof, answer); });
     hostFollower.onRows([this](const auto& rows, bool isWhole) { onHostRows(rows, isWhole); });
     configurationFollower.start();
     hostFollower.start();
@@ -244,7 +255,7 @@
 
 auto Sidecar::State::onStoreAnswer(const fleet::StoreAnswer& answer) -> void
 {
-    proof.recordAnswer(answer.sentAt, answer.receivedAt, answer.storeTime);
+    record(proof, answer);
     if (!hasStore)
         log::logEvent(storeRegained, {});
     hasStore = true;
@@ -256,7 +267,7 @@
         [this](const fleet::StoreRow& row) { return row.version > hostFollower.after(); }));
     if (hostFollower.after() + changes >= answer.newestVersion) {
         hostFollower.skipTo(answer.newestVersion);
-        hostsProof.recordAnswer(answer.sentAt, answer.receivedAt, answer.storeTime);
+        record(hostsProof, answer);
     } else {
         hostFollower.catchUp();
     }
@@ -281,6 +292,8 @@
 {
     if (exchange->request().target == relay::ratePath)
         handleRate(exchange);
+    else if (exchange->request().target == fleet::RelayedFeed::path)
+        feed.handle(exchange);
     else
         owner.handle(exchange);
 }
@@ -341,6 +354,7 @@
     if (!knowsHosts)
         onHostsKnown();
     board.setTargets(directory.targets());
+    feed.setHosts(directory, settings.locality);
     pool.setHosts(directory.hostsOf(settings.locality.region), monotonicNow());
     entry.hosts = std::max<std::size_t>(1, directory.size());
     log::logEvent(hostsChanged,
