Leave a part of the budget for further attempts to urgent requests, and name its end

Change: less urgent requests use six tenths of it; the refusal says that no further attempt is left.

--- a/src/dispatch/AttemptBudget.cpp
+++ b/src/dispatch/AttemptBudget.cpp
@@ -23,7 +23,8 @@
     counts(service, now).requests.push_back(now);
 }
 
-auto AttemptBudget::hasRoom(std::string_view service, double attempts, std::size_t hosts, MonotonicTime now) -> bool
+auto AttemptBudget::hasRoom(
+    std::string_view service, double attempts, double part, std::size_t hosts, MonotonicTime now) -> bool
 {
     const auto& window = counts(service, now);
     const double allowance = m_options.allowance / static_cast<double>(std::max<std::size_t>(1, hosts));
@@ -32,22 +33,23 @@
     double made = 0;
     for (const auto& [time, count] : window.attempts)
         made += count;
-    return made + attempts <= allowed;
+    return made + attempts <= part * allowed;
 }
 
-auto AttemptBudget::mayTake(std::string_view service, const CallsPerRun& calls, std::size_t hosts, MonotonicTime now)
-    -> bool
+auto AttemptBudget::mayTake(
+    std::string_view service, const CallsPerRun& calls, Claim claim, std::size_t hosts, MonotonicTime now) -> bool
 {
-    if (!hasRoom(service, 1, hosts, now))
+    const double part = claim == Claim::Urgent ? 1 : m_options.lessUrgentPart;
+    if (!hasRoom(service, 1, part, hosts, now))
         return false;
     return std::all_of(calls.begin(), calls.end(),
-        [this, hosts, now](const auto& call) { return hasRoom(call.first, call.second, hosts, now); });
+        [this, part, hosts, now](const auto& call) { return hasRoom(call.first, call.second, part, hosts, now); });
 }
 
-auto AttemptBudget::take(std::string_view service, const CallsPerRun& calls, std::size_t hosts, MonotonicTime now)
-    -> bool
+auto AttemptBudget::take(
+    std::string_view service, const CallsPerRun& calls, Claim claim, std::size_t hosts, MonotonicTime now) -> bool
 {
-    if (!mayTake(service, calls, hosts, now))
+    if (!mayTake(service, calls, claim, hosts, now))
         return false;
     counts(service, now).attempts.emplace_back(now, 1);
     for (const auto& [called, count] : calls)
--- a/src/dispatch/AttemptBudget.h
+++ b/src/dispatch/AttemptBudget.h
@@ -9,7 +9,7 @@
 //
 //   AttemptBudget budget({ .ratio = 0.2, .allowance = 64, .window = 10s });
 //   budget.recordRequest("orders", now);
-//   if (budget.take("orders", { { "stock", 1.4 } }, hosts, now)) ...
+//   if (budget.take("orders", { { "stock", 1.4 } }, AttemptBudget::Claim::Urgent, hosts, now)) ...
 #pragma once
 
 #include "base/Clock.h"
@@ -30,6 +30,7 @@
         double ratio = 0.2; // further attempts for each request
         double allowance = 64; // further attempts in each window, of all hosts together
         std::chrono::milliseconds window { 10000 };
+        double lessUrgentPart = 0.6; // of the budget, for less urgent requests
         double usedPart = 0.8; // of both: the rest covers windows that the hosts count at different times
     };
 
@@ -40,17 +41,23 @@
 
     auto recordRequest(std::string_view service, MonotonicTime now) -> void;
 
+    // Claim says how much of the budget an attempt may use up: less urgent requests leave a part for urgent ones.
+    enum class Claim {
+        Urgent,
+        LessUrgent,
+    };
+
     // CallsPerRun says how many calls of each other service a run makes, on average.
     using CallsPerRun = std::map<std::string, double, std::less<>>;
 
     // mayTake() says whether take() would allow it.
-    [[nodiscard]] auto mayTake(std::string_view service, const CallsPerRun& calls, std::size_t hosts, MonotonicTime now)
-        -> bool;
+    [[nodiscard]] auto mayTake(
+        std::string_view service, const CallsPerRun& calls, Claim claim, std::size_t hosts, MonotonicTime now) -> bool;
 
     // take() allows one further attempt at `service`, whose run makes `calls`, or not. `hosts` is how many share the
     // allowance.
-    [[nodiscard]] auto take(std::string_view service, const CallsPerRun& calls, std::size_t hosts, MonotonicTime now)
-        -> bool;
+    [[nodiscard]] auto take(
+        std::string_view service, const CallsPerRun& calls, Claim claim, std::size_t hosts, MonotonicTime now) -> bool;
 
 private:
     struct Counts {
@@ -58,7 +65,8 @@
         std::deque<std::pair<MonotonicTime, double>> attempts;
     };
 
-    [[nodiscard]] auto hasRoom(std::string_view service, double attempts, std::size_t hosts, MonotonicTime now) -> bool;
+    [[nodiscard]] auto hasRoom(
+        std::string_view service, double attempts, double part, std::size_t hosts, MonotonicTime now) -> bool;
     auto counts(std::string_view service, MonotonicTime now) -> Counts&;
 
     Options m_options;
--- a/src/dispatch/AttemptBudget_test.cpp
+++ b/src/dispatch/AttemptBudget_test.cpp
@@ -8,6 +8,8 @@
 
 using namespace std::chrono_literals;
 
+using Claim = AttemptBudget::Claim;
+
 namespace {
 
     auto at(std::chrono::milliseconds time) -> MonotonicTime { return MonotonicTime(time); }
@@ -22,12 +24,12 @@
     for (int i = 0; i < 100; ++i)
         budget.recordRequest("orders", at(i * 10ms));
     int taken = 0;
-    while (budget.take("orders", {}, 32, at(1s)))
+    while (budget.take("orders", {}, Claim::Urgent, 32, at(1s)))
         ++taken;
     CHECK(taken <= 22);
     CHECK(taken >= 15);
-    CHECK_FALSE(budget.take("orders", {}, 32, at(9s)));
-    CHECK(budget.take("orders", {}, 32, at(11001ms)));
+    CHECK_FALSE(budget.take("orders", {}, Claim::Urgent, 32, at(9s)));
+    CHECK(budget.take("orders", {}, Claim::Urgent, 32, at(11001ms)));
 }
 
 TEST_CASE("the attempts of all hosts together stay within the fleet's budget while all targets fail")
@@ -40,7 +42,7 @@
         for (int i = 0; i < 50; ++i) {
             budget.recordRequest("orders", at(i * 200ms));
             ++requests;
-            while (budget.take("orders", {}, hosts, at(i * 200ms)))
+            while (budget.take("orders", {}, Claim::Urgent, hosts, at(i * 200ms)))
                 ++taken;
         }
     }
@@ -57,12 +59,28 @@
     for (int i = 0; i < 100; ++i)
         budget.recordRequest("stock", at(0ms));
     int taken = 0;
-    while (budget.take("orders", calls, 64, at(1s)))
+    while (budget.take("orders", calls, Claim::Urgent, 64, at(1s)))
         ++taken;
     CHECK(taken * 1.4 <= 0.2 * 100 + 1);
     CHECK(taken > 5);
-    CHECK_FALSE(budget.mayTake("orders", calls, 64, at(1s)));
-    CHECK(budget.mayTake("orders", {}, 64, at(1s)));
+    CHECK_FALSE(budget.mayTake("orders", calls, Claim::Urgent, 64, at(1s)));
+    CHECK(budget.mayTake("orders", {}, Claim::Urgent, 64, at(1s)));
+}
+
+// Load pattern: every target of a service refuses half of what reaches it, and repeats are scarce.
+TEST_CASE("less urgent requests leave a part of the budget to urgent ones")
+{
+    AttemptBudget budget(options);
+    for (int i = 0; i < 100; ++i)
+        budget.recordRequest("orders", at(0ms));
+    int lessUrgent = 0;
+    while (budget.take("orders", {}, Claim::LessUrgent, 32, at(1s)))
+        ++lessUrgent;
+    int urgent = 0;
+    while (budget.take("orders", {}, Claim::Urgent, 32, at(1s)))
+        ++urgent;
+    CHECK(lessUrgent > urgent);
+    CHECK(urgent * 3 >= lessUrgent);
 }
 
 TEST_CASE("the ratio of calls to runs is learnt from both, and forgotten when they stop")
--- a/src/relay/EntryRequest.cpp
+++ b/src/relay/EntryRequest.cpp
@@ -66,6 +66,12 @@
 
 auto EntryRequest::isRepeatable() const -> bool { return m_route->repeatPolicy == config::RepeatPolicy::Idempotent; }
 
+auto EntryRequest::claim() const -> dispatch::AttemptBudget::Claim
+{
+    using Claim = dispatch::AttemptBudget::Claim;
+    return m_route->priority <= m_snapshot->mostUrgent(m_service) ? Claim::Urgent : Claim::LessUrgent;
+}
+
 auto EntryRequest::left(MonotonicTime now) const -> milliseconds
 {
     return std::chrono::duration_cast<milliseconds>(m_giveUpAt - now);
@@ -260,7 +266,7 @@
     const auto now = monotonicNow();
     // A request is a trial only where it can be sent again when the trial fails.
     const bool mayTry = isRepeatable() && m_runs == 0 && m_route->maximumAttempts > 1
-        && m_context.attempts.mayTake(m_service, m_context.callsPerRun[m_service], m_context.hosts, now);
+        && m_context.attempts.mayTake(m_service, m_context.callsPerRun[m_service], claim(), m_context.hosts, now);
     return m_context.board.choose(
         { .service = m_service, .isRepeatable = mayTry, .excluded = m_excluded }, now, m_context.random());
 }
@@ -317,7 +323,7 @@
 auto EntryRequest::retryLater() -> void
 {
     const auto now = monotonicNow();
-    if (m_slotRefusals == 0 && latencyLeft(now) > noTargetPause) {
+    if (m_slotRefusals == 0 && !m_isOutOfAttempts && latencyLeft(now) > noTargetPause) {
         m_stage = Stage::Quick;
         m_triesInStage = 0;
         m_excluded.clear();
@@ -333,7 +339,8 @@
     else if (m_mayHaveRun)
         fail(badGateway, "no target left after one may have run it");
     else
-        refuse(serviceUnavailable, "no slot in time", noRoomRetryAfter());
+        refuse(serviceUnavailable, m_isOutOfAttempts ? "no further attempt in the budget" : "no slot in time",
+            noRoomRetryAfter());
 }
 
 auto EntryRequest::noRoomRetryAfter() -> milliseconds
@@ -462,11 +469,12 @@
             refuse(unauthorized, "the key was withdrawn", std::nullopt);
         return;
     }
-    if (m_runs > 0 && !m_context.attempts.take(m_service, m_context.callsPerRun[m_service], m_context.hosts, now)) {
+    if (m_runs > 0
+        && !m_context.attempts.take(m_service, m_context.callsPerRun[m_service], claim(), m_context.hosts, now)) {
         m_context.hops.cancel(m_call);
         releaseTarget();
         m_stage = Stage::Over;
-        m_slotRefusals = std::max<std::size_t>(1, m_slotRefusals);
+        m_isOutOfAttempts = true;
         retryLater();
         return;
     }
--- a/src/relay/EntryRequest.h
+++ b/src/relay/EntryRequest.h
@@ -72,6 +72,7 @@
     [[nodiscard]] auto left(MonotonicTime now) const -> std::chrono::milliseconds;
     [[nodiscard]] auto latencyLeft(MonotonicTime now) const -> std::chrono::milliseconds;
     [[nodiscard]] auto isRepeatable() const -> bool;
+    [[nodiscard]] auto claim() const -> dispatch::AttemptBudget::Claim;
     [[nodiscard]] auto noRoomRetryAfter() -> std::chrono::milliseconds;
 
     EntryContext& m_context;
@@ -98,6 +99,7 @@
     std::size_t m_runs = 0; // attempts that may have reached a target
     bool m_mayHaveRun = false;
     std::optional<http::Answer> m_lastFailure; // a target's own
+    bool m_isOutOfAttempts = false;
     bool m_isDone = false;
 };
 
--- a/src/relay/PolicySnapshot.cpp
+++ b/src/relay/PolicySnapshot.cpp
@@ -20,8 +20,16 @@
     : m_configuration(std::make_shared<const config::Configuration>(std::move(configuration)))
     , m_keys(m_configuration)
 {
-    for (const auto& route : m_configuration->routes)
+    const auto noteUrgency = [this](const std::string& service, int priority) -> void {
+        const auto known = m_mostUrgent.emplace(service, priority).first;
+        known->second = std::min(known->second, priority);
+    };
+    for (const auto& route : m_configuration->routes) {
         m_byHost[hostName(route.host)].push_back(&route);
+        noteUrgency(route.service, route.priority);
+        for (const auto& part : route.split)
+            noteUrgency(part.service, route.priority);
+    }
     for (auto& [host, routes] : m_byHost) {
         std::stable_sort(routes.begin(), routes.end(), [](const config::Route* left, const config::Route* right) {
             return left->pathPrefix.size() > right->pathPrefix.size();
@@ -39,6 +47,12 @@
     return route == found->second.end() ? nullptr : *route;
 }
 
+auto PolicySnapshot::mostUrgent(std::string_view service) const -> int
+{
+    const auto found = m_mostUrgent.find(service);
+    return found == m_mostUrgent.end() ? 0 : found->second;
+}
+
 auto PolicySnapshot::serviceFor(const config::Route& route, std::uint64_t random) -> const std::string&
 {
     double total = 0;
--- a/src/relay/PolicySnapshot.h
+++ b/src/relay/PolicySnapshot.h
@@ -27,12 +27,16 @@
     [[nodiscard]] auto configuration() const -> const config::Configuration& { return *m_configuration; }
     [[nodiscard]] auto keys() const -> const config::KeyIndex& { return m_keys; }
 
+    // mostUrgent() is the priority of the most urgent route to `service`; 0 when none leads there.
+    [[nodiscard]] auto mostUrgent(std::string_view service) const -> int;
+
     // serviceFor() is the service that a request of `route` goes to; `random` draws among the parts of a split.
     [[nodiscard]] static auto serviceFor(const config::Route& route, std::uint64_t random) -> const std::string&;
 
 private:
     std::shared_ptr<const config::Configuration> m_configuration;
     config::KeyIndex m_keys;
+    std::map<std::string, int, std::less<>> m_mostUrgent; // by service
     std::map<std::string, std::vector<const config::Route*>, std::less<>> m_byHost; // longest prefix first
 };
 
