Keep most of the budget for further attempts from trials, and log what it denies

Ruled out: a smaller part for less urgent requests (they are the only repeatable ones of a service).

--- a/src/dispatch/AttemptBudget.cpp
+++ b/src/dispatch/AttemptBudget.cpp
@@ -23,6 +23,19 @@
     counts(service, now).requests.push_back(now);
 }
 
+auto AttemptBudget::partFor(Claim claim) const -> double
+{
+    switch (claim) {
+    case Claim::Urgent:
+        return 1;
+    case Claim::LessUrgent:
+        return m_options.lessUrgentPart;
+    case Claim::Trial:
+        return m_options.trialPart;
+    }
+    return 1;
+}
+
 auto AttemptBudget::hasRoom(
     std::string_view service, double attempts, double part, std::size_t hosts, MonotonicTime now) -> bool
 {
@@ -39,7 +52,7 @@
 auto AttemptBudget::mayTake(
     std::string_view service, const CallsPerRun& calls, Claim claim, std::size_t hosts, MonotonicTime now) -> bool
 {
-    const double part = claim == Claim::Urgent ? 1 : m_options.lessUrgentPart;
+    const double part = partFor(claim);
     if (!hasRoom(service, 1, part, hosts, now))
         return false;
     return std::all_of(calls.begin(), calls.end(),
--- a/src/dispatch/AttemptBudget.h
+++ b/src/dispatch/AttemptBudget.h
@@ -30,8 +30,9 @@
         double ratio = 0.2; // further attempts for each request
         double allowance = 64; // further attempts in each window, of all hosts together
         std::chrono::milliseconds window { 10000 };
-        double lessUrgentPart = 0.6; // of the budget, for less urgent requests
-        double usedPart = 0.8; // of both: the rest covers windows that the hosts count at different times
+        double lessUrgentPart = 0.85; // of the budget, for less urgent requests
+        double trialPart = 0.4; // of the budget, for trials
+        double usedPart = 0.85; // of both: the rest covers windows that the hosts count at different times
     };
 
     explicit AttemptBudget(const Options& options)
@@ -41,10 +42,12 @@
 
     auto recordRequest(std::string_view service, MonotonicTime now) -> void;
 
-    // Claim says how much of the budget an attempt may use up: less urgent requests leave a part for urgent ones.
+    // Claim says how much of the budget an attempt may use up: less urgent requests leave a part for urgent ones, and
+    // trials of failing targets, which need a second attempt when they fail, for requests that failed by chance.
     enum class Claim {
         Urgent,
         LessUrgent,
+        Trial,
     };
 
     // CallsPerRun says how many calls of each other service a run makes, on average.
@@ -67,6 +70,7 @@
 
     [[nodiscard]] auto hasRoom(
         std::string_view service, double attempts, double part, std::size_t hosts, MonotonicTime now) -> bool;
+    [[nodiscard]] auto partFor(Claim claim) const -> double;
     auto counts(std::string_view service, MonotonicTime now) -> Counts&;
 
     Options m_options;
--- a/src/dispatch/TargetHealth.h
+++ b/src/dispatch/TargetHealth.h
@@ -27,7 +27,7 @@
         double chanceShare = 0.15; // of failures lately, up to which one good answer clears a target; above it several
         std::size_t answersToClear = 4;
         std::chrono::milliseconds firstTrialGap { 120 };
-        std::chrono::milliseconds longestTrialGap { 1200 };
+        std::chrono::milliseconds longestTrialGap { 1500 };
         double gapGrowth = 1.5;
         std::size_t answersToTryOnceOnly = 2; // a request that can't be repeated is too dear for the first trials
         std::chrono::milliseconds onceOnlyTrialAfter { 2000 }; // without any repeatable request to try it with
--- a/src/relay/EntryRequest.cpp
+++ b/src/relay/EntryRequest.cpp
@@ -69,6 +69,9 @@
 auto EntryRequest::claim() const -> dispatch::AttemptBudget::Claim
 {
     using Claim = dispatch::AttemptBudget::Claim;
+    // A call of a target without which the run that made it fails is urgent too; it comes without a key.
+    if (!m_clientAccount)
+        return Claim::Urgent;
     return m_route->priority <= m_snapshot->mostUrgent(m_service) ? Claim::Urgent : Claim::LessUrgent;
 }
 
@@ -266,7 +269,8 @@
     const auto now = monotonicNow();
     // A request is a trial only where it can be sent again when the trial fails.
     const bool mayTry = isRepeatable() && m_runs == 0 && m_route->maximumAttempts > 1
-        && m_context.attempts.mayTake(m_service, m_context.callsPerRun[m_service], claim(), m_context.hosts, now);
+        && m_context.attempts.mayTake(m_service, m_context.callsPerRun[m_service],
+            dispatch::AttemptBudget::Claim::Trial, m_context.hosts, now);
     return m_context.board.choose(
         { .service = m_service, .isRepeatable = mayTry, .excluded = m_excluded }, now, m_context.random());
 }
@@ -471,6 +475,10 @@
     }
     if (m_runs > 0
         && !m_context.attempts.take(m_service, m_context.callsPerRun[m_service], claim(), m_context.hosts, now)) {
+        log::logEvent(attemptEnded,
+            { { "request", m_requestId }, { "peer", m_target->description.address }, { "step", "run" },
+                { "outcome", "not-run" }, { "why", "no further attempt in the budget" },
+                { "calls", encodeCalls(m_context.callsPerRun[m_service]) } });
         m_context.hops.cancel(m_call);
         releaseTarget();
         m_stage = Stage::Over;
