Soak the fleet with faults from outside, with every promise checked

Change: soak/ draws a plan from a seed (kills, pauses, planned stops, SIGHUP, peers delayed, reset, cut one way or silent, a store cut off, busy, silent, slow, forgetful or losing answers, instances that fail, hang, refuse, are slow or leave, changed configurations, withdrawn keys), plays it on real daemons as processes behind fault proxies, and checks what callers and instances see: unasked, changed, twice, falsely refused, mixed, wrong account, over the rate, past withdrawal, after leaving, regressed, cut around a planned stop. Each check is shown to catch a planted fault. Clocks aren't stepped: no decision reads the time of day, and the suspension-aware clock can't be set from outside.

--- /dev/null
+++ b/soak/Checker.cpp
@@ -0,0 +1,175 @@
+#include "soak/Checker.h"
+
+#include <algorithm>
+
+namespace coriandergate::soak {
+
+namespace {
+
+    constexpr int ok = 200;
+    constexpr int tooManyRequests = 429;
+    constexpr int serviceUnavailable = 503;
+
+    auto promisesNotRun(int status) -> bool { return status == tooManyRequests || status == serviceUnavailable; }
+
+} // namespace
+
+auto Checker::violateLocked(const std::string& promise, const std::string& what) -> void
+{
+    m_violations.push_back(promise + ": " + what);
+}
+
+auto Checker::sent(const Sent& request, MonotonicTime now) -> void
+{
+    const MutexLock lock(m_mutex);
+    m_requests[request.id] = { request, now };
+    ++m_counts.sent;
+}
+
+auto Checker::ran(const std::string& instance, const Run& run, MonotonicTime now) -> void
+{
+    const MutexLock lock(m_mutex);
+    ++m_counts.runs;
+    const auto found = m_requests.find(run.id);
+    if (found == m_requests.end()) {
+        violateLocked("unasked", instance + " ran " + run.id + ", which no caller sent");
+        return;
+    }
+    auto& request = found->second;
+    ++request.runs;
+    checkRunLocked(instance, request, run, now);
+    if (!m_options.limitedAccount.empty() && run.account == m_options.limitedAccount) {
+        m_limitedRuns.emplace_back(now, request.sentAt);
+        checkRateLocked(now);
+    }
+}
+
+auto Checker::checkRunLocked(const std::string& instance, const Request& request, const Run& run, MonotonicTime now)
+    -> void
+{
+    const auto& sent = request.sent;
+    if (run.method != sent.method || run.path != sent.path || run.body != sent.body)
+        violateLocked("unasked", instance + " ran " + run.id + " changed on its way");
+    if (run.account != sent.account)
+        violateLocked("account", instance + " was told '" + run.account + "' of " + run.id);
+    if (run.hasKey)
+        violateLocked("account", instance + " saw the key of " + run.id);
+    if (!sent.isRepeatable && request.runs > 1)
+        violateLocked("twice", run.id + " ran again at " + instance);
+    if (request.isAnswered && !sent.isRepeatable && promisesNotRun(request.status))
+        violateLocked("refused", run.id + " ran at " + instance + " after it was refused as not run");
+    const auto leaving = m_leaving.find(instance);
+    if (leaving != m_leaving.end() && now > leaving->second + m_options.drain)
+        violateLocked("drain", run.id + " ran at " + instance + " long after it had left");
+    const auto withdrawn = m_withdrawn.find(sent.key);
+    if (withdrawn != m_withdrawn.end() && request.sentAt > withdrawn->second + m_options.revocation)
+        violateLocked("revoked", run.id + " ran with the withdrawn key " + sent.key);
+    const auto served = m_served.find(sent.host);
+    if (sent.generation > 0 && served != m_served.end() && sent.generation < served->second.generation
+        && request.sentAt > served->second.at + m_options.regressSlack)
+        violateLocked("regress",
+            run.id + " ran on a route of configuration " + std::to_string(sent.generation) + " after "
+                + std::to_string(served->second.generation) + " was seen at the same daemon");
+}
+
+auto Checker::checkRateLocked(MonotonicTime now) -> void
+{
+    const auto from = now - m_options.rateWindow;
+    while (!m_limitedRuns.empty() && m_limitedRuns.front().first < from)
+        m_limitedRuns.pop_front();
+    // What was sent before the window may have been held up on its way.
+    const auto inWindow = std::count_if(
+        m_limitedRuns.begin(), m_limitedRuns.end(), [from](const auto& run) { return run.second >= from; });
+    if (m_options.rateLimit > 0 && static_cast<double>(inWindow) > m_options.rateLimit)
+        violateLocked("rate", std::to_string(inWindow) + " runs of the limited account in a window");
+}
+
+auto Checker::answered(const std::string& id, int status, const std::string& body, bool isSigned, MonotonicTime now)
+    -> void
+{
+    const MutexLock lock(m_mutex);
+    auto& request = m_requests[id];
+    request.status = status;
+    request.isAnswered = true;
+    if (promisesNotRun(status)) {
+        ++m_counts.refused;
+        return;
+    }
+    if (status != ok) {
+        ++m_counts.failed;
+        return;
+    }
+    ++m_counts.served;
+    if (!isSigned || body != "ran " + request.sent.path)
+        violateLocked("mixed", id + " got a success that isn't its instance's answer");
+    auto& served = m_served[request.sent.host];
+    if (request.sent.generation > served.generation)
+        served = { request.sent.generation, now };
+}
+
+auto Checker::cut(const std::string& id, MonotonicTime now) -> void
+{
+    const MutexLock lock(m_mutex);
+    ++m_counts.cut;
+    const auto& request = m_requests[id];
+    const auto stopping = m_stopping.find(request.sent.host);
+    const auto from = request.sentAt - m_options.calm;
+    const bool isDisturbed = std::any_of(m_disturbances.begin(), m_disturbances.end(),
+        [from, now](const auto& one) { return one.first <= now && one.second >= from; });
+    if (request.runs > 0 && stopping != m_stopping.end() && !isDisturbed)
+        violateLocked("lost", id + " ran and was cut off around a planned stop");
+}
+
+auto Checker::leaveConfirmed(const std::string& instance, MonotonicTime now) -> void
+{
+    const MutexLock lock(m_mutex);
+    m_leaving.emplace(instance, now);
+}
+
+auto Checker::keyWithdrawn(const std::string& key, MonotonicTime now) -> void
+{
+    const MutexLock lock(m_mutex);
+    m_withdrawn.emplace(key, now);
+}
+
+auto Checker::daemonStarted(std::size_t host) -> void
+{
+    const MutexLock lock(m_mutex);
+    m_served.erase(host);
+}
+
+auto Checker::stopBegan(std::size_t host, MonotonicTime now) -> void
+{
+    const MutexLock lock(m_mutex);
+    m_stopping[host] = now;
+}
+
+auto Checker::stopEnded(std::size_t host) -> void
+{
+    const MutexLock lock(m_mutex);
+    m_stopping.erase(host);
+}
+
+auto Checker::disturbed(MonotonicTime from, MonotonicTime to) -> void
+{
+    const MutexLock lock(m_mutex);
+    m_disturbances.emplace_back(from, to);
+}
+
+auto Checker::finish() -> std::vector<std::string>
+{
+    const MutexLock lock(m_mutex);
+    for (const auto& [id, request] : m_requests) {
+        if (request.isAnswered && !request.sent.isRepeatable && promisesNotRun(request.status) && request.runs > 0)
+            violateLocked("refused", id + " was refused as not run and had run");
+    }
+    return m_violations;
+}
+
+auto Checker::counts() const -> Counts
+{
+    const MutexLock lock(m_mutex);
+    return m_counts;
+}
+
+} // namespace coriandergate::soak
--- /dev/null
+++ b/soak/Checker_test.cpp
@@ -0,0 +1,174 @@
+#include "soak/Checker.h"
+
+#include <catch2/catch.hpp>
+
+namespace coriandergate::soak {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+    auto at(std::chrono::milliseconds time) -> MonotonicTime { return MonotonicTime(time); }
+
+    auto makeChecker() -> Checker { return Checker({ .rateLimit = 3, .limitedAccount = "two" }); }
+
+    auto book(const std::string& id) -> Checker::Sent
+    {
+        return { .id = id, .method = "POST", .path = "/book/1", .body = "b", .key = "key-one", .account = "one" };
+    }
+
+    auto runOf(const Checker::Sent& sent) -> Checker::Run
+    {
+        return { sent.id, sent.method, sent.path, sent.body, sent.account, false };
+    }
+
+    auto violates(Checker& checker, const std::string& promise) -> bool
+    {
+        const auto violations = checker.finish();
+        return violations.size() == 1 && violations[0].starts_with(promise + ":");
+    }
+
+} // namespace
+
+TEST_CASE("the soak's checker finds nothing wrong with a request that ran once and was answered")
+{
+    auto checker = makeChecker();
+    checker.sent(book("r"), at(0ms));
+    checker.ran("i", runOf(book("r")), at(1ms));
+    checker.answered("r", 200, "ran /book/1", true, at(2ms));
+    CHECK(checker.finish().empty());
+}
+
+TEST_CASE("the soak's checker finds each planted fault")
+{
+    auto checker = makeChecker();
+    auto sent = book("r");
+    SECTION("a run that nobody asked for")
+    {
+        checker.ran("i", runOf(sent), at(1ms));
+        CHECK(violates(checker, "unasked"));
+    }
+    SECTION("a body that was changed")
+    {
+        checker.sent(sent, at(0ms));
+        auto run = runOf(sent);
+        run.body = "c";
+        checker.ran("i", run, at(1ms));
+        CHECK(violates(checker, "unasked"));
+    }
+    SECTION("another account, or the key itself")
+    {
+        checker.sent(sent, at(0ms));
+        auto run = runOf(sent);
+        if (GENERATE(true, false))
+            run.account = "two";
+        else
+            run.hasKey = true;
+        checker.ran("i", run, at(1ms));
+        CHECK(violates(checker, "account"));
+    }
+    SECTION("a second run")
+    {
+        checker.sent(sent, at(0ms));
+        checker.ran("i", runOf(sent), at(1ms));
+        checker.ran("j", runOf(sent), at(2ms));
+        CHECK(violates(checker, "twice"));
+    }
+    SECTION("a refusal of what had run")
+    {
+        checker.sent(sent, at(0ms));
+        checker.ran("i", runOf(sent), at(1ms));
+        checker.answered("r", GENERATE(429, 503), "", false, at(2ms));
+        CHECK(violates(checker, "refused"));
+    }
+    SECTION("an answer of another request, or without the signature")
+    {
+        checker.sent(sent, at(0ms));
+        checker.ran("i", runOf(sent), at(1ms));
+        const bool isSigned = GENERATE(true, false);
+        checker.answered("r", 200, isSigned ? "ran /book/2" : "ran /book/1", isSigned, at(2ms));
+        CHECK(violates(checker, "mixed"));
+    }
+    SECTION("a run at an instance that left")
+    {
+        checker.leaveConfirmed("i", at(0ms));
+        checker.sent(sent, at(2400ms));
+        checker.ran("i", runOf(sent), at(2501ms));
+        CHECK(violates(checker, "drain"));
+    }
+    SECTION("a run with a withdrawn key")
+    {
+        checker.keyWithdrawn("key-one", at(0ms));
+        checker.sent(sent, at(5001ms));
+        checker.ran("i", runOf(sent), at(5002ms));
+        CHECK(violates(checker, "revoked"));
+    }
+    SECTION("too many runs of an account")
+    {
+        sent.account = "two";
+        sent.isRepeatable = true;
+        for (int i = 0; i < 4; ++i) {
+            sent.id = std::to_string(i);
+            checker.sent(sent, at(i * 100ms));
+            checker.ran("i", runOf(sent), at(i * 100ms));
+        }
+        CHECK(violates(checker, "rate"));
+    }
+    SECTION("a configuration that came back")
+    {
+        auto newer = book("new");
+        newer.path = "/gen-7/1";
+        newer.generation = 7;
+        checker.sent(newer, at(0ms));
+        checker.ran("i", runOf(newer), at(1ms));
+        checker.answered("new", 200, "ran /gen-7/1", true, at(2ms));
+        auto older = book("old");
+        older.generation = 6;
+        checker.sent(older, at(2100ms));
+        checker.ran("i", runOf(older), at(2101ms));
+        CHECK(violates(checker, "regress"));
+    }
+    SECTION("a request that a planned stop cut off")
+    {
+        checker.stopBegan(0, at(5000ms));
+        checker.sent(sent, at(5100ms));
+        checker.ran("i", runOf(sent), at(5101ms));
+        checker.cut("r", at(5200ms));
+        CHECK(violates(checker, "lost"));
+    }
+}
+
+TEST_CASE("the soak's checker allows what the promises allow")
+{
+    auto checker = makeChecker();
+    const auto sent = book("r");
+    SECTION("a cut after a fault")
+    {
+        checker.disturbed(at(3000ms), at(3500ms));
+        checker.stopBegan(0, at(5000ms));
+        checker.sent(sent, at(5100ms));
+        checker.ran("i", runOf(sent), at(5101ms));
+        checker.cut("r", at(5200ms));
+    }
+    SECTION("an older configuration at a daemon that was started again")
+    {
+        auto newer = book("new");
+        newer.generation = 7;
+        checker.sent(newer, at(0ms));
+        checker.answered("new", 200, "ran /book/1", true, at(2ms));
+        checker.daemonStarted(0);
+        auto older = book("old");
+        older.generation = 6;
+        checker.sent(older, at(2100ms));
+        checker.ran("i", runOf(older), at(2101ms));
+    }
+    SECTION("a request that was sent before the key's time was over")
+    {
+        checker.keyWithdrawn("key-one", at(0ms));
+        checker.sent(sent, at(4900ms));
+        checker.ran("i", runOf(sent), at(6000ms));
+    }
+    CHECK(checker.finish().empty());
+}
+
+} // namespace coriandergate::soak
--- /dev/null
+++ b/soak/SoakRun.cpp
@@ -0,0 +1,353 @@
+#include "soak/SoakRun.h"
+
+#include "platform/Names.h"
+#include "platform/testing/FleetUnderTest.h"
+#include "soak/Callers.h"
+
+#include <functional>
+#include <iomanip>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <ostream>
+#include <set>
+#include <sstream>
+#include <thread>
+
+namespace coriandergate::soak {
+
+using nlohmann::json;
+using platform::testing::FleetUnderTest;
+using platform::testing::InstanceStandIn;
+using platform::testing::StoreStandIn;
+using std::chrono::milliseconds;
+
+namespace {
+
+    constexpr double limitedRate = 20; // of the account whose limit is checked
+    // Time for the daemons that were started last to know the rates' homes, before the plan begins.
+    constexpr milliseconds settleTime { 5500 };
+    constexpr milliseconds longestStop { 8000 };
+    // A configuration holds, and a fault's effects are over, so long after.
+    constexpr milliseconds afterEffect { 3000 };
+
+    // Soak holds what one run needs.
+    class Soak {
+    public:
+        Soak(const PlanOptions& options, std::ostream& log)
+            : m_log(log)
+            , m_checker({ .rateLimit = (limitedRate * 5 + limitedRate) * 1.1 + 20, .limitedAccount = "two" })
+            , m_fleet({ .hasProxies = true,
+                  .onRun = [this](std::size_t, const std::string& instance, const http::Request& request) {
+                      recordRun(instance, request);
+                  } })
+        {
+            m_report.options = options;
+        }
+
+        auto play() -> SoakReport
+        {
+            const auto& options = m_report.options;
+            for (std::size_t i = 0; i < options.hosts; ++i)
+                m_fleet.addHost("ledger");
+            publish();
+            if (!m_fleet.waitUntilReady()) {
+                m_report.violations.emplace_back("start: the fleet was not ready in time");
+                return m_report;
+            }
+            std::this_thread::sleep_for(settleTime);
+            std::vector<std::string> addresses;
+            for (std::size_t i = 0; i < options.hosts; ++i)
+                addresses.push_back(m_fleet.callersAddress(i));
+            Callers callers(m_checker, addresses, { .seed = options.seed });
+            m_callers = &callers;
+            callers.start();
+            m_startedAt = monotonicNow();
+            for (const auto& step : drawPlan(options)) {
+                runDue(m_startedAt + step.at);
+                inject(step);
+            }
+            runDue(m_startedAt + options.length);
+            endAll();
+            callers.stop();
+            m_report.violations = m_checker.finish();
+            m_report.counts = m_checker.counts();
+            return m_report;
+        }
+
+    private:
+        using Action = std::function<void()>;
+
+        auto recordRun(const std::string& instance, const http::Request& request) -> void
+        {
+            const auto names = platform::headerNames();
+            m_checker.ran(instance,
+                { .id = std::string(request.headers.find(names.requestId).value_or("")),
+                    .method = request.method,
+                    .path = request.target,
+                    .body = request.body,
+                    .account = std::string(request.headers.find(names.clientAccount).value_or("")),
+                    .hasKey = request.headers.find(names.key).has_value() },
+                monotonicNow());
+        }
+
+        // The configuration of a generation has one route of its own and one key that the next generation may lack.
+        auto publish() -> void
+        {
+            auto configuration = m_fleet.defaultConfiguration(m_generation);
+            auto& routes = configuration["routes"]["rows"];
+            auto own = routes[0];
+            own[0] = "generation";
+            own[2] = "/gen-" + std::to_string(m_generation) + "/";
+            routes.push_back(own);
+            auto& accounts = configuration["tenants"]["rows"];
+            accounts[1][3] = limitedRate;
+            accounts[1][4] = limitedRate;
+            accounts.push_back(
+                json::array({ "three", json::array({ "key-three-" + std::to_string(m_key) }), nullptr, 0, 0 }));
+            m_fleet.configure(configuration);
+        }
+
+        auto runDue(MonotonicTime until) -> void
+        {
+            while (true) {
+                const auto next = m_later.begin();
+                const bool isDue = next != m_later.end() && next->first <= until;
+                std::this_thread::sleep_until(isDue ? next->first : until);
+                if (!isDue)
+                    return;
+                const auto action = next->second;
+                m_later.erase(next);
+                action();
+            }
+        }
+
+        auto later(milliseconds delay, Action action) -> void
+        {
+            m_later.emplace(monotonicNow() + delay, std::move(action));
+        }
+
+        auto note(const Step& step, const std::string& what) -> void
+        {
+            std::ostringstream line;
+            const std::chrono::duration<double> at = monotonicNow() - m_startedAt;
+            line << std::fixed << std::setprecision(3) << at.count() << " s " << faultName(step.kind) << " host "
+                 << step.host << what;
+            m_report.faults.push_back(line.str());
+            m_log << line.str() << std::endl;
+        }
+
+        auto inject(const Step& step) -> void
+        {
+            note(step, " for " + std::to_string(step.length.count()) + " ms");
+            if (!isPlanned(step.kind))
+                m_checker.disturbed(monotonicNow(), monotonicNow() + step.length + afterEffect);
+            switch (step.kind) {
+            case FaultKind::KillDaemon:
+                killDaemon(step.host);
+                return;
+            case FaultKind::PauseDaemon:
+                m_fleet.daemon(step.host).pause();
+                later(step.length, [this, host = step.host] { m_fleet.daemon(host).resume(); });
+                return;
+            case FaultKind::StopDaemon:
+                stopDaemon(step.host);
+                return;
+            case FaultKind::ReloadDaemon:
+                m_fleet.daemon(step.host).hangUp();
+                return;
+            case FaultKind::DelayPeers:
+                peers(step, "delay 80");
+                return;
+            case FaultKind::ResetPeers:
+                peers(step, "refuse");
+                return;
+            case FaultKind::CutRequests:
+                peers(step, "drop-requests");
+                return;
+            case FaultKind::CutAnswers:
+                peers(step, "drop-answers");
+                return;
+            case FaultKind::SilencePeers:
+                peers(step, "stall");
+                return;
+            case FaultKind::CutStore:
+                m_fleet.setStoreFault(step.host, "stall");
+                later(step.length, [this, host = step.host] { m_fleet.setStoreFault(host, "none"); });
+                return;
+            case FaultKind::StoreBusy:
+                store(step, StoreStandIn::Fault::Busy);
+                return;
+            case FaultKind::StoreSilent:
+                store(step, StoreStandIn::Fault::Silent);
+                return;
+            case FaultKind::StoreLosesAnswers:
+                store(step, StoreStandIn::Fault::LostAnswers);
+                return;
+            case FaultKind::StoreSlow:
+                m_fleet.store().setDelay(milliseconds(250));
+                later(step.length, [this] { m_fleet.store().setDelay(milliseconds(0)); });
+                return;
+            case FaultKind::StoreForgets:
+                m_fleet.store().forgetHistory();
+                return;
+            case FaultKind::InstanceFails:
+                instance(step, InstanceStandIn::Mode::Fail);
+                return;
+            case FaultKind::InstanceHangs:
+                instance(step, InstanceStandIn::Mode::Hang);
+                return;
+            case FaultKind::InstanceRefuses:
+                instance(step, InstanceStandIn::Mode::Refuse);
+                return;
+            case FaultKind::InstanceUnsigned:
+                instance(step, InstanceStandIn::Mode::Unsigned);
+                return;
+            case FaultKind::InstanceSlow:
+                m_fleet.instance(step.host).setWork(milliseconds(900));
+                later(step.length, [this, host = step.host] { m_fleet.instance(host).setWork(milliseconds(5)); });
+                return;
+            case FaultKind::ReplaceInstance:
+                replaceInstance(step.host);
+                return;
+            case FaultKind::ChangeConfiguration:
+                ++m_generation;
+                publish();
+                m_callers->setGeneration(m_generation);
+                return;
+            case FaultKind::WithdrawKey:
+                ++m_key;
+                ++m_generation;
+                publish();
+                m_checker.keyWithdrawn("key-three-" + std::to_string(m_key - 1), monotonicNow());
+                m_callers->setWithdrawable(m_key);
+                m_callers->setGeneration(m_generation);
+                return;
+            }
+        }
+
+        auto peers(const Step& step, const std::string& fault) -> void
+        {
+            m_fleet.setPeerFault(step.host, fault);
+            later(step.length, [this, host = step.host] { m_fleet.setPeerFault(host, "none"); });
+        }
+
+        auto store(const Step& step, StoreStandIn::Fault fault) -> void
+        {
+            m_fleet.store().setFault(fault);
+            later(step.length, [this] { m_fleet.store().setFault(StoreStandIn::Fault::None); });
+        }
+
+        auto instance(const Step& step, InstanceStandIn::Mode mode) -> void
+        {
+            m_fleet.instance(step.host).setMode(mode);
+            later(
+                step.length, [this, host = step.host] { m_fleet.instance(host).setMode(InstanceStandIn::Mode::Good); });
+        }
+
+        auto killDaemon(std::size_t host) -> void
+        {
+            m_fleet.daemon(host).resume();
+            m_fleet.daemon(host).kill();
+            restartWhenEnded(host);
+        }
+
+        auto stopDaemon(std::size_t host) -> void
+        {
+            if (m_stopping.contains(host))
+                return;
+            m_stopping.insert(host);
+            m_checker.stopBegan(host, monotonicNow());
+            m_fleet.daemon(host).terminate();
+            later(milliseconds(200), [this, host] { awaitStop(host, monotonicNow() + longestStop); });
+        }
+
+        auto awaitStop(std::size_t host, MonotonicTime end) -> void
+        {
+            if (!m_stopping.contains(host))
+                return;
+            if (m_fleet.daemon(host).isRunning() && monotonicNow() < end) {
+                later(milliseconds(100), [this, host, end] { awaitStop(host, end); });
+                return;
+            }
+            m_fleet.daemon(host).kill();
+            restartWhenEnded(host);
+        }
+
+        auto restartWhenEnded(std::size_t host) -> void
+        {
+            if (!m_fleet.daemon(host).waitForExit(milliseconds(3000)))
+                m_report.violations.push_back("end: a daemon did not end");
+            m_checker.stopEnded(host);
+            m_stopping.erase(host);
+            m_checker.daemonStarted(host);
+            m_fleet.restart(host);
+        }
+
+        auto replaceInstance(std::size_t host) -> void
+        {
+            if (m_stopping.contains(host) || m_replacing.contains(host))
+                return;
+            const auto id = m_fleet.instanceId(host);
+            constexpr int ok = 200;
+            if (m_fleet.instance(host).leave() == ok)
+                m_checker.leaveConfirmed(id, monotonicNow());
+            m_replacing.insert(host);
+            // It serves on for a while after its leaving was confirmed.
+            later(milliseconds(3500), [this, host] {
+                m_fleet.replaceInstance(host);
+                m_replacing.erase(host);
+            });
+        }
+
+        auto endAll() -> void
+        {
+            for (std::size_t host = 0; host < m_fleet.size(); ++host) {
+                m_fleet.daemon(host).resume();
+                m_fleet.setPeerFault(host, "none");
+                m_fleet.setStoreFault(host, "none");
+            }
+            m_fleet.store().setFault(StoreStandIn::Fault::None);
+        }
+
+        std::ostream& m_log;
+        Checker m_checker;
+        FleetUnderTest m_fleet;
+        Callers* m_callers = nullptr;
+        SoakReport m_report;
+        MonotonicTime m_startedAt;
+        std::multimap<MonotonicTime, Action> m_later;
+        std::set<std::size_t> m_stopping;
+        std::set<std::size_t> m_replacing;
+        std::uint64_t m_generation = 1;
+        std::uint64_t m_key = 1;
+    };
+
+} // namespace
+
+auto runSoak(const PlanOptions& options, std::ostream& log) -> SoakReport { return Soak(options, log).play(); }
+
+auto toText(const SoakReport& report) -> std::string
+{
+    std::ostringstream text;
+    const auto& counts = report.counts;
+    text << "seed " << report.options.seed << ", " << report.options.hosts << " hosts, "
+         << report.options.length.count() << " ms, " << report.faults.size() << " faults: sent " << counts.sent
+         << ", served " << counts.served << ", refused " << counts.refused << ", failed " << counts.failed << ", cut "
+         << counts.cut << ", runs " << counts.runs << ", violations " << report.violations.size() << '\n';
+    for (const auto& violation : report.violations)
+        text << "  " << violation << '\n';
+    return text.str();
+}
+
+auto toJson(const SoakReport& report) -> std::string
+{
+    const auto& counts = report.counts;
+    const json value = { { "seed", report.options.seed }, { "hosts", report.options.hosts },
+        { "lengthMs", report.options.length.count() }, { "faults", report.faults }, { "violations", report.violations },
+        { "counts",
+            { { "sent", counts.sent }, { "served", counts.served }, { "refused", counts.refused },
+                { "failed", counts.failed }, { "cut", counts.cut }, { "runs", counts.runs } } } };
+    return value.dump(2);
+}
+
+} // namespace coriandergate::soak
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -7,7 +7,7 @@
 #include "net/internal/HttpServerConnection.h"
 #include "net/internal/HttpServerState.h"
 
-#include <boost/asio/post.hpp>
+#include <fcntl.h>
 
 namespace coriandergate::net {
 
@@ -73,6 +73,9 @@
     boost::system::error_code error;
     auto& acceptor = m_state->acceptor;
     acceptor.open(endpoint->protocol(), error);
+    // A process that this one starts, as tests do, must not keep the port.
+    if (!error)
+        ::fcntl(acceptor.native_handle(), F_SETFD, FD_CLOEXEC);
     if (!error)
         acceptor.set_option(tcp::acceptor::reuse_address(true), error);
     if (!error)
--- a/src/net/internal/HttpClientConnection.cpp
+++ b/src/net/internal/HttpClientConnection.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/write.hpp>
 #include <charconv>
+#include <fcntl.h>
 #include <netinet/tcp.h>
 
 namespace coriandergate::net::internal {
@@ -97,6 +98,7 @@
     m_socket.set_option(tcp::no_delay(true), ignored);
     m_socket.set_option(UserTimeout(static_cast<int>(m_options.unacknowledgedTimeout.count())), ignored);
     m_socket.non_blocking(true, ignored);
+    ::fcntl(m_socket.native_handle(), F_SETFD, FD_CLOEXEC);
     read();
     sendBytes();
 }
--- a/src/net/internal/HttpServerConnection.cpp
+++ b/src/net/internal/HttpServerConnection.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <boost/asio/write.hpp>
+#include <fcntl.h>
 
 namespace coriandergate::net::internal {
 
@@ -42,6 +43,7 @@
     boost::system::error_code ignored; // a connection that is gone shows at the first read
     m_socket.set_option(tcp::no_delay(true), ignored);
     m_socket.non_blocking(true, ignored);
+    ::fcntl(m_socket.native_handle(), F_SETFD, FD_CLOEXEC);
     m_peer = std::to_string(m_state->nextConnection++);
     armTimer();
     read();
--- a/src/relay/EntryRequest.cpp
+++ b/src/relay/EntryRequest.cpp
@@ -269,8 +269,8 @@
     const auto now = monotonicNow();
     // A request is a trial only where it can be sent again when the trial fails.
     const bool mayTry = isRepeatable() && m_runs == 0 && m_route->maximumAttempts > 1
-        && m_context.attempts.mayTake(m_service, m_context.callsPerRun[m_service],
-            dispatch::AttemptBudget::Claim::Trial, m_context.hosts, now);
+        && m_context.attempts.mayTake(
+            m_service, m_context.callsPerRun[m_service], dispatch::AttemptBudget::Claim::Trial, m_context.hosts, now);
     return m_context.board.choose(
         { .service = m_service, .isRepeatable = mayTry, .excluded = m_excluded }, now, m_context.random());
 }
--- a/src/sidecar/HostSettings.h
+++ b/src/sidecar/HostSettings.h
@@ -17,6 +17,7 @@
     std::size_t regions = 1; // of the whole deployment
     std::string callerListen; // for callers of this host
     std::string peerListen; // for other daemons
+    std::string peerAddress; // where they reach it, if that isn't where it listens; else empty
     std::string controlListen; // for the target of this host
     std::string readyListen; // for the platform's question whether the daemon takes callers
     std::string metricsListen; // empty: none
--- a/src/sidecar/RunSidecar.cpp
+++ b/src/sidecar/RunSidecar.cpp
@@ -3,6 +3,7 @@
 #include "base/Error.h"
 #include "fleet/StoreFeed.h"
 #include "log/Event.h"
+#include "net/Endpoint.h"
 #include "sidecar/LogOutput.h"
 #include "sidecar/Sidecar.h"
 
@@ -28,7 +29,7 @@
     constexpr auto usage = R"(coriandergate-sidecar: the daemon that stands on each target host of the platform
 
 Usage:
-  coriandergate-sidecar [--settings=FILE] [--log-level=LEVEL]
+  coriandergate-sidecar [--settings=FILE] [--log-level=LEVEL] [--peer-address=ADDRESS]
   coriandergate-sidecar --check-settings [--settings=FILE]
   coriandergate-sidecar --event-catalogue
   coriandergate-sidecar (-h | --help)
@@ -37,6 +38,7 @@
 Options:
   --settings=FILE     the settings file; by default what CORIANDERGATE_BOOT names
   --log-level=LEVEL   least severity of log lines: 0 info, 1 warning, 2 error [default: 0]
+  --peer-address=ADDRESS  IP number and port where other daemons reach this one, if not where it listens
   --check-settings    read the settings, say what is wrong with them, and end
   --event-catalogue   print every log event
 )";
@@ -127,7 +129,15 @@
     }
     const auto path = settingsPath(arguments, port);
     std::vector<Error> faults;
-    const auto settings = port.readSettings(path, faults);
+    auto settings = port.readSettings(path, faults);
+    if (settings && arguments.at("--peer-address").isString()) {
+        Error reason;
+        settings->peerAddress = arguments.at("--peer-address").asString();
+        if (!net::parseEndpoint(settings->peerAddress, reason)) {
+            faults.push_back(reason);
+            settings.reset();
+        }
+    }
     for (const auto& fault : faults)
         std::cerr << fault.toText() << '\n';
     const auto level = arguments.at("--log-level").asString();
--- a/src/testing/FaultProxy.cpp
+++ b/src/testing/FaultProxy.cpp
@@ -105,7 +105,7 @@
         auto* const pair = new QObject(&server);
         caller->setParent(pair);
         auto* const upstream = new QTcpSocket(pair);
-        upstream->connectToHost(QHostAddress(QHostAddress::LocalHost), options.upstreamPort);
+        upstream->connectToHost(QHostAddress(QString::fromStdString(options.upstreamAddress)), options.upstreamPort);
         connectSides(caller, upstream, Direction::ToUpstream);
         connectSides(upstream, caller, Direction::ToCaller);
         const auto deleteWhenClosed = [pair, caller, upstream] {
@@ -157,7 +157,8 @@
             continue;
         bytesToUpstream += static_cast<std::uint64_t>(bytes.size());
         QTimer::singleShot(passage.delay, &datagrams, [this, bytes] {
-            datagrams.writeDatagram(bytes, QHostAddress(QHostAddress::LocalHost), options.upstreamPort);
+            datagrams.writeDatagram(
+                bytes, QHostAddress(QString::fromStdString(options.upstreamAddress)), options.upstreamPort);
         });
     }
 }
@@ -177,11 +178,11 @@
 
 auto FaultProxy::start(Error& reason) -> bool
 {
-    const QHostAddress loopback(QHostAddress::LocalHost);
+    const QHostAddress loopback(QString::fromStdString(m_state->options.listenAddress));
     const auto isListening = m_state->server.listen(loopback, m_state->options.listenPort)
         && m_state->datagrams.bind(loopback, m_state->server.serverPort());
     if (!isListening)
-        reason = { "listen", "127.0.0.1:" + std::to_string(m_state->options.listenPort),
+        reason = { "listen", m_state->options.listenAddress + ":" + std::to_string(m_state->options.listenPort),
             m_state->server.errorString().toStdString() + m_state->datagrams.errorString().toStdString() };
     return isListening;
 }
--- a/src/testing/FaultProxy.h
+++ b/src/testing/FaultProxy.h
@@ -13,6 +13,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <string>
 
 namespace coriandergate::testing {
 
@@ -22,6 +23,8 @@
     struct Options {
         std::uint16_t listenPort = 0; // 0: any free one
         std::uint16_t upstreamPort = 0;
+        std::string listenAddress = "127.0.0.1"; // IP numbers on loopback
+        std::string upstreamAddress = "127.0.0.1";
     };
 
     explicit FaultProxy(const Options& options);
@@ -30,7 +33,7 @@
     FaultProxy(const FaultProxy&) = delete;
     auto operator=(const FaultProxy&) -> FaultProxy& = delete;
 
-    // start() listens on 127.0.0.1; false with a reason when the port is taken.
+    // start() listens; false with a reason when the port is taken.
     [[nodiscard]] auto start(Error& reason) -> bool;
 
     // port() is the port listened on, 0 before start().
--- a/src/testing/ProcessUnderTest.cpp
+++ b/src/testing/ProcessUnderTest.cpp
@@ -108,6 +108,8 @@
 
 auto ProcessUnderTest::resume() -> void { sendSignal(SIGCONT); }
 
+auto ProcessUnderTest::hangUp() -> void { sendSignal(SIGHUP); }
+
 auto ProcessUnderTest::waitForExit(std::chrono::milliseconds timeout) -> std::optional<int>
 {
     if (isRunning() && !m_state->process.waitForFinished(static_cast<int>(timeout.count())))
--- a/src/testing/ProcessUnderTest.h
+++ b/src/testing/ProcessUnderTest.h
@@ -50,11 +50,12 @@
     // command() writes `line` to the process's standard input and waits for the next line with "ok" or "error" in it.
     [[nodiscard]] auto command(std::string_view line, std::chrono::milliseconds timeout) -> std::optional<std::string>;
 
-    // terminate(), kill(), pause() and resume() send SIGTERM, SIGKILL, SIGSTOP and SIGCONT.
+    // terminate(), kill(), pause(), resume() and hangUp() send SIGTERM, SIGKILL, SIGSTOP, SIGCONT and SIGHUP.
     auto terminate() -> void;
     auto kill() -> void;
     auto pause() -> void;
     auto resume() -> void;
+    auto hangUp() -> void;
 
     // waitForExit() is the exit code, or 128 plus the number of the signal that ended the process; nothing when it
     // still runs after `timeout`.
--- a/tools/coriandergate-fault-proxy/main.cpp
+++ b/tools/coriandergate-fault-proxy/main.cpp
@@ -16,12 +16,14 @@
 constexpr auto usage = R"(Relays TCP and UDP of one loopback port to another, with faults by command.
 
 Usage:
-  coriandergate-fault-proxy --upstream=PORT [--listen=PORT]
+  coriandergate-fault-proxy --upstream=PORT [--listen=PORT] [--upstream-address=IP] [--listen-address=IP]
   coriandergate-fault-proxy --help
 
 Options:
-  --upstream=PORT  Port of 127.0.0.1 to relay to, 1 to 65535.
-  --listen=PORT    Port of 127.0.0.1 to listen on, 0 for any free one [default: 0].
+  --upstream=PORT         Port to relay to, 1 to 65535.
+  --listen=PORT           Port to listen on, 0 for any free one [default: 0].
+  --upstream-address=IP   Loopback address to relay to [default: 127.0.0.1].
+  --listen-address=IP     Loopback address to listen on [default: 127.0.0.1].
 
 Each line of the standard input is a fault: none, delay MS, cut-request BYTES, cut-answer BYTES, half-answer,
 drop-requests, drop-answers, refuse, stall. The word "bytes" prints the bytes relayed so far.
@@ -51,13 +53,15 @@
     coriandergate::testing::FaultProxy proxy({
         .listenPort = static_cast<std::uint16_t>(options["--listen"].asLong()),
         .upstreamPort = static_cast<std::uint16_t>(options["--upstream"].asLong()),
+        .listenAddress = options["--listen-address"].asString(),
+        .upstreamAddress = options["--upstream-address"].asString(),
     });
     coriandergate::Error reason;
     if (!proxy.start(reason)) {
         std::cerr << reason.toText() << std::endl;
         return 1;
     }
-    std::cout << "listening on 127.0.0.1:" << proxy.port() << std::endl;
+    std::cout << "listening on " << options["--listen-address"].asString() << ":" << proxy.port() << std::endl;
 
     std::string pending;
     QSocketNotifier input(STDIN_FILENO, QSocketNotifier::Read);
