Remove the rows of hosts that are gone, and tell a request's story

Cause: a host that died without a word kept its part of every account's rate and of the allowance for further attempts.

--- a/src/dispatch/TargetBoard.cpp
+++ b/src/dispatch/TargetBoard.cpp
@@ -167,13 +167,31 @@
 
 auto TargetBoard::recordPathFailure(Target& target, MonotonicTime now) -> void
 {
+    if (!target.unreachedSince)
+        target.unreachedSince = now;
     target.pathBackoff = target.pathBackoff.count() == 0
         ? m_options.firstPathBackoff
         : std::min(target.pathBackoff * 2, m_options.longestPathBackoff);
     target.avoidUntil = std::max(target.avoidUntil, now + target.pathBackoff);
 }
 
-auto TargetBoard::recordPath(Target& target) -> void { target.pathBackoff = std::chrono::milliseconds { 0 }; }
+auto TargetBoard::recordPath(Target& target) -> void
+{
+    target.pathBackoff = std::chrono::milliseconds { 0 };
+    target.unreachedSince.reset();
+}
+
+auto TargetBoard::isUnreachedFor(std::string_view address, std::chrono::milliseconds length, MonotonicTime now) const
+    -> bool
+{
+    const auto found = m_byAddress.find(address);
+    if (found == m_byAddress.end())
+        return false;
+    const auto& target = *found->second;
+    // One failure long ago, without another try since, says little.
+    const bool isTriedLately = now < target.avoidUntil + m_options.longestPathBackoff;
+    return target.unreachedSince && now - *target.unreachedSince >= length && isTriedLately;
+}
 
 auto TargetBoard::avoid(Target& target, MonotonicTime until) -> void
 {
--- a/src/dispatch/TargetBoard.h
+++ b/src/dispatch/TargetBoard.h
@@ -23,6 +23,7 @@
 #include <chrono>
 #include <map>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -69,6 +70,7 @@
         bool isFailing = false;
         double refusedShare = 0; // of the requests that reached it lately
         std::chrono::milliseconds pathBackoff { 0 };
+        std::optional<MonotonicTime> unreachedSince; // each try since then failed
     };
     using TargetPointer = std::shared_ptr<Target>;
 
@@ -105,6 +107,10 @@
     auto recordPathFailure(Target& target, MonotonicTime now) -> void;
     auto recordPath(Target& target) -> void;
 
+    // isUnreachedFor() says that the daemon at `address` was tried for at least `length` and never reached.
+    [[nodiscard]] auto isUnreachedFor(
+        std::string_view address, std::chrono::milliseconds length, MonotonicTime now) const -> bool;
+
     // avoid() leaves the target out until `until`.
     auto avoid(Target& target, MonotonicTime until) -> void;
 
--- a/src/dispatch/TargetBoard_test.cpp
+++ b/src/dispatch/TargetBoard_test.cpp
@@ -108,6 +108,21 @@
     CHECK(chosen(board, at(3700ms)) == "a");
 }
 
+TEST_CASE("a daemon counts as unreached only while it is tried and never answers")
+{
+    auto board = makeBoard({ describe("a", here) });
+    auto& target = *board.targets("ledger").front();
+    CHECK_FALSE(board.isUnreachedFor("a", 30s, at(60s)));
+    for (int i = 0; i <= 8; ++i)
+        board.recordPathFailure(target, at(i * 5s));
+    CHECK(board.isUnreachedFor("a", 30s, at(41s)));
+    CHECK_FALSE(board.isUnreachedFor("a", 30s, at(120s)));
+    board.recordPath(target);
+    board.recordPathFailure(target, at(42s));
+    CHECK_FALSE(board.isUnreachedFor("a", 30s, at(43s)));
+    CHECK_FALSE(board.isUnreachedFor("unknown", 30s, at(43s)));
+}
+
 TEST_CASE("a failing target gets only repeatable requests, once its trial is due")
 {
     auto board = makeBoard({ describe("a", here), describe("b", here), describe("c", here) });
--- a/src/fleet/HostAnnouncer.cpp
+++ b/src/fleet/HostAnnouncer.cpp
@@ -79,6 +79,15 @@
         write();
 }
 
+auto HostAnnouncer::recordRemoval() -> void
+{
+    if (!m_wanted || !isStored())
+        return;
+    m_hasConfirmed = false;
+    m_version = 0;
+    write();
+}
+
 auto HostAnnouncer::confirm() -> void
 {
     const auto waiting = std::move(m_waiting);
--- a/src/fleet/HostAnnouncer.h
+++ b/src/fleet/HostAnnouncer.h
@@ -28,6 +28,9 @@
     // retract() removes the row and calls `stored` once it is gone.
     auto retract(Stored stored) -> void;
 
+    // recordRemoval() says that another host took the row away; it is written again.
+    auto recordRemoval() -> void;
+
     // isStored() says that the store has confirmed what was announced last.
     [[nodiscard]] auto isStored() const -> bool { return m_hasConfirmed && m_confirmed == m_wanted; }
 
--- a/src/fleet/HostDirectory.cpp
+++ b/src/fleet/HostDirectory.cpp
@@ -35,6 +35,12 @@
     return found == m_hosts.end() ? nullptr : &found->second;
 }
 
+auto HostDirectory::version(const std::string& key) const -> std::uint64_t
+{
+    const auto found = m_versions.find(key);
+    return m_hosts.contains(key) && found != m_versions.end() ? found->second : 0;
+}
+
 auto HostDirectory::hostsOf(const std::string& region) const -> std::vector<std::string>
 {
     std::vector<std::string> hosts;
--- a/src/fleet/HostDirectory.h
+++ b/src/fleet/HostDirectory.h
@@ -29,6 +29,9 @@
     // find() is the record of the host with that key, or null.
     [[nodiscard]] auto find(const std::string& key) const -> const HostRecord*;
 
+    // version() is the version of a host's row, 0 if there is none.
+    [[nodiscard]] auto version(const std::string& key) const -> std::uint64_t;
+
     // hostsOf() are the keys of the hosts of `region`, sorted; regions() are all regions that have hosts.
     [[nodiscard]] auto hostsOf(const std::string& region) const -> std::vector<std::string>;
     [[nodiscard]] auto regions() const -> std::vector<std::string>;
--- a/src/relay/EntryRequest.cpp
+++ b/src/relay/EntryRequest.cpp
@@ -230,6 +230,11 @@
     }
     const auto turnIn = answer && answer->status == tooManyRequests ? decodeTurn(answer->body) : std::nullopt;
     if (turnIn) {
+        log::logEvent(attemptEnded,
+            { { "request", m_requestId }, { "peer", home }, { "step", "ask for rate" }, { "outcome", "not-run" },
+                { "why", "over the rate" }, { "account", m_clientAccount->name },
+                { "rate", std::to_string(m_clientAccount->ratePerSecond) },
+                { "turn-in-ms", std::to_string(turnIn->count()) } });
         m_context.spentRateHomes[m_clientAccount->name + '@' + home] = now + *turnIn;
         noteTurn(*turnIn);
     } else {
@@ -630,12 +635,14 @@
     if (why == "answered")
         m_context.counters.recordLatency(took);
     const auto proofAge = m_context.proof.age(SuspendAwareClock::now());
+    const auto hostsAge = m_context.hostsProof.age(SuspendAwareClock::now());
     log::logEvent(requestEnded,
         { { "request", m_requestId }, { "status", std::to_string(answer.status) }, { "why", std::string(why) },
             { "ms", std::to_string(took.count()) }, { "route", m_route ? m_route->name : "" }, { "service", m_service },
             { "account", m_clientAccount ? m_clientAccount->name : "" }, { "runs", std::to_string(m_runs) },
             { "version", m_snapshot ? std::to_string(m_snapshot->configuration().version) : "" },
-            { "proof-age-ms", proofAge ? std::to_string(proofAge->count()) : "" } });
+            { "proof-age-ms", proofAge ? std::to_string(proofAge->count()) : "" },
+            { "hosts-age-ms", hostsAge ? std::to_string(hostsAge->count()) : "" } });
     if (!m_requestId.empty() && !answer.headers.find(m_context.headers.requestId))
         answer.headers.add(m_context.headers.requestId, m_requestId);
     m_exchange->answer(std::move(answer));
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -43,6 +43,9 @@
     const log::Event limitsChanged { 1933, log::Severity::Info, "limits of a client account changed",
         "its rate a second and its burst over all hosts; 0 stands for no limit" };
 
+    const log::Event hostGone { 1935, log::Severity::Warning, "host taken for gone",
+        "its daemon was not reached for half a minute; its row is removed, and written again if it lives" };
+
     constexpr const char* hostTable = "hosts";
     // One long poll for the configuration: half of the time for which a withdrawn key may still work.
     constexpr milliseconds configurationWait { 2600 };
@@ -59,6 +62,10 @@
     constexpr double freshPart = 0.88;
     // The platform asks every second whether callers may come, and believes the second refusal.
     constexpr milliseconds callersLeaveAfter { 2300 };
+    // A daemon that was never reached for so long, while it was tried, counts as gone: longer than any restart or
+    // pause.
+    constexpr milliseconds goneAfter { 30000 };
+    constexpr milliseconds goneHostsPeriod { 8000 };
     constexpr milliseconds stopPollPeriod { 40 };
     constexpr milliseconds answerTravelTime { 120 };
     constexpr milliseconds stopMargin { 400 }; // before the process is killed
@@ -124,6 +131,8 @@
     auto receive(const Farewell& farewell, const std::shared_ptr<http::Exchange>& exchange) -> void;
     auto acknowledgeWhenStored(const std::shared_ptr<http::Exchange>& exchange) -> void;
     auto onTargetChanged() -> void;
+    auto watchForGoneHosts() -> void;
+    auto removeGoneHosts() -> void;
     auto announce(fleet::HostAnnouncer::Stored stored) -> void;
     auto onConfigurationRows(const std::vector<fleet::StoreRow>& rows) -> void;
     auto onHostRows(const std::vector<fleet::StoreRow>& rows, bool isWhole) -> void;
@@ -160,6 +169,7 @@
     net::HttpServer metrics;
     boost::asio::steady_timer firstHeartbeatTimer;
     boost::asio::steady_timer stopTimer;
+    boost::asio::steady_timer goneHostsTimer;
     MonotonicTime stopBeganAt;
     MonotonicTime lastOpenAt; // something was open
     bool isStopping = false;
@@ -219,6 +229,7 @@
           })
     , firstHeartbeatTimer(io)
     , stopTimer(io)
+    , goneHostsTimer(io)
 {
 }
 
@@ -240,6 +251,7 @@
     hostFollower.onRows([this](const auto& rows, bool isWhole) { onHostRows(rows, isWhole); });
     configurationFollower.start();
     hostFollower.start();
+    watchForGoneHosts();
     log::logEvent(started,
         { { "host", settings.hostName }, { "callers", settings.callerListen }, { "peers", settings.peerListen },
             { "control", settings.controlListen }, { "ready", settings.readyListen },
@@ -355,6 +367,8 @@
         onHostsKnown();
     board.setTargets(directory.targets());
     feed.setHosts(directory, settings.locality);
+    if (!directory.find(settings.hostAddress) && !isStopping)
+        announcer.recordRemoval();
     pool.setHosts(directory.hostsOf(settings.locality.region), monotonicNow());
     entry.hosts = std::max<std::size_t>(1, directory.size());
     log::logEvent(hostsChanged,
@@ -383,6 +397,36 @@
     });
 }
 
+auto Sidecar::State::watchForGoneHosts() -> void
+{
+    // Hosts look at different times, so that mostly one of them finds a row to remove.
+    std::uniform_int_distribution<milliseconds::rep> period(goneHostsPeriod.count(), 2 * goneHostsPeriod.count());
+    goneHostsTimer.expires_after(milliseconds(period(entry.random)));
+    goneHostsTimer.async_wait([this](const boost::system::error_code& error) {
+        if (error || isStopping)
+            return;
+        removeGoneHosts();
+        watchForGoneHosts();
+    });
+}
+
+// A host that died without a word keeps its part of what all hosts share. One that lives writes its row again.
+auto Sidecar::State::removeGoneHosts() -> void
+{
+    const auto now = monotonicNow();
+    for (const auto& host : directory.hostsOf(settings.locality.region)) {
+        const auto* record = directory.find(host);
+        if (!record || record->locality != settings.locality || host == settings.hostAddress)
+            continue;
+        if (!board.isUnreachedFor(record->peerAddress, goneAfter, now))
+            continue;
+        log::logEvent(hostGone, { { "host", host }, { "row-version", std::to_string(directory.version(host)) } });
+        feed.write({ hostTable, host, directory.version(host), std::nullopt }, [](const fleet::StoreFeed::Result&) {
+            // Where the row has changed meanwhile, or the store is away, it stays; the next look decides anew.
+        });
+    }
+}
+
 auto Sidecar::State::announce(fleet::HostAnnouncer::Stored stored) -> void
 {
     if (!knowsHosts)
