Keep large answers near, and say why a relay gave no news

Cause: the choice of a target had a factor for answers that are costly to carry, which nothing set; a relay that had lost the store itself was logged as one that didn't answer. Change: the factor follows the mean size of a route's answers; the log tells status or error.

--- a/src/dispatch/TargetBoard_test.cpp
+++ b/src/dispatch/TargetBoard_test.cpp
@@ -58,6 +58,18 @@
     CHECK(chosen(board, now) == "far");
 }
 
+TEST_CASE("an answer that is costly to carry is fetched farther away only when it must be")
+{
+    auto board = makeBoard({ describe("own", here), describe("next", nextDoor) });
+    const auto now = at(1000ms);
+    tell(board, "own", 4, now);
+    tell(board, "next", 1, now);
+    CHECK(board.choose({ .service = "ledger" }, now, 7)->description.address == "next");
+    CHECK(board.choose({ .service = "ledger", .distanceFactor = 2.5 }, now, 7)->description.address == "own");
+    board.recordPathFailure(*board.targets("ledger")[0], now);
+    CHECK(board.choose({ .service = "ledger", .distanceFactor = 2.5 }, now, 7)->description.address == "next");
+}
+
 TEST_CASE("requests that this entry began count before the target tells of them")
 {
     auto board = makeBoard({ describe("a", here), describe("b", here) });
--- a/src/fleet/RelayedFeed.cpp
+++ b/src/fleet/RelayedFeed.cpp
@@ -20,6 +20,13 @@
     constexpr int ok = 200;
     constexpr int serviceUnavailable = 503;
 
+    auto whyNoNews(const net::HttpClient::Result& result) -> std::string
+    {
+        if (const auto* answer = std::get_if<http::Answer>(&result))
+            return "status " + std::to_string(answer->status) + ": " + answer->body;
+        return std::get<http::ExchangeFailure>(result).error.toText();
+    }
+
     auto refuse(const std::shared_ptr<http::Exchange>& exchange, const char* why) -> void
     {
         exchange->answer(http::makeAnswer(serviceUnavailable, "text/plain", why));
@@ -129,7 +136,7 @@
             if (!*alive)
                 return;
             const auto* received = std::get_if<http::Answer>(&result);
-            Error reason { "follow relay", relay, "no answer" };
+            Error reason { "follow relay", relay, whyNoNews(result) };
             auto answer = received && received->status == ok ? decodeNews(received->body, reason) : std::nullopt;
             const auto now = m_storeTime ? m_storeTime() : std::nullopt;
             const bool isOld
--- a/src/relay/EntryContext.h
+++ b/src/relay/EntryContext.h
@@ -34,6 +34,8 @@
         std::chrono::milliseconds rateHomeBackoff { 1000 }; // a home that wasn't reached isn't asked for so long
         std::chrono::milliseconds shortestRetryAfter { 200 };
         std::chrono::milliseconds longestRetryAfter { 3000 };
+        double weighedAnswerBytes = 60000; // an answer of this size doubles the weight of the distance to a target
+        double greatestDistanceFactor = 3;
         std::size_t quickTries = 3; // targets asked for a free slot before the request waits for one
         std::size_t waitingTries = 2;
         std::size_t lateTries = 2;
@@ -56,6 +58,7 @@
     std::map<std::string, MonotonicTime> avoidedRateHomes; // until when, by host, after it wasn't reached
     std::map<std::string, MonotonicTime> spentRateHomes; // until when, by account and host, after it had none left
     std::map<std::string, dispatch::AttemptBudget::CallsPerRun> callsPerRun; // by service, as told last
+    std::map<std::string, double> answerBytes; // of each route's answers, on average lately
     EntryCounters counters;
     std::mt19937_64 random { std::random_device {}() };
 };
--- a/src/relay/EntryRequest.cpp
+++ b/src/relay/EntryRequest.cpp
@@ -277,7 +277,23 @@
         && m_context.attempts.mayTake(
             m_service, m_context.callsPerRun[m_service], dispatch::AttemptBudget::Claim::Trial, m_context.hosts, now);
     return m_context.board.choose(
-        { .service = m_service, .isRepeatable = mayTry, .excluded = m_excluded }, now, m_context.random());
+        { .service = m_service, .isRepeatable = mayTry, .distanceFactor = distanceFactor(), .excluded = m_excluded },
+        now, m_context.random());
+}
+
+// Large answers are kept near: the links between data centres and regions are narrow and shared by all.
+auto EntryRequest::distanceFactor() const -> double
+{
+    const auto known = m_context.answerBytes.find(m_route->name);
+    const double bytes = known == m_context.answerBytes.end() ? 0 : known->second;
+    return std::min(m_context.options.greatestDistanceFactor, 1 + bytes / m_context.options.weighedAnswerBytes);
+}
+
+auto EntryRequest::noteAnswerSize(const http::Answer& answer) -> void
+{
+    constexpr double newestWeight = 0.1; // the last ten answers count
+    auto& mean = m_context.answerBytes[m_route->name];
+    mean += newestWeight * (static_cast<double>(answer.body.size()) - mean);
 }
 
 auto EntryRequest::advanceStage() -> void
@@ -559,6 +575,7 @@
     answer.headers.removeAll(loadHeader);
     releaseTarget();
     if (answer.status < firstServerError) {
+        noteAnswerSize(answer);
         finish(std::move(answer), "answered");
         return;
     }
