--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -170,6 +170,7 @@
     boost::asio::steady_timer firstHeartbeatTimer;
     boost::asio::steady_timer stopTimer;
     boost::asio::steady_timer goneHostsTimer;
+    std::uint64_t missedVersion = 0; // of the store, that the hosts' rows were not told up to at the last answer
     MonotonicTime stopBeganAt;
     MonotonicTime lastOpenAt; // something was open
     bool isStopping = false;
@@ -280,9 +281,12 @@
     if (hostFollower.after() + changes >= answer.newestVersion) {
         hostFollower.skipTo(answer.newestVersion);
         record(hostsProof, answer);
-    } else {
-        hostFollower.catchUp();
+        return;
     }
+    // Mostly the change is on its way. Only when it didn't come before the next answer it may have lost its way.
+    if (hostFollower.after() < missedVersion)
+        hostFollower.catchUp();
+    missedVersion = answer.newestVersion;
 }
 
 auto Sidecar::State::onStoreFailure(const Error& error) -> void
