--- /dev/null
+++ b/src/net/HttpServer_test.cpp
@@ -0,0 +1,150 @@
+#include "net/HttpServer.h"
+
+#include "base/Error.h"
+#include "http/Exchange.h"
+
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <vector>
+
+namespace coriandergate::net {
+
+using boost::asio::ip::tcp;
+using namespace std::chrono_literals;
+
+namespace {
+
+    // Served is a server that keeps every request until the test answers it, and one caller.
+    struct Served {
+        explicit Served(const HttpServer::Options& options = {})
+            : server(io, options, [this](std::shared_ptr<http::Exchange> exchange) { exchanges.push_back(exchange); })
+            , caller(io)
+        {
+            Error reason;
+            REQUIRE(server.listen("127.0.0.1:0", reason));
+            caller.connect({ boost::asio::ip::address_v4::loopback(), server.port() });
+        }
+
+        auto write(const std::string& bytes) -> void { boost::asio::write(caller, boost::asio::buffer(bytes)); }
+
+        template <typename Condition> auto runUntil(const Condition& isTrue) -> bool
+        {
+            const auto end = std::chrono::steady_clock::now() + 2s;
+            while (!isTrue() && std::chrono::steady_clock::now() < end)
+                io.run_one_for(10ms);
+            return isTrue();
+        }
+
+        // readSome() is what has come for the caller until `text` is in it or two seconds have passed.
+        auto readUntil(const std::string& text) -> std::string
+        {
+            std::string received;
+            caller.non_blocking(true);
+            runUntil([&] {
+                std::array<char, 65536> buffer {};
+                boost::system::error_code error;
+                const auto count = caller.read_some(boost::asio::buffer(buffer), error);
+                received.append(buffer.data(), count);
+                return received.find(text) != std::string::npos;
+            });
+            return received;
+        }
+
+        boost::asio::io_context io;
+        std::vector<std::shared_ptr<http::Exchange>> exchanges;
+        HttpServer server;
+        tcp::socket caller;
+    };
+
+    auto get(const std::string& path) -> std::string { return "GET " + path + " HTTP/1.1\r\nHost: test\r\n\r\n"; }
+
+} // namespace
+
+TEST_CASE("pipelined requests are handled side by side and answered in their order")
+{
+    Served test;
+    test.write(get("/1") + get("/2") + get("/3"));
+    REQUIRE(test.runUntil([&] { return test.exchanges.size() == 3; }));
+    for (const auto i : { 2, 0, 1 })
+        test.exchanges[static_cast<std::size_t>(i)]->answer(
+            http::makeAnswer(200, "text/plain", "answer " + std::to_string(i + 1)));
+    const auto received = test.readUntil("answer 3");
+    CHECK(received.find("answer 1") < received.find("answer 2"));
+    CHECK(received.find("answer 2") < received.find("answer 3"));
+}
+
+TEST_CASE("a caller that leaves is noticed while its request is handled")
+{
+    Served test;
+    test.write(get("/1"));
+    REQUIRE(test.runUntil([&] { return test.exchanges.size() == 1; }));
+    bool hasLeft = false;
+    test.exchanges[0]->onAbandoned([&] { hasLeft = true; });
+    test.caller.close();
+    CHECK(test.runUntil([&] { return hasLeft; }));
+    CHECK(test.server.openRequests() == 0);
+}
+
+// A planned stop waits for open requests. One whose answer is still being written to a slow caller is open.
+TEST_CASE("a request is open until its answer is written")
+{
+    Served test;
+    test.write(get("/1"));
+    REQUIRE(test.runUntil([&] { return test.exchanges.size() == 1; }));
+    constexpr std::size_t large = 16 * 1024 * 1024;
+    test.exchanges[0]->answer(http::makeAnswer(200, "text/plain", std::string(large, 'x') + "end"));
+    for (int i = 0; i < 20; ++i)
+        test.io.run_one_for(5ms);
+    CHECK(test.server.openRequests() == 1);
+    CHECK(test.readUntil("end").size() > large);
+    CHECK(test.runUntil([&] { return test.server.openRequests() == 0; }));
+}
+
+TEST_CASE("a request that doesn't arrive in time is refused, and an idle connection is closed")
+{
+    Served test({ .headerTimeout = 100ms, .idleTimeout = 150ms });
+    SECTION("half a request")
+    {
+        test.write("GET /1 HTTP/1.1\r\n");
+        CHECK(test.readUntil("\r\n\r\n").starts_with("HTTP/1.1 408"));
+        CHECK(test.exchanges.empty());
+    }
+    SECTION("none")
+    {
+        CHECK(test.runUntil([&] { return test.server.connections() == 0; }));
+    }
+}
+
+TEST_CASE("while it drains, a server ends each connection with its last answer")
+{
+    Served test;
+    test.write(get("/1") + get("/2"));
+    REQUIRE(test.runUntil([&] { return test.exchanges.size() == 2; }));
+    test.server.beginDrain();
+    for (const auto& exchange : test.exchanges)
+        exchange->answer(http::makeAnswer(200, "text/plain", "answer"));
+    const auto received = test.readUntil("Connection: close");
+    CHECK(received.find("200") != received.rfind("200"));
+    CHECK(received.find("Connection: close") > received.find("answer"));
+}
+
+TEST_CASE("a body beyond the limit, and bytes beyond the buffers, are refused")
+{
+    SECTION("the limit of one body")
+    {
+        Served test({ .maximumBodyBytes = 10 });
+        test.write("POST /1 HTTP/1.1\r\nHost: test\r\nContent-Length: 11\r\n\r\n01234567890");
+        CHECK(test.readUntil("\r\n\r\n").starts_with("HTTP/1.1 413"));
+    }
+    SECTION("the buffers of all")
+    {
+        Served test({ .maximumBufferedBytes = 10 });
+        test.write("POST /1 HTTP/1.1\r\nHost: test\r\nContent-Length: 11\r\n\r\n01234567890");
+        CHECK(test.readUntil("\r\n\r\n").starts_with("HTTP/1.1 503"));
+    }
+    // Nothing of either reached the handler.
+}
+
+} // namespace coriandergate::net
