Answer requests that outlast the grace of a planned stop

Ruled out: a request that crossed the close (it had been read); answers not yet written (it had none). Change: from the planned stop on every request gets its final answer 1.2 s before the process would be killed at the latest: 503 if nothing was sent to a target, else 504.

--- a/src/relay/EntryContext.h
+++ b/src/relay/EntryContext.h
@@ -13,6 +13,7 @@
 #include <boost/asio/io_context.hpp>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 
@@ -23,6 +24,8 @@
 namespace coriandergate::relay {
 
 // EntryContext is used on the thread of its io_context and outlives every request.
+class EntryRequest;
+
 struct EntryContext {
     struct Options {
         std::chrono::milliseconds hopTime {
@@ -59,6 +62,8 @@
     std::map<std::string, MonotonicTime> spentRateHomes; // until when, by account and host, after it had none left
     std::map<std::string, dispatch::AttemptBudget::CallsPerRun> callsPerRun; // by service, as told last
     std::map<std::string, double> answerBytes; // of each route's answers, on average lately
+    std::map<const EntryRequest*, std::weak_ptr<EntryRequest>> open; // requests that are owed an answer
+    std::optional<MonotonicTime> endBy; // of a planned stop: every request has its answer by then
     EntryCounters counters;
     std::mt19937_64 random { std::random_device {}() };
 };
--- a/src/relay/EntryRequest.cpp
+++ b/src/relay/EntryRequest.cpp
@@ -111,14 +111,30 @@
         if (const auto self = weak.lock())
             self->onAbandoned();
     });
+    m_context.open[this] = weak_from_this();
+    armGiveUpTimer();
+    checkRate();
+}
+
+auto EntryRequest::armGiveUpTimer() -> void
+{
     m_giveUpTimer.expires_at(m_giveUpAt);
     m_giveUpTimer.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
         if (!error)
             self->onGiveUp();
     });
-    checkRate();
 }
 
+auto EntryRequest::endBy(MonotonicTime time) -> void
+{
+    if (m_isDone || m_giveUpAt <= time)
+        return;
+    m_giveUpAt = time;
+    armGiveUpTimer();
+}
+
+EntryRequest::~EntryRequest() { m_context.open.erase(this); }
+
 auto EntryRequest::readDeadline() -> void
 {
     auto allowed = m_route->deadline;
@@ -128,6 +144,8 @@
         && number >= 0)
         allowed = std::min(allowed, std::max(milliseconds { 1 }, milliseconds(number) - answerMargin));
     m_giveUpAt = m_readAt + allowed;
+    if (m_context.endBy)
+        m_giveUpAt = std::min(m_giveUpAt, *m_context.endBy);
 }
 
 auto EntryRequest::checkKey() -> bool
--- a/src/relay/EntryRequest.h
+++ b/src/relay/EntryRequest.h
@@ -29,6 +29,12 @@
     static auto start(EntryContext& context, std::shared_ptr<http::Exchange> exchange) -> void;
 
     EntryRequest(EntryContext& context, std::shared_ptr<http::Exchange> exchange);
+    ~EntryRequest();
+    EntryRequest(const EntryRequest&) = delete;
+    auto operator=(const EntryRequest&) -> EntryRequest& = delete;
+
+    // endBy() gives the request its final answer at `time` at the latest: the daemon ends soon after.
+    auto endBy(MonotonicTime time) -> void;
 
 private:
     // Stage says what a request may still hope for.
@@ -49,6 +55,7 @@
     auto onRateAnswer(const std::string& home, const net::HttpClient::Result& result) -> void;
     auto onWithinRate() -> void;
     auto readDeadline() -> void;
+    auto armGiveUpTimer() -> void;
     auto prepare() -> void;
     auto place() -> void;
     [[nodiscard]] auto chooseTarget() -> dispatch::TargetBoard::TargetPointer;
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -69,6 +69,7 @@
     constexpr milliseconds stopPollPeriod { 40 };
     constexpr milliseconds answerTravelTime { 120 };
     constexpr milliseconds stopMargin { 400 }; // before the process is killed
+    constexpr milliseconds finalAnswerMargin { 800 }; // before that, for requests that outlast the grace
 
     auto freshness(const HostSettings& settings) -> milliseconds
     {
@@ -124,6 +125,7 @@
 
     auto start(Error& reason) -> bool;
     auto stop() -> void;
+    auto endOpenRequestsInTime() -> void;
     auto pollStop() -> void;
     auto isReady() const -> bool;
     auto handleControl(const std::shared_ptr<http::Exchange>& exchange) -> void;
@@ -538,12 +540,24 @@
         { { "open", std::to_string(callers.openRequests()) }, { "running", std::to_string(owner.running()) } });
     owner.setStopping();
     callers.beginDrain();
+    endOpenRequestsInTime();
     // A host whose target has left is gone for good; another's target stays while its daemon is started again.
     if (target.current() && !target.isServing())
         announcer.retract(nullptr);
     pollStop();
 }
 
+// A request that outlasts the grace gets a true final answer before the process ends, instead of a closed connection.
+auto Sidecar::State::endOpenRequestsInTime() -> void
+{
+    entry.endBy = stopBeganAt + settings.stopGrace - finalAnswerMargin;
+    const auto requests = entry.open;
+    for (const auto& [raw, weak] : requests) {
+        if (const auto request = weak.lock())
+            request->endBy(*entry.endBy);
+    }
+}
+
 auto Sidecar::State::pollStop() -> void
 {
     const auto now = monotonicNow();
