--- a/src/fleet/NewsCodec.cpp
+++ b/src/fleet/NewsCodec.cpp
@@ -1,5 +1,7 @@
 #include "fleet/NewsCodec.h"
 
+#include "fleet/RelayedFeed.h"
+
 #include "http/Request.h"
 #include "http/Serialize.h"
 
@@ -24,7 +26,7 @@
 {
     http::Request request;
     request.method = "POST";
-    request.target = "/news";
+    request.target = RelayedFeed::s_path;
     request.headers.add("Host", "peer");
     request.body = toBytes(json::array({ ask.table, ask.after, ask.wait.count() }));
     return http::serializeRequest(request);
--- a/src/fleet/RelayedFeed.h
+++ b/src/fleet/RelayedFeed.h
@@ -44,7 +44,7 @@
         std::chrono::milliseconds oldestNews { 2000 }; // a relay with older news has lost the store
         std::chrono::milliseconds relayBackoff { 3000 }; // a relay that failed isn't asked for so long
     };
-    static constexpr std::string_view path = "/news";
+    static constexpr std::string_view s_path = "/news";
 
     RelayedFeed(boost::asio::io_context& io, StoreFeed& store, net::HttpClient& hops, const Options& options);
 
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -310,7 +310,7 @@
 {
     if (exchange->request().target == relay::ratePath)
         handleRate(exchange);
-    else if (exchange->request().target == fleet::RelayedFeed::path)
+    else if (exchange->request().target == fleet::RelayedFeed::s_path)
         feed.handle(exchange);
     else
         owner.handle(exchange);
