Take a farewell without a start for the incarnation that the fleet knew

Ruled out: a lost row (the store answered again); a new incarnation under the id (the heartbeat bore the old start). Change: such a farewell counts for the incarnation in the host's row, else for whichever bears the id. A farewell that is heard before any heartbeat is not yet written to the row.

--- a/src/fleet/LocalTarget.cpp
+++ b/src/fleet/LocalTarget.cpp
@@ -3,6 +3,7 @@
 #include "base/Error.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace coriandergate::fleet {
 
@@ -17,9 +18,11 @@
     if (heartbeat.address != m_address)
         return refuse("the address isn't that of this host's target");
     auto taken = heartbeat;
-    if (m_left && m_left->id == heartbeat.id && heartbeat.startedAt <= m_left->startedAt)
+    const bool isOfLeftId = m_left && m_left->id == heartbeat.id;
+    const bool isAnyIncarnation = m_left && m_left->startedAt == std::numeric_limits<std::uint64_t>::max();
+    if (isOfLeftId && heartbeat.startedAt <= m_left->startedAt)
         taken.isLeaving = true;
-    else if (m_left && heartbeat.startedAt < m_left->startedAt)
+    else if (m_left && !isAnyIncarnation && heartbeat.startedAt < m_left->startedAt)
         return Receipt::Stale;
     if (m_current) {
         const bool isSame = m_current->startedAt == heartbeat.startedAt && m_current->id == heartbeat.id;
@@ -42,7 +45,13 @@
     if (m_current && !isCurrent)
         return false;
     // A daemon that was just started may hear the farewell before any heartbeat; a late one must not undo it.
-    m_left = Left { id, isCurrent ? std::max(startedAt, m_current->startedAt) : startedAt };
+    if (isCurrent)
+        startedAt = std::max(startedAt, m_current->startedAt);
+    else if (startedAt == 0 && m_recalled && m_recalled->id == id)
+        startedAt = m_recalled->startedAt;
+    else if (startedAt == 0)
+        startedAt = std::numeric_limits<std::uint64_t>::max(); // whichever incarnation of that id it was
+    m_left = Left { id, startedAt };
     if (isCurrent)
         m_current->isLeaving = true;
     return isCurrent;
@@ -50,7 +59,10 @@
 
 auto LocalTarget::recall(const std::string& id, std::uint64_t startedAt, bool isLeaving) -> void
 {
-    if (!isLeaving || id.empty())
+    if (id.empty())
+        return;
+    m_recalled = Left { id, startedAt };
+    if (!isLeaving)
         return;
     m_left = Left { id, startedAt };
     if (m_current && m_current->id == id && m_current->startedAt == startedAt)
--- a/src/fleet/LocalTarget.h
+++ b/src/fleet/LocalTarget.h
@@ -51,7 +51,8 @@
     // known here. One that isn't known yet is remembered, so that a heartbeat of it which comes late isn't believed.
     [[nodiscard]] auto leave(const std::string& id, std::uint64_t startedAt) -> bool;
 
-    // recall() takes over what an earlier daemon of this host had told the fleet, so that a leaving target stays one.
+    // recall() takes over what an earlier daemon of this host had told the fleet: a leaving target stays one, and a
+    // farewell that doesn't tell the target's start is taken for the one that was known.
     auto recall(const std::string& id, std::uint64_t startedAt, bool isLeaving) -> void;
 
     // current() is the target that lives here; nothing before the first heartbeat.
@@ -71,6 +72,7 @@
     std::string m_address;
     std::optional<Heartbeat> m_current;
     std::optional<Left> m_left;
+    std::optional<Left> m_recalled; // what the fleet knew of this host's target, leaving or not
 };
 
 } // namespace coriandergate::fleet
--- a/src/fleet/LocalTarget_test.cpp
+++ b/src/fleet/LocalTarget_test.cpp
@@ -76,6 +76,27 @@
     CHECK_FALSE(target.isServing());
 }
 
+// Found on hunted days: a farewell doesn't tell the target's start, and a heartbeat that came late undid it.
+TEST_CASE("a farewell without a start is remembered for the incarnation that the fleet knew")
+{
+    auto target = makeTarget();
+    Error reason;
+    const bool isRecalled = GENERATE(true, false);
+    if (isRecalled)
+        target.recall("i-1", 100, false);
+    CHECK_FALSE(target.leave("i-1", 0));
+    CHECK(target.receive(heartbeat(100, 19), reason) == Receipt::Changed);
+    CHECK_FALSE(target.isServing());
+    if (isRecalled) {
+        CHECK(target.receive(heartbeat(200, 1), reason) == Receipt::Changed);
+        CHECK(target.isServing());
+    }
+    auto other = heartbeat(300, 1);
+    other.id = "i-2";
+    CHECK(target.receive(other, reason) == Receipt::Changed);
+    CHECK(target.isServing());
+}
+
 TEST_CASE("a farewell of an earlier target doesn't make the present one leave")
 {
     auto target = makeTarget();
