Drop an unused include and a comment on a parameter that isn't there

Change: one include of net/HttpServer.cpp, one comment of soak/Checker.h. Figures: format clean; the HTTP server's and the checker's cases pass; nothing else was run on it.

--- a/soak/Checker.h
+++ b/soak/Checker.h
@@ -65,7 +65,7 @@
     auto ran(const std::string& instance, const Run& run, MonotonicTime now) -> void;
     auto answered(const std::string& id, int status, const std::string& body, bool isSigned, MonotonicTime now) -> void;
 
-    // cut() says that the connection ended without an answer; `wasRead` that nothing but the daemon's stop explains it.
+    // cut() says that the connection ended without an answer.
     auto cut(const std::string& id, MonotonicTime now) -> void;
 
     auto leaveConfirmed(const std::string& instance, MonotonicTime now) -> void;
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -2,7 +2,6 @@
 
 #include "base/Error.h"
 #include "http/Exchange.h"
-#include "http/Problem.h"
 #include "net/Endpoint.h"
 #include "net/internal/HttpServerConnection.h"
 #include "net/internal/HttpServerState.h"
