Let the relays answer before a test takes them away

With both relays gone that question failed too, so that the first question of the test could be the second failure, and the store was asked one question earlier than the test counted. Ruled out: a fault of the feed (in the failing runs the store was asked, rightly, after both relays had failed); time (the test waits for events). Conclusion: the order of questions is fixed; the bound of one question to the store holds.

--- a/src/fleet/RelayedFeed_test.cpp
+++ b/src/fleet/RelayedFeed_test.cpp
@@ -103,11 +103,16 @@
             }
             for (const auto& [name, daemon] : daemons) {
                 const int before = daemon->store.calls;
-                daemon->feed.follow({ "op", 5, 500ms }, [](const StoreFeed::Result&) {});
+                // A relay's question stays open at the fake store beyond this scope.
+                const auto isAnswered = std::make_shared<bool>(false);
+                daemon->feed.follow({ "op", 5, 20ms }, [isAnswered](const StoreFeed::Result&) { *isAnswered = true; });
                 if (daemon->store.calls == before)
                     follower = daemon.get();
                 else
                     relays.push_back(daemon.get());
+                // A question that is still open when a relay goes would end as a failure of its own in the test.
+                if (daemon->store.calls == before)
+                    REQUIRE(runUntil(io, [isAnswered] { return *isAnswered; }));
             }
         }
 
