Ask other relays before the store, and never let a configuration's news grow old behind one

Ruled out: a host without touch (it reached the store when it asked); a row read late (the store had answered others). Change: news of the configuration that grows older than 1.9 s is asked for at the store itself. A relay that fails is replaced by the other one, or one of the region's other data centres, before the store is asked; a relay that the store turns away follows the others. News counts as confirmed only when the store's clock in it is newer. Hosts' rows are asked for less often while many change; a host that starts again replaces its row with one write; writes that fail are repeated farther apart.

--- a/src/fleet/HostAnnouncer.cpp
+++ b/src/fleet/HostAnnouncer.cpp
@@ -1,12 +1,8 @@
 #include "fleet/HostAnnouncer.h"
 
-namespace coriandergate::fleet {
-
-namespace {
+#include <algorithm>
 
-    constexpr std::chrono::milliseconds retryDelay { 250 };
-
-} // namespace
+namespace coriandergate::fleet {
 
 HostAnnouncer::HostAnnouncer(boost::asio::io_context& io, StoreFeed& feed, std::string table, std::string key)
     : m_feed(feed)
@@ -16,6 +12,12 @@
 {
 }
 
+auto HostAnnouncer::recordStanding(std::uint64_t version) -> void
+{
+    if (!m_hasConfirmed && !m_isWriting)
+        m_version = version;
+}
+
 auto HostAnnouncer::announce(const HostRecord& record, Stored stored) -> void
 {
     set(encodeHostRecord(record), std::move(stored));
@@ -49,6 +51,9 @@
 auto HostAnnouncer::onWritten(const std::optional<std::string>& written, StoreFeed::Result result) -> void
 {
     m_isWriting = false;
+    const auto* failed = std::get_if<StoreFailure>(&result);
+    if (!failed || failed->kind == StoreFailure::Kind::ConditionFailed)
+        m_retry = s_firstRetry;
     if (const auto* answer = std::get_if<StoreAnswer>(&result)) {
         m_version = written ? answer->newestVersion : 0;
         m_confirmed = written;
@@ -98,7 +103,8 @@
 
 auto HostAnnouncer::retry() -> void
 {
-    m_timer.expires_after(retryDelay);
+    m_timer.expires_after(m_retry);
+    m_retry = std::min(2 * m_retry, s_longestRetry);
     m_timer.async_wait([this, alive = m_isAlive](const boost::system::error_code& error) {
         if (!error && *alive)
             write();
--- a/src/fleet/HostAnnouncer.h
+++ b/src/fleet/HostAnnouncer.h
@@ -20,8 +20,16 @@
 public:
     using Stored = std::function<void()>;
 
+    // Waits between writes that failed; they double from the first to the longest one. A row that is missing after the
+    // store's return must be back within two seconds.
+    static constexpr std::chrono::milliseconds s_firstRetry { 250 };
+    static constexpr std::chrono::milliseconds s_longestRetry { 1500 };
+
     HostAnnouncer(boost::asio::io_context& io, StoreFeed& feed, std::string table, std::string key);
 
+    // recordStanding() tells the version of the row that an earlier daemon of this host left; 0 if there is none.
+    auto recordStanding(std::uint64_t version) -> void;
+
     // announce() writes `record` unless it stands there already, and calls `stored` once it does.
     auto announce(const HostRecord& record, Stored stored) -> void;
 
@@ -52,6 +60,7 @@
     std::optional<std::string> m_confirmed;
     std::vector<Stored> m_waiting;
     std::uint64_t m_version = 0; // of the row, as far as known
+    std::chrono::milliseconds m_retry { s_firstRetry };
     bool m_hasConfirmed = false;
     bool m_isWriting = false;
 };
--- a/src/fleet/RelayedFeed.cpp
+++ b/src/fleet/RelayedFeed.cpp
@@ -50,38 +50,44 @@
 auto RelayedFeed::setHosts(const HostDirectory& directory, const Locality& here) -> void
 {
     std::vector<std::pair<std::uint64_t, std::string>> byWeight;
-    for (const auto& host : directory.hostsOf(here.region)) {
-        const auto* record = directory.find(host);
-        if (record && record->locality == here)
-            byWeight.emplace_back(hashOf(host), host);
-    }
+    for (const auto& host : directory.hostsOf(here.region))
+        byWeight.emplace_back(hashOf(host), host);
     std::sort(byWeight.begin(), byWeight.end(), std::greater<> {});
+    std::map<std::string, std::size_t> found; // by data centre
     m_relays.clear();
-    m_addresses.clear();
+    m_fartherRelays.clear();
     for (const auto& [weight, host] : byWeight) {
-        if (m_relays.size() == m_options.relaysOfDataCentre)
-            break;
-        m_relays.push_back(host);
-        m_addresses[host] = directory.find(host)->peerAddress;
+        const auto* record = directory.find(host);
+        if (!record || found[record->locality.dataCentre]++ >= m_options.relaysOfDataCentre)
+            continue;
+        (record->locality == here ? m_relays : m_fartherRelays).push_back({ host, record->peerAddress });
     }
 }
 
 auto RelayedFeed::isRelay() const -> bool
 {
-    return std::find(m_relays.begin(), m_relays.end(), m_options.self) != m_relays.end();
+    return std::any_of(
+        m_relays.begin(), m_relays.end(), [this](const Relay& relay) { return relay.host == m_options.self; });
 }
 
-auto RelayedFeed::chooseRelay(MonotonicTime now) -> std::string
+auto RelayedFeed::chooseOf(const std::vector<Relay>& relays, MonotonicTime now) -> std::optional<Relay>
 {
-    if (isRelay())
-        return {};
-    std::vector<std::string> usable;
-    for (const auto& relay : m_relays) {
-        const auto avoided = m_avoidUntil.find(relay);
-        if (avoided == m_avoidUntil.end() || now >= avoided->second)
+    std::vector<Relay> usable;
+    for (const auto& relay : relays) {
+        const auto avoided = m_avoidUntil.find(relay.host);
+        if (relay.host != m_options.self && (avoided == m_avoidUntil.end() || now >= avoided->second))
             usable.push_back(relay);
     }
-    return usable.empty() ? std::string {} : usable[m_random() % usable.size()];
+    return usable.empty() ? std::nullopt : std::optional(usable[m_random() % usable.size()]);
+}
+
+auto RelayedFeed::chooseRelay(MonotonicTime now) -> std::optional<Relay>
+{
+    // Others wait for what a relay hears from the store.
+    if (isRelay() && now >= m_avoidStoreUntil)
+        return std::nullopt;
+    auto relay = chooseOf(m_relays, now);
+    return relay ? relay : chooseOf(m_fartherRelays, now);
 }
 
 auto RelayedFeed::read(const std::string& table, Callback done) -> void
@@ -99,12 +105,32 @@
 
 auto RelayedFeed::follow(const Follow& follow, Callback done) -> void
 {
-    // A question that mustn't wait goes to the store itself: it follows a failure, or looks for something missed.
-    const auto relay = follow.wait.count() == 0 ? std::string {} : chooseRelay(monotonicNow());
-    if (relay.empty())
-        followStore(follow, std::move(done));
-    else
-        followRelay(relay, follow, std::move(done));
+    const auto now = monotonicNow();
+    // A question that mustn't wait goes to the store itself: it looks for something missed.
+    const bool isForStore
+        = now >= m_avoidStoreUntil && (follow.wait.count() == 0 || timeForRelays(follow) < m_options.shortestQuestion);
+    const auto relay = isForStore ? std::nullopt : chooseRelay(now);
+    if (relay) {
+        followRelay(*relay, follow, std::move(done));
+        return;
+    }
+    auto asked = follow;
+    if (timeForRelays(follow) < m_options.shortestQuestion)
+        asked.wait = milliseconds { 0 };
+    followStore(asked, std::move(done));
+}
+
+// How long relays may take before what is known here grows too old. A host that the store doesn't serve has no other
+// way to newer news, so it lets them take their time.
+auto RelayedFeed::timeForRelays(const Follow& follow) const -> milliseconds
+{
+    if (follow.table != m_options.datedTable || monotonicNow() < m_avoidStoreUntil)
+        return milliseconds::max();
+    const auto now = m_storeTime ? m_storeTime() : std::nullopt;
+    const auto kept = m_tables.find(follow.table);
+    if (!now || kept == m_tables.end())
+        return milliseconds::max();
+    return m_options.oldestNews - (*now - kept->second.storeTime);
 }
 
 auto RelayedFeed::followStore(const Follow& follow, Callback done) -> void
@@ -115,6 +141,7 @@
         asked.wait = std::min(asked.wait, m_options.relayWait);
     m_store.follow(asked, [this, alive = m_isAlive, table = follow.table, done = std::move(done)](Result result) {
         if (*alive) {
+            noteStore(result);
             if (const auto* answer = std::get_if<StoreAnswer>(&result))
                 remember(table, *answer, false);
             else
@@ -124,39 +151,54 @@
     });
 }
 
-auto RelayedFeed::followRelay(const std::string& relay, const Follow& follow, Callback done) -> void
+// A store that serves others but not this host is left alone for a while.
+auto RelayedFeed::noteStore(const Result& result) -> void
+{
+    const auto* failure = std::get_if<StoreFailure>(&result);
+    const bool isAway
+        = failure && (failure->kind == StoreFailure::Kind::NotDone || failure->kind == StoreFailure::Kind::Unknown);
+    m_avoidStoreUntil = isAway ? monotonicNow() + m_options.storeBackoff : MonotonicTime {};
+}
+
+auto RelayedFeed::followRelay(const Relay& relay, const Follow& follow, Callback done) -> void
 {
     const auto sentAt = SuspendAwareClock::now();
     const bool isDated = follow.table == m_options.datedTable;
     const auto wait = isDated ? std::min(follow.wait, m_options.relayWait + m_options.answerTime) : follow.wait;
-    m_hops.send(m_addresses[relay], encodeNewsAsk({ follow.table, follow.after, wait }),
-        { .timeout = wait + m_options.hopTime },
-        [this, alive = m_isAlive, relay, sentAt, table = follow.table, done = std::move(done)](
+    const auto timeout
+        = std::max(m_options.shortestQuestion, std::min(wait + m_options.hopTime, timeForRelays(follow)));
+    m_hops.send(relay.address, encodeNewsAsk({ follow.table, follow.after, wait }), { .timeout = timeout },
+        [this, alive = m_isAlive, relay, sentAt, follow, isDated, done = std::move(done)](
             net::HttpClient::Result result) {
             if (!*alive)
                 return;
             const auto* received = std::get_if<http::Answer>(&result);
-            Error reason { "follow relay", relay, whyNoNews(result) };
+            Error reason { "follow relay", relay.host, whyNoNews(result) };
             auto answer = received && received->status == ok ? decodeNews(received->body, reason) : std::nullopt;
             const auto now = m_storeTime ? m_storeTime() : std::nullopt;
-            const bool isOld
-                = answer && now && table == m_options.datedTable && *now - answer->storeTime > m_options.oldestNews;
+            const bool isOld = answer && now && isDated && *now - answer->storeTime > m_options.oldestNews;
             if (!answer || isOld) {
-                m_avoidUntil[relay] = monotonicNow() + m_options.relayBackoff;
                 reason.reason = isOld ? "its news is old" : reason.reason;
-                log::logEvent(relayLost, { { "why", reason.toText() } });
-                done(StoreFailure { StoreFailure::Kind::NotDone, reason, {} });
+                onRelayFailed(relay, reason, follow, done);
                 return;
             }
             answer->sentAt = sentAt;
             answer->receivedAt = SuspendAwareClock::now();
             answer->isPassedOn = true;
             // This host may become a relay, and must then know every row.
-            remember(table, *answer, false);
+            remember(follow.table, *answer, false);
             done(std::move(*answer));
         });
 }
 
+auto RelayedFeed::onRelayFailed(const Relay& relay, const Error& reason, const Follow& follow, Callback done) -> void
+{
+    const auto now = monotonicNow();
+    m_avoidUntil[relay.host] = now + m_options.relayBackoff;
+    log::logEvent(relayLost, { { "why", reason.toText() } });
+    this->follow(follow, std::move(done));
+}
+
 // Rows that aren't there any more went while no changes were heard; those who follow this host must be told.
 auto RelayedFeed::markMissing(Table& table, const StoreAnswer& whole) -> void
 {
@@ -181,9 +223,11 @@
             known = row;
     }
     kept.newestVersion = std::max(kept.newestVersion, answer.newestVersion);
-    kept.storeTime = std::max(kept.storeTime, answer.storeTime);
     kept.isKnown = kept.isKnown || isWhole;
-    ++kept.confirmations;
+    // Two relays that follow each other would else confirm each other's old news without end.
+    if (answer.storeTime > kept.storeTime)
+        ++kept.confirmations;
+    kept.storeTime = std::max(kept.storeTime, answer.storeTime);
     wakeWaiting(table);
 }
 
--- a/src/fleet/RelayedFeed.h
+++ b/src/fleet/RelayedFeed.h
@@ -2,7 +2,9 @@
 //
 // In each data centre a few hosts, found by hashing over the list of hosts, follow the store themselves; the others
 // follow one of them, which answers at once when something changed or its own news was confirmed. An answer that was
-// passed on proves only the store's time that stands in it. When no relay answers with fresh news the store is asked.
+// passed on proves only the store's time that stands in it. A relay that fails is replaced by another one, of the data
+// centre or else of the region; when none answers with fresh news the store is asked. A relay that the store doesn't
+// serve follows the others meanwhile.
 //
 //   RelayedFeed feed(io, store, hops, { .self = "10.1.0.11", .datedTable = "op" });
 //   feed.setHosts(directory, locality);
@@ -18,6 +20,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <string_view>
@@ -41,8 +44,14 @@
         std::chrono::milliseconds relayWait { 1200 }; // one long poll of a relay for the dated table
         std::chrono::milliseconds answerTime { 200 }; // by which a relay's confirmed news may come later than that
         std::chrono::milliseconds hopTime { 300 }; // for its answer to come
-        std::chrono::milliseconds oldestNews { 2000 }; // a relay with older news has lost the store
+        std::chrono::milliseconds shortestQuestion {
+            100
+        }; // two ways between regions and some; less isn't worth asking
+        // News of the dated table that grows older than this is asked for at the store itself: a configuration must be
+        // in force everywhere 2.5 s after the store confirmed it, and the store's answer takes its time.
+        std::chrono::milliseconds oldestNews { 1900 };
         std::chrono::milliseconds relayBackoff { 3000 }; // a relay that failed isn't asked for so long
+        std::chrono::milliseconds storeBackoff { 3000 }; // nor is the store, while a relay answers
     };
     static constexpr std::string_view s_path = "/news";
 
@@ -67,7 +76,7 @@
         std::map<std::string, StoreRow> rows;
         std::uint64_t newestVersion = 0;
         std::chrono::milliseconds storeTime { 0 };
-        std::uint64_t confirmations = 0; // answers of the store so far
+        std::uint64_t confirmations = 0; // answers so far that were newer, by the store's clock, than those before
         bool isKnown = false;
     };
 
@@ -80,10 +89,20 @@
         std::shared_ptr<boost::asio::steady_timer> timer;
     };
 
+    // Relay is a daemon that passes news on.
+    struct Relay {
+        std::string host;
+        std::string address;
+    };
+
     [[nodiscard]] auto isRelay() const -> bool;
-    [[nodiscard]] auto chooseRelay(MonotonicTime now) -> std::string;
+    [[nodiscard]] auto chooseRelay(MonotonicTime now) -> std::optional<Relay>;
+    [[nodiscard]] auto chooseOf(const std::vector<Relay>& relays, MonotonicTime now) -> std::optional<Relay>;
     auto followStore(const Follow& follow, Callback done) -> void;
-    auto followRelay(const std::string& relay, const Follow& follow, Callback done) -> void;
+    auto followRelay(const Relay& relay, const Follow& follow, Callback done) -> void;
+    auto onRelayFailed(const Relay& relay, const Error& reason, const Follow& follow, Callback done) -> void;
+    auto noteStore(const Result& result) -> void;
+    [[nodiscard]] auto timeForRelays(const Follow& follow) const -> std::chrono::milliseconds;
     auto remember(const std::string& table, const StoreAnswer& answer, bool isWhole) -> void;
     static auto markMissing(Table& table, const StoreAnswer& whole) -> void;
     [[nodiscard]] auto hasNewsFor(const Table& table, const Waiting& waiting) const -> bool;
@@ -96,9 +115,10 @@
     net::HttpClient& m_hops;
     Options m_options;
     std::function<std::optional<std::chrono::milliseconds>()> m_storeTime;
-    std::vector<std::string> m_relays; // of this data centre, by host
-    std::map<std::string, std::string> m_addresses; // of the relays
-    std::map<std::string, MonotonicTime> m_avoidUntil;
+    std::vector<Relay> m_relays; // of this data centre
+    std::vector<Relay> m_fartherRelays; // of the region's other data centres
+    std::map<std::string, MonotonicTime> m_avoidUntil; // relays, by host
+    MonotonicTime m_avoidStoreUntil;
     std::map<std::string, Table> m_tables;
     std::list<Waiting> m_waiting;
     std::minstd_rand m_random { std::random_device {}() };
--- a/src/fleet/TableFollower.cpp
+++ b/src/fleet/TableFollower.cpp
@@ -93,7 +93,11 @@
     }
     const auto& answer = std::get<StoreAnswer>(result);
     take(answer, false);
-    later(answer.rows.empty() ? milliseconds { 0 } : m_options.settle);
+    if (answer.rows.empty())
+        m_settle = milliseconds { 0 };
+    else
+        m_settle = m_settle.count() == 0 ? m_options.settle : std::min(2 * m_settle, m_options.longestSettle);
+    later(m_settle);
 }
 
 auto TableFollower::take(const StoreAnswer& answer, bool isWhole) -> void
--- a/src/fleet/TableFollower.h
+++ b/src/fleet/TableFollower.h
@@ -22,6 +22,7 @@
         std::string table;
         std::chrono::milliseconds wait { 2000 }; // of one long poll
         std::chrono::milliseconds settle { 120 }; // after a change, so that several make one call
+        std::chrono::milliseconds longestSettle { 120 }; // it doubles up to this while changes follow each other
         std::chrono::milliseconds firstRetry { 100 };
         std::chrono::milliseconds longestRetry { 700 };
     };
@@ -69,6 +70,7 @@
     Failed m_failed;
     std::uint64_t m_after = 0;
     std::chrono::milliseconds m_retry { 0 };
+    std::chrono::milliseconds m_settle { 0 }; // after the last change; 0 when the last answer had none
     bool m_hasRead = false;
     bool m_isCatchingUp = false;
     bool m_needsQuickAnswer = true; // the first answer after a failure shouldn't wait for a change
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -51,10 +51,15 @@
     constexpr milliseconds configurationWait { 2600 };
     // One long poll for the hosts, whose changes are told as they come.
     constexpr milliseconds hostsWait { 15000 };
-    // Rows of hosts change several at a time.
+    // Rows of hosts change several at a time, and for seconds when many hosts start or leave.
     constexpr milliseconds hostsSettle { 300 };
-    // A host without a target tells so when no heartbeat came after this; targets send one every second or two.
-    constexpr milliseconds firstHeartbeatTime { 1700 };
+    constexpr milliseconds longestHostsSettle { 1200 };
+    // For changes of hosts to come through a relay, which waits as well; beyond it the news of hosts would grow too
+    // old.
+    constexpr milliseconds longestHostsDelay { 2000 };
+    // A host without a target tells so when no heartbeat came after this: two periods of the slowest heartbeat, so that
+    // mostly one row is written.
+    constexpr milliseconds firstHeartbeatTime { 4000 };
     // A target that leaves is told so at the latest after this; it waits a second.
     constexpr milliseconds longestAcknowledgement { 650 };
     // Part of the revocation bound for which an answer of the store counts as news; the rest covers the way of a
@@ -172,7 +177,8 @@
     boost::asio::steady_timer firstHeartbeatTimer;
     boost::asio::steady_timer stopTimer;
     boost::asio::steady_timer goneHostsTimer;
-    std::uint64_t missedVersion = 0; // of the store, that the hosts' rows were not told up to at the last answer
+    std::uint64_t missedVersion = 0; // of the store, that the hosts' rows were not told up to at some answer
+    MonotonicTime missedSince; // when that answer came
     MonotonicTime stopBeganAt;
     MonotonicTime lastOpenAt; // something was open
     bool isStopping = false;
@@ -191,7 +197,8 @@
     , feed(io, store, hops, { .self = settings.hostAddress, .datedTable = adapter.operatorTable })
     , announcer(io, feed, hostTable, settings.hostAddress)
     , configurationFollower(io, feed, { .table = adapter.operatorTable, .wait = configurationWait })
-    , hostFollower(io, feed, { .table = hostTable, .wait = hostsWait, .settle = hostsSettle })
+    , hostFollower(io, feed,
+          { .table = hostTable, .wait = hostsWait, .settle = hostsSettle, .longestSettle = longestHostsSettle })
     , proof({ .maximumAge = freshness(settings) })
     , hostsProof({ .maximumAge = freshness(settings) })
     , board({ .here = settings.locality })
@@ -285,10 +292,17 @@
         record(hostsProof, answer);
         return;
     }
-    // Mostly the change is on its way. Only when it didn't come before the next answer it may have lost its way.
-    if (hostFollower.after() < missedVersion)
+    // Mostly the change is on its way, held back while changes follow each other. When it doesn't come it may have lost
+    // its way.
+    const auto now = monotonicNow();
+    if (hostFollower.after() >= missedVersion) {
+        missedVersion = answer.newestVersion;
+        missedSince = now;
+    } else if (now - missedSince > longestHostsDelay) {
         hostFollower.catchUp();
-    missedVersion = answer.newestVersion;
+        missedVersion = answer.newestVersion;
+        missedSince = now;
+    }
 }
 
 auto Sidecar::State::onStoreFailure(const Error& error) -> void
@@ -384,6 +398,7 @@
 auto Sidecar::State::onHostsKnown() -> void
 {
     knowsHosts = true;
+    announcer.recordStanding(directory.version(settings.hostAddress));
     if (const auto* earlier = directory.find(settings.hostAddress)) {
         target.recall(earlier->targetId, earlier->targetStartedAt, earlier->state == fleet::HostRecord::State::Leaving);
     }
