Leave the store alone only after it failed twice and while a relay has fresh news

Ruled out: the store being away (it answered the next question). Change: one failure is followed by a quick question to the store; only the second one in a row of the configuration's table makes a host turn to relays, whose news must be fresh, else the store is asked all the same.

--- a/src/fleet/RelayedFeed.cpp
+++ b/src/fleet/RelayedFeed.cpp
@@ -84,7 +84,7 @@
 auto RelayedFeed::chooseRelay(MonotonicTime now) -> std::optional<Relay>
 {
     // Others wait for what a relay hears from the store.
-    if (isRelay() && now >= m_avoidStoreUntil)
+    if (isRelay() && !isStoreAway(now))
         return std::nullopt;
     auto relay = chooseOf(m_relays, now);
     return relay ? relay : chooseOf(m_fartherRelays, now);
@@ -106,29 +106,28 @@
 auto RelayedFeed::follow(const Follow& follow, Callback done) -> void
 {
     const auto now = monotonicNow();
-    // A question that mustn't wait goes to the store itself: it looks for something missed.
-    const bool isForStore
-        = now >= m_avoidStoreUntil && (follow.wait.count() == 0 || timeForRelays(follow) < m_options.shortestQuestion);
-    const auto relay = isForStore ? std::nullopt : chooseRelay(now);
-    if (relay) {
-        followRelay(*relay, follow, std::move(done));
-        return;
-    }
     auto asked = follow;
-    if (timeForRelays(follow) < m_options.shortestQuestion)
+    if (timeToOldNews(follow) < m_options.shortestQuestion)
         asked.wait = milliseconds { 0 };
-    followStore(asked, std::move(done));
+    // A question that mustn't wait goes to the store itself: it looks for something missed.
+    const bool isForStore = asked.wait.count() == 0 && !isStoreAway(now);
+    if (const auto relay = isForStore ? std::nullopt : chooseRelay(now))
+        followRelay(*relay, asked, std::move(done));
+    else
+        followStore(asked, std::move(done));
 }
 
-// How long relays may take before what is known here grows too old. A host that the store doesn't serve has no other
-// way to newer news, so it lets them take their time.
-auto RelayedFeed::timeForRelays(const Follow& follow) const -> milliseconds
+auto RelayedFeed::isStoreAway(MonotonicTime now) const -> bool
+{
+    return m_storeFailures >= m_options.failuresToLeaveStore && now < m_avoidStoreUntil;
+}
+
+// How long until what is known here grows too old.
+auto RelayedFeed::timeToOldNews(const Follow& follow) const -> milliseconds
 {
-    if (follow.table != m_options.datedTable || monotonicNow() < m_avoidStoreUntil)
-        return milliseconds::max();
     const auto now = m_storeTime ? m_storeTime() : std::nullopt;
     const auto kept = m_tables.find(follow.table);
-    if (!now || kept == m_tables.end())
+    if (follow.table != m_options.datedTable || !now || kept == m_tables.end())
         return milliseconds::max();
     return m_options.oldestNews - (*now - kept->second.storeTime);
 }
@@ -141,7 +140,7 @@
         asked.wait = std::min(asked.wait, m_options.relayWait);
     m_store.follow(asked, [this, alive = m_isAlive, table = follow.table, done = std::move(done)](Result result) {
         if (*alive) {
-            noteStore(result);
+            noteStore(table, result);
             if (const auto* answer = std::get_if<StoreAnswer>(&result))
                 remember(table, *answer, false);
             else
@@ -151,13 +150,18 @@
     });
 }
 
-// A store that serves others but not this host is left alone for a while.
-auto RelayedFeed::noteStore(const Result& result) -> void
+// A store that serves others but not this host is left alone for a while. One failure says little: the store may have
+// cut every host's question, and is asked again at once.
+auto RelayedFeed::noteStore(const std::string& table, const Result& result) -> void
 {
     const auto* failure = std::get_if<StoreFailure>(&result);
     const bool isAway
         = failure && (failure->kind == StoreFailure::Kind::NotDone || failure->kind == StoreFailure::Kind::Unknown);
-    m_avoidStoreUntil = isAway ? monotonicNow() + m_options.storeBackoff : MonotonicTime {};
+    if (!isAway)
+        m_storeFailures = 0;
+    else if (table == m_options.datedTable) // the questions for several tables fail together
+        ++m_storeFailures;
+    m_avoidStoreUntil = monotonicNow() + m_options.storeBackoff;
 }
 
 auto RelayedFeed::followRelay(const Relay& relay, const Follow& follow, Callback done) -> void
@@ -165,8 +169,9 @@
     const auto sentAt = SuspendAwareClock::now();
     const bool isDated = follow.table == m_options.datedTable;
     const auto wait = isDated ? std::min(follow.wait, m_options.relayWait + m_options.answerTime) : follow.wait;
-    const auto timeout
-        = std::max(m_options.shortestQuestion, std::min(wait + m_options.hopTime, timeForRelays(follow)));
+    // A host that the store doesn't serve has no other way to newer news, so it lets relays take their time.
+    const auto longest = isStoreAway(monotonicNow()) ? milliseconds::max() : timeToOldNews(follow);
+    const auto timeout = std::max(m_options.shortestQuestion, std::min(wait + m_options.hopTime, longest));
     m_hops.send(relay.address, encodeNewsAsk({ follow.table, follow.after, wait }), { .timeout = timeout },
         [this, alive = m_isAlive, relay, sentAt, follow, isDated, done = std::move(done)](
             net::HttpClient::Result result) {
--- a/src/fleet/RelayedFeed.h
+++ b/src/fleet/RelayedFeed.h
@@ -51,7 +51,8 @@
         // in force everywhere 2.5 s after the store confirmed it, and the store's answer takes its time.
         std::chrono::milliseconds oldestNews { 1900 };
         std::chrono::milliseconds relayBackoff { 3000 }; // a relay that failed isn't asked for so long
-        std::chrono::milliseconds storeBackoff { 3000 }; // nor is the store, while a relay answers
+        std::size_t failuresToLeaveStore = 2; // in a row; after them the store isn't asked either
+        std::chrono::milliseconds storeBackoff { 3000 }; // for so long, while a relay has news
     };
     static constexpr std::string_view s_path = "/news";
 
@@ -101,8 +102,9 @@
     auto followStore(const Follow& follow, Callback done) -> void;
     auto followRelay(const Relay& relay, const Follow& follow, Callback done) -> void;
     auto onRelayFailed(const Relay& relay, const Error& reason, const Follow& follow, Callback done) -> void;
-    auto noteStore(const Result& result) -> void;
-    [[nodiscard]] auto timeForRelays(const Follow& follow) const -> std::chrono::milliseconds;
+    auto noteStore(const std::string& table, const Result& result) -> void;
+    [[nodiscard]] auto isStoreAway(MonotonicTime now) const -> bool;
+    [[nodiscard]] auto timeToOldNews(const Follow& follow) const -> std::chrono::milliseconds;
     auto remember(const std::string& table, const StoreAnswer& answer, bool isWhole) -> void;
     static auto markMissing(Table& table, const StoreAnswer& whole) -> void;
     [[nodiscard]] auto hasNewsFor(const Table& table, const Waiting& waiting) const -> bool;
@@ -118,6 +120,7 @@
     std::vector<Relay> m_relays; // of this data centre
     std::vector<Relay> m_fartherRelays; // of the region's other data centres
     std::map<std::string, MonotonicTime> m_avoidUntil; // relays, by host
+    std::size_t m_storeFailures = 0; // in a row
     MonotonicTime m_avoidStoreUntil;
     std::map<std::string, Table> m_tables;
     std::list<Waiting> m_waiting;
