Take a granted slot back when the target began to fail, and try failing targets less often

Trials of a target that goes on failing were 1.5 times apart and each costs a repeatable request a further attempt. Change: the daemon beside the target looks again when the request comes and says not run; gaps between trials double.

--- a/src/dispatch/TargetHealth.h
+++ b/src/dispatch/TargetHealth.h
@@ -28,7 +28,7 @@
         std::size_t answersToClear = 4;
         std::chrono::milliseconds firstTrialGap { 120 };
         std::chrono::milliseconds longestTrialGap { 1500 };
-        double gapGrowth = 1.5;
+        double gapGrowth = 2;
         std::size_t answersToTryOnceOnly = 2; // a request that can't be repeated is too dear for the first trials
         std::chrono::milliseconds onceOnlyTrialAfter { 2000 }; // without any repeatable request to try it with
         double silentFailure = 0.6; // what a request counts while the target gives no answer at all
--- a/src/relay/EntryRequest.cpp
+++ b/src/relay/EntryRequest.cpp
@@ -489,9 +489,9 @@
     m_context.hops.release(m_call);
     // A target without a free slot may have one later; one that leaves or fails won't.
     constexpr milliseconds leavingPause { 1000 };
-    if (answer.body == "no slot in time")
+    if (answer.body == noSlotInTime)
         ++m_slotRefusals;
-    else if (answer.body != "target fails")
+    else if (answer.body != targetFailsNow)
         m_context.board.avoid(*m_target, monotonicNow() + leavingPause);
     m_excluded.push_back(m_target->description.address);
     releaseTarget();
--- a/src/relay/HeaderNames.h
+++ b/src/relay/HeaderNames.h
@@ -16,7 +16,6 @@
     std::string notRun; // a target's word that it did not run the request
     std::string retryAfter; // seconds, with fractions
     std::string callerService; // the service of the host where the request began
-    std::string targetId;
     std::string key; // the client account's key
 };
 
--- a/src/relay/HopMessages.h
+++ b/src/relay/HopMessages.h
@@ -32,6 +32,10 @@
 // Stands with a granted slot for a repeatable request: what a run of it calls besides, "service=ratio,...".
 inline constexpr std::string_view callsHeader = "Coriandergate-Calls";
 
+// Why a slot is refused, where the entry must know: the body of the refusal.
+inline constexpr std::string_view noSlotInTime = "no slot in time";
+inline constexpr std::string_view targetFailsNow = "target fails";
+
 // HopOutcome says how an attempt ended.
 enum class HopOutcome {
     Answered, // the target's own whole answer
--- a/src/relay/OwnerRelay.cpp
+++ b/src/relay/OwnerRelay.cpp
@@ -49,6 +49,7 @@
     bool isGranted = false;
     bool isTrial = false;
     bool isRepeatable = false;
+    bool takesFailing = false;
     std::unique_ptr<boost::asio::steady_timer> timer; // for a granted slot whose request doesn't come
 };
 
@@ -127,7 +128,7 @@
     }
     const auto admission = m_health.admit(ask->isRepeatable || ask->takesFailing, now);
     if (admission == TargetHealth::Admission::Refused && !ask->takesFailing) {
-        refuse(exchange, ask->requestId, "target fails");
+        refuse(exchange, ask->requestId, targetFailsNow);
         return;
     }
     releaseReservation(exchange->peer());
@@ -142,7 +143,7 @@
     if (decision == SlotQueue::Decision::Refused) {
         if (admission == TargetHealth::Admission::Trial)
             m_health.endTrial();
-        refuse(exchange, ask->requestId, "no slot in time");
+        refuse(exchange, ask->requestId, noSlotInTime);
         return;
     }
     const auto reservation = std::make_shared<Reservation>();
@@ -151,6 +152,7 @@
     reservation->requestId = ask->requestId;
     reservation->exchange = exchange;
     reservation->isRepeatable = ask->isRepeatable;
+    reservation->takesFailing = ask->takesFailing;
     reservation->isTrial = admission == TargetHealth::Admission::Trial;
     m_reservations[exchange->peer()] = reservation;
     if (decision == SlotQueue::Decision::Granted) {
@@ -223,7 +225,7 @@
         m_waiting.erase(waiting);
         if (reservation->isTrial)
             m_health.endTrial();
-        refuse(reservation->exchange, reservation->requestId, "no slot in time");
+        refuse(reservation->exchange, reservation->requestId, noSlotInTime);
     }
     while (const auto ticket = m_slots.next(now)) {
         const auto waiting = m_waiting.find(*ticket);
@@ -290,6 +292,7 @@
     }
     run->isTrial = found->second->isTrial;
     run->isRepeatable = ask->isRepeatable;
+    const bool takesFailing = run->isTrial || found->second->takesFailing;
     found->second->isTrial = false;
     // The slot passes from the reservation to the run.
     m_reservations.erase(found);
@@ -298,6 +301,12 @@
         reply(*run, HopOutcome::NotRun, http::makeAnswer(serviceUnavailable, "text/plain", ""), "target leaves");
         return;
     }
+    // It may have begun to fail since the slot was granted.
+    if (m_health.isFailing() && !takesFailing) {
+        finishRun(*run, std::nullopt);
+        reply(*run, HopOutcome::NotRun, http::makeAnswer(serviceUnavailable, "text/plain", ""), targetFailsNow);
+        return;
+    }
     const auto storeTime = m_storeTime ? m_storeTime() : std::nullopt;
     if (ask->expiresAt && storeTime)
         ask->timeLeft = std::min(ask->timeLeft, *ask->expiresAt - *storeTime);
