Borrow further attempts from other entries when an entry's own part is used up

Ruled out: a greater part for each entry (the parts must add up to the whole). Change: such an entry asks two hosts of its data centre to lend an attempt, which counts at the lender; a lender keeps three tenths for itself.

--- a/src/dispatch/AttemptBudget.cpp
+++ b/src/dispatch/AttemptBudget.cpp
@@ -32,6 +32,8 @@
         return m_options.lessUrgentPart;
     case Claim::Trial:
         return m_options.trialPart;
+    case Claim::Lent:
+        return m_options.lentPart;
     }
     return 1;
 }
--- a/src/dispatch/AttemptBudget.h
+++ b/src/dispatch/AttemptBudget.h
@@ -5,6 +5,9 @@
 //
 // Load pattern: many targets failing at once while callers repeat.
 //
+// Failures don't spread evenly over entries, so one that has used up its part borrows from others: an attempt that is
+// lent counts at the lender, and all parts still add up to no more than the whole.
+//
 // A run that calls other services repeats its calls too, so these are counted at the services called.
 //
 //   AttemptBudget budget({ .ratio = 0.2, .allowance = 64, .window = 10s });
@@ -32,6 +35,7 @@
         std::chrono::milliseconds window { 10000 };
         double lessUrgentPart = 0.85; // of the budget, for less urgent requests
         double trialPart = 0.4; // of the budget, for trials
+        double lentPart = 0.7; // of the budget, for attempts of other hosts that have used up theirs
         double usedPart = 0.85; // of both: the rest covers windows that the hosts count at different times
     };
 
@@ -48,6 +52,7 @@
         Urgent,
         LessUrgent,
         Trial,
+        Lent,
     };
 
     // CallsPerRun says how many calls of each other service a run makes, on average.
--- a/src/dispatch/AttemptBudget_test.cpp
+++ b/src/dispatch/AttemptBudget_test.cpp
@@ -3,6 +3,7 @@
 #include "dispatch/CallRatio.h"
 
 #include <catch2/catch.hpp>
+#include <vector>
 
 namespace coriandergate::dispatch {
 
@@ -67,6 +68,43 @@
     CHECK(budget.mayTake("orders", {}, Claim::Urgent, 64, at(1s)));
 }
 
+// Load pattern: failures that come to few entries at a time. The naive way keeps to each entry's own part.
+TEST_CASE("an entry whose part is used up borrows, and all parts together stay within the fleet's budget")
+{
+    constexpr std::size_t hosts = 34;
+    constexpr int needed = 20; // further attempts at the one entry that meets the failures
+    std::vector<AttemptBudget> budgets(hosts, AttemptBudget(options));
+    for (auto& budget : budgets) {
+        for (int i = 0; i < 50; ++i)
+            budget.recordRequest("orders", at(i * 20ms));
+    }
+    int own = 0;
+    int lent = 0;
+    for (int i = 0; i < needed; ++i) {
+        if (budgets[0].take("orders", {}, Claim::Urgent, hosts, at(1s)))
+            ++own;
+        else if (budgets[1 + i % (hosts - 1)].take("orders", {}, Claim::Lent, hosts, at(1s)))
+            ++lent;
+    }
+    CHECK(own < needed); // all that the naive way has
+    CHECK(own + lent == needed);
+    int all = own + lent;
+    for (auto& budget : budgets) {
+        while (budget.take("orders", {}, Claim::Urgent, hosts, at(1s)))
+            ++all;
+    }
+    CHECK(all <= 0.2 * 50 * hosts + 64);
+}
+
+TEST_CASE("a lender keeps a part for its own requests")
+{
+    AttemptBudget budget(options);
+    for (int i = 0; i < 100; ++i)
+        budget.recordRequest("orders", at(0ms));
+    while (budget.take("orders", {}, Claim::Lent, 34, at(1s))) { }
+    CHECK(budget.take("orders", {}, Claim::Urgent, 34, at(1s)));
+}
+
 // Load patterns: many targets failing at once, so that trials alone could use up the budget; repeats that are scarce.
 TEST_CASE("trials leave most of the budget, and less urgent requests a part of it, to the others")
 {
--- /dev/null
+++ b/src/relay/AttemptLoan_test.cpp
@@ -0,0 +1,135 @@
+#include "relay/AttemptLoan.h"
+
+#include "fleet/HostDirectory.h"
+#include "http/Exchange.h"
+#include "net/HttpServer.h"
+#include "relay/EntryContext.h"
+
+#include <catch2/catch.hpp>
+
+namespace coriandergate::relay {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+    const Locality here { "west", "west-a" };
+
+    // Lender answers with a status and keeps what it was asked.
+    struct Lender {
+        explicit Lender(boost::asio::io_context& io)
+            : server(io, {}, [this](std::shared_ptr<http::Exchange> exchange) {
+                Error reason;
+                asked.push_back(decodeAttempt(exchange->request().body, reason).value_or(AttemptAsk {}));
+                exchange->answer(http::makeAnswer(status, "text/plain", ""));
+            })
+        {
+            Error reason;
+            REQUIRE(server.listen("127.0.0.1:0", reason));
+        }
+
+        int status = 200;
+        std::vector<AttemptAsk> asked;
+        net::HttpServer server;
+    };
+
+    // An entry and two hosts beside it in its data centre.
+    struct Entry {
+        Entry()
+            : hops(io, {})
+            , board({ .here = here })
+            , attempts({})
+            , proof({ .maximumAge = 1s })
+            , context { .io = io,
+                .options = {},
+                .headers = {},
+                .self = "self",
+                .service = "ledger",
+                .here = here,
+                .hops = hops,
+                .board = board,
+                .attempts = attempts,
+                .calls = calls,
+                .proof = proof,
+                .hostsProof = proof,
+                .directory = directory,
+                .snapshot = nullptr }
+        {
+            for (int i = 0; i < 2; ++i)
+                lenders.push_back(std::make_unique<Lender>(io));
+            std::vector<fleet::StoreRow> rows { row("self", 1, here) };
+            rows.push_back(row("a", lenders[0]->server.port(), here));
+            rows.push_back(row("b", lenders[1]->server.port(), here));
+            rows.push_back(row("far", 1, { "east", "east-a" }));
+            directory.apply(rows, true);
+        }
+
+        static auto row(const std::string& host, std::uint16_t port, const Locality& locality) -> fleet::StoreRow
+        {
+            fleet::HostRecord record;
+            record.peerAddress = "127.0.0.1:" + std::to_string(port);
+            record.locality = locality;
+            record.service = "ledger";
+            return { host, fleet::encodeHostRecord(record), 1, false };
+        }
+
+        // Asks for a loan and waits for its end.
+        auto borrow(const AttemptAsk& ask) -> std::optional<bool>
+        {
+            std::optional<bool> result;
+            const auto loan = AttemptLoan::start(context, ask, [&result](bool isLent) { result = isLent; });
+            const auto end = std::chrono::steady_clock::now() + 2s;
+            while (!result && std::chrono::steady_clock::now() < end)
+                io.run_one_for(20ms);
+            return result;
+        }
+
+        boost::asio::io_context io;
+        std::vector<std::unique_ptr<Lender>> lenders;
+        net::HttpClient hops;
+        dispatch::TargetBoard board;
+        dispatch::AttemptBudget attempts;
+        dispatch::CallRatio calls;
+        dispatch::FreshnessProof proof;
+        fleet::HostDirectory directory;
+        EntryContext context;
+    };
+
+} // namespace
+
+TEST_CASE("a further attempt is lent by the first host of the data centre that has one")
+{
+    Entry entry;
+    const AttemptAsk ask { .service = "orders", .calls = { { "stock", 1.5 } } };
+    entry.lenders[0]->status = 429;
+    for (int i = 0; i < 10; ++i)
+        CHECK(entry.borrow(ask) == true);
+    CHECK(entry.lenders[1]->asked.size() == 10); // each loan is one lender's
+    CHECK(entry.lenders[1]->asked.front() == ask);
+}
+
+TEST_CASE("without a lender there is no further attempt")
+{
+    Entry entry;
+    for (const auto& lender : entry.lenders)
+        lender->status = 429;
+    CHECK(entry.borrow({ .service = "orders" }) == false);
+    entry.lenders[0]->server.finishDrain();
+    entry.lenders[1]->server.finishDrain();
+    CHECK(entry.borrow({ .service = "orders" }) == false);
+    entry.directory.apply({}, true);
+    CHECK(entry.borrow({ .service = "orders" }) == false);
+}
+
+TEST_CASE("a loan that is cancelled tells nothing")
+{
+    Entry entry;
+    bool isTold = false;
+    const auto loan = AttemptLoan::start(entry.context, { .service = "orders" }, [&isTold](bool) { isTold = true; });
+    loan->cancel();
+    for (int i = 0; i < 10; ++i)
+        entry.io.run_one_for(10ms);
+    CHECK_FALSE(isTold);
+}
+
+} // namespace coriandergate::relay
--- a/src/relay/EntryContext.h
+++ b/src/relay/EntryContext.h
@@ -23,9 +23,9 @@
 
 namespace coriandergate::relay {
 
-// EntryContext is used on the thread of its io_context and outlives every request.
 class EntryRequest;
 
+// EntryContext is used on the thread of its io_context and outlives every request.
 struct EntryContext {
     struct Options {
         std::chrono::milliseconds hopTime {
@@ -34,6 +34,8 @@
         std::chrono::milliseconds farHopTime { 260 }; // the same for one of another region
         std::chrono::milliseconds rateHopTime { 120 }; // for the home of an account in this region to answer
         std::chrono::milliseconds farRateHopTime { 250 }; // for one of another region
+        std::chrono::milliseconds loanHopTime { 100 }; // for a host of this data centre to lend an attempt
+        std::size_t lendersAsked = 2;
         std::chrono::milliseconds rateHomeBackoff { 1000 }; // a home that wasn't reached isn't asked for so long
         std::chrono::milliseconds shortestRetryAfter { 200 };
         std::chrono::milliseconds longestRetryAfter { 3000 };
@@ -47,6 +49,7 @@
     boost::asio::io_context& io;
     Options options;
     HeaderNames headers;
+    std::string self; // key of this host
     std::string service; // of the target of this host
     Locality here;
     net::HttpClient& hops;
--- a/src/relay/EntryRequest.cpp
+++ b/src/relay/EntryRequest.cpp
@@ -4,6 +4,7 @@
 #include "fleet/HostDirectory.h"
 #include "http/Exchange.h"
 #include "log/Event.h"
+#include "relay/AttemptLoan.h"
 
 #include <algorithm>
 #include <array>
@@ -433,6 +434,8 @@
 
 auto EntryRequest::releaseTarget() -> void
 {
+    if (m_loan)
+        std::exchange(m_loan, nullptr)->cancel();
     if (m_target)
         m_context.board.finish(*m_target);
     m_target = nullptr;
@@ -500,10 +503,7 @@
 
 auto EntryRequest::run() -> void
 {
-    const auto now = monotonicNow();
-    // The key may have been withdrawn while the request waited.
-    const auto& current = m_context.snapshot;
-    if (m_clientAccount && current != m_snapshot && !current->keys().accountForKey(m_key)) {
+    if (isKeyWithdrawn()) {
         m_context.hops.cancel(m_call);
         releaseTarget();
         if (m_mayHaveRun)
@@ -512,19 +512,52 @@
             refuse(unauthorized, "the key was withdrawn", std::nullopt);
         return;
     }
-    if (m_runs > 0
-        && !m_context.attempts.take(m_service, m_context.callsPerRun[m_service], claim(), m_context.hosts, now)) {
-        log::logEvent(attemptEnded,
-            { { "request", m_requestId }, { "peer", m_target->description.address }, { "step", "run" },
-                { "outcome", "not-run" }, { "why", "no further attempt in the budget" },
-                { "calls", encodeCalls(m_context.callsPerRun[m_service]) } });
-        m_context.hops.cancel(m_call);
-        releaseTarget();
-        m_stage = Stage::Over;
-        m_isOutOfAttempts = true;
-        retryLater();
-        return;
-    }
+    const bool isInBudget = m_runs == 0
+        || m_context.attempts.take(
+            m_service, m_context.callsPerRun[m_service], claim(), m_context.hosts, monotonicNow());
+    if (isInBudget)
+        sendRun();
+    else
+        borrowAttempt();
+}
+
+// The key may have been withdrawn while the request waited.
+auto EntryRequest::isKeyWithdrawn() const -> bool
+{
+    const auto& current = m_context.snapshot;
+    return m_clientAccount && current != m_snapshot && !current->keys().accountForKey(m_key);
+}
+
+auto EntryRequest::borrowAttempt() -> void
+{
+    m_loan = AttemptLoan::start(m_context, { .service = m_service, .calls = m_context.callsPerRun[m_service] },
+        [weak = weak_from_this()](bool isLent) {
+            const auto self = weak.lock();
+            if (!self || self->m_isDone)
+                return;
+            if (isLent)
+                self->sendRun();
+            else
+                self->onOutOfAttempts();
+        });
+}
+
+auto EntryRequest::onOutOfAttempts() -> void
+{
+    log::logEvent(attemptEnded,
+        { { "request", m_requestId }, { "peer", m_target->description.address }, { "step", "run" },
+            { "outcome", "not-run" }, { "why", "no further attempt in the budget" },
+            { "calls", encodeCalls(m_context.callsPerRun[m_service]) } });
+    m_context.hops.cancel(m_call);
+    releaseTarget();
+    m_stage = Stage::Over;
+    m_isOutOfAttempts = true;
+    retryLater();
+}
+
+auto EntryRequest::sendRun() -> void
+{
+    const auto now = monotonicNow();
     RunAsk ask { .request = m_exchange->request(),
         .requestId = m_requestId,
         .callerService = m_context.service,
--- a/src/relay/EntryRequest.h
+++ b/src/relay/EntryRequest.h
@@ -22,6 +22,8 @@
 
 namespace coriandergate::relay {
 
+class AttemptLoan;
+
 // EntryRequest lives as long as its answer is owed.
 class EntryRequest : public std::enable_shared_from_this<EntryRequest> {
 public:
@@ -65,6 +67,10 @@
     auto onReserved(net::HttpClient::Result result) -> void;
     auto onSlotRefused(const http::Answer& answer) -> void;
     auto run() -> void;
+    [[nodiscard]] auto isKeyWithdrawn() const -> bool;
+    auto borrowAttempt() -> void;
+    auto onOutOfAttempts() -> void;
+    auto sendRun() -> void;
     auto onRun(net::HttpClient::Result result) -> void;
     auto onTargetAnswer(http::Answer answer) -> void;
     auto tryAgainOr(http::Answer lastAnswer, std::string_view why) -> void;
@@ -105,6 +111,7 @@
     std::vector<std::string> m_excluded;
     dispatch::TargetBoard::TargetPointer m_target;
     net::HttpClient::Call m_call = 0;
+    std::shared_ptr<AttemptLoan> m_loan; // while one is asked for
     std::size_t m_runs = 0; // attempts that may have reached a target
     bool m_mayHaveRun = false;
     std::optional<http::Answer> m_lastFailure; // a target's own
--- a/src/relay/HopMessages.cpp
+++ b/src/relay/HopMessages.cpp
@@ -146,6 +146,21 @@
     return isRead ? std::optional(std::move(ask)) : std::nullopt;
 }
 
+auto encodeAttempt(const AttemptAsk& ask) -> std::string
+{
+    return toHttp(attemptPath, json::array({ ask.service, encodeCalls(ask.calls) }));
+}
+
+auto decodeAttempt(const std::string& body, Error& reason) -> std::optional<AttemptAsk>
+{
+    AttemptAsk ask;
+    const bool isRead = decodeWith(body, reason, [&ask](const json& value) {
+        ask.service = value.at(0).get<std::string>();
+        ask.calls = decodeCalls(value.at(1).get<std::string>());
+    });
+    return isRead ? std::optional(std::move(ask)) : std::nullopt;
+}
+
 auto encodeTurn(milliseconds turnIn) -> std::string { return std::to_string(turnIn.count()); }
 
 auto decodeTurn(std::string_view text) -> std::optional<milliseconds>
--- a/src/relay/HopMessages.h
+++ b/src/relay/HopMessages.h
@@ -24,6 +24,7 @@
 inline constexpr std::string_view reservePath = "/reserve";
 inline constexpr std::string_view runPath = "/run";
 inline constexpr std::string_view ratePath = "/rate";
+inline constexpr std::string_view attemptPath = "/attempt";
 // Stands with every answer to a run: how the attempt ended at the target.
 inline constexpr std::string_view outcomeHeader = "Coriandergate-Outcome";
 // Stands with every answer: running, waiting, slots, percent of requests refused and, of a failing target, the
@@ -72,6 +73,14 @@
     std::string clientAccount;
 };
 
+// AttemptAsk asks another entry to lend one further attempt of its part of the fleet's budget.
+struct AttemptAsk {
+    std::string service;
+    dispatch::AttemptBudget::CallsPerRun calls; // that the attempt's run makes
+
+    friend auto operator==(const AttemptAsk&, const AttemptAsk&) -> bool = default;
+};
+
 // TargetNews is what the daemon beside a target tells of it.
 struct TargetNews {
     dispatch::TargetLoad load;
@@ -83,12 +92,13 @@
 [[nodiscard]] auto encodeReserve(const ReserveAsk& ask) -> std::string;
 [[nodiscard]] auto encodeRun(const RunAsk& ask) -> std::string;
 [[nodiscard]] auto encodeRate(const RateAsk& ask) -> std::string;
+[[nodiscard]] auto encodeAttempt(const AttemptAsk& ask) -> std::string;
 
 // The decoders read the body of such a request; nothing, with a reason, when it can't be read. Safe from any thread.
 [[nodiscard]] auto decodeReserve(const std::string& body, Error& reason) -> std::optional<ReserveAsk>;
 [[nodiscard]] auto decodeRun(const std::string& body, Error& reason) -> std::optional<RunAsk>;
-
 [[nodiscard]] auto decodeRate(const std::string& body, Error& reason) -> std::optional<RateAsk>;
+[[nodiscard]] auto decodeAttempt(const std::string& body, Error& reason) -> std::optional<AttemptAsk>;
 
 // The turn says in how many milliseconds a home that refused has the next request of the account.
 [[nodiscard]] auto encodeTurn(std::chrono::milliseconds turnIn) -> std::string;
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -148,6 +148,7 @@
     auto onStoreFailure(const Error& error) -> void;
     auto handlePeer(const std::shared_ptr<http::Exchange>& exchange) -> void;
     auto handleRate(const std::shared_ptr<http::Exchange>& exchange) -> void;
+    auto lendAttempt(const std::shared_ptr<http::Exchange>& exchange) -> void;
     auto rateLimits() const -> dispatch::RateLimits;
     auto metricsPage() const -> std::string;
 
@@ -209,6 +210,7 @@
     , entry { .io = io,
         .options = {},
         .headers = adapter.headers,
+        .self = settings.hostAddress,
         .service = settings.service,
         .here = settings.locality,
         .hops = hops,
@@ -324,6 +326,8 @@
 {
     if (exchange->request().target == relay::ratePath)
         handleRate(exchange);
+    else if (exchange->request().target == relay::attemptPath)
+        lendAttempt(exchange);
     else if (exchange->request().target == fleet::RelayedFeed::s_path)
         feed.handle(exchange);
     else
@@ -354,6 +358,17 @@
         decision.isGranted ? "" : relay::encodeTurn(decision.turnIn)));
 }
 
+auto Sidecar::State::lendAttempt(const std::shared_ptr<http::Exchange>& exchange) -> void
+{
+    constexpr int ok = 200;
+    constexpr int noneLeft = 429;
+    Error reason;
+    const auto ask = relay::decodeAttempt(exchange->request().body, reason);
+    const bool isLent = ask
+        && attempts.take(ask->service, ask->calls, dispatch::AttemptBudget::Claim::Lent, entry.hosts, monotonicNow());
+    exchange->answer(http::makeAnswer(isLent ? ok : noneLeft, "text/plain", reason.reason));
+}
+
 auto Sidecar::State::onConfigurationRows(const std::vector<fleet::StoreRow>& rows) -> void
 {
     for (const auto& row : rows) {
