Let a host become a home of rates when every other host knows it

Ruled out: homes out of reach (11 asks of some hundreds found no connection); the entries' memory of spent homes. Change: a host tells when it joined, on the store's clock, and becomes a home 6 s later, when all that go by fresh news know it: the former home stops as it begins. A home that can't tell says so, instead of a refusal with a time that isn't true. Rows of hosts that weren't reached are removed after 15 s instead of 30. An account's bucket begins empty after a change of the list, also when it is asked for first later on.

--- a/src/dispatch/RatePool.h
+++ b/src/dispatch/RatePool.h
@@ -1,26 +1,27 @@
 // Client accounts' rates, counted over all hosts together: handed out one request at a time by the account's homes.
 //
-// Each account has a few homes in each region: the hosts that its name hashes to. All hosts find them from the same
-// list, so nothing is elected. A host that becomes a home begins with nothing, and only after a host that was a home
-// before must have noticed.
+// A host that becomes a home begins with nothing: one that joined when its time has come, one that takes the place of a
+// host that went only after that one must have noticed.
 //
 // Load patterns: callers of one account gathered at few hosts; one account at several times its rate; hosts that come
 // and go; a home that is cut off or paused.
 //
 //   RatePool pool({ .limits = limits, .part = 0.25 });
 //   pool.setHosts(hosts, now);
-//   if (pool.take(account, self, now).isGranted) ...
+//   if (pool.take(account, self, storeTime, now).isGranted) ...
 //
 // A part of its own for each host would need no call, but split among tens of hosts most accounts' bursts come to less
 // than one request, which is never granted.
 #pragma once
 
 #include "base/Clock.h"
+#include "dispatch/RateHomes.h"
 #include "dispatch/RateLimits.h"
 
 #include <chrono>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -31,15 +32,6 @@
 
 namespace coriandergate::dispatch {
 
-// Homes of an account in a region. With two of them one can be out of reach, and each still smooths the account's ups
-// and downs.
-inline constexpr std::size_t rateHomesOfRegion = 2;
-
-// rateHomes() are the hosts among `hosts` that `account` hashes to, the same wherever it is asked: rateHomesOfRegion of
-// them, or all if there are fewer.
-[[nodiscard]] auto rateHomes(std::string_view account, const std::vector<std::string>& hosts)
-    -> std::vector<std::string>;
-
 // RatePool is used by one thread.
 class RatePool {
 public:
@@ -57,26 +49,33 @@
     }
 
     // setHosts() takes over the hosts of this region.
-    auto setHosts(const std::vector<std::string>& hosts, MonotonicTime now) -> void;
+    auto setHosts(const std::vector<RateHost>& hosts, MonotonicTime now) -> void;
 
-    // Decision says whether a request is within the rate, and if not, when the home has the next one.
+    // Decision says whether a request is within the rate, and if not, when the home has the next one; nothing when
+    // this host can't tell, since it isn't a home or has just become one.
     struct Decision {
         bool isGranted = false;
-        std::chrono::milliseconds turnIn { 0 };
+        std::optional<std::chrono::milliseconds> turnIn;
     };
 
-    // take() takes one request of `account` if `self` is a home of it and has one left.
-    [[nodiscard]] auto take(const config::ClientAccount& account, std::string_view self, MonotonicTime now) -> Decision;
+    // take() takes one request of `account` if `self` is a home of it and has one left. `storeTime` is the present time
+    // on the store's clock.
+    [[nodiscard]] auto take(const config::ClientAccount& account, std::string_view self,
+        std::chrono::milliseconds storeTime, MonotonicTime now) -> Decision;
 
 private:
+    [[nodiscard]] auto isNewHome(
+        std::string_view account, std::string_view self, std::chrono::milliseconds storeTime) const -> bool;
+
     struct View {
-        std::vector<std::string> hosts;
+        std::vector<RateHost> hosts;
         MonotonicTime until; // it was in force until then
     };
 
     Options m_options;
     MonotonicTime m_startedAt;
-    std::vector<std::string> m_hosts;
+    std::vector<RateHost> m_hosts;
+    MonotonicTime m_changedAt; // the list of hosts
     std::deque<View> m_formerViews;
     std::map<std::string, RateBucket, std::less<>> m_buckets;
 };
--- a/src/dispatch/RatePool_test.cpp
+++ b/src/dispatch/RatePool_test.cpp
@@ -16,11 +16,14 @@
 
     auto at(std::chrono::milliseconds time) -> MonotonicTime { return MonotonicTime(time); }
 
-    auto hostNames(int count) -> std::vector<std::string>
+    // Hosts that joined long before the store's time that the tests go by.
+    constexpr auto storeTime = 100000ms;
+
+    auto makeHosts(int count) -> std::vector<RateHost>
     {
-        std::vector<std::string> hosts;
+        std::vector<RateHost> hosts;
         for (int i = 0; i < count; ++i)
-            hosts.push_back("10.1.0." + std::to_string(i));
+            hosts.push_back({ "10.1.0." + std::to_string(i), 0ms });
         return hosts;
     }
 
@@ -33,6 +36,19 @@
         return account;
     }
 
+    // A name that makes its host a home of `account` among `hosts`.
+    auto nextHome(const std::string& account, std::vector<RateHost> hosts, std::mt19937& random) -> std::string
+    {
+        hosts.emplace_back();
+        for (;;) {
+            const auto name = "10.2." + std::to_string(random() % 256) + "." + std::to_string(random() % 256);
+            hosts.back().host = name;
+            const auto homes = rateHomes(account, hosts, storeTime);
+            if (std::find(homes.begin(), homes.end(), name) != homes.end())
+                return name;
+        }
+    }
+
     auto allowedInWindow(const config::ClientAccount& account) -> double
     {
         return (account.ratePerSecond * 5 + account.burst) * 1.1 + 20;
@@ -42,19 +58,19 @@
 
 TEST_CASE("every host finds the same homes, and few move when a host comes or goes")
 {
-    const auto hosts = hostNames(34);
-    const auto more = hostNames(35);
+    const auto hosts = makeHosts(34);
+    const auto more = makeHosts(35);
     int moved = 0;
     for (int i = 0; i < 200; ++i) {
         const auto account = "account-" + std::to_string(i);
-        const auto homes = rateHomes(account, hosts);
+        const auto homes = rateHomes(account, hosts, storeTime);
         CHECK(homes.size() == rateHomesOfRegion);
-        CHECK(homes == rateHomes(account, hosts));
-        moved += rateHomes(account, more) == homes ? 0 : 1;
+        CHECK(homes == rateHomes(account, hosts, storeTime));
+        moved += rateHomes(account, more, storeTime) == homes ? 0 : 1;
     }
     CHECK(moved < 30);
-    CHECK(rateHomes("account-1", hostNames(1)).size() == 1);
-    CHECK(rateHomes("account-1", {}).empty());
+    CHECK(rateHomes("account-1", makeHosts(1), storeTime).size() == 1);
+    CHECK(rateHomes("account-1", {}, storeTime).empty());
 }
 
 // Load pattern: one account at 7.5 times its rate, over four homes; homes are killed and started again at random.
@@ -62,8 +78,8 @@
 {
     for (std::uint32_t seed = 1; seed <= 5; ++seed) {
         const auto account = makeAccount(12, 12);
-        const auto hosts = hostNames(17);
-        const auto homes = rateHomes(account.name, hosts);
+        const auto hosts = makeHosts(17);
+        const auto homes = rateHomes(account.name, hosts, storeTime);
         std::mt19937 random(seed);
         std::vector<RatePool> pools;
         const RatePool::Options options { .limits = limits, .part = 0.25 };
@@ -82,7 +98,7 @@
             }
             const auto which = random() % pools.size();
             const auto& self = homes[which % homes.size()];
-            if (pools[which].take(account, self, now).isGranted) {
+            if (pools[which].take(account, self, storeTime, now).isGranted) {
                 granted.push_back(now);
                 ++total;
             }
@@ -97,13 +113,13 @@
 TEST_CASE("a home that was none before hands out nothing until a former one must have noticed")
 {
     const auto account = makeAccount(10, 10);
-    const auto before = hostNames(10);
+    const auto before = makeHosts(10);
     auto after = before;
-    const auto home = rateHomes(account.name, before).front();
-    std::erase(after, home);
+    const auto home = rateHomes(account.name, before, storeTime).front();
+    std::erase_if(after, [&home](const RateHost& host) { return host.host == home; });
     std::string successor;
-    for (const auto& candidate : rateHomes(account.name, after)) {
-        const auto former = rateHomes(account.name, before);
+    for (const auto& candidate : rateHomes(account.name, after, storeTime)) {
+        const auto former = rateHomes(account.name, before, storeTime);
         if (std::find(former.begin(), former.end(), candidate) == former.end())
             successor = candidate;
     }
@@ -111,31 +127,90 @@
     RatePool pool({ .limits = limits, .part = 0.25 }, at(0ms));
     pool.setHosts(before, at(0ms));
     pool.setHosts(after, at(20s));
-    CHECK_FALSE(pool.take(account, successor, at(24999ms)).isGranted);
-    CHECK_FALSE(pool.take(account, successor, at(25000ms)).isGranted);
-    CHECK(pool.take(account, successor, at(25500ms)).isGranted);
+    CHECK_FALSE(pool.take(account, successor, storeTime, at(24999ms)).isGranted);
+    CHECK_FALSE(pool.take(account, successor, storeTime, at(25000ms)).isGranted);
+    CHECK(pool.take(account, successor, storeTime, at(25500ms)).isGranted);
+}
+
+// Load pattern: one account at several times its rate while hosts join. Every home goes by its own view of the hosts,
+// up to four seconds old. The naive way hands over when a host learns of the newcomer, and waits then.
+TEST_CASE("while hosts join an account gets nearly all of its rate, and never more than its limit")
+{
+    const auto account = makeAccount(100, 100);
+    constexpr auto joinEvery = 2500ms;
+    constexpr int atFirst = 14;
+    constexpr int joining = 8;
+    for (std::uint32_t seed = 1; seed <= 5; ++seed) {
+        std::mt19937 random(seed);
+        auto all = makeHosts(atFirst);
+        for (int i = 0; i < joining; ++i)
+            all.push_back({ nextHome(account.name, all, random), storeTime + (i + 1) * joinEvery });
+        std::vector<RatePool> pools(all.size(), RatePool({ .limits = limits, .part = 0.5 }, at(0ms)));
+        std::vector<std::chrono::milliseconds> newsAge;
+        for (std::size_t i = 0; i < all.size(); ++i)
+            newsAge.emplace_back(random() % 4000);
+        std::deque<MonotonicTime> granted;
+        int total = 0;
+        for (auto passed = 0ms; passed < 40s; passed += 5ms) {
+            const auto now = at(passed);
+            const auto store = storeTime + passed;
+            std::vector<RateHost> entryView;
+            for (const auto& host : all) {
+                if (host.joinedAt + 300ms <= store)
+                    entryView.push_back(host);
+            }
+            const auto homes = rateHomes(account.name, entryView, store);
+            const auto home = homes[random() % homes.size()];
+            for (std::size_t i = 0; i < all.size(); ++i) {
+                if (all[i].host != home)
+                    continue;
+                std::vector<RateHost> view;
+                for (const auto& host : all) {
+                    if (host.joinedAt + (host.host == home ? 0ms : newsAge[i]) <= store)
+                        view.push_back(host);
+                }
+                if (i >= atFirst && now < at(all[i].joinedAt - storeTime + 400ms)) {
+                    // A host knows the others before it has told of itself.
+                    auto others = view;
+                    std::erase_if(others, [&home](const RateHost& host) { return host.host == home; });
+                    pools[i].setHosts(others, now);
+                }
+                pools[i].setHosts(view, now);
+                if (pools[i].take(account, home, store, now).isGranted) {
+                    granted.push_back(now);
+                    ++total;
+                }
+            }
+            while (!granted.empty() && granted.front() <= now - window)
+                granted.pop_front();
+            REQUIRE(static_cast<double>(granted.size()) <= allowedInWindow(account));
+        }
+        INFO(total << " granted");
+        CHECK(total >= 100 * 40 * 99 / 100);
+    }
 }
 
 TEST_CASE("a refusal says when the next request is there, and that is true")
 {
     const auto account = makeAccount(8, 8);
-    const auto hosts = hostNames(3);
-    const auto home = rateHomes(account.name, hosts).front();
+    const auto hosts = makeHosts(3);
+    const auto home = rateHomes(account.name, hosts, storeTime).front();
     RatePool pool({ .limits = limits, .part = 0.5 }, at(0ms));
     pool.setHosts(hosts, at(0ms));
-    while (pool.take(account, home, at(60s)).isGranted) { }
-    const auto refusal = pool.take(account, home, at(60s));
-    CHECK(refusal.turnIn > 0ms);
-    CHECK(refusal.turnIn <= 250ms);
-    CHECK(pool.take(account, home, at(60s) + refusal.turnIn).isGranted);
+    while (pool.take(account, home, storeTime, at(60s)).isGranted) { }
+    const auto refusal = pool.take(account, home, storeTime, at(60s));
+    REQUIRE(refusal.turnIn);
+    CHECK(*refusal.turnIn > 0ms);
+    CHECK(*refusal.turnIn <= 250ms);
+    CHECK(pool.take(account, home, storeTime, at(60s) + *refusal.turnIn).isGranted);
 }
 
 TEST_CASE("a host that isn't a home grants nothing")
 {
     const auto account = makeAccount(8, 8);
     RatePool pool({ .limits = limits, .part = 0.5 }, at(0ms));
-    pool.setHosts(hostNames(3), at(0ms));
-    CHECK_FALSE(pool.take(account, "10.9.0.1", at(60s)).isGranted);
+    pool.setHosts(makeHosts(3), at(0ms));
+    CHECK_FALSE(pool.take(account, "10.9.0.1", storeTime, at(60s)).isGranted);
 }
 
 } // namespace coriandergate::dispatch
--- a/src/fleet/HostDirectory.cpp
+++ b/src/fleet/HostDirectory.cpp
@@ -51,6 +51,16 @@
     return hosts;
 }
 
+auto HostDirectory::rateHosts(const std::string& region) const -> std::vector<dispatch::RateHost>
+{
+    std::vector<dispatch::RateHost> hosts;
+    for (const auto& [key, record] : m_hosts) {
+        if (record.locality.region == region)
+            hosts.push_back({ key, record.joinedAt });
+    }
+    return hosts;
+}
+
 auto HostDirectory::regions() const -> std::vector<std::string>
 {
     std::set<std::string> regions;
--- a/src/fleet/HostDirectory.h
+++ b/src/fleet/HostDirectory.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "base/Error.h"
+#include "dispatch/RateHomes.h"
 #include "dispatch/TargetBoard.h"
 #include "fleet/HostRecord.h"
 #include "fleet/StoreFeed.h"
@@ -36,6 +37,9 @@
     [[nodiscard]] auto hostsOf(const std::string& region) const -> std::vector<std::string>;
     [[nodiscard]] auto regions() const -> std::vector<std::string>;
 
+    // rateHosts() are the hosts of `region`, with when each joined, for the choice of accounts' homes.
+    [[nodiscard]] auto rateHosts(const std::string& region) const -> std::vector<dispatch::RateHost>;
+
     // targets() are the targets that may get work.
     [[nodiscard]] auto targets() const -> std::vector<dispatch::TargetBoard::Description>;
 
--- a/src/fleet/HostRecord.cpp
+++ b/src/fleet/HostRecord.cpp
@@ -36,7 +36,8 @@
 {
     const nlohmann::json value = { { "peer", record.peerAddress }, { "region", record.locality.region },
         { "dataCentre", record.locality.dataCentre }, { "service", record.service }, { "target", record.targetId },
-        { "startedAt", record.targetStartedAt }, { "slots", record.slots }, { "state", nameOf(record.state) } };
+        { "startedAt", record.targetStartedAt }, { "slots", record.slots }, { "state", nameOf(record.state) },
+        { "joinedAt", record.joinedAt.count() } };
     return value.dump();
 }
 
@@ -52,6 +53,7 @@
         value.at("target").get_to(record.targetId);
         value.at("startedAt").get_to(record.targetStartedAt);
         value.at("slots").get_to(record.slots);
+        record.joinedAt = std::chrono::milliseconds(value.value("joinedAt", std::int64_t { 0 }));
         const auto state = stateOf(value.at("state").get<std::string>());
         if (state) {
             record.state = *state;
--- a/src/fleet/HostRecord.h
+++ b/src/fleet/HostRecord.h
@@ -7,6 +7,7 @@
 
 #include "base/Locality.h"
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -35,6 +36,7 @@
     std::uint64_t targetStartedAt = 0; // milliseconds since 1970, as the target says; tells its incarnations apart
     std::size_t slots = 1;
     State state = State::Empty;
+    std::chrono::milliseconds joinedAt { 0 }; // when the host told of itself first, on the store's clock
 
     friend auto operator==(const HostRecord&, const HostRecord&) -> bool = default;
 };
--- a/src/fleet/TableFollower.cpp
+++ b/src/fleet/TableFollower.cpp
@@ -105,10 +105,11 @@
     m_retry = milliseconds { 0 };
     m_needsQuickAnswer = false;
     m_after = std::max(m_after, answer.newestVersion);
-    if (m_rowsChanged && (isWhole || !answer.rows.empty()))
-        m_rowsChanged(answer.rows, isWhole);
+    // The answer's time first: who takes the rows may go by it.
     if (m_answered)
         m_answered(answer);
+    if (m_rowsChanged && (isWhole || !answer.rows.empty()))
+        m_rowsChanged(answer.rows, isWhole);
 }
 
 auto TableFollower::retry(const StoreFailure& failure) -> void
--- a/src/relay/EntryRequest.cpp
+++ b/src/relay/EntryRequest.cpp
@@ -1,6 +1,6 @@
 #include "relay/EntryRequest.h"
 
-#include "dispatch/RatePool.h"
+#include "dispatch/RateHomes.h"
 #include "fleet/HostDirectory.h"
 #include "http/Exchange.h"
 #include "log/Event.h"
@@ -182,9 +182,11 @@
 auto EntryRequest::askRateHomes() -> void
 {
     const auto now = monotonicNow();
+    const auto storeTime = m_context.proof.storeTime(SuspendAwareClock::now()).value_or(milliseconds { 0 });
     std::vector<std::string> near;
     for (const auto& region : m_context.directory.regions()) {
-        for (const auto& home : dispatch::rateHomes(m_clientAccount->name, m_context.directory.hostsOf(region))) {
+        const auto hosts = m_context.directory.rateHosts(region);
+        for (const auto& home : dispatch::rateHomes(m_clientAccount->name, hosts, storeTime)) {
             if (isRateHomeSpent(home, now))
                 continue;
             const auto avoided = m_context.avoidedRateHomes.find(home);
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -44,7 +44,7 @@
         "its rate a second and its burst over all hosts; 0 stands for no limit" };
 
     const log::Event hostGone { 1935, log::Severity::Warning, "host taken for gone",
-        "its daemon was not reached for half a minute; its row is removed, and written again if it lives" };
+        "its daemon was not reached for a quarter of a minute; its row is removed, and written again if it lives" };
 
     constexpr const char* hostTable = "hosts";
     // One long poll for the configuration: half of the time for which a withdrawn key may still work.
@@ -67,9 +67,8 @@
     constexpr double freshPart = 0.88;
     // The platform asks every second whether callers may come, and believes the second refusal.
     constexpr milliseconds callersLeaveAfter { 2300 };
-    // A daemon that was never reached for so long, while it was tried, counts as gone: longer than any restart or
-    // pause.
-    constexpr milliseconds goneAfter { 30000 };
+    // A daemon that was never reached for so long, while it was tried, counts as gone: longer than restarts and pauses.
+    constexpr milliseconds goneAfter { 15000 };
     constexpr milliseconds goneHostsPeriod { 8000 };
     constexpr milliseconds stopPollPeriod { 40 };
     constexpr milliseconds answerTravelTime { 120 };
@@ -179,6 +178,7 @@
     boost::asio::steady_timer stopTimer;
     boost::asio::steady_timer goneHostsTimer;
     std::uint64_t missedVersion = 0; // of the store, that the hosts' rows were not told up to at some answer
+    std::optional<milliseconds> joinedAt; // when this host told of itself first, on the store's clock
     MonotonicTime missedSince; // when that answer came
     MonotonicTime stopBeganAt;
     MonotonicTime lastOpenAt; // something was open
@@ -353,9 +353,14 @@
         exchange->answer(http::makeAnswer(cannotTell, "text/plain", ""));
         return;
     }
-    const auto decision = pool.take(*account, settings.hostAddress, monotonicNow());
-    exchange->answer(http::makeAnswer(decision.isGranted ? 200 : overRate, "text/plain",
-        decision.isGranted ? "" : relay::encodeTurn(decision.turnIn)));
+    const auto storeTime = proof.storeTime(now).value_or(milliseconds { 0 });
+    const auto decision = pool.take(*account, settings.hostAddress, storeTime, monotonicNow());
+    if (decision.isGranted)
+        exchange->answer(http::makeAnswer(200, "text/plain", ""));
+    else if (decision.turnIn)
+        exchange->answer(http::makeAnswer(overRate, "text/plain", relay::encodeTurn(*decision.turnIn)));
+    else
+        exchange->answer(http::makeAnswer(cannotTell, "text/plain", "not a home"));
 }
 
 auto Sidecar::State::lendAttempt(const std::shared_ptr<http::Exchange>& exchange) -> void
@@ -404,7 +409,7 @@
     feed.setHosts(directory, settings.locality);
     if (!directory.find(settings.hostAddress) && !isStopping)
         announcer.recordRemoval();
-    pool.setHosts(directory.hostsOf(settings.locality.region), monotonicNow());
+    pool.setHosts(directory.rateHosts(settings.locality.region), monotonicNow());
     entry.hosts = std::max<std::size_t>(1, directory.size());
     log::logEvent(hostsChanged,
         { { "hosts", std::to_string(entry.hosts) }, { "targets", std::to_string(directory.targets().size()) } });
@@ -470,6 +475,12 @@
     fleet::HostRecord record {
         .peerAddress = settings.peerListen, .locality = settings.locality, .service = settings.service
     };
+    // A daemon that is started again, or whose row was taken away, is the host that the fleet knew.
+    if (const auto* known = directory.find(settings.hostAddress); known && !joinedAt)
+        joinedAt = known->joinedAt;
+    if (!joinedAt)
+        joinedAt = hostsProof.storeTime(SuspendAwareClock::now());
+    record.joinedAt = joinedAt.value_or(milliseconds { 0 });
     if (const auto& current = target.current()) {
         record.targetId = current->id;
         record.targetStartedAt = current->startedAt;
