Let a target serve on while its daemon begins a planned stop

Change: the daemon takes slots for 1.2 s after SIGTERM; what runs then mostly ends before its callers have left.

--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -67,6 +67,9 @@
     constexpr double freshPart = 0.88;
     // The platform asks every second whether callers may come, and believes the second refusal.
     constexpr milliseconds callersLeaveAfter { 2300 };
+    // The target goes on while its daemon is started again. Requests that come until then mostly end before the callers
+    // have left, so that hosts which are restarted in turn are missing for less time.
+    constexpr milliseconds targetServesAfterStop { 1200 };
     // A daemon that was never reached for so long, while it was tried, counts as gone: longer than restarts and pauses.
     constexpr milliseconds goneAfter { 15000 };
     constexpr milliseconds goneHostsPeriod { 8000 };
@@ -571,7 +574,6 @@
     stopBeganAt = monotonicNow();
     log::logEvent(stopBegan,
         { { "open", std::to_string(callers.openRequests()) }, { "running", std::to_string(owner.running()) } });
-    owner.setStopping();
     callers.beginDrain();
     endOpenRequestsInTime();
     // A host whose target has left is gone for good; another's target stays while its daemon is started again.
@@ -599,6 +601,8 @@
         isDraining = true;
         callers.finishDrain();
     }
+    if (now >= stopBeganAt + targetServesAfterStop)
+        owner.setStopping();
     const bool isOver = now >= stopBeganAt + settings.stopGrace - stopMargin;
     if (open > 0)
         lastOpenAt = now;
