--- a/src/dispatch/RatePool_test.cpp
+++ b/src/dispatch/RatePool_test.cpp
@@ -160,7 +160,7 @@
                     entryView.push_back(host);
             }
             const auto homes = rateHomes(account.name, entryView, store);
-            const auto home = homes[random() % homes.size()];
+            const auto& home = homes[random() % homes.size()];
             for (std::size_t i = 0; i < all.size(); ++i) {
                 if (all[i].host != home)
                     continue;
--- a/src/fleet/RelayedFeed.h
+++ b/src/fleet/RelayedFeed.h
@@ -44,9 +44,7 @@
         std::chrono::milliseconds relayWait { 1200 }; // one long poll of a relay for the dated table
         std::chrono::milliseconds answerTime { 200 }; // by which a relay's confirmed news may come later than that
         std::chrono::milliseconds hopTime { 300 }; // for its answer to come
-        std::chrono::milliseconds shortestQuestion {
-            100
-        }; // two ways between regions and some; less isn't worth asking
+        std::chrono::milliseconds shortestQuestion { 100 }; // two ways between regions, and some
         // News of the dated table that grows older than this is asked for at the store itself: a configuration must be
         // in force everywhere 2.5 s after the store confirmed it, and the store's answer takes its time.
         std::chrono::milliseconds oldestNews { 1900 };
--- a/src/relay/EntryContext.h
+++ b/src/relay/EntryContext.h
@@ -28,9 +28,8 @@
 // EntryContext is used on the thread of its io_context and outlives every request.
 struct EntryContext {
     struct Options {
-        std::chrono::milliseconds hopTime {
-            150
-        }; // for a daemon of the same region to answer, beyond the wait for a slot
+        // For a daemon of the same region to answer, beyond the wait for a slot.
+        std::chrono::milliseconds hopTime { 150 };
         std::chrono::milliseconds farHopTime { 260 }; // the same for one of another region
         std::chrono::milliseconds rateHopTime { 120 }; // for the home of an account in this region to answer
         std::chrono::milliseconds farRateHopTime { 250 }; // for one of another region
--- a/src/relay/OwnerRelay_test.cpp
+++ b/src/relay/OwnerRelay_test.cpp
@@ -46,11 +46,13 @@
         {
             std::optional<net::HttpClient::Result> result;
             const auto take = [&result](net::HttpClient::Result given) { result = std::move(given); };
+            bool isSent = true;
             if (call == 0)
                 call = hops.send("127.0.0.1:" + std::to_string(peers.port()), std::move(bytes),
                     { .timeout = 1s, .keepsConnection = true }, take);
             else
-                REQUIRE(hops.sendNext(call, std::move(bytes), { .timeout = 1s }, take));
+                isSent = hops.sendNext(call, std::move(bytes), { .timeout = 1s }, take);
+            REQUIRE(isSent);
             const auto end = std::chrono::steady_clock::now() + 2s;
             while (!result && std::chrono::steady_clock::now() < end)
                 io.run_one_for(20ms);
