Ask for rows of hosts before their news grows too old

Change: it asks as soon as the rows' news is older than 1.2 s and lags behind; the decision stands apart with its trace.

--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Error.h"
 #include "dispatch/RatePool.h"
+#include "fleet/CatchUp.h"
 #include "fleet/HostAnnouncer.h"
 #include "fleet/HostDirectory.h"
 #include "fleet/RelayedFeed.h"
@@ -53,10 +54,7 @@
     constexpr milliseconds hostsWait { 15000 };
     // Rows of hosts change several at a time, and for seconds when many hosts start or leave.
     constexpr milliseconds hostsSettle { 300 };
-    constexpr milliseconds longestHostsSettle { 1200 };
-    // For changes of hosts to come through a relay, which waits as well; beyond it the news of hosts would grow too
-    // old.
-    constexpr milliseconds longestHostsDelay { 2000 };
+    constexpr milliseconds longestHostsSettle { 600 };
     // A host without a target tells so when no heartbeat came after this: two periods of the slowest heartbeat, so that
     // mostly one row is written.
     constexpr milliseconds firstHeartbeatTime { 4000 };
@@ -174,9 +172,7 @@
     boost::asio::steady_timer firstHeartbeatTimer;
     boost::asio::steady_timer stopTimer;
     boost::asio::steady_timer goneHostsTimer;
-    std::uint64_t missedVersion = 0; // of the store, that the hosts' rows were not told up to at some answer
     std::optional<milliseconds> joinedAt; // when this host told of itself first, on the store's clock
-    MonotonicTime missedSince; // when that answer came
     MonotonicTime stopBeganAt;
     MonotonicTime lastOpenAt; // something was open
     bool isStopping = false;
@@ -291,17 +287,8 @@
         record(hostsProof, answer);
         return;
     }
-    // Mostly the change is on its way, held back while changes follow each other. When it doesn't come it may have lost
-    // its way.
-    const auto now = monotonicNow();
-    if (hostFollower.after() >= missedVersion) {
-        missedVersion = answer.newestVersion;
-        missedSince = now;
-    } else if (now - missedSince > longestHostsDelay) {
+    if (fleet::isCatchUpDue(hostFollower.after(), answer.newestVersion, hostsProof.age(SuspendAwareClock::now())))
         hostFollower.catchUp();
-        missedVersion = answer.newestVersion;
-        missedSince = now;
-    }
 }
 
 auto Sidecar::State::onStoreFailure(const Error& error) -> void
