Share the event loop and the entry's parts among the path's tests

Cause: seven tests ran their event loop by six copies of one loop, of which a single one started a stopped loop again, the fault that had failed three tests before; two tests built the same entry, two the same row of a host. Ruled out: a change of what is tested: every assertion, bound and wait stands, but that the loop looks every 10 ms where some looked every 20. Change: testing/RunUntil.h, testing/EntryParts.h. Conclusion: one copy of each.

--- a/src/fleet/RelayedFeed_test.cpp
+++ b/src/fleet/RelayedFeed_test.cpp
@@ -4,6 +4,8 @@
 #include "fleet/NewsCodec.h"
 #include "http/Exchange.h"
 #include "net/HttpServer.h"
+#include "testing/EntryParts.h"
+#include "testing/RunUntil.h"
 
 #include <catch2/catch.hpp>
 #include <functional>
@@ -12,6 +14,8 @@
 
 using namespace std::chrono_literals;
 
+using testing::runUntil;
+
 namespace {
 
     const Locality here { "west", "west-a" };
@@ -72,26 +76,12 @@
         HostDirectory directory;
         std::vector<StoreRow> rows;
         std::uint64_t version = 1;
-        for (const auto& [host, port] : hosts) {
-            HostRecord record;
-            record.peerAddress = "127.0.0.1:" + std::to_string(port);
-            record.locality = here;
-            record.service = "ledger";
-            rows.push_back({ host, encodeHostRecord(record), version++, false });
-        }
+        for (const auto& [host, port] : hosts)
+            rows.push_back(testing::makeHostRow(host, port, here, version++));
         directory.apply(rows, true);
         return directory;
     }
 
-    // Runs the loop until `isTrue` or two seconds have passed.
-    template <typename Condition> auto runUntil(boost::asio::io_context& io, const Condition& isTrue) -> bool
-    {
-        const auto end = std::chrono::steady_clock::now() + 2s;
-        while (!isTrue() && std::chrono::steady_clock::now() < end)
-            io.run_one_for(20ms);
-        return isTrue();
-    }
-
     // Of three hosts of a data centre two are relays; which ones the hash says. The third one follows them.
     struct ThreeHosts {
         ThreeHosts()
--- a/src/fleet/TableFollower_test.cpp
+++ b/src/fleet/TableFollower_test.cpp
@@ -1,5 +1,7 @@
 #include "fleet/TableFollower.h"
 
+#include "testing/RunUntil.h"
+
 #include <catch2/catch.hpp>
 
 namespace coriandergate::fleet {
@@ -49,14 +51,7 @@
 
         template <typename Condition> auto runUntil(const Condition& isTrue) -> bool
         {
-            const auto end = std::chrono::steady_clock::now() + 2s;
-            while (!isTrue() && std::chrono::steady_clock::now() < end) {
-                // A loop that ran out of work stays stopped until it is told to start again.
-                if (io.stopped())
-                    io.restart();
-                io.run_one_for(20ms);
-            }
-            return isTrue();
+            return testing::runUntil(io, isTrue);
         }
 
         boost::asio::io_context io;
--- a/src/net/HttpServer_test.cpp
+++ b/src/net/HttpServer_test.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Error.h"
 #include "http/Exchange.h"
+#include "testing/RunUntil.h"
 
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
@@ -31,10 +32,7 @@
 
         template <typename Condition> auto runUntil(const Condition& isTrue) -> bool
         {
-            const auto end = std::chrono::steady_clock::now() + 2s;
-            while (!isTrue() && std::chrono::steady_clock::now() < end)
-                io.run_one_for(10ms);
-            return isTrue();
+            return testing::runUntil(io, isTrue);
         }
 
         // readSome() is what has come for the caller until `text` is in it or two seconds have passed.
--- a/src/relay/AttemptLoan_test.cpp
+++ b/src/relay/AttemptLoan_test.cpp
@@ -1,9 +1,9 @@
 #include "relay/AttemptLoan.h"
 
-#include "fleet/HostDirectory.h"
 #include "http/Exchange.h"
 #include "net/HttpServer.h"
-#include "relay/EntryContext.h"
+#include "testing/EntryParts.h"
+#include "testing/RunUntil.h"
 
 #include <catch2/catch.hpp>
 
@@ -13,8 +13,6 @@
 
 namespace {
 
-    const Locality here { "west", "west-a" };
-
     // Lender answers with a status and keeps what it was asked.
     struct Lender {
         explicit Lender(boost::asio::io_context& io)
@@ -34,43 +32,16 @@
     };
 
     // An entry and two hosts beside it in its data centre.
-    struct Entry {
+    struct Entry : testing::EntryParts {
         Entry()
-            : hops(io, {})
-            , board({ .here = here })
-            , attempts({})
-            , proof({ .maximumAge = 1s })
-            , context { .io = io,
-                .options = {},
-                .headers = {},
-                .self = "self",
-                .service = "ledger",
-                .here = here,
-                .hops = hops,
-                .board = board,
-                .attempts = attempts,
-                .calls = calls,
-                .proof = proof,
-                .hostsProof = proof,
-                .directory = directory,
-                .snapshot = nullptr }
         {
             for (int i = 0; i < 2; ++i)
                 lenders.push_back(std::make_unique<Lender>(io));
-            std::vector<fleet::StoreRow> rows { row("self", 1, here) };
-            rows.push_back(row("a", lenders[0]->server.port(), here));
-            rows.push_back(row("b", lenders[1]->server.port(), here));
-            rows.push_back(row("far", 1, { "east", "east-a" }));
-            directory.apply(rows, true);
-        }
-
-        static auto row(const std::string& host, std::uint16_t port, const Locality& locality) -> fleet::StoreRow
-        {
-            fleet::HostRecord record;
-            record.peerAddress = "127.0.0.1:" + std::to_string(port);
-            record.locality = locality;
-            record.service = "ledger";
-            return { host, fleet::encodeHostRecord(record), 1, false };
+            directory.apply(
+                { testing::makeHostRow("self", 1, s_here), testing::makeHostRow("a", lenders[0]->server.port(), s_here),
+                    testing::makeHostRow("b", lenders[1]->server.port(), s_here),
+                    testing::makeHostRow("far", 1, { "east", "east-a" }) },
+                true);
         }
 
         // Asks for a loan and waits for its end.
@@ -78,21 +49,11 @@
         {
             std::optional<bool> result;
             const auto loan = AttemptLoan::start(context, ask, [&result](bool isLent) { result = isLent; });
-            const auto end = std::chrono::steady_clock::now() + 2s;
-            while (!result && std::chrono::steady_clock::now() < end)
-                io.run_one_for(20ms);
+            testing::runUntil(io, [&result] { return result.has_value(); });
             return result;
         }
 
-        boost::asio::io_context io;
         std::vector<std::unique_ptr<Lender>> lenders;
-        net::HttpClient hops;
-        dispatch::TargetBoard board;
-        dispatch::AttemptBudget attempts;
-        dispatch::CallRatio calls;
-        dispatch::FreshnessProof proof;
-        fleet::HostDirectory directory;
-        EntryContext context;
     };
 
 } // namespace
--- a/src/relay/EntryRequest_test.cpp
+++ b/src/relay/EntryRequest_test.cpp
@@ -1,9 +1,10 @@
 #include "relay/EntryRequest.h"
 
-#include "fleet/HostDirectory.h"
 #include "http/Exchange.h"
 #include "http/Serialize.h"
 #include "net/HttpServer.h"
+#include "testing/EntryParts.h"
+#include "testing/RunUntil.h"
 
 #include <catch2/catch.hpp>
 
@@ -13,40 +14,22 @@
 
 namespace {
 
-    const Locality here { "west", "west-a" };
-
     // An entry, and the daemon beside the only target, which refuses every slot and keeps what it was asked.
-    struct Entry {
+    struct Entry : testing::EntryParts {
         Entry()
             : owner(io, {}, [this](std::shared_ptr<http::Exchange> exchange) { refuse(exchange); })
-            , hops(io, {})
-            , board({ .here = here })
-            , attempts({})
-            , proof({ .maximumAge = 1s })
-            , context { .io = io,
-                .options = {},
-                .headers = { .requestId = "Request-Id", .deadline = "Deadline", .retryAfter = "Retry-After" },
-                .self = "self",
-                .service = "ledger",
-                .here = here,
-                .hops = hops,
-                .board = board,
-                .attempts = attempts,
-                .calls = calls,
-                .proof = proof,
-                .hostsProof = proof,
-                .directory = directory,
-                .snapshot = std::make_shared<const PolicySnapshot>(makeConfiguration()) }
             , callers(io, {}, [this](std::shared_ptr<http::Exchange> exchange) {
-                EntryRequest::start(context, std::move(exchange));
+                relay::EntryRequest::start(context, std::move(exchange));
             })
         {
             Error reason;
             REQUIRE(owner.listen("127.0.0.1:0", reason));
             REQUIRE(callers.listen("127.0.0.1:0", reason));
+            context.headers = { .requestId = "Request-Id", .deadline = "Deadline", .retryAfter = "Retry-After" };
+            context.snapshot = std::make_shared<const PolicySnapshot>(makeConfiguration());
             board.setTargets({ { .address = "127.0.0.1:" + std::to_string(owner.port()),
                 .service = "stock",
-                .locality = here,
+                .locality = s_here,
                 .slots = 4 } });
         }
 
@@ -89,24 +72,15 @@
             std::optional<net::HttpClient::Result> result;
             hops.send("127.0.0.1:" + std::to_string(callers.port()), http::serializeRequest(request), { .timeout = 3s },
                 [&result](net::HttpClient::Result given) { result = std::move(given); });
-            const auto end = std::chrono::steady_clock::now() + 4s;
-            while (!result && std::chrono::steady_clock::now() < end)
-                io.run_one_for(20ms);
+            testing::runUntil(
+                io, [&result] { return result.has_value(); }, 4s);
             REQUIRE(result);
             REQUIRE(std::holds_alternative<http::Answer>(*result));
             return std::get<http::Answer>(*result);
         }
 
-        boost::asio::io_context io;
         std::vector<ReserveAsk> asked;
         net::HttpServer owner;
-        net::HttpClient hops;
-        dispatch::TargetBoard board;
-        dispatch::AttemptBudget attempts;
-        dispatch::CallRatio calls;
-        dispatch::FreshnessProof proof;
-        fleet::HostDirectory directory;
-        EntryContext context;
         net::HttpServer callers;
     };
 
--- a/src/relay/OwnerRelay_test.cpp
+++ b/src/relay/OwnerRelay_test.cpp
@@ -3,6 +3,7 @@
 #include "fleet/LocalTarget.h"
 #include "http/Exchange.h"
 #include "net/HttpServer.h"
+#include "testing/RunUntil.h"
 
 #include <catch2/catch.hpp>
 
@@ -53,9 +54,7 @@
             else
                 isSent = hops.sendNext(call, std::move(bytes), { .timeout = 1s }, take);
             REQUIRE(isSent);
-            const auto end = std::chrono::steady_clock::now() + 2s;
-            while (!result && std::chrono::steady_clock::now() < end)
-                io.run_one_for(20ms);
+            testing::runUntil(io, [&result] { return result.has_value(); });
             REQUIRE(result);
             REQUIRE(std::holds_alternative<http::Answer>(*result));
             return std::get<http::Answer>(*result);
