--- a/cmake/SidecarOnly.cmake
+++ b/cmake/SidecarOnly.cmake
@@ -14,7 +14,8 @@
     platform/*.cpp tools/coriandergate-sidecar/*.cpp)
 list(FILTER SIDECAR_SOURCES EXCLUDE REGEX "(_test|_benchmark)\\.cpp$|/platform/testing/")
 list(APPEND SIDECAR_SOURCES
-    src/http/Answer.cpp src/http/AnswerParser.cpp src/http/Exchange.cpp src/http/HeaderList.cpp src/http/Problem.cpp
+    src/http/Answer.cpp src/http/AnswerParser.cpp src/http/CborMessage.cpp src/http/Exchange.cpp src/http/HeaderList.cpp
+    src/http/Problem.cpp
     src/http/RequestParser.cpp src/http/Serialize.cpp src/config/KeyDigest.cpp src/config/KeyIndex.cpp
     src/config/Service.cpp)
 
--- a/soak/Checker.cpp
+++ b/soak/Checker.cpp
@@ -1,16 +1,17 @@
 #include "soak/Checker.h"
 
+#include "http/Status.h"
+
 #include <algorithm>
 
 namespace coriandergate::soak {
 
 namespace {
 
-    constexpr int ok = 200;
-    constexpr int tooManyRequests = 429;
-    constexpr int serviceUnavailable = 503;
-
-    auto promisesNotRun(int status) -> bool { return status == tooManyRequests || status == serviceUnavailable; }
+    auto promisesNotRun(int status) -> bool
+    {
+        return status == http::statusTooManyRequests || status == http::statusUnavailable;
+    }
 
 } // namespace
 
@@ -95,7 +96,7 @@
         ++m_counts.refused;
         return;
     }
-    if (status != ok) {
+    if (status != http::statusOk) {
         ++m_counts.failed;
         return;
     }
--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -1,5 +1,6 @@
 #include "soak/SoakRun.h"
 
+#include "http/Status.h"
 #include "platform/Names.h"
 #include "platform/testing/FleetUnderTest.h"
 #include "soak/Callers.h"
@@ -288,8 +289,7 @@
             if (m_stopping.contains(host) || m_replacing.contains(host))
                 return;
             const auto id = m_fleet.instanceId(host);
-            constexpr int ok = 200;
-            if (m_fleet.instance(host).leave() == ok)
+            if (m_fleet.instance(host).leave() == http::statusOk)
                 m_checker.leaveConfirmed(id, monotonicNow());
             m_replacing.insert(host);
             // It serves on for a while after its leaving was confirmed.
--- a/src/control/ConfigurationSync.cpp
+++ b/src/control/ConfigurationSync.cpp
@@ -10,6 +10,7 @@
 #include "http/Client.h"
 #include "http/Exchange.h"
 #include "http/Problem.h"
+#include "http/Status.h"
 #include "http/WorkerPool.h"
 
 #include <utility>
@@ -18,9 +19,6 @@
 
 namespace {
 
-    constexpr int statusOk = 200;
-    constexpr int statusBadRequest = 400;
-    constexpr int statusUnavailable = 503;
     constexpr std::size_t mostPendingPulls = 4;
     constexpr std::size_t mostPulledBytes = 64 * 1024 * 1024;
     constexpr std::size_t requestHeaderBytes = 65;
@@ -51,7 +49,7 @@
             return std::nullopt;
         }
         auto& answer = std::get<http::Answer>(result);
-        if (answer.status != statusOk) {
+        if (answer.status != http::statusOk) {
             reason = { step, peer, "the peer answered " + std::to_string(answer.status) };
             return std::nullopt;
         }
@@ -232,7 +230,7 @@
 {
     auto text = m_keeper->head().toText();
     countAnswered(0, text.size());
-    exchange->answer(http::makeAnswer(statusOk, textType, std::move(text)));
+    exchange->answer(http::makeAnswer(http::statusOk, textType, std::move(text)));
 }
 
 auto ConfigurationSync::answerAnnouncement(const std::shared_ptr<http::Exchange>& exchange) -> void
@@ -243,9 +241,9 @@
     const auto parts = splitPair(body);
     const auto head = parts ? config::parseConfigurationHead(parts->second, reason) : std::nullopt;
     if (!head)
-        return answerProblem(*exchange, statusBadRequest, reason.toText());
+        return answerProblem(*exchange, http::statusBadRequest, reason.toText());
     m_keeper->onAnnouncement(parts->first, *head);
-    exchange->answer(http::makeAnswer(statusOk, textType, {}));
+    exchange->answer(http::makeAnswer(http::statusOk, textType, {}));
 }
 
 auto ConfigurationSync::answerPull(const std::shared_ptr<http::Exchange>& exchange, http::WorkerPool& exchangeWorkers)
@@ -255,11 +253,11 @@
     const auto parts = splitPair(exchange->request().body);
     const auto from = parts ? config::parseConfigurationHead(parts->first, reason) : std::nullopt;
     if (!from)
-        return answerProblem(*exchange, statusBadRequest, reason.toText());
+        return answerProblem(*exchange, http::statusBadRequest, reason.toText());
     // A bound on the copies of the snapshot in memory; whoever is turned away asks another peer.
     if (m_pendingPulls.fetch_add(1) >= mostPendingPulls) {
         --m_pendingPulls;
-        return answerProblem(*exchange, statusUnavailable, "too many daemons are pulling from this one");
+        return answerProblem(*exchange, http::statusUnavailable, "too many daemons are pulling from this one");
     }
     m_workers.post(m_worker, [self = shared_from_this(), exchange, from = *from, &exchangeWorkers] {
         auto bytes = self->pulledFor(from);
@@ -267,8 +265,8 @@
         exchangeWorkers.post(exchange->worker(), [self, exchange, bytes = std::move(bytes)]() mutable {
             --self->m_pendingPulls;
             if (bytes.empty())
-                return answerProblem(*exchange, statusUnavailable, "there is no configuration yet");
-            exchange->answer(http::makeAnswer(statusOk, "application/cbor", std::move(bytes)));
+                return answerProblem(*exchange, http::statusUnavailable, "there is no configuration yet");
+            exchange->answer(http::makeAnswer(http::statusOk, "application/cbor", std::move(bytes)));
         });
     });
 }
--- a/src/control/FleetCheck.cpp
+++ b/src/control/FleetCheck.cpp
@@ -3,6 +3,7 @@
 #include "base/Error.h"
 #include "control/SyncMessage.h"
 #include "http/Client.h"
+#include "http/Status.h"
 
 #include <algorithm>
 #include <cstddef>
@@ -14,7 +15,6 @@
 namespace {
 
     constexpr std::size_t mostQuestions = 64; // under way at once
-    constexpr int statusOk = 200;
 
     class FleetCheck : public std::enable_shared_from_this<FleetCheck> {
     public:
@@ -53,7 +53,7 @@
             Error reason;
             const auto* answer = std::get_if<http::Answer>(&result);
             DaemonStatus status { peer, std::nullopt };
-            if (answer != nullptr && answer->status == statusOk)
+            if (answer != nullptr && answer->status == http::statusOk)
                 status.head = config::parseConfigurationHead(answer->body, reason);
             m_statuses.push_back(std::move(status));
             if (m_statuses.size() == m_peers.size())
--- a/src/control/OperatorApi.cpp
+++ b/src/control/OperatorApi.cpp
@@ -12,6 +12,7 @@
 #include "http/Client.h"
 #include "http/Exchange.h"
 #include "http/Problem.h"
+#include "http/Status.h"
 #include "http/WorkerPool.h"
 
 #include <QUrl>
@@ -25,15 +26,6 @@
 
     using nlohmann::json;
 
-    constexpr int statusOk = 200;
-    constexpr int statusCreated = 201;
-    constexpr int statusUnauthorized = 401;
-    constexpr int statusForbidden = 403;
-    constexpr int statusNotFound = 404;
-    constexpr int statusConflict = 409;
-    constexpr int statusUnprocessable = 422;
-    constexpr int statusUnavailable = 503;
-    constexpr int statusTimeout = 504;
     constexpr std::size_t defaultLimit = 100; // records
     constexpr std::size_t mostLimit = 1000; // records
     constexpr std::size_t digestLength = 64; // hexadecimal digits
@@ -59,7 +51,7 @@
 
     auto makeFaults(const std::vector<config::DeclarationFault>& faults) -> http::Answer
     {
-        return makeJson(statusUnprocessable, { { "result", "invalid" }, { "faults", faults } });
+        return makeJson(http::statusUnprocessable, { { "result", "invalid" }, { "faults", faults } });
     }
 
     // toSeconds() is a duration for people and scripts; null when there is none.
@@ -97,24 +89,24 @@
     struct ConfirmAnswer {
         auto operator()(const Accepted& accepted) const -> http::Answer
         {
-            return makeJson(statusOk,
+            return makeJson(http::statusOk,
                 { { "result", "accepted" }, { "head", accepted.head }, { "wasAlready", accepted.wasAlready } });
         }
         auto operator()(const Conflict& conflict) const -> http::Answer
         {
-            return makeJson(statusConflict, { { "result", "conflict" }, { "changes", conflict.changes } });
+            return makeJson(http::statusConflict, { { "result", "conflict" }, { "changes", conflict.changes } });
         }
         auto operator()(const NotAccepted& refused) const -> http::Answer
         {
-            return makeFailure(statusUnavailable, "notAccepted", refused.error);
+            return makeFailure(http::statusUnavailable, "notAccepted", refused.error);
         }
         auto operator()(const ConfirmUnknown& unknown) const -> http::Answer
         {
-            return makeFailure(statusTimeout, "unknown", unknown.error);
+            return makeFailure(http::statusGatewayTimeout, "unknown", unknown.error);
         }
         auto operator()(const NoSuchPlan&) const -> http::Answer
         {
-            return makeProblem(statusNotFound, "there is no such plan");
+            return makeProblem(http::statusNotFound, "there is no such plan");
         }
     };
 
@@ -123,15 +115,15 @@
         auto operator()(const PlanMade& made) const -> http::Answer
         {
             return makeJson(
-                statusCreated, { { "result", "planned" }, { "id", made.record.id }, { "plan", made.plan } });
+                http::statusCreated, { { "result", "planned" }, { "id", made.record.id }, { "plan", made.plan } });
         }
         auto operator()(const PlanRefused& refused) const -> http::Answer
         {
-            return makeFailure(statusUnprocessable, "refused", refused.error);
+            return makeFailure(http::statusUnprocessable, "refused", refused.error);
         }
         auto operator()(const PlanNotKept& failed) const -> http::Answer
         {
-            return makeFailure(statusUnavailable, "notAccepted", failed.error);
+            return makeFailure(http::statusUnavailable, "notAccepted", failed.error);
         }
     };
 
@@ -167,19 +159,19 @@
 {
     if (m_operators.empty())
         return exchange->answer(
-            makeProblem(statusForbidden, "no operator is set up; the setting 'operators' names them"));
+            makeProblem(http::statusForbidden, "no operator is set up; the setting 'operators' names them"));
     const auto authorization = exchange->request().headers.find("Authorization").value_or("");
     const auto token = authorization.starts_with(bearer) ? authorization.substr(bearer.size()) : std::string_view();
     auto name = m_operators.nameFor(token);
     if (name.empty())
-        return exchange->answer(makeProblem(statusUnauthorized, "a token of an operator is needed"));
+        return exchange->answer(makeProblem(http::statusUnauthorized, "a token of an operator is needed"));
     auto call = readCall(std::move(exchange));
     call.operatorName = std::move(name);
     m_workers.post(m_worker, [self = shared_from_this(), call = std::move(call)] {
         if (self->m_client)
             self->dispatch(call);
         else
-            self->reply(call, makeProblem(statusUnavailable, "the daemon stops"));
+            self->reply(call, makeProblem(http::statusUnavailable, "the daemon stops"));
     });
 }
 
@@ -233,7 +225,7 @@
         if (call.method == "POST" && rest.ends_with(confirmation))
             return confirm(call, rest.substr(0, rest.size() - confirmation.size()));
     }
-    reply(call, makeProblem(statusNotFound, "no such page: " + call.method + " " + call.path));
+    reply(call, makeProblem(http::statusNotFound, "no such page: " + call.method + " " + call.path));
 }
 
 auto OperatorApi::validate(const Call& call) -> void
@@ -244,7 +236,7 @@
         return reply(call, makeFaults(faults));
     const auto& configuration = declaration->configuration;
     reply(call,
-        makeJson(statusOk,
+        makeJson(http::statusOk,
             { { "result", "valid" }, { "routes", configuration.routes.size() },
                 { "clientAccounts", configuration.clientAccounts.size() },
                 { "services", configuration.services.size() } }));
@@ -260,7 +252,8 @@
     const auto base = current ? *current->configuration : config::Configuration {};
     const auto targets = m_options.targets ? m_options.targets() : KnownTargets {};
     const auto plan = planChange(base, intendedConfiguration(base, *declaration), targets);
-    reply(call, makeJson(statusOk, { { "result", plan.changes.empty() ? "same" : "differs" }, { "plan", plan } }));
+    reply(
+        call, makeJson(http::statusOk, { { "result", plan.changes.empty() ? "same" : "differs" }, { "plan", plan } }));
 }
 
 auto OperatorApi::planDeclaration(const Call& call) -> void
@@ -283,7 +276,7 @@
         && digest.get<std::string>().find_first_not_of("0123456789abcdef") == std::string::npos;
     if (!account.is_string() || !isDigest)
         return reply(call,
-            makeFailure(statusUnprocessable, "refused",
+            makeFailure(http::statusUnprocessable, "refused",
                 { "issue key", {}, "clientAccount and keyDigest (64 lower-case hexadecimal digits) are needed" }));
     makePlan(call,
         [account = account.get<std::string>(), digest = digest.get<std::string>()](
@@ -295,7 +288,8 @@
     const auto value = json::parse(call.body, nullptr, false);
     const auto digest = value.is_object() ? value.value("keyDigest", json()) : json();
     if (!digest.is_string())
-        return reply(call, makeFailure(statusUnprocessable, "refused", { "withdraw key", {}, "keyDigest is needed" }));
+        return reply(
+            call, makeFailure(http::statusUnprocessable, "refused", { "withdraw key", {}, "keyDigest is needed" }));
     makePlan(call, [digest = digest.get<std::string>()](const config::Configuration& base, Error& reason) {
         return withKeyWithdrawn(base, digest, reason);
     });
@@ -317,11 +311,11 @@
 {
     m_changes->readPlan(planId, [self = shared_from_this(), call](const ChangeStore::TextResult& result) {
         if (const auto* unavailable = std::get_if<store::Unavailable>(&result))
-            return self->reply(call, makeFailure(statusUnavailable, "unavailable", unavailable->error));
+            return self->reply(call, makeFailure(http::statusUnavailable, "unavailable", unavailable->error));
         const auto& text = std::get<std::optional<std::string>>(result);
         if (!text)
-            return self->reply(call, makeProblem(statusNotFound, "there is no such plan"));
-        self->reply(call, http::makeAnswer(statusOk, "application/json", *text + "\n"));
+            return self->reply(call, makeProblem(http::statusNotFound, "there is no such plan"));
+        self->reply(call, http::makeAnswer(http::statusOk, "application/json", *text + "\n"));
     });
 }
 
@@ -358,7 +352,7 @@
                     behind.push_back({ { "address", daemon.address }, { "version", daemon.head->version } });
             }
             self->reply(call,
-                makeJson(statusOk,
+                makeJson(http::statusOk,
                     { { "daemon", self->m_options.self }, { "head", newest },
                         { "freshness", freshnessText(self->m_keeper->freshness(now)) },
                         { "contactAgeSeconds", toSeconds(self->m_keeper->contactAge(now)) },
@@ -374,11 +368,11 @@
     m_changes->readAudit(
         call.after, call.limit, [self = shared_from_this(), call, withRefused](const ChangeStore::AuditResult& result) {
             if (const auto* unavailable = std::get_if<store::Unavailable>(&result))
-                return self->reply(call, makeFailure(statusUnavailable, "unavailable", unavailable->error));
+                return self->reply(call, makeFailure(http::statusUnavailable, "unavailable", unavailable->error));
             auto records = std::get<std::vector<AuditRecord>>(result);
             if (!withRefused)
                 std::erase_if(records, [](const AuditRecord& record) { return record.result != "accepted"; });
-            self->reply(call, makeJson(statusOk, { { "records", records } }));
+            self->reply(call, makeJson(http::statusOk, { { "records", records } }));
         });
 }
 
@@ -386,8 +380,9 @@
 {
     const auto current = m_keeper->current();
     if (!current)
-        return reply(call, makeProblem(statusUnavailable, "no configuration is known yet"));
-    auto answer = http::makeAnswer(statusOk, "application/yaml", config::writeDeclaration(*current->configuration));
+        return reply(call, makeProblem(http::statusUnavailable, "no configuration is known yet"));
+    auto answer
+        = http::makeAnswer(http::statusOk, "application/yaml", config::writeDeclaration(*current->configuration));
     answer.headers.add("Coriandergate-Version", std::to_string(current->configuration->version));
     reply(call, std::move(answer));
 }
--- a/src/daemon/AdminRouter.cpp
+++ b/src/daemon/AdminRouter.cpp
@@ -2,6 +2,7 @@
 
 #include "http/Exchange.h"
 #include "http/Problem.h"
+#include "http/Status.h"
 
 namespace coriandergate::daemon {
 
@@ -26,19 +27,17 @@
 
 auto AdminRouter::handle(std::shared_ptr<http::Exchange> exchange) const -> void
 {
-    constexpr int notFound = 404;
-    constexpr int methodNotAllowed = 405;
     const auto& target = exchange->request().target;
     const auto* methods = findMethods(target.substr(0, target.find('?')));
     if (!methods) {
-        exchange->answer(http::makeAnswer(
-            notFound, http::problemContentType, http::problemBody(notFound, "no such page: " + target)));
+        exchange->answer(http::makeAnswer(http::statusNotFound, http::problemContentType,
+            http::problemBody(http::statusNotFound, "no such page: " + target)));
         return;
     }
     const auto found = methods->find(exchange->request().method);
     if (found == methods->end()) {
-        exchange->answer(http::makeAnswer(methodNotAllowed, http::problemContentType,
-            http::problemBody(methodNotAllowed, "the method is not allowed here")));
+        exchange->answer(http::makeAnswer(http::statusMethodNotAllowed, http::problemContentType,
+            http::problemBody(http::statusMethodNotAllowed, "the method is not allowed here")));
         return;
     }
     found->second(std::move(exchange));
--- a/src/daemon/AnnouncePlugin.cpp
+++ b/src/daemon/AnnouncePlugin.cpp
@@ -4,6 +4,7 @@
 #include "daemon/AdminRouter.h"
 #include "http/Exchange.h"
 #include "http/Problem.h"
+#include "http/Status.h"
 #include "kernel/Kernel.h"
 #include "kernel/PluginRegistration.h"
 #include "log/Event.h"
@@ -22,10 +23,6 @@
     const log::Event announcementRefused { 1203, log::Severity::Warning, "announcement refused",
         "the target's announcement; the reason says which field" };
 
-    constexpr int noContent = 204;
-    constexpr int badRequest = 400;
-    constexpr int notFound = 404;
-
     auto answerProblem(http::Exchange& exchange, int status, const std::string& reason) -> void
     {
         exchange.answer(http::makeAnswer(status, http::problemContentType, http::problemBody(status, reason)));
@@ -51,30 +48,30 @@
         const auto version = targets.version();
         if (!announcement || !targets.announce(*announcement, monotonicNow(), reason)) {
             log::logEvent(announcementRefused, { { "caller", exchange.peer() }, { "reason", reason.toText() } });
-            answerProblem(exchange, badRequest, reason.toText());
+            answerProblem(exchange, http::statusBadRequest, reason.toText());
             return;
         }
         if (targets.version() != version)
             log::logEvent(targetAnnounced,
                 { { "target", announcement->address }, { "service", announcement->service },
                     { "slots", std::to_string(announcement->slots) } });
-        exchange.answer({ .status = noContent, .reason = {}, .headers = {}, .body = {} });
+        exchange.answer({ .status = http::statusNoContent, .reason = {}, .headers = {}, .body = {} });
     }
 
     auto leave(member::TargetRegistry& targets, http::Exchange& exchange) -> void
     {
         const auto document = nlohmann::json::parse(exchange.request().body, nullptr, false);
         if (!document.is_object() || !document.contains("address") || !document["address"].is_string()) {
-            answerProblem(exchange, badRequest, "a JSON object with the target's address is needed");
+            answerProblem(exchange, http::statusBadRequest, "a JSON object with the target's address is needed");
             return;
         }
         const auto address = document["address"].get<std::string>();
         if (!targets.leave(address, monotonicNow())) {
-            answerProblem(exchange, notFound, "no target is known at " + address);
+            answerProblem(exchange, http::statusNotFound, "no target is known at " + address);
             return;
         }
         log::logEvent(targetLeft, { { "target", address } });
-        exchange.answer({ .status = noContent, .reason = {}, .headers = {}, .body = {} });
+        exchange.answer({ .status = http::statusNoContent, .reason = {}, .headers = {}, .body = {} });
     }
 
 } // namespace
--- a/src/daemon/FairSlotGate.cpp
+++ b/src/daemon/FairSlotGate.cpp
@@ -1,5 +1,7 @@
 #include "daemon/FairSlotGate.h"
 
+#include "http/Status.h"
+
 #include <optional>
 
 namespace coriandergate::daemon {
@@ -8,9 +10,6 @@
 
 namespace {
 
-    constexpr int unavailable = 503;
-    constexpr int gatewayTimeout = 504;
-
     auto groupOf(const std::string& service, const std::string& target) -> std::string
     {
         return service + '\n' + target;
@@ -26,7 +25,7 @@
     {
         const auto isLate = refused.reason == admission::RefusalReason::DeadlinePassed;
         proxy::Refusal refusal;
-        refusal.status = isLate ? gatewayTimeout : unavailable;
+        refusal.status = isLate ? http::statusGatewayTimeout : http::statusUnavailable;
         refusal.outcome = proxy::Outcome::NotRun;
         refusal.error = { "wait for a slot", target, std::string(admission::toText(refused.reason)) };
         if (refused.retryAfter > MonotonicDuration::zero())
--- a/src/daemon/JudgePoisonGate.cpp
+++ b/src/daemon/JudgePoisonGate.cpp
@@ -1,5 +1,6 @@
 #include "daemon/JudgePoisonGate.h"
 
+#include "http/Status.h"
 #include "http/WorkerPool.h"
 #include "log/Event.h"
 #include "proxy/RequestContext.h"
@@ -13,8 +14,6 @@
 
 namespace {
 
-    constexpr int unprocessable = 422;
-    constexpr int unavailable = 503;
     constexpr auto askAgain = std::chrono::milliseconds(50);
     constexpr auto step = "check for poison";
 
@@ -63,7 +62,7 @@
         return;
     }
     if (now + askAgain >= request.deadline) {
-        waiting->decided(proxy::Refusal { .status = unavailable,
+        waiting->decided(proxy::Refusal { .status = http::statusUnavailable,
             .outcome = proxy::Outcome::NotRun,
             .error = { step, request.route.service, "another request that may crash its target is running" },
             .retryAfter = std::chrono::milliseconds(1000),
@@ -123,7 +122,7 @@
 auto JudgePoisonGate::refusePoison(const std::string& service) -> proxy::Refusal
 {
     ++m_counts.refused;
-    return { .status = unprocessable,
+    return { .status = http::statusUnprocessable,
         .outcome = proxy::Outcome::NotRun,
         .error = { step, service, "targets crashed when they ran this request; it is refused for a time" },
         .retryAfter = std::nullopt,
--- a/src/daemon/LedgerOnceGate.cpp
+++ b/src/daemon/LedgerOnceGate.cpp
@@ -3,6 +3,7 @@
 #include "daemon/PeerRouter.h"
 #include "http/Exchange.h"
 #include "http/Problem.h"
+#include "http/Status.h"
 #include "http/WorkerPool.h"
 #include "log/Event.h"
 #include "once/OnceCodec.h"
@@ -19,9 +20,6 @@
 
 namespace {
 
-    constexpr int conflict = 409;
-    constexpr int unprocessable = 422;
-    constexpr int unavailable = 503;
     constexpr milliseconds retryAfter { 1000 };
     constexpr milliseconds reportInterval { 300 }; // between two questions for the same report
     constexpr std::size_t outcomesATick = 200;
@@ -43,7 +41,7 @@
 
     auto notRunNow(std::string reason) -> proxy::Refusal
     {
-        auto refusal = makeRefusal(unavailable, proxy::Outcome::NotRun, std::move(reason));
+        auto refusal = makeRefusal(http::statusUnavailable, proxy::Outcome::NotRun, std::move(reason));
         refusal.retryAfter = retryAfter;
         return refusal;
     }
@@ -51,7 +49,7 @@
     auto replay(const once::Ran& ran) -> proxy::OnceDecision
     {
         if (!ran.answer)
-            return makeRefusal(conflict, proxy::Outcome::Ran,
+            return makeRefusal(http::statusConflict, proxy::Outcome::Ran,
                 "it ran, and its answer, of status " + std::to_string(ran.status) + ", was too large to keep");
         auto answer = http::makeAnswer(ran.status, ran.answer->contentType, ran.answer->body);
         answer.headers.add("Idempotent-Replayed", "true");
@@ -131,7 +129,7 @@
         return;
     }
     if (!books()->attempts.open(parsed->attempt, parsed->key, parsed->fingerprint, now)) {
-        decided(makeRefusal(conflict, proxy::Outcome::MayHaveRun, "this very attempt came before"));
+        decided(makeRefusal(http::statusConflict, proxy::Outcome::MayHaveRun, "this very attempt came before"));
         return;
     }
     const auto ask = std::make_shared<Ask>();
@@ -226,12 +224,14 @@
         ask->decide(replay(ran->outcome));
     } else if (std::holds_alternative<once::InProgress>(answer)) {
         ++m_counts.inProgress;
-        auto refusal = makeRefusal(conflict, proxy::Outcome::MayHaveRun, "an earlier request with this key is running");
+        auto refusal = makeRefusal(
+            http::statusConflict, proxy::Outcome::MayHaveRun, "an earlier request with this key is running");
         refusal.retryAfter = retryAfter;
         ask->decide(std::move(refusal));
     } else if (std::holds_alternative<once::FingerprintDiffers>(answer)) {
         ++m_counts.refused;
-        ask->decide(makeRefusal(unprocessable, proxy::Outcome::NotRun, "this key was used for another request before"));
+        ask->decide(makeRefusal(
+            http::statusUnprocessable, proxy::Outcome::NotRun, "this key was used for another request before"));
     } else if (const auto* refused = std::get_if<once::PermitRefused>(&answer)) {
         ++m_counts.refused;
         auto refusal = notRunNow(textOf(refused->reason));
@@ -240,7 +240,7 @@
     } else {
         ++m_counts.unknown;
         log::logEvent(outcomeUnknown, { { "label", once::encodeLabel(ask->label) } });
-        ask->decide(makeRefusal(conflict, proxy::Outcome::MayHaveRun,
+        ask->decide(makeRefusal(http::statusConflict, proxy::Outcome::MayHaveRun,
             "it is not known whether an earlier request with this key ran; it was not run again"));
     }
 }
@@ -541,8 +541,8 @@
         if (answer)
             exchange->answer(http::makeAnswer(200, "application/cbor", std::move(*answer)));
         else
-            exchange->answer(http::makeAnswer(conflict, http::problemContentType,
-                http::problemBody(conflict, "it can't be done by this daemon now")));
+            exchange->answer(http::makeAnswer(http::statusConflict, http::problemContentType,
+                http::problemBody(http::statusConflict, "it can't be done by this daemon now")));
     });
 }
 
--- a/src/daemon/PagesPlugin.cpp
+++ b/src/daemon/PagesPlugin.cpp
@@ -4,6 +4,7 @@
 #include "daemon/DrainState.h"
 #include "daemon/Readiness.h"
 #include "http/Exchange.h"
+#include "http/Status.h"
 #include "kernel/Kernel.h"
 #include "kernel/PluginRegistration.h"
 #include "proxy/SnapshotHolder.h"
@@ -17,8 +18,6 @@
 
     const kernel::PluginRegistration registration { "pages", 60, [] { return std::make_unique<PagesPlugin>(); } };
 
-    constexpr int unavailable = 503;
-
 } // namespace
 
 auto PagesPlugin::start(kernel::Kernel& kernel, Error&) -> bool
@@ -33,7 +32,7 @@
     router->add("GET", "/healthz", [readiness](std::shared_ptr<http::Exchange> exchange) {
         const auto lacking = readiness->lacking();
         exchange->answer(lacking.empty() ? http::makeAnswer(200, "text/plain", "serving\n")
-                                         : http::makeAnswer(unavailable, "text/plain", lacking + "\n"));
+                                         : http::makeAnswer(http::statusUnavailable, "text/plain", lacking + "\n"));
     });
     router->add("GET", "/metrics", [registry](std::shared_ptr<http::Exchange> exchange) {
         const prometheus::TextSerializer serializer;
--- a/src/daemon/ShareGate.cpp
+++ b/src/daemon/ShareGate.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Error.h"
 #include "config/Snapshot.h"
+#include "http/Status.h"
 #include "proxy/ProxyContext.h"
 #include "proxy/RequestContext.h"
 #include "rpc/RpcClient.h"
@@ -19,8 +20,6 @@
 
 namespace {
 
-    constexpr int tooManyRequests = 429;
-    constexpr int unavailable = 503;
     constexpr std::chrono::seconds cleanUpInterval { 5 };
 
     auto addCounter(prometheus::Registry& registry, const char* name, const char* help) -> prometheus::Counter&
@@ -133,7 +132,7 @@
     const auto& refused = std::get<share::ShareRefused>(decision);
     const auto* const reason = refused.isOverLimit ? "the client account is above its rate and burst"
                                                    : "no daemon that counts the client account's requests answered";
-    decided(proxy::Refusal { .status = refused.isOverLimit ? tooManyRequests : unavailable,
+    decided(proxy::Refusal { .status = refused.isOverLimit ? http::statusTooManyRequests : http::statusUnavailable,
         .outcome = proxy::Outcome::NotRun,
         .error = { "acquire rate", account, reason },
         .retryAfter = refused.retryAfter,
--- a/src/fleet/HostAnnouncer.cpp
+++ b/src/fleet/HostAnnouncer.cpp
@@ -51,32 +51,18 @@
 auto HostAnnouncer::onWritten(const std::optional<std::string>& written, StoreFeed::Result result) -> void
 {
     m_isWriting = false;
-    const auto* failed = std::get_if<StoreFailure>(&result);
-    if (!failed || failed->kind == StoreFailure::Kind::ConditionFailed)
-        m_retry = s_firstRetry;
-    if (const auto* answer = std::get_if<StoreAnswer>(&result)) {
-        m_version = written ? answer->newestVersion : 0;
+    const auto* failure = std::get_if<StoreFailure>(&result);
+    if (failure && failure->kind != StoreFailure::Kind::ConditionFailed) {
+        retry();
+        return;
+    }
+    m_retry = s_firstRetry;
+    if (failure) {
+        takeStanding(failure->current);
+    } else {
+        m_version = written ? std::get<StoreAnswer>(result).newestVersion : 0;
         m_confirmed = written;
         m_hasConfirmed = true;
-    } else {
-        const auto& failure = std::get<StoreFailure>(result);
-        if (failure.kind != StoreFailure::Kind::ConditionFailed) {
-            retry();
-            return;
-        }
-        m_version = 0;
-        std::optional<std::string> standing;
-        for (const auto& row : failure.current) {
-            if (row.key == m_key && !row.isRemoved) {
-                m_version = row.version;
-                standing = row.value;
-            }
-        }
-        // An earlier write whose answer was lost took effect.
-        if (standing == m_wanted) {
-            m_confirmed = standing;
-            m_hasConfirmed = true;
-        }
     }
     if (isStored())
         confirm();
@@ -84,6 +70,24 @@
         write();
 }
 
+// The row had another version than expected.
+auto HostAnnouncer::takeStanding(const std::vector<StoreRow>& rows) -> void
+{
+    m_version = 0;
+    std::optional<std::string> standing;
+    for (const auto& row : rows) {
+        if (row.key == m_key && !row.isRemoved) {
+            m_version = row.version;
+            standing = row.value;
+        }
+    }
+    // An earlier write whose answer was lost took effect.
+    if (standing == m_wanted) {
+        m_confirmed = standing;
+        m_hasConfirmed = true;
+    }
+}
+
 auto HostAnnouncer::recordRemoval() -> void
 {
     if (!m_wanted || !isStored())
--- a/src/fleet/HostAnnouncer.h
+++ b/src/fleet/HostAnnouncer.h
@@ -48,6 +48,7 @@
     auto set(std::optional<std::string> wanted, Stored stored) -> void;
     auto write() -> void;
     auto onWritten(const std::optional<std::string>& written, StoreFeed::Result result) -> void;
+    auto takeStanding(const std::vector<StoreRow>& rows) -> void;
     auto confirm() -> void;
     auto retry() -> void;
 
--- a/src/fleet/HostDirectory.cpp
+++ b/src/fleet/HostDirectory.cpp
@@ -1,7 +1,5 @@
 #include "fleet/HostDirectory.h"
 
-#include <set>
-
 namespace coriandergate::fleet {
 
 auto HostDirectory::apply(const std::vector<StoreRow>& rows, bool isWhole) -> std::vector<Error>
@@ -26,6 +24,7 @@
         else
             faults.push_back(reason);
     }
+    gatherRateHosts();
     return faults;
 }
 
@@ -51,22 +50,28 @@
     return hosts;
 }
 
-auto HostDirectory::rateHosts(const std::string& region) const -> std::vector<dispatch::RateHost>
+auto HostDirectory::hostsAt(const Locality& locality) const -> std::vector<std::string>
 {
-    std::vector<dispatch::RateHost> hosts;
+    std::vector<std::string> hosts;
     for (const auto& [key, record] : m_hosts) {
-        if (record.locality.region == region)
-            hosts.push_back({ key, record.joinedAt });
+        if (record.locality == locality)
+            hosts.push_back(key);
     }
     return hosts;
 }
 
-auto HostDirectory::regions() const -> std::vector<std::string>
+auto HostDirectory::gatherRateHosts() -> void
 {
-    std::set<std::string> regions;
+    m_rateHosts.clear();
     for (const auto& [key, record] : m_hosts)
-        regions.insert(record.locality.region);
-    return { regions.begin(), regions.end() };
+        m_rateHosts[record.locality.region].push_back({ key, record.joinedAt });
+}
+
+auto HostDirectory::rateHostsOf(const std::string& region) const -> const std::vector<dispatch::RateHost>&
+{
+    static const std::vector<dispatch::RateHost> s_none;
+    const auto found = m_rateHosts.find(region);
+    return found == m_rateHosts.end() ? s_none : found->second;
 }
 
 auto HostDirectory::targets() const -> std::vector<dispatch::TargetBoard::Description>
--- a/src/fleet/HostDirectory.h
+++ b/src/fleet/HostDirectory.h
@@ -20,6 +20,8 @@
 // HostDirectory is used by one thread.
 class HostDirectory {
 public:
+    using RateHosts = std::map<std::string, std::vector<dispatch::RateHost>>;
+
     // apply() takes changed rows, or all rows when `isWhole`; older ones than those known change nothing. Rows that
     // can't be read are left aside and returned.
     auto apply(const std::vector<StoreRow>& rows, bool isWhole) -> std::vector<Error>;
@@ -33,18 +35,24 @@
     // version() is the version of a host's row, 0 if there is none.
     [[nodiscard]] auto version(const std::string& key) const -> std::uint64_t;
 
-    // hostsOf() are the keys of the hosts of `region`, sorted; regions() are all regions that have hosts.
+    // hostsOf() are the keys of the hosts of `region`, sorted; hostsAt() those of one data centre.
     [[nodiscard]] auto hostsOf(const std::string& region) const -> std::vector<std::string>;
-    [[nodiscard]] auto regions() const -> std::vector<std::string>;
+    [[nodiscard]] auto hostsAt(const Locality& locality) const -> std::vector<std::string>;
+
+    // rateHosts() are the hosts of each region that has any, with when each joined, for the choice of accounts' homes.
+    [[nodiscard]] auto rateHosts() const -> const RateHosts& { return m_rateHosts; }
 
-    // rateHosts() are the hosts of `region`, with when each joined, for the choice of accounts' homes.
-    [[nodiscard]] auto rateHosts(const std::string& region) const -> std::vector<dispatch::RateHost>;
+    // rateHostsOf() are those of `region`.
+    [[nodiscard]] auto rateHostsOf(const std::string& region) const -> const std::vector<dispatch::RateHost>&;
 
     // targets() are the targets that may get work.
     [[nodiscard]] auto targets() const -> std::vector<dispatch::TargetBoard::Description>;
 
 private:
+    auto gatherRateHosts() -> void;
+
     std::map<std::string, HostRecord> m_hosts;
+    RateHosts m_rateHosts; // gathered from m_hosts when rows change: every request with a key needs them
     std::map<std::string, std::uint64_t> m_versions; // of the rows seen last, also of removed ones
 };
 
--- a/src/fleet/NewsCodec.h
+++ b/src/fleet/NewsCodec.h
@@ -9,9 +9,13 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace coriandergate::fleet {
 
+// The path at which a relay is asked for news.
+inline constexpr std::string_view newsPath = "/news";
+
 // NewsAsk asks for what changed in a table since a version.
 struct NewsAsk {
     std::string table;
--- a/src/fleet/RelayedFeed.cpp
+++ b/src/fleet/RelayedFeed.cpp
@@ -4,6 +4,7 @@
 #include "fleet/HostDirectory.h"
 #include "fleet/NewsCodec.h"
 #include "http/Exchange.h"
+#include "http/Status.h"
 #include "log/Event.h"
 
 #include <algorithm>
@@ -17,9 +18,6 @@
     const log::Event relayLost { 1940, log::Severity::Info, "relay of news lost",
         "the store or another relay is followed instead for a while" };
 
-    constexpr int ok = 200;
-    constexpr int serviceUnavailable = 503;
-
     auto whyNoNews(const net::HttpClient::Result& result) -> std::string
     {
         if (const auto* answer = std::get_if<http::Answer>(&result))
@@ -29,7 +27,7 @@
 
     auto refuse(const std::shared_ptr<http::Exchange>& exchange, const char* why) -> void
     {
-        exchange->answer(http::makeAnswer(serviceUnavailable, "text/plain", why));
+        exchange->answer(http::makeAnswer(http::statusUnavailable, "text/plain", why));
     }
 
 } // namespace
@@ -179,7 +177,8 @@
                 return;
             const auto* received = std::get_if<http::Answer>(&result);
             Error reason { "follow relay", relay.host, whyNoNews(result) };
-            auto answer = received && received->status == ok ? decodeNews(received->body, reason) : std::nullopt;
+            auto answer
+                = received && received->status == http::statusOk ? decodeNews(received->body, reason) : std::nullopt;
             const auto now = m_storeTime ? m_storeTime() : std::nullopt;
             const bool isOld = answer && now && isDated && *now - answer->storeTime > m_options.oldestNews;
             if (!answer || isOld) {
@@ -284,7 +283,7 @@
     }
     answer.newestVersion = table.newestVersion;
     answer.storeTime = table.storeTime;
-    exchange->answer(http::makeAnswer(ok, "application/cbor", encodeNews(answer)));
+    exchange->answer(http::makeAnswer(http::statusOk, "application/cbor", encodeNews(answer)));
 }
 
 auto RelayedFeed::handle(const std::shared_ptr<http::Exchange>& exchange) -> void
--- a/src/fleet/RelayedFeed.h
+++ b/src/fleet/RelayedFeed.h
@@ -52,7 +52,6 @@
         std::size_t failuresToLeaveStore = 2; // in a row; after them the store isn't asked either
         std::chrono::milliseconds storeBackoff { 3000 }; // for so long, while a relay has news
     };
-    static constexpr std::string_view s_path = "/news";
 
     RelayedFeed(boost::asio::io_context& io, StoreFeed& store, net::HttpClient& hops, const Options& options);
 
--- /dev/null
+++ b/src/http/CborMessage.cpp
@@ -0,0 +1,39 @@
+#include "http/CborMessage.h"
+
+#include "base/Error.h"
+#include "http/Request.h"
+#include "http/Serialize.h"
+
+namespace coriandergate::http {
+
+using nlohmann::json;
+
+auto cborBytes(const json& value) -> std::string
+{
+    const auto bytes = json::to_cbor(value);
+    return { bytes.begin(), bytes.end() };
+}
+
+auto makeCborRequest(std::string_view path, const json& value) -> std::string
+{
+    Request request;
+    request.method = "POST";
+    request.target = path;
+    request.headers.add("Host", "peer");
+    request.body = cborBytes(value);
+    return serializeRequest(request);
+}
+
+auto readCbor(const std::string& body, const char* step, Error& reason, const std::function<void(const json&)>& read)
+    -> bool
+{
+    try {
+        read(json::from_cbor(body));
+        return true;
+    } catch (const json::exception& exception) {
+        reason = { step, "", exception.what() };
+        return false;
+    }
+}
+
+} // namespace coriandergate::http
--- a/src/proxy/EntryRequest.cpp
+++ b/src/proxy/EntryRequest.cpp
@@ -5,6 +5,7 @@
 #include "config/KeyDigest.h"
 #include "config/Snapshot.h"
 #include "http/Exchange.h"
+#include "http/Status.h"
 #include "http/WorkerPool.h"
 #include "log/Event.h"
 #include "member/TargetRegistry.h"
@@ -28,14 +29,6 @@
 
 namespace {
 
-    constexpr int badRequest = 400;
-    constexpr int unauthorized = 401;
-    constexpr int forbidden = 403;
-    constexpr int notFound = 404;
-    constexpr int contentTooLarge = 413;
-    constexpr int badGateway = 502;
-    constexpr int unavailable = 503;
-    constexpr int gatewayTimeout = 504;
     constexpr int callerLeft = 499; // for the log only
     constexpr std::size_t maximumAttempts = 3;
     constexpr std::size_t maximumIdempotencyKeyBytes = 255;
@@ -99,7 +92,7 @@
 {
     const auto snapshot = m_context->snapshot();
     if (!snapshot || m_context->freshnessAt(m_request.arrivedAt) == config::Freshness::Expired) {
-        auto refused = notRun(unavailable, "find route", "",
+        auto refused = notRun(http::statusUnavailable, "find route", "",
             snapshot ? "the configuration is too old to rely on" : "no configuration is known yet");
         refused.retryAfter = milliseconds(1000);
         return refused;
@@ -107,10 +100,10 @@
     const auto& request = m_exchange->request();
     const auto* route = snapshot->routes.match(request.headers.find("Host").value_or(""), request.target);
     if (!route)
-        return notRun(notFound, "find route", "", "no route takes this host and path");
+        return notRun(http::statusNotFound, "find route", "", "no route takes this host and path");
     m_request.route = *route;
     if (request.body.size() > route->maximumRequestBytes)
-        return notRun(contentTooLarge, "read request", route->name,
+        return notRun(http::statusContentTooLarge, "read request", route->name,
             "the body is larger than " + std::to_string(route->maximumRequestBytes) + " bytes");
     return std::nullopt;
 }
@@ -120,15 +113,15 @@
     Error reason;
     const auto key = takeKey(m_exchange->request(), reason);
     if (!key && !reason.step.empty())
-        return notRun(badRequest, reason.step, "", reason.reason);
+        return notRun(http::statusBadRequest, reason.step, "", reason.reason);
     const auto& route = m_request.route;
     if (route.isOpen)
         return std::nullopt;
     if (!key)
-        return notRun(unauthorized, "check key", route.name, "the route needs a key");
+        return notRun(http::statusUnauthorized, "check key", route.name, "the route needs a key");
     if (m_context->freshnessAt(m_request.arrivedAt) != config::Freshness::Current) {
-        auto refused = notRun(
-            unavailable, "check key", route.name, "this daemon is cut off and can't tell whether the key is valid");
+        auto refused = notRun(http::statusUnavailable, "check key", route.name,
+            "this daemon is cut off and can't tell whether the key is valid");
         refused.retryAfter = milliseconds(1000);
         return refused;
     }
@@ -136,7 +129,7 @@
     const auto snapshot = m_context->snapshot();
     const auto* account = snapshot->keys.accountForDigest(digest);
     if (!account)
-        return notRun(unauthorized, "check key", route.name, "the key is not, or no longer, valid");
+        return notRun(http::statusUnauthorized, "check key", route.name, "the key is not, or no longer, valid");
     if (auto refused = checkAccount(account->name))
         return refused;
     m_request.clientAccount = account->name;
@@ -149,7 +142,7 @@
     const auto& allowed = m_request.route.clientAccounts;
     if (allowed.empty() || std::find(allowed.begin(), allowed.end(), name) != allowed.end())
         return std::nullopt;
-    return notRun(forbidden, "check key", m_request.route.name, "the route is not for this client account");
+    return notRun(http::statusForbidden, "check key", m_request.route.name, "the route is not for this client account");
 }
 
 auto EntryRequest::readDeadline(MonotonicTime now) -> std::optional<Refusal>
@@ -159,14 +152,15 @@
         Error reason;
         const auto parsed = admission::parseRemaining(*wanted, reason);
         if (!parsed)
-            return notRun(badRequest, "read deadline", "", reason.reason);
+            return notRun(http::statusBadRequest, "read deadline", "", reason.reason);
         timeLeft = std::min(timeLeft, *parsed);
     }
     m_request.deadline = now + timeLeft;
     const auto& headerList = m_exchange->request().headers;
     m_request.idempotencyKey = headerList.find(headers::idempotencyKey).value_or("");
     if (m_request.idempotencyKey.size() > maximumIdempotencyKeyBytes || headerList.count(headers::idempotencyKey) > 1)
-        return notRun(badRequest, "read idempotency key", "", "one Idempotency-Key of at most 255 bytes is taken");
+        return notRun(
+            http::statusBadRequest, "read idempotency key", "", "one Idempotency-Key of at most 255 bytes is taken");
     return std::nullopt;
 }
 
@@ -229,7 +223,7 @@
 {
     const auto now = monotonicNow();
     if (now + hopMargin >= m_request.deadline) {
-        refuse(notRun(gatewayTimeout, "check deadline", "", "the deadline leaves no time for a target"));
+        refuse(notRun(http::statusGatewayTimeout, "check deadline", "", "the deadline leaves no time for a target"));
         return;
     }
     if (m_tried.empty() && m_context->retryGate)
@@ -244,7 +238,8 @@
     }
     if (!m_choice) {
         m_context->serviceBoard->refused(m_request.route.service, now);
-        auto refused = notRun(unavailable, "choose target", m_request.route.service, "no target can take the request");
+        auto refused = notRun(
+            http::statusUnavailable, "choose target", m_request.route.service, "no target can take the request");
         refused.retryAfter = milliseconds(1000);
         refuse(refused);
         return;
@@ -310,7 +305,7 @@
     if (const auto* failure = std::get_if<http::ExchangeFailure>(&result)) {
         reportAttempt(AttemptReport::Result::Unreachable, 0, std::nullopt);
         Refusal refusal;
-        refusal.status = failure->wasTimeout ? gatewayTimeout : badGateway;
+        refusal.status = failure->wasTimeout ? http::statusGatewayTimeout : http::statusBadGateway;
         refusal.outcome = failure->mayHaveRun ? Outcome::MayHaveRun : Outcome::NotRun;
         refusal.error = failure->error;
         refusal.error.step = "forward to the target's host: " + failure->error.step;
@@ -322,7 +317,7 @@
     const auto report = decodeReport(answer.headers.find(headers::report).value_or(""));
     if (!report) {
         reportAttempt(AttemptReport::Result::Unreachable, answer.status, std::nullopt);
-        Refusal refusal { .status = badGateway,
+        Refusal refusal { .status = http::statusBadGateway,
             .outcome = Outcome::MayHaveRun,
             .error = { "read answer", m_choice->owner.address, "the target's host gave an answer without its report" },
             .retryAfter = std::nullopt,
--- a/src/proxy/OwnerHandler.cpp
+++ b/src/proxy/OwnerHandler.cpp
@@ -1,6 +1,7 @@
 #include "proxy/OwnerHandler.h"
 
 #include "http/Exchange.h"
+#include "http/Status.h"
 #include "proxy/ForwardCodec.h"
 #include "proxy/OwnerService.h"
 #include "proxy/ProxyHeaders.h"
@@ -30,8 +31,7 @@
     Error reason;
     auto request = decodeForward(std::move(exchange->request()), monotonicNow(), reason);
     if (!request) {
-        constexpr int badRequest = 400;
-        exchange->answer(refusalAnswer({ .status = badRequest,
+        exchange->answer(refusalAnswer({ .status = http::statusBadRequest,
                                            .outcome = Outcome::NotRun,
                                            .error = reason,
                                            .retryAfter = std::nullopt,
--- a/src/proxy/OwnerService.cpp
+++ b/src/proxy/OwnerService.cpp
@@ -3,6 +3,7 @@
 #include "config/KeyDigest.h"
 #include "config/Snapshot.h"
 #include "http/ConnectionProbe.h"
+#include "http/Status.h"
 #include "http/WorkerPool.h"
 #include "member/TargetRegistry.h"
 #include "proxy/OnceGate.h"
@@ -17,20 +18,14 @@
 
 namespace {
 
-    constexpr int gatewayTimeout = 504;
-    constexpr int badGateway = 502;
-    constexpr int unavailable = 503;
-    constexpr int unauthorized = 401;
-    constexpr int tooManyRequests = 429;
-    constexpr int firstServerError = 500;
     constexpr milliseconds crashProbeTimeout { 200 };
     constexpr milliseconds crashProbeDelay { 50 };
 
     auto endOfAnswer(int status) -> AttemptEnd
     {
-        if (status == tooManyRequests || status == unavailable)
+        if (status == http::statusTooManyRequests || status == http::statusUnavailable)
             return AttemptEnd::Shed;
-        return status >= firstServerError ? AttemptEnd::ServerError : AttemptEnd::Answered;
+        return status >= http::firstServerError ? AttemptEnd::ServerError : AttemptEnd::Answered;
     }
 
     auto endOfFailure(const http::ExchangeFailure& failure) -> AttemptEnd
@@ -69,7 +64,7 @@
 
 auto OwnerService::notRun(std::string step, std::string reason) const -> Refusal
 {
-    return { .status = unavailable,
+    return { .status = http::statusUnavailable,
         .outcome = Outcome::NotRun,
         .error = { std::move(step), m_request.target, std::move(reason) },
         .retryAfter = std::nullopt,
@@ -175,13 +170,13 @@
 {
     if (now >= m_request.deadline) {
         auto refused = notRun("check deadline", "the deadline passed while the request waited");
-        refused.status = gatewayTimeout;
+        refused.status = http::statusGatewayTimeout;
         refused.mayTryOtherTarget = false;
         return refused;
     }
     if (m_request.useBy && now >= *m_request.useBy) {
         auto refused = notRun("check rate", "the request waited longer than its share of the rate was valid");
-        refused.status = tooManyRequests;
+        refused.status = http::statusTooManyRequests;
         refused.mayTryOtherTarget = false;
         refused.retryAfter = milliseconds(1000);
         return refused;
@@ -193,7 +188,7 @@
         const auto* account = snapshot ? snapshot->keys.accountForDigest(m_request.keyDigest) : nullptr;
         if (!account || account->name != m_request.clientAccount) {
             auto refused = notRun("check key", "the key is not, or no longer, valid");
-            refused.status = unauthorized;
+            refused.status = http::statusUnauthorized;
             refused.mayTryOtherTarget = false;
             return refused;
         }
@@ -273,7 +268,7 @@
         return;
     m_report.hasTargetCrashed = hasCrashed;
     Refusal refusal;
-    refusal.status = failure.wasTimeout ? gatewayTimeout : badGateway;
+    refusal.status = failure.wasTimeout ? http::statusGatewayTimeout : http::statusBadGateway;
     refusal.outcome = failure.mayHaveRun ? Outcome::MayHaveRun : Outcome::NotRun;
     refusal.error = failure.error;
     refusal.mayTryOtherTarget = true;
--- a/src/relay/AttemptLoan.cpp
+++ b/src/relay/AttemptLoan.cpp
@@ -1,6 +1,7 @@
 #include "relay/AttemptLoan.h"
 
 #include "fleet/HostDirectory.h"
+#include "http/Status.h"
 #include "relay/EntryContext.h"
 
 #include <algorithm>
@@ -25,10 +26,9 @@
 auto AttemptLoan::chooseLenders() -> void
 {
     std::vector<std::string> near;
-    for (const auto& host : m_context.directory.hostsOf(m_context.here.region)) {
-        const auto* record = m_context.directory.find(host);
-        if (record && record->locality == m_context.here && host != m_context.self)
-            near.push_back(record->peerAddress);
+    for (const auto& host : m_context.directory.hostsAt(m_context.here)) {
+        if (host != m_context.self)
+            near.push_back(m_context.directory.find(host)->peerAddress);
     }
     std::sample(
         near.begin(), near.end(), std::back_inserter(m_lenders), m_context.options.lendersAsked, m_context.random);
@@ -49,10 +49,9 @@
 
 auto AttemptLoan::onAnswer(const net::HttpClient::Result& result) -> void
 {
-    constexpr int ok = 200;
     m_call = 0;
     const auto* answer = std::get_if<http::Answer>(&result);
-    if (!answer || answer->status != ok) {
+    if (!answer || answer->status != http::statusOk) {
         askNext();
         return;
     }
--- a/src/relay/EntryRequest.cpp
+++ b/src/relay/EntryRequest.cpp
@@ -3,6 +3,7 @@
 #include "dispatch/RateHomes.h"
 #include "fleet/HostDirectory.h"
 #include "http/Exchange.h"
+#include "http/Status.h"
 #include "log/Event.h"
 #include "relay/AttemptLoan.h"
 
@@ -23,14 +24,6 @@
     const log::Event attemptEnded { 1901, log::Severity::Info, "attempt ended",
         "an attempt at a target that did not answer the caller; another may follow" };
 
-    constexpr int badRequest = 400;
-    constexpr int unauthorized = 401;
-    constexpr int notFound = 404;
-    constexpr int tooManyRequests = 429;
-    constexpr int badGateway = 502;
-    constexpr int serviceUnavailable = 503;
-    constexpr int gatewayTimeout = 504;
-    constexpr int firstServerError = 500;
     // An answer that goes to a caller must be on its way before the caller's own clock runs out.
     constexpr milliseconds answerMargin { 30 };
     // A hop's own timeout lies behind the request's, so that it speaks of the way and not of a caller's little time.
@@ -93,16 +86,16 @@
     m_requestId = headers.find(m_context.headers.requestId).value_or("");
     if (!m_snapshot) {
         constexpr milliseconds soon { 500 };
-        refuse(serviceUnavailable, "no configuration yet", soon);
+        refuse(http::statusUnavailable, "no configuration yet", soon);
         return;
     }
     if (m_requestId.empty()) {
-        refuse(badRequest, "the request has no id", std::nullopt);
+        refuse(http::statusBadRequest, "the request has no id", std::nullopt);
         return;
     }
     m_route = m_snapshot->match(headers.find("Host").value_or(""), m_exchange->request().target);
     if (!m_route) {
-        refuse(notFound, "no route", std::nullopt);
+        refuse(http::statusNotFound, "no route", std::nullopt);
         return;
     }
     m_priority = m_route->priority;
@@ -157,13 +150,13 @@
     const auto now = SuspendAwareClock::now();
     if (!m_context.proof.isFresh(now) || !m_context.hostsProof.isFresh(now)) {
         constexpr milliseconds soon { 1000 };
-        refuse(serviceUnavailable, "the configuration may be out of date", soon);
+        refuse(http::statusUnavailable, "the configuration may be out of date", soon);
         return false;
     }
     m_key = m_exchange->request().headers.find(m_context.headers.key).value_or("");
     const auto* account = m_key.empty() ? nullptr : m_snapshot->keys().accountForKey(m_key);
     if (!account) {
-        refuse(unauthorized, m_key.empty() ? "no key" : "unknown key", std::nullopt);
+        refuse(http::statusUnauthorized, m_key.empty() ? "no key" : "unknown key", std::nullopt);
         return false;
     }
     m_clientAccount = account;
@@ -183,10 +176,10 @@
 auto EntryRequest::askRateHomes() -> void
 {
     const auto now = monotonicNow();
+    // Known here, since the news was found fresh; else every host would count as new, and none be left out.
     const auto storeTime = m_context.proof.storeTime(SuspendAwareClock::now()).value_or(milliseconds { 0 });
     std::vector<std::string> near;
-    for (const auto& region : m_context.directory.regions()) {
-        const auto hosts = m_context.directory.rateHosts(region);
+    for (const auto& [region, hosts] : m_context.directory.rateHosts()) {
         for (const auto& home : dispatch::rateHomes(m_clientAccount->name, hosts, storeTime)) {
             if (isRateHomeSpent(home, now))
                 continue;
@@ -219,9 +212,9 @@
 {
     if (m_rateHomes.empty()) {
         if (m_turnIn)
-            refuse(tooManyRequests, "over the rate", m_turnIn);
+            refuse(http::statusTooManyRequests, "over the rate", m_turnIn);
         else
-            refuse(serviceUnavailable, "the rate can't be checked", m_context.options.rateHomeBackoff);
+            refuse(http::statusUnavailable, "the rate can't be checked", m_context.options.rateHomeBackoff);
         return;
     }
     const auto home = std::move(m_rateHomes.back());
@@ -245,12 +238,12 @@
         return;
     const auto now = monotonicNow();
     const auto* answer = std::get_if<http::Answer>(&result);
-    constexpr int ok = 200;
-    if (answer && answer->status == ok) {
+    if (answer && answer->status == http::statusOk) {
         onWithinRate();
         return;
     }
-    const auto turnIn = answer && answer->status == tooManyRequests ? decodeTurn(answer->body) : std::nullopt;
+    const auto turnIn
+        = answer && answer->status == http::statusTooManyRequests ? decodeTurn(answer->body) : std::nullopt;
     if (turnIn) {
         log::logEvent(attemptEnded,
             { { "request", m_requestId }, { "peer", home }, { "step", "ask for rate" }, { "outcome", "not-run" },
@@ -386,9 +379,9 @@
     if (m_lastFailure)
         finish(std::move(*m_lastFailure), "the target's failure");
     else if (m_mayHaveRun)
-        fail(badGateway, "no target left after one may have run it");
+        fail(http::statusBadGateway, "no target left after one may have run it");
     else
-        refuse(serviceUnavailable, m_isOutOfAttempts ? "no further attempt in the budget" : "no slot in time",
+        refuse(http::statusUnavailable, m_isOutOfAttempts ? "no further attempt in the budget" : "no slot in time",
             noRoomRetryAfter());
 }
 
@@ -482,8 +475,7 @@
     }
     const auto& answer = std::get<http::Answer>(result);
     takeNews(answer);
-    constexpr int ok = 200;
-    if (answer.status == ok) {
+    if (answer.status == http::statusOk) {
         if (const auto calls = answer.headers.find(callsHeader))
             m_context.callsPerRun[m_service] = decodeCalls(*calls);
         run();
@@ -512,9 +504,9 @@
         m_context.hops.cancel(m_call);
         releaseTarget();
         if (m_mayHaveRun)
-            fail(badGateway, "the key was withdrawn after a target may have run it");
+            fail(http::statusBadGateway, "the key was withdrawn after a target may have run it");
         else
-            refuse(unauthorized, "the key was withdrawn", std::nullopt);
+            refuse(http::statusUnauthorized, "the key was withdrawn", std::nullopt);
         return;
     }
     const bool isInBudget = m_runs == 0
@@ -598,8 +590,8 @@
         m_mayHaveRun = true;
         m_excluded.push_back(m_target->description.address);
         releaseTarget();
-        tryAgainOr(
-            http::makeAnswer(badGateway, "text/plain", "the way to the target broke"), "the way to the target broke");
+        tryAgainOr(http::makeAnswer(http::statusBadGateway, "text/plain", "the way to the target broke"),
+            "the way to the target broke");
         return;
     }
     auto answer = std::get<http::Answer>(std::move(result));
@@ -620,7 +612,8 @@
         return;
     }
     m_mayHaveRun = true;
-    const int status = answer.status == gatewayTimeout ? gatewayTimeout : badGateway;
+    const int status
+        = answer.status == http::statusGatewayTimeout ? http::statusGatewayTimeout : http::statusBadGateway;
     tryAgainOr(
         http::makeAnswer(status, "text/plain", "the target gave no whole answer"), "the target gave no whole answer");
 }
@@ -630,7 +623,7 @@
     answer.headers.removeAll(outcomeHeader);
     answer.headers.removeAll(loadHeader);
     releaseTarget();
-    if (answer.status < firstServerError) {
+    if (answer.status < http::firstServerError) {
         noteAnswerSize(answer);
         finish(std::move(answer), "answered");
         return;
@@ -661,9 +654,9 @@
     releaseTarget();
     m_context.hops.cancel(call);
     if (m_runs > 0)
-        fail(gatewayTimeout, "no answer in time");
+        fail(http::statusGatewayTimeout, "no answer in time");
     else
-        refuse(serviceUnavailable, "no slot before the deadline", noRoomRetryAfter());
+        refuse(http::statusUnavailable, "no slot before the deadline", noRoomRetryAfter());
 }
 
 auto EntryRequest::onAbandoned() -> void
--- a/src/relay/HopMessages.cpp
+++ b/src/relay/HopMessages.cpp
@@ -1,15 +1,13 @@
 #include "relay/HopMessages.h"
 
 #include "base/Error.h"
-#include "http/Serialize.h"
+#include "http/CborMessage.h"
 
 #include <algorithm>
 #include <array>
 #include <charconv>
 #include <cmath>
 #include <cstdio>
-#include <functional>
-#include <nlohmann/json.hpp>
 #include <vector>
 
 namespace coriandergate::relay {
@@ -19,27 +17,7 @@
 
 namespace {
 
-    auto toHttp(std::string_view path, const json& body) -> std::string
-    {
-        http::Request request;
-        request.method = "POST";
-        request.target = path;
-        request.headers.add("Host", "peer");
-        const auto bytes = json::to_cbor(body);
-        request.body.assign(bytes.begin(), bytes.end());
-        return http::serializeRequest(request);
-    }
-
-    auto decodeWith(const std::string& body, Error& reason, const std::function<void(const json&)>& read) -> bool
-    {
-        try {
-            read(json::from_cbor(body));
-            return true;
-        } catch (const json::exception& exception) {
-            reason = { "decode hop message", "", exception.what() };
-            return false;
-        }
-    }
+    constexpr const char* decodeStep = "decode hop message";
 
     // Messages are arrays, so that names don't travel with each.
     enum ReserveField {
@@ -78,7 +56,7 @@
 
 auto encodeReserve(const ReserveAsk& ask) -> std::string
 {
-    return toHttp(reservePath,
+    return http::makeCborRequest(reservePath,
         json::array({ ask.requestId, ask.service, ask.priority, ask.isRepeatable, ask.targetLatencyLeft.count(),
             ask.patience.count(), ask.isServedLate, ask.takesFailing }));
 }
@@ -86,7 +64,7 @@
 auto decodeReserve(const std::string& body, Error& reason) -> std::optional<ReserveAsk>
 {
     ReserveAsk ask;
-    const bool isRead = decodeWith(body, reason, [&ask](const json& value) {
+    const bool isRead = http::readCbor(body, decodeStep, reason, [&ask](const json& value) {
         ask.requestId = value.at(ReserveId).get<std::string>();
         ask.service = value.at(ReserveService).get<std::string>();
         ask.priority = value.at(ReservePriority).get<int>();
@@ -107,7 +85,7 @@
         headers.push_back(header.value);
     }
     const json::binary_t body(std::vector<std::uint8_t>(ask.request.body.begin(), ask.request.body.end()));
-    return toHttp(runPath,
+    return http::makeCborRequest(runPath,
         json::array({ ask.requestId, ask.request.method, ask.request.target, headers, body, ask.callerService,
             ask.clientAccount, ask.isRepeatable, ask.timeLeft.count(), ask.targetLatencyLeft.count(),
             ask.expiresAt ? json(ask.expiresAt->count()) : json() }));
@@ -116,7 +94,7 @@
 auto decodeRun(const std::string& body, Error& reason) -> std::optional<RunAsk>
 {
     RunAsk ask;
-    const bool isRead = decodeWith(body, reason, [&ask](const json& value) {
+    const bool isRead = http::readCbor(body, decodeStep, reason, [&ask](const json& value) {
         ask.requestId = value.at(RunId).get<std::string>();
         ask.request.method = value.at(RunMethod).get<std::string>();
         ask.request.target = value.at(RunTarget).get<std::string>();
@@ -136,25 +114,28 @@
     return isRead ? std::optional(std::move(ask)) : std::nullopt;
 }
 
-auto encodeRate(const RateAsk& ask) -> std::string { return toHttp(ratePath, json::array({ ask.clientAccount })); }
+auto encodeRate(const RateAsk& ask) -> std::string
+{
+    return http::makeCborRequest(ratePath, json::array({ ask.clientAccount }));
+}
 
 auto decodeRate(const std::string& body, Error& reason) -> std::optional<RateAsk>
 {
     RateAsk ask;
-    const bool isRead
-        = decodeWith(body, reason, [&ask](const json& value) { ask.clientAccount = value.at(0).get<std::string>(); });
+    const bool isRead = http::readCbor(
+        body, decodeStep, reason, [&ask](const json& value) { ask.clientAccount = value.at(0).get<std::string>(); });
     return isRead ? std::optional(std::move(ask)) : std::nullopt;
 }
 
 auto encodeAttempt(const AttemptAsk& ask) -> std::string
 {
-    return toHttp(attemptPath, json::array({ ask.service, encodeCalls(ask.calls) }));
+    return http::makeCborRequest(attemptPath, json::array({ ask.service, encodeCalls(ask.calls) }));
 }
 
 auto decodeAttempt(const std::string& body, Error& reason) -> std::optional<AttemptAsk>
 {
     AttemptAsk ask;
-    const bool isRead = decodeWith(body, reason, [&ask](const json& value) {
+    const bool isRead = http::readCbor(body, decodeStep, reason, [&ask](const json& value) {
         ask.service = value.at(0).get<std::string>();
         ask.calls = decodeCalls(value.at(1).get<std::string>());
     });
--- a/src/relay/OwnerRelay.cpp
+++ b/src/relay/OwnerRelay.cpp
@@ -4,6 +4,7 @@
 #include "http/Exchange.h"
 #include "http/Problem.h"
 #include "http/Serialize.h"
+#include "http/Status.h"
 #include "log/Event.h"
 
 #include <algorithm>
@@ -24,10 +25,6 @@
         "it gets single trial requests only; see its own logs" };
     const log::Event targetSound { 1913, log::Severity::Info, "target is sound again", "nothing" };
 
-    constexpr int serviceUnavailable = 503;
-    constexpr int badGateway = 502;
-    constexpr int gatewayTimeout = 504;
-    constexpr int misdirected = 421;
     // Weight of the newest request in the share of refused ones: about the last eight count.
     constexpr double refusedWeight = 0.12;
     // Requests that can only be answered late wait behind all that can be answered in time.
@@ -58,7 +55,6 @@
     std::shared_ptr<http::Exchange> exchange;
     std::string requestId;
     bool isTrial = false;
-    bool isRepeatable = false;
     bool isCountedAsSilent = false;
     bool isDone = false;
     MonotonicTime startedAt;
@@ -187,7 +183,7 @@
 {
     const auto load = encodeNews(news(monotonicNow()));
     log::logEvent(slotRefused, { { "request", requestId }, { "why", std::string(why) }, { "load", load } });
-    auto answer = http::makeAnswer(serviceUnavailable, "text/plain", std::string(why));
+    auto answer = http::makeAnswer(http::statusUnavailable, "text/plain", std::string(why));
     answer.headers.add(outcomeHeader, outcomeName(HopOutcome::NotRun));
     answer.headers.add(loadHeader, load);
     exchange->answer(std::move(answer));
@@ -286,25 +282,24 @@
     run->requestId = ask ? ask->requestId : "";
     const auto found = m_reservations.find(exchange->peer());
     if (!ask || found == m_reservations.end() || !found->second->isGranted) {
-        reply(*run, HopOutcome::NotRun, http::makeAnswer(serviceUnavailable, "text/plain", ""),
+        reply(*run, HopOutcome::NotRun, http::makeAnswer(http::statusUnavailable, "text/plain", ""),
             ask ? "no reservation" : reason.reason);
         return;
     }
     run->isTrial = found->second->isTrial;
-    run->isRepeatable = ask->isRepeatable;
     const bool takesFailing = run->isTrial || found->second->takesFailing;
     found->second->isTrial = false;
     // The slot passes from the reservation to the run.
     m_reservations.erase(found);
     if (!m_target.isServing()) {
         finishRun(*run, std::nullopt);
-        reply(*run, HopOutcome::NotRun, http::makeAnswer(serviceUnavailable, "text/plain", ""), "target leaves");
+        reply(*run, HopOutcome::NotRun, http::makeAnswer(http::statusUnavailable, "text/plain", ""), "target leaves");
         return;
     }
     // It may have begun to fail since the slot was granted.
     if (m_health.isFailing() && !takesFailing) {
         finishRun(*run, std::nullopt);
-        reply(*run, HopOutcome::NotRun, http::makeAnswer(serviceUnavailable, "text/plain", ""), targetFailsNow);
+        reply(*run, HopOutcome::NotRun, http::makeAnswer(http::statusUnavailable, "text/plain", ""), targetFailsNow);
         return;
     }
     const auto storeTime = m_storeTime ? m_storeTime() : std::nullopt;
@@ -312,7 +307,7 @@
         ask->timeLeft = std::min(ask->timeLeft, *ask->expiresAt - *storeTime);
     if (ask->timeLeft <= milliseconds { 0 }) {
         finishRun(*run, std::nullopt);
-        reply(*run, HopOutcome::NotRun, http::makeAnswer(serviceUnavailable, "text/plain", ""), "time ran out");
+        reply(*run, HopOutcome::NotRun, http::makeAnswer(http::statusUnavailable, "text/plain", ""), "time ran out");
         return;
     }
     send(run, std::move(*ask));
@@ -428,7 +423,7 @@
     if (!failure.mayHaveRun)
         recordEnd(TargetHealth::Outcome::Failed, failure.error.toText());
     finishRun(*run, std::nullopt);
-    const int status = failure.wasTimeout ? gatewayTimeout : badGateway;
+    const int status = failure.wasTimeout ? http::statusGatewayTimeout : http::statusBadGateway;
     reply(*run, failure.mayHaveRun ? HopOutcome::MayHaveRun : HopOutcome::NotRun,
         http::makeAnswer(status, "text/plain", ""), failure.error.toText());
 }
@@ -450,24 +445,23 @@
     const auto now = monotonicNow();
     const auto took = millisecondsSince(run.startedAt, now);
     m_lastAnswerAt = now;
-    const bool isRefusal = answer.headers.find(names.notRun).has_value() || answer.status == misdirected;
+    const bool isRefusal = answer.headers.find(names.notRun).has_value() || answer.status == http::statusMisdirected;
     if (isRefusal) {
         noteRefusal(answer, now);
         finishRun(run, std::nullopt);
-        reply(run, HopOutcome::NotRun, http::makeAnswer(serviceUnavailable, "text/plain", ""), "target refused");
+        reply(run, HopOutcome::NotRun, http::makeAnswer(http::statusUnavailable, "text/plain", ""), "target refused");
         return;
     }
     m_refusedShare -= refusedWeight * m_refusedShare;
     const bool isItsOwn = answer.headers.find(names.signature).has_value()
         && answer.headers.find(names.requestId).has_value() && !answer.headers.find("Content-Encoding");
-    constexpr int firstServerError = 500;
-    const bool isGood = isItsOwn && answer.status < firstServerError;
+    const bool isGood = isItsOwn && answer.status < http::firstServerError;
     if (!run.isCountedAsSilent)
         recordEnd(isGood ? TargetHealth::Outcome::Succeeded : TargetHealth::Outcome::Failed,
             isItsOwn ? "status " + std::to_string(answer.status) : "an answer that isn't the target's");
     finishRun(run, isGood ? std::optional(took) : std::nullopt);
     if (!isItsOwn) {
-        reply(run, HopOutcome::MayHaveRun, http::makeAnswer(badGateway, "text/plain", ""),
+        reply(run, HopOutcome::MayHaveRun, http::makeAnswer(http::statusBadGateway, "text/plain", ""),
             "an answer that isn't the target's");
         return;
     }
--- a/src/rpc/RpcClient.cpp
+++ b/src/rpc/RpcClient.cpp
@@ -1,6 +1,7 @@
 #include "rpc/RpcClient.h"
 
 #include "http/Client.h"
+#include "http/Status.h"
 #include "http/WorkerPool.h"
 #include "rpc/RpcTraffic.h"
 #include "rpc/internal/JsonConversion.h"
@@ -17,7 +18,6 @@
 namespace {
 
     constexpr std::size_t headerBytes = 120; // of one request or answer, about
-    constexpr int statusOk = 200;
 
     struct Call {
         std::string method;
@@ -171,7 +171,7 @@
     const auto keepAlive = shared_from_this();
     peers[address].isBusy = false;
     if (const auto* const answer = std::get_if<http::Answer>(&result);
-        answer != nullptr && answer->status == statusOk) {
+        answer != nullptr && answer->status == http::statusOk) {
         traffic.bytesIn += answer->body.size() + headerBytes;
         takeAnswers(batch, address, answer->body);
     } else {
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -5,9 +5,11 @@
 #include "fleet/CatchUp.h"
 #include "fleet/HostAnnouncer.h"
 #include "fleet/HostDirectory.h"
+#include "fleet/NewsCodec.h"
 #include "fleet/RelayedFeed.h"
 #include "fleet/TableFollower.h"
 #include "http/Exchange.h"
+#include "http/Status.h"
 #include "log/Event.h"
 #include "net/HttpServer.h"
 #include "relay/EntryRequest.h"
@@ -226,11 +228,14 @@
     , readiness(io, {},
           [this](std::shared_ptr<http::Exchange> exchange) {
               const bool isAsked = exchange->request().target == adapter.readinessPath;
-              exchange->answer(http::makeAnswer(!isAsked ? 404 : isReady() ? 200 : 503, "text/plain", ""));
+              exchange->answer(http::makeAnswer(!isAsked ? http::statusNotFound
+                      : isReady()                        ? http::statusOk
+                                                         : http::statusUnavailable,
+                  "text/plain", ""));
           })
     , metrics(io, {},
           [this](std::shared_ptr<http::Exchange> exchange) {
-              exchange->answer(http::makeAnswer(200, "text/plain; version=0.0.4", metricsPage()));
+              exchange->answer(http::makeAnswer(http::statusOk, "text/plain; version=0.0.4", metricsPage()));
           })
     , firstHeartbeatTimer(io)
     , stopTimer(io)
@@ -312,7 +317,7 @@
         handleRate(exchange);
     else if (exchange->request().target == relay::attemptPath)
         lendAttempt(exchange);
-    else if (exchange->request().target == fleet::RelayedFeed::s_path)
+    else if (exchange->request().target == fleet::newsPath)
         feed.handle(exchange);
     else
         owner.handle(exchange);
@@ -320,40 +325,39 @@
 
 auto Sidecar::State::handleRate(const std::shared_ptr<http::Exchange>& exchange) -> void
 {
-    constexpr int overRate = 429;
-    constexpr int cannotTell = 503;
     const auto now = SuspendAwareClock::now();
     Error reason;
     const auto ask = relay::decodeRate(exchange->request().body, reason);
     // A home that may have been replaced without knowing hands out nothing.
     if (!ask || isStopping || !entry.snapshot || !proof.isFresh(now) || !hostsProof.isFresh(now)) {
-        exchange->answer(http::makeAnswer(cannotTell, "text/plain", ""));
+        exchange->answer(http::makeAnswer(http::statusUnavailable, "text/plain", ""));
         return;
     }
     const auto* account = entry.snapshot->clientAccount(ask->clientAccount);
     if (!account) {
-        exchange->answer(http::makeAnswer(cannotTell, "text/plain", ""));
+        exchange->answer(http::makeAnswer(http::statusUnavailable, "text/plain", ""));
         return;
     }
+    // Known here, since the news is fresh.
     const auto storeTime = proof.storeTime(now).value_or(milliseconds { 0 });
     const auto decision = pool.take(*account, settings.hostAddress, storeTime, monotonicNow());
     if (decision.isGranted)
-        exchange->answer(http::makeAnswer(200, "text/plain", ""));
+        exchange->answer(http::makeAnswer(http::statusOk, "text/plain", ""));
     else if (decision.turnIn)
-        exchange->answer(http::makeAnswer(overRate, "text/plain", relay::encodeTurn(*decision.turnIn)));
+        exchange->answer(
+            http::makeAnswer(http::statusTooManyRequests, "text/plain", relay::encodeTurn(*decision.turnIn)));
     else
-        exchange->answer(http::makeAnswer(cannotTell, "text/plain", "not a home"));
+        exchange->answer(http::makeAnswer(http::statusUnavailable, "text/plain", "not a home"));
 }
 
 auto Sidecar::State::lendAttempt(const std::shared_ptr<http::Exchange>& exchange) -> void
 {
-    constexpr int ok = 200;
-    constexpr int noneLeft = 429;
     Error reason;
     const auto ask = relay::decodeAttempt(exchange->request().body, reason);
     const bool isLent = ask
         && attempts.take(ask->service, ask->calls, dispatch::AttemptBudget::Claim::Lent, entry.hosts, monotonicNow());
-    exchange->answer(http::makeAnswer(isLent ? ok : noneLeft, "text/plain", reason.reason));
+    exchange->answer(
+        http::makeAnswer(isLent ? http::statusOk : http::statusTooManyRequests, "text/plain", reason.reason));
 }
 
 auto Sidecar::State::onConfigurationRows(const std::vector<fleet::StoreRow>& rows) -> void
@@ -391,7 +395,7 @@
     feed.setHosts(directory, settings.locality);
     if (!directory.find(settings.hostAddress) && !isStopping)
         announcer.recordRemoval();
-    pool.setHosts(directory.rateHosts(settings.locality.region), monotonicNow());
+    pool.setHosts(directory.rateHostsOf(settings.locality.region), monotonicNow());
     entry.hosts = std::max<std::size_t>(1, directory.size());
     log::logEvent(hostsChanged,
         { { "hosts", std::to_string(entry.hosts) }, { "targets", std::to_string(directory.targets().size()) } });
@@ -437,11 +441,9 @@
 auto Sidecar::State::removeGoneHosts() -> void
 {
     const auto now = monotonicNow();
-    for (const auto& host : directory.hostsOf(settings.locality.region)) {
-        const auto* record = directory.find(host);
-        if (!record || record->locality != settings.locality || host == settings.hostAddress)
-            continue;
-        if (!board.isUnreachedFor(record->peerAddress, goneAfter, now))
+    for (const auto& host : directory.hostsAt(settings.locality)) {
+        const bool isGone = board.isUnreachedFor(directory.find(host)->peerAddress, goneAfter, now);
+        if (!isGone || host == settings.hostAddress)
             continue;
         log::logEvent(hostGone, { { "host", host }, { "row-version", std::to_string(directory.version(host)) } });
         feed.write({ hostTable, host, directory.version(host), std::nullopt }, [](const fleet::StoreFeed::Result&) {
@@ -478,7 +480,7 @@
     const auto call = adapter.decodeControlCall(exchange->request(), reason);
     if (!call) {
         log::logEvent(controlCallRefused, { { "reason", reason.toText() } });
-        exchange->answer(http::makeAnswer(400, "text/plain", reason.toText()));
+        exchange->answer(http::makeAnswer(http::statusBadRequest, "text/plain", reason.toText()));
         return;
     }
     std::visit([&](const auto& message) { receive(message, exchange); }, *call);
@@ -488,7 +490,7 @@
 
     auto acknowledge(const std::shared_ptr<http::Exchange>& exchange) -> void
     {
-        exchange->answer(http::makeAnswer(200, "application/json", "{}"));
+        exchange->answer(http::makeAnswer(http::statusOk, "application/json", "{}"));
     }
 
 } // namespace
@@ -499,7 +501,7 @@
     switch (target.receive(heartbeat, reason)) {
     case fleet::LocalTarget::Receipt::Foreign:
         log::logEvent(controlCallRefused, { { "reason", reason.toText() } });
-        exchange->answer(http::makeAnswer(400, "text/plain", reason.toText()));
+        exchange->answer(http::makeAnswer(http::statusBadRequest, "text/plain", reason.toText()));
         return;
     case fleet::LocalTarget::Receipt::Unchanged:
     case fleet::LocalTarget::Receipt::Stale:
--- a/src/store/RemoteStore.cpp
+++ b/src/store/RemoteStore.cpp
@@ -1,6 +1,7 @@
 #include "store/RemoteStore.h"
 
 #include "http/Client.h"
+#include "http/Status.h"
 #include "http/WorkerPool.h"
 #include "store/StoreProtocol.h"
 
@@ -11,10 +12,6 @@
 
 namespace {
 
-    constexpr int statusOk = 200;
-    constexpr int statusNotFound = 404;
-    constexpr int statusConflict = 409;
-    constexpr int statusUnavailable = 503;
     constexpr std::size_t mostAnswerBytes = 64 * 1024 * 1024;
 
     // What came of one exchange with the store, before it is read as a result.
@@ -30,7 +27,7 @@
         if (auto* failure = std::get_if<http::ExchangeFailure>(&result))
             return { 0, failure->mayHaveRun, {}, { step, peer, failure->error.reason } };
         auto& answer = std::get<http::Answer>(result);
-        return { answer.status, answer.status != statusUnavailable, std::move(answer.body),
+        return { answer.status, answer.status != http::statusUnavailable, std::move(answer.body),
             { step, peer, "the store answered " + std::to_string(answer.status) } };
     }
 
@@ -109,9 +106,9 @@
     m_state->send("commit transaction", "/v1/commit", encode(transaction), m_state->options.timeout,
         [done = std::move(done)](const Reply& reply) {
             Error reason;
-            if (reply.status == statusOk)
+            if (reply.status == http::statusOk)
                 return done(Committed {});
-            if (reply.status == statusConflict) {
+            if (reply.status == http::statusConflict) {
                 if (auto row = firstRow(reply, reason))
                     return done(ConditionFailed { *std::move(row) });
             }
@@ -125,9 +122,9 @@
     m_state->send("read row", "/v1/read", std::string(key), m_state->options.timeout,
         [done = std::move(done)](const Reply& reply) {
             Error reason = reply.error;
-            if (reply.status == statusNotFound)
+            if (reply.status == http::statusNotFound)
                 return done(std::optional<Row> {});
-            auto row = reply.status == statusOk ? firstRow(reply, reason) : std::nullopt;
+            auto row = reply.status == http::statusOk ? firstRow(reply, reason) : std::nullopt;
             if (!row)
                 return done(Unavailable { reason });
             done(std::move(row));
@@ -140,7 +137,7 @@
     m_state->send("list rows", "/v1/list", encode(ListQuery { std::string(prefix), std::string(after), limit }),
         m_state->options.timeout, [done = std::move(done)](const Reply& reply) {
             Error reason = reply.error;
-            auto rows = reply.status == statusOk ? decodeRows(reply.body, reason) : std::nullopt;
+            auto rows = reply.status == http::statusOk ? decodeRows(reply.body, reason) : std::nullopt;
             if (!rows)
                 return done(Unavailable { reason });
             done(*std::move(rows));
@@ -152,7 +149,7 @@
     ++m_state->writes;
     m_state->send("put object", "/v1/put", encode(StoredObject { std::string(name), std::move(content) }),
         m_state->options.objectTimeout, [done = std::move(done)](const Reply& reply) {
-            if (reply.status == statusOk)
+            if (reply.status == http::statusOk)
                 return done(Stored {});
             done(unsure<PutResult>(reply));
         });
@@ -163,9 +160,9 @@
     ++m_state->reads;
     m_state->send("fetch object", "/v1/fetch", std::string(name), m_state->options.objectTimeout,
         [done = std::move(done)](Reply reply) {
-            if (reply.status == statusNotFound)
+            if (reply.status == http::statusNotFound)
                 return done(std::optional<std::string> {});
-            if (reply.status != statusOk)
+            if (reply.status != http::statusOk)
                 return done(Unavailable { reply.error });
             done(std::optional<std::string>(std::move(reply.body)));
         });
--- a/src/testing/StandInStore.cpp
+++ b/src/testing/StandInStore.cpp
@@ -2,6 +2,7 @@
 
 #include "http/Exchange.h"
 #include "http/Server.h"
+#include "http/Status.h"
 #include "http/WorkerPool.h"
 #include "store/StoreProtocol.h"
 
@@ -15,22 +16,17 @@
     using nlohmann::json;
 
     constexpr std::size_t mostBodyBytes = 64 * 1024 * 1024;
-    constexpr int statusOk = 200;
-    constexpr int statusBadRequest = 400;
-    constexpr int statusNotFound = 404;
-    constexpr int statusConflict = 409;
-    constexpr int statusUnavailable = 503;
 
     auto makeBytes(int status, std::string body) -> http::Answer
     {
         return http::makeAnswer(status, "application/cbor", std::move(body));
     }
 
-    auto makeUnavailable() -> http::Answer { return http::makeAnswer(statusUnavailable, "text/plain", "down\n"); }
+    auto makeUnavailable() -> http::Answer { return http::makeAnswer(http::statusUnavailable, "text/plain", "down\n"); }
 
     auto makeBadRequest(const Error& reason) -> http::Answer
     {
-        return http::makeAnswer(statusBadRequest, "text/plain", reason.toText() + "\n");
+        return http::makeAnswer(http::statusBadRequest, "text/plain", reason.toText() + "\n");
     }
 
     auto toAnswer(const store::ReadResult& result) -> http::Answer
@@ -38,18 +34,19 @@
         if (std::holds_alternative<store::Unavailable>(result))
             return makeUnavailable();
         const auto& row = std::get<std::optional<store::Row>>(result);
-        return row ? makeBytes(statusOk, store::encode(std::vector { *row })) : makeBytes(statusNotFound, {});
+        return row ? makeBytes(http::statusOk, store::encode(std::vector { *row }))
+                   : makeBytes(http::statusNotFound, {});
     }
 
     auto toAnswer(const store::ListResult& result) -> http::Answer
     {
         const auto* rows = std::get_if<std::vector<store::Row>>(&result);
-        return rows != nullptr ? makeBytes(statusOk, store::encode(*rows)) : makeUnavailable();
+        return rows != nullptr ? makeBytes(http::statusOk, store::encode(*rows)) : makeUnavailable();
     }
 
     auto toAnswer(const store::PutResult& result) -> http::Answer
     {
-        return std::holds_alternative<store::Stored>(result) ? makeBytes(statusOk, {}) : makeUnavailable();
+        return std::holds_alternative<store::Stored>(result) ? makeBytes(http::statusOk, {}) : makeUnavailable();
     }
 
     auto toAnswer(const store::FetchResult& result) -> http::Answer
@@ -57,14 +54,14 @@
         if (std::holds_alternative<store::Unavailable>(result))
             return makeUnavailable();
         const auto& content = std::get<std::optional<std::string>>(result);
-        return content ? makeBytes(statusOk, *content) : makeBytes(statusNotFound, {});
+        return content ? makeBytes(http::statusOk, *content) : makeBytes(http::statusNotFound, {});
     }
 
     auto countsAnswer(const store::StoreCounts& counts) -> http::Answer
     {
         const json value { { "reads", counts.reads }, { "writes", counts.writes }, { "bytesRead", counts.bytesRead },
             { "bytesWritten", counts.bytesWritten } };
-        return http::makeAnswer(statusOk, "application/json", value.dump() + "\n");
+        return http::makeAnswer(http::statusOk, "application/json", value.dump() + "\n");
     }
 
 } // namespace
@@ -124,7 +121,7 @@
     faults.dropCommits = value.value("dropCommits", faults.dropCommits);
     faults.loseToAnotherWriter = value.value("loseToAnotherWriter", faults.loseToAnotherWriter);
     m_store.setFaults(faults);
-    exchange.answer(http::makeAnswer(statusOk, "application/json", "{}\n"));
+    exchange.answer(http::makeAnswer(http::statusOk, "application/json", "{}\n"));
 }
 
 auto StandInStore::commit(std::shared_ptr<http::Exchange> exchange) -> void
@@ -135,9 +132,9 @@
         return exchange->answer(makeBadRequest(reason));
     m_store.commit(*std::move(transaction), [this, exchange](const store::CommitResult& result) {
         if (std::holds_alternative<store::Committed>(result))
-            return answer(exchange, makeBytes(statusOk, {}));
+            return answer(exchange, makeBytes(http::statusOk, {}));
         if (const auto* failed = std::get_if<store::ConditionFailed>(&result))
-            return answer(exchange, makeBytes(statusConflict, store::encode(std::vector { failed->current })));
+            return answer(exchange, makeBytes(http::statusConflict, store::encode(std::vector { failed->current })));
         if (std::holds_alternative<store::Unavailable>(result))
             return answer(exchange, makeUnavailable());
         const MutexLock lock(m_mutex);
