Confirm a leaving once the store has it, and keep a farewell heard first

Cause: found by reading. A target that leaves was confirmed 0.65 s after it said so even if the store had told nothing; a daemon killed just then forgot it. A farewell that came before any heartbeat was confirmed at once and kept in memory alone, so a second restart within seconds forgot it too.

Ruled out: waiting longer for the store before answering; the target waits a second for its answer and then takes none.

Change: HostRegistration, apart from the daemon's wiring, joins what the target says with the host's row. A leaving is confirmed when the row stands; else the target gets 503 after 0.65 s and tells again, and gets no new work meanwhile. A farewell of a target that has not been seen is written like any other, unless the row is of a later target. A write that waits for its next try is left out when the row stands by then.

Before and after: of the new cases, "a leaving isn't confirmed before the store has it" and "a farewell that is heard before any heartbeat is written" describe what the former code did not do (it answered 200 after 0.65 s, and wrote nothing); all pass now.

--- a/src/fleet/HostAnnouncer.cpp
+++ b/src/fleet/HostAnnouncer.cpp
@@ -110,7 +110,8 @@
     m_timer.expires_after(m_retry);
     m_retry = std::min(2 * m_retry, s_longestRetry);
     m_timer.async_wait([this, alive = m_isAlive](const boost::system::error_code& error) {
-        if (!error && *alive)
+        // Another message of the target may have led to a write meanwhile.
+        if (!error && *alive && !isStored())
             write();
     });
 }
--- a/src/fleet/LocalTarget.cpp
+++ b/src/fleet/LocalTarget.cpp
@@ -39,22 +39,25 @@
     return Receipt::Changed;
 }
 
-auto LocalTarget::leave(const std::string& id, std::uint64_t startedAt) -> bool
+auto LocalTarget::leave(const std::string& id, std::uint64_t startedAt) -> Departure
 {
-    const bool isCurrent = m_current && m_current->id == id && (startedAt == 0 || startedAt >= m_current->startedAt);
-    if (m_current && !isCurrent)
-        return false;
-    // A daemon that was just started may hear the farewell before any heartbeat; a late one must not undo it.
-    if (isCurrent)
-        startedAt = std::max(startedAt, m_current->startedAt);
-    else if (startedAt == 0 && m_recalled && m_recalled->id == id)
-        startedAt = m_recalled->startedAt;
-    else if (startedAt == 0)
-        startedAt = std::numeric_limits<std::uint64_t>::max(); // whichever incarnation of that id it was
-    m_left = Left { id, startedAt };
-    if (isCurrent)
+    if (m_current) {
+        if (m_current->id != id || (startedAt != 0 && startedAt < m_current->startedAt))
+            return Departure::Other;
+        m_left = Left { id, std::max(startedAt, m_current->startedAt) };
         m_current->isLeaving = true;
-    return isCurrent;
+        return Departure::Current;
+    }
+    // A daemon that was just started may hear the farewell before any heartbeat; a late one must not undo it.
+    const bool isRecalled = m_recalled && m_recalled->id == id;
+    if (startedAt != 0)
+        m_left = Left { id, startedAt };
+    else if (isRecalled)
+        m_left = Left { id, m_recalled->startedAt };
+    else
+        m_left = Left { id, std::numeric_limits<std::uint64_t>::max() };
+    const bool isEarlier = m_recalled && !isRecalled && startedAt < m_recalled->startedAt;
+    return isEarlier ? Departure::Other : Departure::NotSeen;
 }
 
 auto LocalTarget::recall(const std::string& id, std::uint64_t startedAt, bool isLeaving) -> void
@@ -62,10 +65,10 @@
     if (id.empty())
         return;
     m_recalled = Left { id, startedAt };
-    if (!isLeaving)
-        return;
-    m_left = Left { id, startedAt };
-    if (m_current && m_current->id == id && m_current->startedAt == startedAt)
+    const bool saidFarewell = m_left && m_left->id == id; // before anything was known of its start
+    if (saidFarewell || (isLeaving && (!m_left || m_left->startedAt < startedAt)))
+        m_left = Left { id, startedAt };
+    if (isLeaving && m_current && m_current->id == id && m_current->startedAt == startedAt)
         m_current->isLeaving = true;
 }
 
--- a/src/fleet/LocalTarget.h
+++ b/src/fleet/LocalTarget.h
@@ -47,9 +47,14 @@
     // receive() takes a heartbeat; `reason` says why one is Foreign.
     [[nodiscard]] auto receive(const Heartbeat& heartbeat, Error& reason) -> Receipt;
 
-    // leave() takes a target's farewell, by its id and its start (0 when it isn't told); false when no such target is
-    // known here. One that isn't known yet is remembered, so that a heartbeat of it which comes late isn't believed.
-    [[nodiscard]] auto leave(const std::string& id, std::uint64_t startedAt) -> bool;
+    enum class Departure {
+        Current, // the target that lives here leaves
+        NotSeen, // no heartbeat has come yet; a late one of that target won't be believed
+        Other, // of another target than the one that lives here, or an earlier one
+    };
+
+    // leave() takes a target's farewell, by its id and its start (0 when it isn't told).
+    [[nodiscard]] auto leave(const std::string& id, std::uint64_t startedAt) -> Departure;
 
     // recall() takes over what an earlier daemon of this host had told the fleet: a leaving target stays one, and a
     // farewell that doesn't tell the target's start is taken for the one that was known.
@@ -61,13 +66,16 @@
     [[nodiscard]] auto address() const -> const std::string& { return m_address; }
     [[nodiscard]] auto service() const -> const std::string& { return m_service; }
 
-private:
     // Left is an incarnation that said farewell.
     struct Left {
         std::string id;
-        std::uint64_t startedAt = 0;
+        std::uint64_t startedAt = 0; // the greatest number for whichever incarnation of that id
     };
 
+    // left() is the target that said farewell last, here or to an earlier daemon of this host.
+    [[nodiscard]] auto left() const -> const std::optional<Left>& { return m_left; }
+
+private:
     std::string m_service;
     std::string m_address;
     std::optional<Heartbeat> m_current;
--- a/src/fleet/LocalTarget_test.cpp
+++ b/src/fleet/LocalTarget_test.cpp
@@ -9,6 +9,7 @@
 namespace {
 
     using Receipt = LocalTarget::Receipt;
+    using Departure = LocalTarget::Departure;
 
     auto heartbeat(std::uint64_t startedAt, std::uint64_t sequence) -> Heartbeat
     {
@@ -60,7 +61,7 @@
     auto target = makeTarget();
     Error reason;
     CHECK(target.receive(heartbeat(100, 1), reason) == Receipt::Changed);
-    CHECK(target.leave("i-1", 100));
+    CHECK(target.leave("i-1", 100) == Departure::Current);
     CHECK(target.receive(heartbeat(100, 2), reason) == Receipt::Unchanged);
     CHECK_FALSE(target.isServing());
 }
@@ -71,7 +72,7 @@
 {
     auto target = makeTarget();
     Error reason;
-    CHECK_FALSE(target.leave("i-1", 100));
+    CHECK(target.leave("i-1", 100) == Departure::NotSeen);
     CHECK(target.receive(heartbeat(100, 26), reason) == Receipt::Changed);
     CHECK_FALSE(target.isServing());
 }
@@ -84,7 +85,7 @@
     const bool isRecalled = GENERATE(true, false);
     if (isRecalled)
         target.recall("i-1", 100, false);
-    CHECK_FALSE(target.leave("i-1", 0));
+    CHECK(target.leave("i-1", 0) == Departure::NotSeen);
     CHECK(target.receive(heartbeat(100, 19), reason) == Receipt::Changed);
     CHECK_FALSE(target.isServing());
     if (isRecalled) {
@@ -102,11 +103,26 @@
     auto target = makeTarget();
     Error reason;
     CHECK(target.receive(heartbeat(300, 1), reason) == Receipt::Changed);
-    CHECK_FALSE(target.leave("i-0", 100));
-    CHECK_FALSE(target.leave("i-1", 100));
+    CHECK(target.leave("i-0", 100) == Departure::Other);
+    CHECK(target.leave("i-1", 100) == Departure::Other);
     CHECK(target.isServing());
 }
 
+TEST_CASE("a farewell heard before the store's rows is kept once they are known")
+{
+    auto target = makeTarget();
+    Error reason;
+    CHECK(target.leave("i-1", 0) == Departure::NotSeen);
+    const bool isOfLaterTarget = GENERATE(true, false);
+    if (isOfLaterTarget)
+        target.recall("i-2", 300, true);
+    else
+        target.recall("i-1", 100, false);
+    CHECK(target.left()->id == "i-1");
+    CHECK(target.receive(heartbeat(100, 19), reason) == Receipt::Changed);
+    CHECK_FALSE(target.isServing());
+}
+
 TEST_CASE("what an earlier daemon of the host told of a leaving target is kept")
 {
     auto target = makeTarget();
--- a/src/sidecar/Adapter.h
+++ b/src/sidecar/Adapter.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "config/Configuration.h"
+#include "fleet/Farewell.h"
 #include "fleet/LocalTarget.h"
 #include "relay/HeaderNames.h"
 
@@ -20,13 +21,7 @@
 
 namespace coriandergate::sidecar {
 
-// Farewell says that a target leaves for good; it goes on serving for a while.
-struct Farewell {
-    std::string id;
-    std::uint64_t startedAt = 0; // 0 when it isn't told
-};
-
-using ControlCall = std::variant<fleet::Heartbeat, Farewell>;
+using ControlCall = std::variant<fleet::Heartbeat, fleet::Farewell>;
 
 // Adapter is a value. Its functions only translate; failures name the field that can't be read.
 struct Adapter {
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -3,8 +3,8 @@
 #include "base/Error.h"
 #include "dispatch/RatePool.h"
 #include "fleet/CatchUp.h"
-#include "fleet/HostAnnouncer.h"
 #include "fleet/HostDirectory.h"
+#include "fleet/HostRegistration.h"
 #include "fleet/NewsCodec.h"
 #include "fleet/RelayedFeed.h"
 #include "fleet/TableFollower.h"
@@ -35,8 +35,6 @@
     const log::Event storeLost { 1925, log::Severity::Warning, "store lost",
         "requests with keys are refused once the newest answer is too old" };
     const log::Event storeRegained { 1926, log::Severity::Info, "store regained", "nothing" };
-    const log::Event targetChanged { 1927, log::Severity::Info, "target changed",
-        "the target of this host and whether it leaves" };
     const log::Event controlCallRefused { 1928, log::Severity::Warning, "control call refused",
         "something that isn't the target of this host calls its address" };
     const log::Event hostsChanged { 1929, log::Severity::Info, "hosts changed", "how many hosts share every limit" };
@@ -57,11 +55,6 @@
     // Rows of hosts change several at a time, and for seconds when many hosts start or leave.
     constexpr milliseconds hostsSettle { 300 };
     constexpr milliseconds longestHostsSettle { 600 };
-    // A host without a target tells so when no heartbeat came after this: two periods of the slowest heartbeat, so that
-    // mostly one row is written.
-    constexpr milliseconds firstHeartbeatTime { 4000 };
-    // A target that leaves is told so at the latest after this; it waits a second.
-    constexpr milliseconds longestAcknowledgement { 650 };
     // Part of the revocation bound for which an answer of the store counts as news; the rest covers the way of a
     // request.
     constexpr double freshPart = 0.88;
@@ -131,12 +124,11 @@
     auto isReady() const -> bool;
     auto handleControl(const std::shared_ptr<http::Exchange>& exchange) -> void;
     auto receive(const fleet::Heartbeat& heartbeat, const std::shared_ptr<http::Exchange>& exchange) -> void;
-    auto receive(const Farewell& farewell, const std::shared_ptr<http::Exchange>& exchange) -> void;
-    auto acknowledgeWhenStored(const std::shared_ptr<http::Exchange>& exchange) -> void;
-    auto onTargetChanged() -> void;
+    auto receive(const fleet::Farewell& farewell, const std::shared_ptr<http::Exchange>& exchange) -> void;
+    [[nodiscard]] static auto answerControl(const std::shared_ptr<http::Exchange>& exchange)
+        -> fleet::HostRegistration::Answered;
     auto watchForGoneHosts() -> void;
     auto removeGoneHosts() -> void;
-    auto announce(fleet::HostAnnouncer::Stored stored) -> void;
     auto onConfigurationRows(const std::vector<fleet::StoreRow>& rows) -> void;
     auto onHostRows(const std::vector<fleet::StoreRow>& rows, bool isWhole) -> void;
     auto onHostsKnown() -> void;
@@ -155,7 +147,7 @@
     fleet::HostDirectory directory;
     net::HttpClient hops;
     fleet::RelayedFeed feed;
-    fleet::HostAnnouncer announcer;
+    fleet::HostRegistration registration;
     fleet::TableFollower configurationFollower;
     fleet::TableFollower hostFollower;
     dispatch::FreshnessProof proof; // of the configuration
@@ -171,10 +163,8 @@
     net::HttpServer control;
     net::HttpServer readiness;
     net::HttpServer metrics;
-    boost::asio::steady_timer firstHeartbeatTimer;
     boost::asio::steady_timer stopTimer;
     boost::asio::steady_timer goneHostsTimer;
-    std::optional<milliseconds> joinedAt; // when this host told of itself first, on the store's clock
     MonotonicTime stopBeganAt;
     MonotonicTime lastOpenAt; // something was open
     bool isStopping = false;
@@ -191,7 +181,11 @@
     , target(settings.service, settings.targetAddress)
     , hops(io, { .connectTimeout = milliseconds(400), .idleTimeout = milliseconds(30000), .maximumIdlePerPeer = 4 })
     , feed(io, store, hops, { .self = settings.hostAddress, .datedTable = adapter.operatorTable })
-    , announcer(io, feed, hostTable, settings.hostAddress)
+    , registration(io, feed, target, directory,
+          { .table = hostTable,
+              .key = settings.hostAddress,
+              .host
+              = { .peerAddress = settings.peerListen, .locality = settings.locality, .service = settings.service } })
     , configurationFollower(io, feed, { .table = adapter.operatorTable, .wait = configurationWait })
     , hostFollower(io, feed,
           { .table = hostTable, .wait = hostsWait, .settle = hostsSettle, .longestSettle = longestHostsSettle })
@@ -237,7 +231,6 @@
           [this](std::shared_ptr<http::Exchange> exchange) {
               exchange->answer(http::makeAnswer(http::statusOk, "text/plain; version=0.0.4", metricsPage()));
           })
-    , firstHeartbeatTimer(io)
     , stopTimer(io)
     , goneHostsTimer(io)
 {
@@ -249,6 +242,8 @@
     const auto storeTime = [this] { return proof.storeTime(SuspendAwareClock::now()); };
     owner.setStoreTime(storeTime);
     feed.setStoreTime(storeTime);
+    registration.setStoreTime([this] { return hostsProof.storeTime(SuspendAwareClock::now()); });
+    registration.onTargetChanged([this] { owner.onTargetChanged(); });
     if (!callers.listen(settings.callerListen, reason) || !peers.listen(settings.peerListen, reason)
         || !control.listen(settings.controlListen, reason) || !readiness.listen(settings.readyListen, reason))
         return false;
@@ -393,8 +388,8 @@
         onHostsKnown();
     board.setTargets(directory.targets());
     feed.setHosts(directory, settings.locality);
-    if (!directory.find(settings.hostAddress) && !isStopping)
-        announcer.recordRemoval();
+    if (!isStopping)
+        registration.onHostsChanged();
     pool.setHosts(directory.rateHostsOf(settings.locality.region), monotonicNow());
     entry.hosts = std::max<std::size_t>(1, directory.size());
     log::logEvent(hostsChanged,
@@ -404,24 +399,8 @@
 auto Sidecar::State::onHostsKnown() -> void
 {
     knowsHosts = true;
-    announcer.recordStanding(directory.version(settings.hostAddress));
-    if (const auto* earlier = directory.find(settings.hostAddress)) {
-        target.recall(earlier->targetId, earlier->targetStartedAt, earlier->state == fleet::HostRecord::State::Leaving);
-    }
+    registration.onHostsKnown();
     owner.open();
-    owner.onTargetChanged();
-    if (target.current()) {
-        announce(nullptr);
-        return;
-    }
-    // The first heartbeat comes soon, and one change of the row costs every host less than two.
-    if (directory.find(settings.hostAddress))
-        return;
-    firstHeartbeatTimer.expires_after(firstHeartbeatTime);
-    firstHeartbeatTimer.async_wait([this](const boost::system::error_code& error) {
-        if (!error && !target.current())
-            announce(nullptr);
-    });
 }
 
 auto Sidecar::State::watchForGoneHosts() -> void
@@ -452,28 +431,6 @@
     }
 }
 
-auto Sidecar::State::announce(fleet::HostAnnouncer::Stored stored) -> void
-{
-    if (!knowsHosts)
-        return;
-    fleet::HostRecord record {
-        .peerAddress = settings.peerListen, .locality = settings.locality, .service = settings.service
-    };
-    // A daemon that is started again, or whose row was taken away, is the host that the fleet knew.
-    if (const auto* known = directory.find(settings.hostAddress); known && !joinedAt)
-        joinedAt = known->joinedAt;
-    if (!joinedAt)
-        joinedAt = hostsProof.storeTime(SuspendAwareClock::now());
-    record.joinedAt = joinedAt.value_or(milliseconds { 0 });
-    if (const auto& current = target.current()) {
-        record.targetId = current->id;
-        record.targetStartedAt = current->startedAt;
-        record.slots = current->slots;
-        record.state = current->isLeaving ? fleet::HostRecord::State::Leaving : fleet::HostRecord::State::Serving;
-    }
-    announcer.announce(record, std::move(stored));
-}
-
 auto Sidecar::State::handleControl(const std::shared_ptr<http::Exchange>& exchange) -> void
 {
     Error reason;
@@ -486,73 +443,27 @@
     std::visit([&](const auto& message) { receive(message, exchange); }, *call);
 }
 
-namespace {
-
-    auto acknowledge(const std::shared_ptr<http::Exchange>& exchange) -> void
-    {
-        exchange->answer(http::makeAnswer(http::statusOk, "application/json", "{}"));
-    }
-
-} // namespace
-
-auto Sidecar::State::receive(const fleet::Heartbeat& heartbeat, const std::shared_ptr<http::Exchange>& exchange) -> void
+// What isn't kept has to be told again.
+auto Sidecar::State::answerControl(const std::shared_ptr<http::Exchange>& exchange) -> fleet::HostRegistration::Answered
 {
-    Error reason;
-    switch (target.receive(heartbeat, reason)) {
-    case fleet::LocalTarget::Receipt::Foreign:
-        log::logEvent(controlCallRefused, { { "reason", reason.toText() } });
-        exchange->answer(http::makeAnswer(http::statusBadRequest, "text/plain", reason.toText()));
-        return;
-    case fleet::LocalTarget::Receipt::Unchanged:
-    case fleet::LocalTarget::Receipt::Stale:
-        acknowledge(exchange);
-        return;
-    case fleet::LocalTarget::Receipt::Changed:
-        break;
-    }
-    onTargetChanged();
-    if (target.isServing()) {
-        announce(nullptr);
-        acknowledge(exchange);
-    } else {
-        acknowledgeWhenStored(exchange);
-    }
+    return [exchange](bool isKept) {
+        exchange->answer(isKept ? http::makeAnswer(http::statusOk, "application/json", "{}")
+                                : http::makeAnswer(http::statusUnavailable, "text/plain", "not kept yet"));
+    };
 }
 
-auto Sidecar::State::receive(const Farewell& farewell, const std::shared_ptr<http::Exchange>& exchange) -> void
+auto Sidecar::State::receive(const fleet::Heartbeat& heartbeat, const std::shared_ptr<http::Exchange>& exchange) -> void
 {
-    // Nothing is sent to a target that isn't known here, so its farewell can be confirmed at once.
-    if (!target.leave(farewell.id, farewell.startedAt)) {
-        acknowledge(exchange);
+    Error reason;
+    if (registration.receive(heartbeat, answerControl(exchange), reason))
         return;
-    }
-    onTargetChanged();
-    acknowledgeWhenStored(exchange);
-}
-
-// From here on nothing new is sent to the target by this daemon, which alone can reach it. Waiting for the store lets a
-// daemon that takes this one's place know it too.
-auto Sidecar::State::acknowledgeWhenStored(const std::shared_ptr<http::Exchange>& exchange) -> void
-{
-    const auto timer = std::make_shared<boost::asio::steady_timer>(io, longestAcknowledgement);
-    announce([exchange, timer] {
-        timer->cancel();
-        acknowledge(exchange);
-    });
-    timer->async_wait([exchange, timer](const boost::system::error_code& error) {
-        if (!error)
-            acknowledge(exchange);
-    });
+    log::logEvent(controlCallRefused, { { "reason", reason.toText() } });
+    exchange->answer(http::makeAnswer(http::statusBadRequest, "text/plain", reason.toText()));
 }
 
-auto Sidecar::State::onTargetChanged() -> void
+auto Sidecar::State::receive(const fleet::Farewell& farewell, const std::shared_ptr<http::Exchange>& exchange) -> void
 {
-    const auto& current = *target.current();
-    log::logEvent(targetChanged,
-        { { "target", current.id }, { "started-at", std::to_string(current.startedAt) },
-            { "slots", std::to_string(current.slots) }, { "sequence", std::to_string(current.sequence) },
-            { "state", current.isLeaving ? "leaving" : "serving" } });
-    owner.onTargetChanged();
+    registration.receive(farewell, answerControl(exchange));
 }
 
 auto Sidecar::State::stop() -> void
@@ -565,9 +476,8 @@
         { { "open", std::to_string(callers.openRequests()) }, { "running", std::to_string(owner.running()) } });
     callers.beginDrain();
     endOpenRequestsInTime();
-    // A host whose target has left is gone for good; another's target stays while its daemon is started again.
-    if (target.current() && !target.isServing())
-        announcer.retract(nullptr);
+    // Another's target stays while its daemon is started again.
+    registration.retractIfLeft();
     pollStop();
 }
 
@@ -601,7 +511,7 @@
         log::logEvent(stopEnded, { { "open", std::to_string(open) } });
         configurationFollower.stop();
         hostFollower.stop();
-        announcer.stop();
+        registration.stop();
         io.stop();
         return;
     }
