Announce the peer address that the daemon was started with

Cause: found by reading, while the host's row moved into HostRegistration. `--peer-address` was read and checked but the row always named where the daemon listens. So the daemons of a soak met past the fault proxies, and none of the delays, resets, cuts and silences between daemons in any soak so far had an effect; what the earlier soaks showed of them does not count. Faults of the store, of instances and of processes did act.

Ruled out: a fault of the proxies; their own tests pass, and the store's proxy did cut (a withdrawn key on a cut host).

Change: the row names the peer address where one is given.

Before: "other daemons reach a host where its peer address says" failed (10 runs at a host whose way was refused, 4 expected).

--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -184,8 +184,9 @@
     , registration(io, feed, target, directory,
           { .table = hostTable,
               .key = settings.hostAddress,
-              .host
-              = { .peerAddress = settings.peerListen, .locality = settings.locality, .service = settings.service } })
+              .host = { .peerAddress = settings.peerAddress.empty() ? settings.peerListen : settings.peerAddress,
+                  .locality = settings.locality,
+                  .service = settings.service } })
     , configurationFollower(io, feed, { .table = adapter.operatorTable, .wait = configurationWait })
     , hostFollower(io, feed,
           { .table = hostTable, .wait = hostsWait, .settle = hostsSettle, .longestSettle = longestHostsSettle })
