Ask for and hand out accounts' rates in parts of their own

Ruled out: a common base of RateCheck and AttemptLoan; both ask hosts in turn, but choose, remember and end differently.

--- a/src/relay/EntryRequest.cpp
+++ b/src/relay/EntryRequest.cpp
@@ -1,11 +1,11 @@
 #include "relay/EntryRequest.h"
 
-#include "dispatch/RateHomes.h"
-#include "fleet/HostDirectory.h"
 #include "http/Exchange.h"
 #include "http/Status.h"
 #include "log/Event.h"
+#include "relay/AttemptEvent.h"
 #include "relay/AttemptLoan.h"
+#include "relay/RateCheck.h"
 
 #include <algorithm>
 #include <array>
@@ -21,9 +21,6 @@
 
     const log::Event requestEnded { 1900, log::Severity::Info, "caller answered",
         "one line a request: its status, why, and what was known when it was decided" };
-    const log::Event attemptEnded { 1901, log::Severity::Info, "attempt ended",
-        "an attempt at a target that did not answer the caller; another may follow" };
-
     // An answer that goes to a caller must be on its way before the caller's own clock runs out.
     constexpr milliseconds answerMargin { 30 };
     // A hop's own timeout lies behind the request's, so that it speaks of the way and not of a caller's little time.
@@ -128,7 +125,12 @@
     armGiveUpTimer();
 }
 
-EntryRequest::~EntryRequest() { m_context.open.erase(this); }
+EntryRequest::~EntryRequest()
+{
+    if (m_rateCheck)
+        m_rateCheck->cancel(); // it refers to the account in this request's snapshot
+    m_context.open.erase(this);
+}
 
 auto EntryRequest::readDeadline() -> void
 {
@@ -166,100 +168,27 @@
 
 auto EntryRequest::checkRate() -> void
 {
-    if (m_clientAccount && !m_clientAccount->isUnlimited)
-        askRateHomes();
-    else
+    if (!m_clientAccount || m_clientAccount->isUnlimited) {
         onWithinRate();
-}
-
-// Homes in this region are asked first, then one of another.
-auto EntryRequest::askRateHomes() -> void
-{
-    const auto now = monotonicNow();
-    // Known here, since the news was found fresh; else every host would count as new, and none be left out.
-    const auto storeTime = m_context.proof.storeTime(SuspendAwareClock::now()).value_or(milliseconds { 0 });
-    std::vector<std::string> near;
-    for (const auto& [region, hosts] : m_context.directory.rateHosts()) {
-        for (const auto& home : dispatch::rateHomes(m_clientAccount->name, hosts, storeTime)) {
-            if (isRateHomeSpent(home, now))
-                continue;
-            const auto avoided = m_context.avoidedRateHomes.find(home);
-            if (avoided != m_context.avoidedRateHomes.end() && now < avoided->second)
-                continue;
-            (region == m_context.here.region ? near : m_rateHomes).push_back(home);
-        }
-    }
-    // The last one is asked first.
-    if (m_rateHomes.size() > 1)
-        m_rateHomes = { m_rateHomes[m_context.random() % m_rateHomes.size()] };
-    std::shuffle(near.begin(), near.end(), m_context.random);
-    m_rateHomes.insert(m_rateHomes.end(), near.begin(), near.end());
-    askNextRateHome();
-}
-
-auto EntryRequest::isRateHomeSpent(const std::string& home, MonotonicTime now) -> bool
-{
-    const auto spent = m_context.spentRateHomes.find(m_clientAccount->name + '@' + home);
-    if (spent == m_context.spentRateHomes.end() || now >= spent->second)
-        return false;
-    noteTurn(std::chrono::ceil<milliseconds>(spent->second - now));
-    return true;
-}
-
-auto EntryRequest::noteTurn(milliseconds turnIn) -> void { m_turnIn = std::min(m_turnIn.value_or(turnIn), turnIn); }
-
-auto EntryRequest::askNextRateHome() -> void
-{
-    if (m_rateHomes.empty()) {
-        if (m_turnIn)
-            refuse(http::statusTooManyRequests, "over the rate", m_turnIn);
-        else
-            refuse(http::statusUnavailable, "the rate can't be checked", m_context.options.rateHomeBackoff);
-        return;
-    }
-    const auto home = std::move(m_rateHomes.back());
-    m_rateHomes.pop_back();
-    const auto* record = m_context.directory.find(home);
-    if (!record) {
-        askNextRateHome();
         return;
     }
-    const bool isFar = record->locality.region != m_context.here.region;
-    const auto hopTime = isFar ? m_context.options.farRateHopTime : m_context.options.rateHopTime;
-    m_call = m_context.hops.send(record->peerAddress, encodeRate({ m_clientAccount->name }),
-        { .timeout = std::min(hopTime, std::max(left(monotonicNow()), milliseconds { 1 })) },
-        [self = shared_from_this(), home](const net::HttpClient::Result& result) { self->onRateAnswer(home, result); });
+    m_rateCheck = RateCheck::start(m_context,
+        { .account = *m_clientAccount, .requestId = m_requestId, .timeLeft = left(monotonicNow()) },
+        [weak = weak_from_this()](const dispatch::RatePool::Decision& decision) {
+            const auto self = weak.lock();
+            if (self && !self->m_isDone)
+                self->onRateDecision(decision);
+        });
 }
 
-auto EntryRequest::onRateAnswer(const std::string& home, const net::HttpClient::Result& result) -> void
+auto EntryRequest::onRateDecision(const dispatch::RatePool::Decision& decision) -> void
 {
-    m_call = 0;
-    if (m_isDone)
-        return;
-    const auto now = monotonicNow();
-    const auto* answer = std::get_if<http::Answer>(&result);
-    if (answer && answer->status == http::statusOk) {
+    if (decision.isGranted)
         onWithinRate();
-        return;
-    }
-    const auto turnIn
-        = answer && answer->status == http::statusTooManyRequests ? decodeTurn(answer->body) : std::nullopt;
-    if (turnIn) {
-        log::logEvent(attemptEnded,
-            { { "request", m_requestId }, { "peer", home }, { "step", "ask for rate" }, { "outcome", "not-run" },
-                { "why", "over the rate" }, { "account", m_clientAccount->name },
-                { "rate", std::to_string(m_clientAccount->ratePerSecond) },
-                { "turn-in-ms", std::to_string(turnIn->count()) } });
-        m_context.spentRateHomes[m_clientAccount->name + '@' + home] = now + *turnIn;
-        noteTurn(*turnIn);
-    } else {
-        m_context.avoidedRateHomes[home] = now + m_context.options.rateHomeBackoff;
-        const auto* failure = std::get_if<http::ExchangeFailure>(&result);
-        log::logEvent(attemptEnded,
-            { { "request", m_requestId }, { "peer", home }, { "step", "ask for rate" }, { "outcome", "not-run" },
-                { "why", failure ? failure->error.toText() : "the home can't tell" } });
-    }
-    askNextRateHome();
+    else if (decision.turnIn)
+        refuse(http::statusTooManyRequests, "over the rate", decision.turnIn);
+    else
+        refuse(http::statusUnavailable, "the rate can't be checked", m_context.options.rateHomeBackoff);
 }
 
 auto EntryRequest::onWithinRate() -> void
@@ -430,8 +359,10 @@
         [self = shared_from_this()](net::HttpClient::Result result) { self->onReserved(std::move(result)); });
 }
 
-auto EntryRequest::releaseTarget() -> void
+auto EntryRequest::endAttempt() -> void
 {
+    if (m_rateCheck)
+        std::exchange(m_rateCheck, nullptr)->cancel();
     if (m_loan)
         std::exchange(m_loan, nullptr)->cancel();
     if (m_target)
@@ -469,7 +400,7 @@
             m_context.board.recordPathFailure(*m_target, monotonicNow());
         if (failure->wasReset || failure->wasTimeout)
             m_excluded.push_back(m_target->description.address);
-        releaseTarget();
+        endAttempt();
         place();
         return;
     }
@@ -494,7 +425,7 @@
     else if (answer.body != targetFailsNow)
         m_context.board.avoid(*m_target, monotonicNow() + leavingPause);
     m_excluded.push_back(m_target->description.address);
-    releaseTarget();
+    endAttempt();
     place();
 }
 
@@ -502,7 +433,7 @@
 {
     if (isKeyWithdrawn()) {
         m_context.hops.cancel(m_call);
-        releaseTarget();
+        endAttempt();
         if (m_mayHaveRun)
             fail(http::statusBadGateway, "the key was withdrawn after a target may have run it");
         else
@@ -546,7 +477,7 @@
             { "outcome", "not-run" }, { "why", "no further attempt in the budget" },
             { "calls", encodeCalls(m_context.callsPerRun[m_service]) } });
     m_context.hops.cancel(m_call);
-    releaseTarget();
+    endAttempt();
     m_stage = Stage::Over;
     m_isOutOfAttempts = true;
     retryLater();
@@ -570,7 +501,7 @@
         [self = shared_from_this()](net::HttpClient::Result result) { self->onRun(std::move(result)); });
     if (!isSent) {
         m_excluded.push_back(m_target->description.address);
-        releaseTarget();
+        endAttempt();
         place();
         return;
     }
@@ -589,7 +520,7 @@
         m_context.board.recordPathFailure(*m_target, monotonicNow());
         m_mayHaveRun = true;
         m_excluded.push_back(m_target->description.address);
-        releaseTarget();
+        endAttempt();
         tryAgainOr(http::makeAnswer(http::statusBadGateway, "text/plain", "the way to the target broke"),
             "the way to the target broke");
         return;
@@ -606,7 +537,7 @@
         { { "request", m_requestId }, { "peer", m_target->description.address }, { "step", "run" },
             { "outcome", std::string(outcomeName(outcome.value_or(HopOutcome::MayHaveRun))) },
             { "status", std::to_string(answer.status) } });
-    releaseTarget();
+    endAttempt();
     if (outcome == HopOutcome::NotRun) {
         place();
         return;
@@ -622,7 +553,7 @@
 {
     answer.headers.removeAll(outcomeHeader);
     answer.headers.removeAll(loadHeader);
-    releaseTarget();
+    endAttempt();
     if (answer.status < http::firstServerError) {
         noteAnswerSize(answer);
         finish(std::move(answer), "answered");
@@ -651,7 +582,7 @@
     if (m_isDone)
         return;
     const auto call = m_call;
-    releaseTarget();
+    endAttempt();
     m_context.hops.cancel(call);
     if (m_runs > 0)
         fail(http::statusGatewayTimeout, "no answer in time");
@@ -665,7 +596,7 @@
         return;
     m_isDone = true;
     const auto call = m_call;
-    releaseTarget();
+    endAttempt();
     m_context.hops.cancel(call);
     m_giveUpTimer.cancel();
     m_waitTimer.cancel();
--- a/src/relay/EntryRequest.h
+++ b/src/relay/EntryRequest.h
@@ -5,6 +5,7 @@
 
 #include "config/ClientAccount.h"
 #include "config/Route.h"
+#include "dispatch/RatePool.h"
 #include "http/Request.h"
 #include "net/HttpClient.h"
 #include "relay/EntryContext.h"
@@ -23,6 +24,7 @@
 namespace coriandergate::relay {
 
 class AttemptLoan;
+class RateCheck;
 
 // EntryRequest lives as long as its answer is owed.
 class EntryRequest : public std::enable_shared_from_this<EntryRequest> {
@@ -50,11 +52,7 @@
     auto begin() -> void;
     [[nodiscard]] auto checkKey() -> bool;
     auto checkRate() -> void;
-    auto askRateHomes() -> void;
-    auto askNextRateHome() -> void;
-    [[nodiscard]] auto isRateHomeSpent(const std::string& home, MonotonicTime now) -> bool;
-    auto noteTurn(std::chrono::milliseconds turnIn) -> void;
-    auto onRateAnswer(const std::string& home, const net::HttpClient::Result& result) -> void;
+    auto onRateDecision(const dispatch::RatePool::Decision& decision) -> void;
     auto onWithinRate() -> void;
     auto readDeadline() -> void;
     auto armGiveUpTimer() -> void;
@@ -75,7 +73,7 @@
     auto onTargetAnswer(http::Answer answer) -> void;
     auto tryAgainOr(http::Answer lastAnswer, std::string_view why) -> void;
     auto takeNews(const http::Answer& answer) -> void;
-    auto releaseTarget() -> void;
+    auto endAttempt() -> void;
     auto retryLater() -> void;
     auto onGiveUp() -> void;
     auto onAbandoned() -> void;
@@ -97,8 +95,6 @@
     const config::Route* m_route = nullptr;
     std::string m_key;
     const config::ClientAccount* m_clientAccount = nullptr; // of m_snapshot; null for an open route
-    std::vector<std::string> m_rateHomes; // still to be asked, the last one next
-    std::optional<std::chrono::milliseconds> m_turnIn; // until some home has a request left; nothing if none said so
     std::string m_requestId;
     std::string m_service;
     int m_priority = 0;
@@ -112,6 +108,7 @@
     std::vector<std::string> m_excluded;
     dispatch::TargetBoard::TargetPointer m_target;
     net::HttpClient::Call m_call = 0;
+    std::shared_ptr<RateCheck> m_rateCheck; // while homes are asked
     std::shared_ptr<AttemptLoan> m_loan; // while one is asked for
     std::size_t m_runs = 0; // attempts that may have reached a target
     bool m_mayHaveRun = false;
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -1,7 +1,6 @@
 #include "sidecar/Sidecar.h"
 
 #include "base/Error.h"
-#include "dispatch/RatePool.h"
 #include "fleet/CatchUp.h"
 #include "fleet/HostDirectory.h"
 #include "fleet/HostRegistration.h"
@@ -14,6 +13,7 @@
 #include "net/HttpServer.h"
 #include "relay/EntryRequest.h"
 #include "relay/OwnerRelay.h"
+#include "relay/RateHome.h"
 #include "sidecar/MetricsPage.h"
 
 #include <algorithm>
@@ -135,7 +135,6 @@
     auto onStoreAnswer(const fleet::StoreAnswer& answer) -> void;
     auto onStoreFailure(const Error& error) -> void;
     auto handlePeer(const std::shared_ptr<http::Exchange>& exchange) -> void;
-    auto handleRate(const std::shared_ptr<http::Exchange>& exchange) -> void;
     auto lendAttempt(const std::shared_ptr<http::Exchange>& exchange) -> void;
     auto rateLimits() const -> dispatch::RateLimits;
     auto metricsPage() const -> std::string;
@@ -155,8 +154,8 @@
     dispatch::TargetBoard board;
     dispatch::AttemptBudget attempts;
     dispatch::CallRatio calls;
-    dispatch::RatePool pool;
     relay::EntryContext entry;
+    relay::RateHome rateHome;
     relay::OwnerRelay owner;
     net::HttpServer callers;
     net::HttpServer peers;
@@ -195,8 +194,6 @@
     , board({ .here = settings.locality })
     , attempts(
           { .ratio = settings.attemptRatio, .allowance = settings.attemptAllowance, .window = settings.attemptWindow })
-    , pool({ .limits = rateLimits(), .part = 1 / static_cast<double>(settings.regions * dispatch::rateHomesOfRegion) },
-          monotonicNow())
     , entry { .io = io,
         .options = {},
         .headers = adapter.headers,
@@ -211,6 +208,9 @@
         .hostsProof = hostsProof,
         .directory = directory,
         .snapshot = nullptr }
+    , rateHome(entry,
+          { .limits = rateLimits(), .part = 1 / static_cast<double>(settings.regions * dispatch::rateHomesOfRegion) },
+          monotonicNow())
     , owner(io, target, calls, { .headers = adapter.headers })
     , callers(io, callerOptions(settings, {}),
           [this](std::shared_ptr<http::Exchange> exchange) { relay::EntryRequest::start(entry, std::move(exchange)); })
@@ -310,7 +310,7 @@
 auto Sidecar::State::handlePeer(const std::shared_ptr<http::Exchange>& exchange) -> void
 {
     if (exchange->request().target == relay::ratePath)
-        handleRate(exchange);
+        rateHome.answer(exchange);
     else if (exchange->request().target == relay::attemptPath)
         lendAttempt(exchange);
     else if (exchange->request().target == fleet::newsPath)
@@ -319,33 +319,6 @@
         owner.handle(exchange);
 }
 
-auto Sidecar::State::handleRate(const std::shared_ptr<http::Exchange>& exchange) -> void
-{
-    const auto now = SuspendAwareClock::now();
-    Error reason;
-    const auto ask = relay::decodeRate(exchange->request().body, reason);
-    // A home that may have been replaced without knowing hands out nothing.
-    if (!ask || isStopping || !entry.snapshot || !proof.isFresh(now) || !hostsProof.isFresh(now)) {
-        exchange->answer(http::makeAnswer(http::statusUnavailable, "text/plain", ""));
-        return;
-    }
-    const auto* account = entry.snapshot->clientAccount(ask->clientAccount);
-    if (!account) {
-        exchange->answer(http::makeAnswer(http::statusUnavailable, "text/plain", ""));
-        return;
-    }
-    // Known here, since the news is fresh.
-    const auto storeTime = proof.storeTime(now).value_or(milliseconds { 0 });
-    const auto decision = pool.take(*account, settings.hostAddress, storeTime, monotonicNow());
-    if (decision.isGranted)
-        exchange->answer(http::makeAnswer(http::statusOk, "text/plain", ""));
-    else if (decision.turnIn)
-        exchange->answer(
-            http::makeAnswer(http::statusTooManyRequests, "text/plain", relay::encodeTurn(*decision.turnIn)));
-    else
-        exchange->answer(http::makeAnswer(http::statusUnavailable, "text/plain", "not a home"));
-}
-
 auto Sidecar::State::lendAttempt(const std::shared_ptr<http::Exchange>& exchange) -> void
 {
     Error reason;
@@ -391,7 +364,7 @@
     feed.setHosts(directory, settings.locality);
     if (!isStopping)
         registration.onHostsChanged();
-    pool.setHosts(directory.rateHostsOf(settings.locality.region), monotonicNow());
+    rateHome.setHosts(directory.rateHostsOf(settings.locality.region), monotonicNow());
     entry.hosts = std::max<std::size_t>(1, directory.size());
     log::logEvent(hostsChanged,
         { { "hosts", std::to_string(entry.hosts) }, { "targets", std::to_string(directory.targets().size()) } });
