Let one relay of a data centre follow the store, and the other one stand by

Ruled out: longer questions, since news may be 1.9 s old at most; one relay alone, since then every host of a data centre asks the store when it goes.

Change: the second relay follows the first like any other host, and asks the store itself as soon as the first refuses, is gone or has old news. The other hosts follow either.

--- a/src/fleet/RelayedFeed.cpp
+++ b/src/fleet/RelayedFeed.cpp
@@ -68,22 +68,34 @@
         m_relays.begin(), m_relays.end(), [this](const Relay& relay) { return relay.host == m_options.self; });
 }
 
+auto RelayedFeed::isUsable(const Relay& relay, MonotonicTime now) const -> bool
+{
+    const auto avoided = m_avoidUntil.find(relay.host);
+    return relay.host != m_options.self && (avoided == m_avoidUntil.end() || now >= avoided->second);
+}
+
+// The relay that the others wait for.
+auto RelayedFeed::isFirstRelay(MonotonicTime now) const -> bool
+{
+    const auto first = std::find_if(m_relays.begin(), m_relays.end(),
+        [&](const Relay& relay) { return relay.host == m_options.self || isUsable(relay, now); });
+    return first != m_relays.end() && first->host == m_options.self;
+}
+
 auto RelayedFeed::chooseOf(const std::vector<Relay>& relays, MonotonicTime now) -> std::optional<Relay>
 {
     std::vector<Relay> usable;
-    for (const auto& relay : relays) {
-        const auto avoided = m_avoidUntil.find(relay.host);
-        if (relay.host != m_options.self && (avoided == m_avoidUntil.end() || now >= avoided->second))
-            usable.push_back(relay);
-    }
+    std::copy_if(relays.begin(), relays.end(), std::back_inserter(usable),
+        [&](const Relay& relay) { return isUsable(relay, now); });
     return usable.empty() ? std::nullopt : std::optional(usable[m_random() % usable.size()]);
 }
 
 auto RelayedFeed::chooseRelay(MonotonicTime now) -> std::optional<Relay>
 {
-    // Others wait for what a relay hears from the store.
-    if (isRelay() && !isStoreAway(now))
+    if (isFirstRelay(now) && !isStoreAway(now))
         return std::nullopt;
+    if (isRelay() && !isStoreAway(now))
+        return m_relays.front();
     auto relay = chooseOf(m_relays, now);
     return relay ? relay : chooseOf(m_fartherRelays, now);
 }
--- a/src/fleet/RelayedFeed.h
+++ b/src/fleet/RelayedFeed.h
@@ -1,10 +1,11 @@
 // Follows the store through another daemon where that saves calls of the store, which are charged.
 //
-// In each data centre a few hosts, found by hashing over the list of hosts, follow the store themselves; the others
-// follow one of them, which answers at once when something changed or its own news was confirmed. An answer that was
-// passed on proves only the store's time that stands in it. A relay that fails is replaced by another one, of the data
-// centre or else of the region; when none answers with fresh news the store is asked. A relay that the store doesn't
-// serve follows the others meanwhile.
+// In each data centre a few hosts, found by hashing over the list of hosts, are relays. The first of them follows the
+// store; the other relays follow it and take its place once it fails; the other hosts follow one of the relays, which
+// answers at once when something changed or its own news was confirmed. An answer that was passed on proves only the
+// store's time that stands in it. A relay that fails is replaced by another one, of the data centre or else of the
+// region; when none answers with fresh news the store is asked. A relay that the store doesn't serve follows the others
+// meanwhile.
 //
 //   RelayedFeed feed(io, store, hops, { .self = "10.1.0.11", .datedTable = "op" });
 //   feed.setHosts(directory, locality);
@@ -94,6 +95,8 @@
     };
 
     [[nodiscard]] auto isRelay() const -> bool;
+    [[nodiscard]] auto isUsable(const Relay& relay, MonotonicTime now) const -> bool;
+    [[nodiscard]] auto isFirstRelay(MonotonicTime now) const -> bool;
     [[nodiscard]] auto chooseRelay(MonotonicTime now) -> std::optional<Relay>;
     [[nodiscard]] auto chooseOf(const std::vector<Relay>& relays, MonotonicTime now) -> std::optional<Relay>;
     auto followStore(const Follow& follow, Callback done) -> void;
