Notice a settings file that changes without a signal

Cause: the settings file may change without a signal; the daemon read it at SIGHUP alone.

Ruled out: watches of the file system, which miss a file that is replaced on some mounts, for news that nobody waits for.

Change: the file is read every 5 s too; without a signal only what is new is logged, a fault once. What changed holds from the next start, as before.

Before and after: "a changed settings file is noticed with and without a signal" fails without the timer (no line in 7 s) and passes.

--- a/src/sidecar/RunSidecar.cpp
+++ b/src/sidecar/RunSidecar.cpp
@@ -8,11 +8,13 @@
 #include "sidecar/Sidecar.h"
 
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <csignal>
 #include <cstdlib>
 #include <docopt/docopt.h>
 #include <iostream>
 #include <map>
+#include <optional>
 
 namespace coriandergate::sidecar {
 
@@ -52,43 +54,68 @@
         return path ? path : "";
     }
 
-    // Reads the settings again at each SIGHUP and says whether they changed.
+    // The file may change without a signal; nobody waits for what it says then.
+    constexpr std::chrono::seconds settingsPeriod { 5 };
+
+    // Reads the settings again at each SIGHUP and now and then, and says whether they changed.
     class SettingsWatch {
     public:
         SettingsWatch(boost::asio::io_context& io, const Port& port, std::string path, HostSettings inForce)
             : m_signals(io, SIGHUP)
+            , m_timer(io)
             , m_port(port)
             , m_path(std::move(path))
             , m_inForce(std::move(inForce))
+            , m_lastRead(m_inForce)
         {
-            await();
+            awaitSignal();
+            awaitPeriod();
         }
 
     private:
-        auto await() -> void
+        auto awaitSignal() -> void
         {
             m_signals.async_wait([this](const boost::system::error_code& error, int) {
                 if (error)
                     return;
-                readAgain();
-                await();
+                readAgain(true);
+                awaitSignal();
+            });
+        }
+
+        auto awaitPeriod() -> void
+        {
+            m_timer.expires_after(settingsPeriod);
+            m_timer.async_wait([this](const boost::system::error_code& error) {
+                if (error)
+                    return;
+                readAgain(false);
+                awaitPeriod();
             });
         }
 
-        auto readAgain() -> void
+        // Without a signal only what is new is logged.
+        auto readAgain(bool isAsked) -> void
         {
             std::vector<Error> faults;
-            const auto read = m_port.readSettings(m_path, faults);
+            auto read = m_port.readSettings(m_path, faults);
+            if (read)
+                read->peerAddress = m_inForce.peerAddress; // of the command line
+            if (!isAsked && read == m_lastRead)
+                return;
             for (const auto& fault : faults)
                 log::logEvent(settingsRefused, { { "reason", fault.toText() } });
             if (read)
                 log::logEvent(settingsRead, { { "changed", *read == m_inForce ? "no" : "yes" } });
+            m_lastRead = read;
         }
 
         boost::asio::signal_set m_signals;
+        boost::asio::steady_timer m_timer;
         const Port& m_port;
         std::string m_path;
         HostSettings m_inForce;
+        std::optional<HostSettings> m_lastRead; // nothing while the file can't be read
     };
 
     auto serve(const HostSettings& settings, const std::string& path, const Port& port, log::Severity minimum) -> int
