Count as an attempt only what reached a target

Ruled out: Retry-After (0.2 s, the shortest); loans, which every entry asks for. What still binds is the smaller service: each repeated run's calls count there.

Change: the daemon beside the target tells an attempt that it never sent (not-sent) apart from one that the target refused (not-run). The former is taken back at the entry, and what it took of the budget, or borrowed, holds for the next attempt.

Replayed: with nothing left of the budget and two of three targets that can't be sent to, 30 of 30 requests are served; when those two refuse, fewer, as before.

--- a/src/relay/EntryRequest.cpp
+++ b/src/relay/EntryRequest.cpp
@@ -458,7 +458,7 @@
             refuse(http::statusUnauthorized, "the key was withdrawn", std::nullopt);
         return;
     }
-    const bool isInBudget = m_runs == 0
+    const bool isInBudget = m_runs == 0 || std::exchange(m_holdsAttempt, false)
         || m_context.attempts.take(
             m_service, m_context.callsPerRun[m_service], claim(), m_context.hosts, monotonicNow());
     if (isInBudget)
@@ -527,6 +527,15 @@
         ++m_context.counters.repeats;
 }
 
+// An attempt that never arrived at its target isn't one: what it took of the budget holds for the next.
+auto EntryRequest::takeBackAttempt() -> void
+{
+    --m_runs;
+    m_holdsAttempt = m_runs > 0;
+    if (m_holdsAttempt)
+        --m_context.counters.repeats;
+}
+
 auto EntryRequest::onRun(net::HttpClient::Result result) -> void
 {
     if (m_isDone)
@@ -556,7 +565,9 @@
             { "outcome", std::string(outcomeName(outcome.value_or(HopOutcome::MayHaveRun))) },
             { "status", std::to_string(answer.status) } });
     endAttempt();
-    if (outcome == HopOutcome::NotRun) {
+    if (outcome == HopOutcome::NotSent)
+        takeBackAttempt();
+    if (outcome == HopOutcome::NotSent || outcome == HopOutcome::NotRun) {
         place();
         return;
     }
--- a/src/relay/EntryRequest.h
+++ b/src/relay/EntryRequest.h
@@ -72,6 +72,7 @@
     auto borrowAttempt() -> void;
     auto onOutOfAttempts() -> void;
     auto sendRun() -> void;
+    auto takeBackAttempt() -> void;
     auto onRun(net::HttpClient::Result result) -> void;
     auto onTargetAnswer(http::Answer answer) -> void;
     auto tryAgainOr(http::Answer lastAnswer, std::string_view why) -> void;
@@ -114,6 +115,7 @@
     std::shared_ptr<RateCheck> m_rateCheck; // while homes are asked
     std::shared_ptr<AttemptLoan> m_loan; // while one is asked for
     std::size_t m_runs = 0; // attempts that may have reached a target
+    bool m_holdsAttempt = false; // taken of the budget and not used up
     bool m_mayHaveRun = false;
     std::optional<http::Answer> m_lastFailure; // a target's own
     bool m_isOutOfAttempts = false;
--- a/src/relay/EntryRequest_test.cpp
+++ b/src/relay/EntryRequest_test.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <catch2/catch.hpp>
 #include <functional>
+#include <memory>
 #include <utility>
 
 namespace coriandergate::relay {
@@ -65,6 +66,30 @@
             exchange->answer(http::makeAnswer(503, "text/plain", std::string(noSlotInTime)));
         }
 
+        // A daemon whose attempts end like `outcome`; the targets it stands for have a slot.
+        auto addOwner(HopOutcome outcome) -> void
+        {
+            others.push_back(
+                std::make_unique<net::HttpServer>(io, net::HttpServer::Options {}, [this, outcome](auto exchange) {
+                    const bool isRun = exchange->request().target == runPath;
+                    runs += isRun ? 1 : 0;
+                    const bool isGood = !isRun || outcome == HopOutcome::Answered;
+                    auto answer = http::makeAnswer(isGood ? 200 : 503, "text/plain", "");
+                    answer.headers.add(outcomeHeader, outcomeName(outcome));
+                    answer.headers.add(loadHeader, encodeNews({ .load = { .slots = 4 } }));
+                    exchange->answer(std::move(answer));
+                }));
+            Error reason;
+            REQUIRE(others.back()->listen("127.0.0.1:0", reason));
+            std::vector<dispatch::TargetBoard::Description> targets;
+            for (const auto& other : others)
+                targets.push_back({ .address = "127.0.0.1:" + std::to_string(other->port()),
+                    .service = "stock",
+                    .locality = s_here,
+                    .slots = 4 });
+            board.setTargets(targets);
+        }
+
         auto ask(const std::string& path) -> http::Answer
         {
             http::Request request;
@@ -89,6 +114,8 @@
             timer.async_wait([action = std::move(action)](const boost::system::error_code&) { action(); });
         }
 
+        std::vector<std::unique_ptr<net::HttpServer>> others;
+        int runs = 0;
         std::vector<ReserveAsk> asked;
         boost::asio::steady_timer timer { io };
         net::HttpServer owner;
@@ -118,6 +145,28 @@
     CHECK(std::chrono::steady_clock::now() - before < 150ms); // well before its 200 ms are over
 }
 
+// Load pattern: every target of a service refuses some requests while others of it take no connections. The naive way
+// counts what never reached a target as an attempt, and refuses requests for want of further ones.
+TEST_CASE("an attempt that never reached its target uses up none of the budget")
+{
+    Entry entry;
+    entry.context.hosts = 100000; // no part of the allowance is left to this one
+    const auto first = GENERATE(HopOutcome::NotSent, HopOutcome::NotRun);
+    entry.addOwner(first);
+    entry.addOwner(first);
+    entry.addOwner(HopOutcome::Answered);
+    int served = 0;
+    constexpr int requests = 30;
+    for (int i = 0; i < requests; ++i)
+        served += entry.ask("/notes/1").status == 200 ? 1 : 0;
+    if (first == HopOutcome::NotSent) {
+        CHECK(served == requests);
+        CHECK(entry.context.counters.repeats == 0);
+    } else {
+        CHECK(served < requests); // a refusal is an arrival, and a further one needs the budget
+    }
+}
+
 // Load pattern: all daemons are started again while callers go on. The naive way refuses what comes before the store's
 // first answers, a quarter of a second later, and all of it comes back at once.
 TEST_CASE("a request that comes before the first news waits for it")
--- a/src/relay/HopMessages.cpp
+++ b/src/relay/HopMessages.cpp
@@ -46,8 +46,9 @@
 
     constexpr double percent = 100;
 
-    constexpr std::array<std::pair<HopOutcome, std::string_view>, 3> outcomeNames { {
+    constexpr std::array<std::pair<HopOutcome, std::string_view>, 4> outcomeNames { {
         { HopOutcome::Answered, "answered" },
+        { HopOutcome::NotSent, "not-sent" },
         { HopOutcome::NotRun, "not-run" },
         { HopOutcome::MayHaveRun, "may-have-run" },
     } };
--- a/src/relay/HopMessages.h
+++ b/src/relay/HopMessages.h
@@ -40,7 +40,8 @@
 // HopOutcome says how an attempt ended.
 enum class HopOutcome {
     Answered, // the target's own whole answer
-    NotRun, // the target has not seen the request or refused it, and never will run it
+    NotSent, // the target has not seen the request and never will
+    NotRun, // the target refused it and never will run it
     MayHaveRun, // no whole answer of the target came
 };
 
--- a/src/relay/OwnerRelay.cpp
+++ b/src/relay/OwnerRelay.cpp
@@ -184,7 +184,7 @@
     const auto load = encodeNews(news(monotonicNow()));
     log::logEvent(slotRefused, { { "request", requestId }, { "why", std::string(why) }, { "load", load } });
     auto answer = http::makeAnswer(http::statusUnavailable, "text/plain", std::string(why));
-    answer.headers.add(outcomeHeader, outcomeName(HopOutcome::NotRun));
+    answer.headers.add(outcomeHeader, outcomeName(HopOutcome::NotSent));
     answer.headers.add(loadHeader, load);
     exchange->answer(std::move(answer));
 }
@@ -282,7 +282,7 @@
     run->requestId = ask ? ask->requestId : "";
     const auto found = m_reservations.find(exchange->peer());
     if (!ask || found == m_reservations.end() || !found->second->isGranted) {
-        reply(*run, HopOutcome::NotRun, http::makeAnswer(http::statusUnavailable, "text/plain", ""),
+        reply(*run, HopOutcome::NotSent, http::makeAnswer(http::statusUnavailable, "text/plain", ""),
             ask ? "no reservation" : reason.reason);
         return;
     }
@@ -293,13 +293,13 @@
     m_reservations.erase(found);
     if (!m_target.isServing()) {
         finishRun(*run, std::nullopt);
-        reply(*run, HopOutcome::NotRun, http::makeAnswer(http::statusUnavailable, "text/plain", ""), "target leaves");
+        reply(*run, HopOutcome::NotSent, http::makeAnswer(http::statusUnavailable, "text/plain", ""), "target leaves");
         return;
     }
     // It may have begun to fail since the slot was granted.
     if (m_health.isFailing() && !takesFailing) {
         finishRun(*run, std::nullopt);
-        reply(*run, HopOutcome::NotRun, http::makeAnswer(http::statusUnavailable, "text/plain", ""), targetFailsNow);
+        reply(*run, HopOutcome::NotSent, http::makeAnswer(http::statusUnavailable, "text/plain", ""), targetFailsNow);
         return;
     }
     const auto storeTime = m_storeTime ? m_storeTime() : std::nullopt;
@@ -307,7 +307,7 @@
         ask->timeLeft = std::min(ask->timeLeft, *ask->expiresAt - *storeTime);
     if (ask->timeLeft <= milliseconds { 0 }) {
         finishRun(*run, std::nullopt);
-        reply(*run, HopOutcome::NotRun, http::makeAnswer(http::statusUnavailable, "text/plain", ""), "time ran out");
+        reply(*run, HopOutcome::NotSent, http::makeAnswer(http::statusUnavailable, "text/plain", ""), "time ran out");
         return;
     }
     send(run, std::move(*ask));
@@ -424,7 +424,7 @@
         recordEnd(TargetHealth::Outcome::Failed, failure.error.toText());
     finishRun(*run, std::nullopt);
     const int status = failure.wasTimeout ? http::statusGatewayTimeout : http::statusBadGateway;
-    reply(*run, failure.mayHaveRun ? HopOutcome::MayHaveRun : HopOutcome::NotRun,
+    reply(*run, failure.mayHaveRun ? HopOutcome::MayHaveRun : HopOutcome::NotSent,
         http::makeAnswer(status, "text/plain", ""), failure.error.toText());
 }
 
--- a/src/relay/OwnerRelay_test.cpp
+++ b/src/relay/OwnerRelay_test.cpp
@@ -37,6 +37,8 @@
         {
             ++runs;
             auto answer = http::makeAnswer(status, "text/plain", "");
+            if (refuses)
+                answer.headers.add(names.notRun, "1");
             answer.headers.add(names.signature, "signed");
             answer.headers.add(names.requestId, exchange->request().headers.find(names.requestId).value_or(""));
             exchange->answer(std::move(answer));
@@ -98,6 +100,7 @@
         net::HttpServer peers;
         net::HttpClient hops;
         int status = 200;
+        bool refuses = false;
         int runs = 0;
     };
 
@@ -118,8 +121,27 @@
     one.status = 500;
     CHECK(one.run(first, true).status == 500);
     const auto answer = one.run(second, false);
-    CHECK(outcome(answer) == HopOutcome::NotRun);
+    CHECK(outcome(answer) == HopOutcome::NotSent);
     CHECK(one.runs == 1);
 }
 
+TEST_CASE("a refusal of the target is told apart from an attempt that never reached it")
+{
+    OneTarget one;
+    net::HttpClient::Call call = 0;
+    REQUIRE(one.reserve(call, false).status == 200);
+    SECTION("the target refuses")
+    {
+        one.refuses = true;
+        CHECK(outcome(one.run(call, false)) == HopOutcome::NotRun);
+        CHECK(one.runs == 1);
+    }
+    SECTION("the target takes no connection")
+    {
+        one.backEnd.finishDrain();
+        CHECK(outcome(one.run(call, false)) == HopOutcome::NotSent);
+        CHECK(one.runs == 0);
+    }
+}
+
 } // namespace coriandergate::relay
