Read what changed as a newcomer would

Cause: a last reading of the diff. The choice of the first relay held for two relays only; the line of a caller who left before the first news had no request id; a list of hosts that was empty for a moment would have counted as the first one.

Change: firstRelay() names the relay that the others wait for; the id is read with the request; the list's change is remembered.

--- a/src/dispatch/RatePool.cpp
+++ b/src/dispatch/RatePool.cpp
@@ -20,9 +20,10 @@
 {
     if (hosts == m_hosts)
         return;
-    m_hasChanged = !m_hosts.empty();
-    if (m_hasChanged)
+    if (!m_hosts.empty()) {
+        m_hasChanged = true;
         m_formerViews.push_back({ std::move(m_hosts), now });
+    }
     m_hosts = hosts;
     // A home that is asked for an account first later on must not have gathered a burst beside a former home.
     m_changedAt = now;
--- a/src/fleet/RelayedFeed.cpp
+++ b/src/fleet/RelayedFeed.cpp
@@ -74,12 +74,11 @@
     return relay.host != m_options.self && (avoided == m_avoidUntil.end() || now >= avoided->second);
 }
 
-// The relay that the others wait for.
-auto RelayedFeed::isFirstRelay(MonotonicTime now) const -> bool
+auto RelayedFeed::firstRelay(MonotonicTime now) const -> const Relay*
 {
     const auto first = std::find_if(m_relays.begin(), m_relays.end(),
         [&](const Relay& relay) { return relay.host == m_options.self || isUsable(relay, now); });
-    return first != m_relays.end() && first->host == m_options.self;
+    return first == m_relays.end() ? nullptr : &*first;
 }
 
 auto RelayedFeed::chooseOf(const std::vector<Relay>& relays, MonotonicTime now) -> std::optional<Relay>
@@ -92,10 +91,10 @@
 
 auto RelayedFeed::chooseRelay(MonotonicTime now) -> std::optional<Relay>
 {
-    if (isFirstRelay(now) && !isStoreAway(now))
-        return std::nullopt;
-    if (isRelay() && !isStoreAway(now))
-        return m_relays.front();
+    if (isRelay() && !isStoreAway(now)) {
+        const auto* first = firstRelay(now);
+        return first->host == m_options.self ? std::nullopt : std::optional(*first);
+    }
     auto relay = chooseOf(m_relays, now);
     return relay ? relay : chooseOf(m_fartherRelays, now);
 }
--- a/src/fleet/RelayedFeed.h
+++ b/src/fleet/RelayedFeed.h
@@ -96,7 +96,8 @@
 
     [[nodiscard]] auto isRelay() const -> bool;
     [[nodiscard]] auto isUsable(const Relay& relay, MonotonicTime now) const -> bool;
-    [[nodiscard]] auto isFirstRelay(MonotonicTime now) const -> bool;
+    // firstRelay() is the one that the data centre's others wait for; null if none is known.
+    [[nodiscard]] auto firstRelay(MonotonicTime now) const -> const Relay*;
     [[nodiscard]] auto chooseRelay(MonotonicTime now) -> std::optional<Relay>;
     [[nodiscard]] auto chooseOf(const std::vector<Relay>& relays, MonotonicTime now) -> std::optional<Relay>;
     auto followStore(const Follow& follow, Callback done) -> void;
--- a/src/relay/EntryContext.h
+++ b/src/relay/EntryContext.h
@@ -32,8 +32,8 @@
     auto inform() -> void;
 
     struct Options {
-        // From the daemon's start, for its first news of configuration and hosts: the store's answers come within 0.3
-        // s, and requests that come before wait for them.
+        // From the daemon's start, for its first news of configuration and hosts. Twice as long as the store mostly
+        // takes; requests that come before wait for it.
         std::chrono::milliseconds firstNewsTime { 600 };
         // For a daemon of the same region to answer, beyond the wait for a slot.
         std::chrono::milliseconds hopTime { 150 };
--- a/src/relay/EntryRequest.cpp
+++ b/src/relay/EntryRequest.cpp
@@ -21,6 +21,7 @@
 
     const log::Event requestEnded { 1900, log::Severity::Info, "caller answered",
         "one line a request: its status, why, and what was known when it was decided" };
+
     // An answer that goes to a caller must be on its way before the caller's own clock runs out.
     constexpr milliseconds answerMargin { 30 };
     // A hop's own timeout lies behind the request's, so that it speaks of the way and not of a caller's little time.
@@ -66,6 +67,7 @@
 EntryRequest::EntryRequest(EntryContext& context, std::shared_ptr<http::Exchange> exchange)
     : m_context(context)
     , m_exchange(std::move(exchange))
+    , m_requestId(m_exchange->request().headers.find(context.headers.requestId).value_or(""))
     , m_readAt(monotonicNow())
     , m_giveUpTimer(context.io)
     , m_waitTimer(context.io)
@@ -102,7 +104,6 @@
     m_waitTimer.cancel();
     m_snapshot = m_context.snapshot;
     const auto& headers = m_exchange->request().headers;
-    m_requestId = headers.find(m_context.headers.requestId).value_or("");
     if (!m_snapshot) {
         constexpr milliseconds soon { 500 };
         refuse(http::statusUnavailable, "no configuration yet", soon);
