Share one fake store among tests, and drop state that the change made double

HostAnnouncer's and HostRegistration's tests each had a fake store of one row, the latter without the condition on the version; RatePool kept a flag beside a time that is only read when the flag is set; HostRegistration answered a leaving that stands in the store by a branch of its own, which announce() does anyway; the log of changed limits asked twice whether there was an earlier configuration.

Ruled out: a common base of AttemptLoan and RateCheck (one host after the other is all they share); the members that the daemon and EntryParts name alike, which are the fields of one struct.

Change: testing/OneRowStore serves both tests, so HostRegistration's now meet a store that checks versions too; the row that another host took away is really gone there. m_changedAt is an optional. One path answers a leaving. No assertion is changed.

--- a/src/dispatch/RatePool.cpp
+++ b/src/dispatch/RatePool.cpp
@@ -20,13 +20,12 @@
 {
     if (hosts == m_hosts)
         return;
-    if (!m_hosts.empty()) {
-        m_hasChanged = true;
+    // A home that is asked for an account first later on must not have gathered a burst beside a former home.
+    if (!m_hosts.empty() || m_changedAt)
+        m_changedAt = now;
+    if (!m_hosts.empty())
         m_formerViews.push_back({ std::move(m_hosts), now });
-    }
     m_hosts = hosts;
-    // A home that is asked for an account first later on must not have gathered a burst beside a former home.
-    m_changedAt = now;
 }
 
 // By the views that may still be in force elsewhere, another host is the home.
@@ -40,12 +39,12 @@
 auto RatePool::firstBucket(const config::ClientAccount& account, std::string_view self,
     std::chrono::milliseconds storeTime, MonotonicTime now) const -> RateBucket
 {
-    const auto since = m_hasChanged ? m_changedAt : m_startedAt;
+    const auto since = m_changedAt.value_or(m_startedAt);
     const auto storeTimeThen = storeTime - std::chrono::duration_cast<std::chrono::milliseconds>(now - since);
     // It has become a home meanwhile, since hosts of the list aren't new any more.
     if (!isHome(account.name, m_hosts, self, storeTimeThen))
         return RateBucket(now);
-    return RateBucket(since, m_hasChanged ? 0 : m_options.limits.partOf(account, m_options.part).atStart);
+    return RateBucket(since, m_changedAt ? 0 : m_options.limits.partOf(account, m_options.part).atStart);
 }
 
 auto RatePool::take(const config::ClientAccount& account, std::string_view self, std::chrono::milliseconds storeTime,
--- a/src/dispatch/RatePool.h
+++ b/src/dispatch/RatePool.h
@@ -79,8 +79,7 @@
     Options m_options;
     MonotonicTime m_startedAt;
     std::vector<RateHost> m_hosts;
-    MonotonicTime m_changedAt; // the list of hosts
-    bool m_hasChanged = false; // since the first list
+    std::optional<MonotonicTime> m_changedAt; // the list of hosts, since the first one
     std::deque<View> m_formerViews;
     std::map<std::string, RateBucket, std::less<>> m_buckets;
 };
--- a/src/dispatch/RatePool_test.cpp
+++ b/src/dispatch/RatePool_test.cpp
@@ -50,6 +50,12 @@
         }
     }
 
+    auto forgetBefore(std::deque<MonotonicTime>& granted, MonotonicTime oldest) -> void
+    {
+        while (!granted.empty() && granted.front() <= oldest)
+            granted.pop_front();
+    }
+
     auto allowedInWindow(const config::ClientAccount& account) -> double
     {
         return (account.ratePerSecond * 5 + account.burst) * 1.1 + 20;
@@ -103,8 +109,7 @@
                 granted.push_back(now);
                 ++total;
             }
-            while (!granted.empty() && granted.front() <= now - window)
-                granted.pop_front();
+            forgetBefore(granted, now - window);
             REQUIRE(static_cast<double>(granted.size()) <= allowedInWindow(account));
         }
         CHECK(total >= 12 * 60 * 80 / 100);
@@ -183,8 +188,7 @@
             if (pools[which].take(account, homes[which % 2], storeTime, now).isGranted)
                 granted.push_back(now);
         }
-        while (!granted.empty() && granted.front() <= now - window)
-            granted.pop_front();
+        forgetBefore(granted, now - window);
         INFO("after " << passed.count() << " ms");
         REQUIRE(static_cast<double>(granted.size()) <= allowedInWindow(account));
     }
@@ -279,8 +283,7 @@
                     ++total;
                 }
             }
-            while (!granted.empty() && granted.front() <= now - window)
-                granted.pop_front();
+            forgetBefore(granted, now - window);
             REQUIRE(static_cast<double>(granted.size()) <= allowedInWindow(account));
         }
         INFO(total << " granted");
--- a/src/fleet/HostAnnouncer_test.cpp
+++ b/src/fleet/HostAnnouncer_test.cpp
@@ -1,6 +1,7 @@
 #include "fleet/HostAnnouncer.h"
 
 #include "fleet/HostRecord.h"
+#include "testing/OneRowStore.h"
 
 #include <catch2/catch.hpp>
 
@@ -12,36 +13,6 @@
 
     const std::string host = "10.1.0.1";
 
-    // FakeStore keeps one row under its version, or is away.
-    class FakeStore : public StoreFeed {
-    public:
-        auto read(const std::string&, Callback) -> void override { }
-        auto follow(const Follow&, Callback) -> void override { }
-        auto write(const Write& write, Callback done) -> void override
-        {
-            ++writes;
-            if (isAway) {
-                done(StoreFailure { StoreFailure::Kind::NotDone, { "write", "store", "status 503" }, {} });
-                return;
-            }
-            if (write.expectedVersion != row.version) {
-                StoreFailure failure { StoreFailure::Kind::ConditionFailed, { "write", "store", "status 412" }, {} };
-                if (row.version > 0)
-                    failure.current.push_back(row);
-                done(std::move(failure));
-                return;
-            }
-            ++newest;
-            row = { host, write.value.value_or(""), write.value ? newest : 0, false };
-            done(StoreAnswer { .newestVersion = newest });
-        }
-
-        StoreRow row;
-        std::uint64_t newest = 40;
-        int writes = 0;
-        bool isAway = false;
-    };
-
     auto makeRecord(const std::string& targetId) -> HostRecord
     {
         HostRecord record;
@@ -53,7 +24,7 @@
 
     struct Announcing {
         boost::asio::io_context io;
-        FakeStore store;
+        testing::OneRowStore store { host };
         HostAnnouncer announcer { io, store, "hosts", host };
     };
 
--- a/src/fleet/HostRegistration.cpp
+++ b/src/fleet/HostRegistration.cpp
@@ -35,27 +35,21 @@
 
 auto HostRegistration::receive(const Heartbeat& heartbeat, const Answered& answered, Error& reason) -> bool
 {
-    switch (m_target.receive(heartbeat, reason)) {
-    case LocalTarget::Receipt::Foreign:
+    const auto receipt = m_target.receive(heartbeat, reason);
+    if (receipt == LocalTarget::Receipt::Foreign)
         return false;
-    case LocalTarget::Receipt::Stale:
-    case LocalTarget::Receipt::Unchanged:
-        if (m_target.isServing() || m_announcer.isStored())
-            answered(true);
-        else
-            answerWhenStored(answered);
-        return true;
-    case LocalTarget::Receipt::Changed:
-        break;
+    const bool isChanged = receipt == LocalTarget::Receipt::Changed;
+    if (isChanged) {
+        logTarget();
+        m_targetChanged();
     }
-    logTarget();
-    m_targetChanged();
-    if (m_target.isServing()) {
-        announce(nullptr);
-        answered(true);
-    } else {
+    if (!m_target.isServing()) {
         answerWhenStored(answered);
+        return true;
     }
+    if (isChanged)
+        announce(nullptr);
+    answered(true);
     return true;
 }
 
--- a/src/fleet/HostRegistration_test.cpp
+++ b/src/fleet/HostRegistration_test.cpp
@@ -4,6 +4,7 @@
 #include "fleet/Farewell.h"
 #include "fleet/HostDirectory.h"
 #include "fleet/LocalTarget.h"
+#include "testing/OneRowStore.h"
 
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
@@ -16,35 +17,6 @@
 
     const std::string host = "10.1.0.1";
 
-    // FakeStore keeps one row under its version, or answers nothing at all.
-    class FakeStore : public StoreFeed {
-    public:
-        auto read(const std::string&, Callback) -> void override { }
-        auto follow(const Follow&, Callback) -> void override { }
-        auto write(const Write& write, Callback done) -> void override
-        {
-            ++writes;
-            if (isSilent) {
-                unanswered = std::move(done);
-                return;
-            }
-            row = { host, write.value.value_or(""), ++newest, !write.value };
-            done(StoreAnswer { .newestVersion = newest });
-        }
-
-        auto standing() const -> HostRecord
-        {
-            Error reason;
-            return decodeHostRecord(host, row.value, reason).value_or(HostRecord {});
-        }
-
-        StoreRow row;
-        Callback unanswered;
-        std::uint64_t newest = 40;
-        int writes = 0;
-        bool isSilent = false;
-    };
-
     auto makeHeartbeat(std::uint64_t sequence, bool isLeaving) -> Heartbeat
     {
         return { .id = "i-1",
@@ -58,7 +30,7 @@
 
     struct Registering {
         boost::asio::io_context io;
-        FakeStore store;
+        testing::OneRowStore store { host };
         LocalTarget target { "ledger", "10.1.0.1:8363" };
         HostDirectory directory;
         HostRegistration registration { io, store, target, directory,
@@ -72,6 +44,12 @@
             registration.onTargetChanged([this] { ++targetChanges; });
         }
 
+        auto standing() const -> HostRecord
+        {
+            Error reason;
+            return decodeHostRecord(host, store.row.value, reason).value_or(HostRecord {});
+        }
+
         auto answered() -> HostRegistration::Answered
         {
             return [this](bool isKept) { answers.push_back(isKept); };
@@ -92,9 +70,9 @@
     now.registration.onHostsKnown();
     now.heartbeat(1, false);
     CHECK(now.answers == std::vector<bool> { true });
-    CHECK(now.store.standing().state == HostRecord::State::Serving);
-    CHECK(now.store.standing().targetId == "i-1");
-    CHECK(now.store.standing().joinedAt == 7s);
+    CHECK(now.standing().state == HostRecord::State::Serving);
+    CHECK(now.standing().targetId == "i-1");
+    CHECK(now.standing().joinedAt == 7s);
 }
 
 // Found by reading: the answer went out after 0.65 s though the store had told nothing, so that a kill just then could
@@ -118,7 +96,7 @@
     now.io.restart();
     now.io.run_for(500ms);
     CHECK(now.answers == std::vector<bool> { true, false, true });
-    CHECK(now.store.standing().state == HostRecord::State::Leaving);
+    CHECK(now.standing().state == HostRecord::State::Leaving);
 }
 
 TEST_CASE("a leaving that is heard before the store's rows is confirmed once they are known")
@@ -130,7 +108,7 @@
     now.registration.onHostsKnown();
     now.heartbeat(2, true);
     CHECK(now.answers.back());
-    CHECK(now.store.standing().state == HostRecord::State::Leaving);
+    CHECK(now.standing().state == HostRecord::State::Leaving);
 }
 
 // Found by reading: it was kept in memory alone, so that a second restart within seconds forgot it.
@@ -144,7 +122,7 @@
     now.registration.receive(Farewell { "i-1", tellsStart ? 100U : 0U }, now.answered());
     if (!knowsHosts)
         now.registration.onHostsKnown();
-    REQUIRE(now.store.standing().state == HostRecord::State::Leaving);
+    REQUIRE(now.standing().state == HostRecord::State::Leaving);
     if (knowsHosts)
         CHECK(now.answers == std::vector<bool> { true });
 
@@ -174,9 +152,10 @@
     Registering now;
     now.registration.onHostsKnown();
     now.heartbeat(1, false);
+    now.store.row = {};
     now.registration.onHostsChanged();
     CHECK(now.store.writes == 2);
-    CHECK(now.store.standing().state == HostRecord::State::Serving);
+    CHECK(now.standing().state == HostRecord::State::Serving);
     now.registration.retractIfLeft();
     CHECK_FALSE(now.store.row.isRemoved);
     now.heartbeat(2, true);
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -77,13 +77,10 @@
         return std::chrono::duration_cast<milliseconds>(settings.revocationBound * freshPart);
     }
 
-    auto logChangedLimits(
-        const std::shared_ptr<const relay::PolicySnapshot>& before, const config::Configuration& after) -> void
+    auto logChangedLimits(const relay::PolicySnapshot& before, const config::Configuration& after) -> void
     {
-        if (!before)
-            return;
         for (const auto& account : after.clientAccounts) {
-            const auto* known = before ? before->clientAccount(account.name) : nullptr;
+            const auto* known = before.clientAccount(account.name);
             if (known && known->ratePerSecond == account.ratePerSecond && known->burst == account.burst)
                 continue;
             log::logEvent(limitsChanged,
@@ -356,7 +353,8 @@
         // An answer that was overtaken must not bring an older version back.
         if (entry.snapshot && configuration->version <= entry.snapshot->configuration().version)
             continue;
-        logChangedLimits(entry.snapshot, *configuration);
+        if (entry.snapshot)
+            logChangedLimits(*entry.snapshot, *configuration);
         entry.snapshot = std::make_shared<const relay::PolicySnapshot>(std::move(*configuration));
         const auto& taken = entry.snapshot->configuration();
         callers.setOptions(callerOptions(settings, taken.callerLimits));
--- /dev/null
+++ b/src/testing/OneRowStore.h
@@ -0,0 +1,61 @@
+// A store for tests that keeps one row under its version, refuses everything, or answers nothing.
+//
+//   OneRowStore store("10.1.0.1");
+//   fleet::HostAnnouncer announcer(io, store, "hosts", "10.1.0.1");
+//   CHECK(store.writes == 1);
+#pragma once
+
+#include "fleet/StoreFeed.h"
+
+#include <cstdint>
+#include <string>
+#include <utility>
+
+namespace coriandergate::testing {
+
+// OneRowStore answers within the call; used on one thread.
+class OneRowStore : public fleet::StoreFeed {
+public:
+    explicit OneRowStore(std::string key)
+        : m_key(std::move(key))
+    {
+    }
+
+    auto read(const std::string&, Callback) -> void override { }
+    auto follow(const Follow&, Callback) -> void override { }
+    auto write(const Write& write, Callback done) -> void override
+    {
+        ++writes;
+        if (isSilent) {
+            unanswered = std::move(done);
+            return;
+        }
+        if (isAway) {
+            done(fleet::StoreFailure { fleet::StoreFailure::Kind::NotDone, { "write", "store", "status 503" }, {} });
+            return;
+        }
+        if (write.expectedVersion != row.version) {
+            fleet::StoreFailure failure { fleet::StoreFailure::Kind::ConditionFailed,
+                { "write", "store", "status 412" }, {} };
+            if (row.version > 0)
+                failure.current.push_back(row);
+            done(std::move(failure));
+            return;
+        }
+        ++newest;
+        row = { m_key, write.value.value_or(""), write.value ? newest : 0, !write.value };
+        done(fleet::StoreAnswer { .newestVersion = newest });
+    }
+
+    fleet::StoreRow row; // of version 0 while there is none
+    Callback unanswered; // the last write's, while the store is silent
+    std::uint64_t newest = 40;
+    int writes = 0;
+    bool isAway = false;
+    bool isSilent = false;
+
+private:
+    std::string m_key;
+};
+
+} // namespace coriandergate::testing
