Bound the nesting of CBOR messages between daemons

Cause: nlohmann::json::from_cbor() recurses for each level, so a body of nested arrays on a daemon's peer port ends the process. A program of two lines (g++ -O2, arm64, 8 MB of stack) parses 100,000 levels and dies of signal 11 at 200,000, 1,000,000 and 5,000,000; a peer body may have an eighth of the memory limit, 20 MB on the smallest hosts.

--- a/src/http/CborMessage.cpp
+++ b/src/http/CborMessage.cpp
@@ -1,5 +1,6 @@
 #include "http/CborMessage.h"
 
+#include "base/BoundedJson.h"
 #include "base/Error.h"
 #include "http/Request.h"
 #include "http/Serialize.h"
@@ -27,8 +28,13 @@
 auto readCbor(const std::string& body, const char* step, Error& reason, const std::function<void(const json&)>& read)
     -> bool
 {
+    const auto value = parseBoundedCbor(body, reason);
+    if (!value) {
+        reason.step = step;
+        return false;
+    }
     try {
-        read(json::from_cbor(body));
+        read(*value);
         return true;
     } catch (const json::exception& exception) {
         reason = { step, "", exception.what() };
