--- a/src/dispatch/StalenessTracker.cpp
+++ b/src/dispatch/StalenessTracker.cpp
@@ -7,8 +7,7 @@
 using std::chrono::milliseconds;
 using std::chrono::nanoseconds;
 
-auto StalenessTracker::recordResponse(SuspendAwareTime sentAt, SuspendAwareTime receivedAt, milliseconds storeTime)
-    -> void
+auto StalenessTracker::recordClock(SuspendAwareTime sentAt, SuspendAwareTime receivedAt, milliseconds storeTime) -> void
 {
     // The clock of a store that was set up again starts over, so earlier offsets no longer apply.
     if (storeTime < m_lastStoreTime) {
@@ -25,6 +24,12 @@
         m_offsetLowerBound = lowerBound;
         m_offsetUpperBound = upperBound;
     }
+}
+
+auto StalenessTracker::recordResponse(SuspendAwareTime sentAt, SuspendAwareTime receivedAt, milliseconds storeTime)
+    -> void
+{
+    recordClock(sentAt, receivedAt, storeTime);
     const SuspendAwareTime respondedAt(std::max(sentAt.time_since_epoch(), storeTime + *m_offsetLowerBound));
     const auto freshAsOf = std::min(respondedAt, receivedAt);
     m_freshAsOf = std::max(m_freshAsOf.value_or(freshAsOf), freshAsOf);
--- a/src/dispatch/StalenessTracker.h
+++ b/src/dispatch/StalenessTracker.h
@@ -35,6 +35,9 @@
     auto recordResponse(SuspendAwareTime sentAt, SuspendAwareTime receivedAt, std::chrono::milliseconds storeTime)
         -> void;
 
+    // recordClock() relates the clocks by a response of the store that doesn't show the data unchanged.
+    auto recordClock(SuspendAwareTime sentAt, SuspendAwareTime receivedAt, std::chrono::milliseconds storeTime) -> void;
+
     // recordRelayed() records a response that another host received from the store and relayed, by the store's clock
     // reading in it. It has no effect before this host's own first response, which relates the two clocks.
     auto recordRelayed(std::chrono::milliseconds storeTime) -> void;
--- /dev/null
+++ b/src/fleet/BootstrapReader.cpp
@@ -0,0 +1,121 @@
+#include "fleet/BootstrapReader.h"
+
+#include "fleet/HostRecord.h"
+#include "fleet/RelayTransport.h"
+#include "log/Event.h"
+
+namespace coriandergate::fleet {
+
+namespace {
+
+    const log::Event copyFailed { 1941, log::Severity::Info, "copy from a peer failed",
+        "another peer or the store is read instead" };
+    const log::Event tableCopied { 1942, log::Severity::Info, "table copied from a peer",
+        "the table, the peer, and the number of rows and the version of the copy" };
+
+} // namespace
+
+BootstrapReader::BootstrapReader(
+    Scheduler& scheduler, StoreClient& store, RelayTransport& transport, const Options& options)
+    : m_scheduler(scheduler)
+    , m_store(store)
+    , m_transport(transport)
+    , m_options(options)
+    , m_random(options.randomSeed)
+{
+}
+
+BootstrapReader::~BootstrapReader() { *m_isAlive = false; }
+
+auto BootstrapReader::read(const std::string& table, StoreClient::Callback done) -> void
+{
+    if (m_peers) {
+        copyOrRead(table, *m_peers, done);
+        return;
+    }
+    m_pendingReads.push_back({ table, std::move(done) });
+    if (m_pendingReads.size() == 1)
+        readFirstHosts();
+}
+
+auto BootstrapReader::readFirstHosts() -> void
+{
+    auto range = hostRowRange(m_options.region);
+    m_store.readRange({ .table = m_options.hostTable,
+                          .firstKey = std::move(range.firstKey),
+                          .endKey = std::move(range.endKey),
+                          .limit = m_options.firstHosts },
+        [this, alive = m_isAlive](StoreClient::Result result) {
+            if (*alive)
+                onFirstHosts(std::move(result));
+        });
+}
+
+auto BootstrapReader::onFirstHosts(StoreClient::Result result) -> void
+{
+    const auto pending = std::move(m_pendingReads);
+    m_pendingReads.clear();
+    const auto* response = std::get_if<StoreResponse>(&result);
+    if (!response) {
+        for (const auto& read : pending)
+            read.done(result);
+        return;
+    }
+    if (m_clockCallback)
+        m_clockCallback(*response);
+    std::vector<BootstrapPeers::Peer> firstHosts;
+    for (const auto& row : response->rows) {
+        Error reason; // a row that can't be decoded is reported when the whole table is read
+        if (const auto record = decodeHostRecord(row.key, row.value, reason))
+            firstHosts.push_back({ row.key, record->peerAddress });
+    }
+    m_peers.emplace(m_options.hostKey, firstHosts, m_options.peers);
+    for (const auto& read : pending)
+        copyOrRead(read.table, *m_peers, read.done);
+}
+
+// Each attempt has its own copy of `peers`, so that the tables' failures don't add up.
+auto BootstrapReader::copyOrRead(
+    const std::string& table, const BootstrapPeers& peers, const StoreClient::Callback& done) -> void
+{
+    const auto address = peers.choose(m_random());
+    if (!address) {
+        m_store.read(table, done);
+        return;
+    }
+    const auto sentAt = m_scheduler.suspendAwareNow();
+    m_transport.watch(*address, { .table = table, .wait = m_options.copyWait, .isSnapshot = true },
+        m_options.copyTimeout,
+        [this, alive = m_isAlive, address = *address, table, peers, done, sentAt](RelayTransport::Result result) {
+            if (!*alive)
+                return;
+            if (auto* copy = std::get_if<StoreResponse>(&result); copy && isRecent(*copy)) {
+                copy->sentAt = sentAt;
+                copy->receivedAt = m_scheduler.suspendAwareNow();
+                copy->isRelayed = true;
+                log::logEvent(tableCopied,
+                    { { "table", table }, { "peer", address }, { "rows", std::to_string(copy->rows.size()) },
+                        { "version", std::to_string(copy->newestVersion) } });
+                done(std::move(*copy));
+                return;
+            }
+            const auto* error = std::get_if<Error>(&result);
+            log::logEvent(copyFailed,
+                { { "table", table }, { "peer", address },
+                    { "why", error ? error->toText() : std::string("its rows are too old") } });
+            auto others = peers;
+            others.recordFailure(address);
+            m_scheduler.runAfter(m_options.retryDelay, [this, alive, table, others, done] {
+                if (*alive)
+                    copyOrRead(table, others, done);
+            });
+        });
+}
+
+auto BootstrapReader::isRecent(const StoreResponse& copy) const -> bool
+{
+    const auto storeNow = m_storeClock ? m_storeClock() : std::nullopt;
+    return storeNow && *storeNow - copy.storeTime <= m_options.maximumAge;
+}
+
+} // namespace coriandergate::fleet
--- /dev/null
+++ b/src/fleet/BootstrapReader.h
@@ -0,0 +1,87 @@
+// Reads whole tables for a starting daemon: from peers that already have them where possible, else from the store.
+//
+// See BootstrapPeers for why and from whom. One small read of the first host rows of the region precedes the first
+// table. A peer that is still starting itself holds the request until it has the table.
+//
+//   BootstrapReader reader(scheduler, store, transport, { .hostKey = key, .region = "far", .hostTable = "hosts" });
+//   reader.onClock([&](const StoreResponse& response) { freshness.recordClock(...); });
+//   reader.read("op", [](StoreClient::Result result) { ... });
+#pragma once
+
+#include "base/Scheduler.h"
+#include "fleet/BootstrapPeers.h"
+#include "fleet/StoreClient.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace coriandergate::fleet {
+
+class RelayTransport;
+
+// BootstrapReader is used on the thread of its scheduler. The scheduler, the store and the transport outlive it.
+class BootstrapReader {
+public:
+    struct Options {
+        std::string hostKey; // of this host's row
+        std::string region; // of this host
+        std::string hostTable;
+        std::size_t firstHosts = 16; // rows of the region that are read first; each of them serves some others
+        // How long a peer may hold a request until it has the table: the time of two reads over a loaded link.
+        std::chrono::milliseconds copyWait { 900 };
+        std::chrono::milliseconds copyTimeout { 1600 }; // for the whole copy
+        std::chrono::milliseconds maximumAge { 1900 }; // of a copy, by the store's clock
+        std::chrono::milliseconds retryDelay { 150 }; // daemons that start together are up within twice this time
+        BootstrapPeers::Options peers;
+        std::uint32_t randomSeed = std::random_device {}();
+    };
+    using ClockCallback = std::function<void(const StoreResponse& response)>;
+
+    BootstrapReader(Scheduler& scheduler, StoreClient& store, RelayTransport& transport, const Options& options);
+    ~BootstrapReader();
+    BootstrapReader(const BootstrapReader&) = delete;
+    auto operator=(const BootstrapReader&) -> BootstrapReader& = delete;
+
+    // onClock() sets what is called with the store's first response, which relates its clock to this host's one.
+    auto onClock(ClockCallback callback) -> void { m_clockCallback = std::move(callback); }
+
+    // setStoreClock() sets the function that reads the store's clock; copies are dated by it.
+    auto setStoreClock(std::function<std::optional<std::chrono::milliseconds>()> storeClock) -> void
+    {
+        m_storeClock = std::move(storeClock);
+    }
+
+    // read() calls `done` once, later, with all rows of `table`. A failure means that the store doesn't respond.
+    auto read(const std::string& table, StoreClient::Callback done) -> void;
+
+private:
+    struct PendingRead {
+        std::string table;
+        StoreClient::Callback done;
+    };
+
+    auto readFirstHosts() -> void;
+    auto onFirstHosts(StoreClient::Result result) -> void;
+    auto copyOrRead(const std::string& table, const BootstrapPeers& peers, const StoreClient::Callback& done) -> void;
+    [[nodiscard]] auto isRecent(const StoreResponse& copy) const -> bool;
+
+    Scheduler& m_scheduler;
+    StoreClient& m_store;
+    RelayTransport& m_transport;
+    Options m_options;
+    ClockCallback m_clockCallback;
+    std::function<std::optional<std::chrono::milliseconds>()> m_storeClock;
+    std::vector<PendingRead> m_pendingReads; // wait for the first hosts
+    std::optional<BootstrapPeers> m_peers; // once the first hosts are known
+    std::minstd_rand m_random;
+    std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
+};
+
+} // namespace coriandergate::fleet
--- a/src/fleet/HostRecord.cpp
+++ b/src/fleet/HostRecord.cpp
@@ -1,6 +1,7 @@
 #include "fleet/HostRecord.h"
 
 #include "base/Error.h"
+#include "base/Hash.h"
 
 #include <nlohmann/json.hpp>
 
@@ -8,6 +9,8 @@
 
 namespace {
 
+    constexpr char regionSeparator = '/';
+
     auto stateName(HostRecord::State state) -> const char*
     {
         switch (state) {
@@ -33,6 +36,27 @@
 
 } // namespace
 
+auto hostRowKey(std::string_view region, std::string_view hostAddress) -> std::string
+{
+    constexpr std::size_t hashDigits = 4;
+    constexpr std::string_view digits = "0123456789abcdef";
+    auto hash = hashOf(hostAddress);
+    std::string key(region);
+    key += regionSeparator;
+    for (std::size_t i = 0; i < hashDigits; ++i, hash /= digits.size())
+        key += digits[hash % digits.size()];
+    key += '-';
+    key += hostAddress;
+    return key;
+}
+
+auto hostRowRange(std::string_view region) -> HostRowRange
+{
+    HostRowRange range { std::string(region) + regionSeparator, std::string(region) };
+    range.endKey += static_cast<char>(regionSeparator + 1);
+    return range;
+}
+
 auto encodeHostRecord(const HostRecord& record) -> std::string
 {
     const nlohmann::json value = { { "peer", record.peerAddress }, { "region", record.locality.region },
--- a/src/fleet/HostRecord.h
+++ b/src/fleet/HostRecord.h
@@ -41,6 +41,19 @@
     friend auto operator==(const HostRecord&, const HostRecord&) -> bool = default;
 };
 
+// hostRowKey() returns the key of a host's row. The keys of a region are adjacent; within it their order mixes the data
+// centres. Thread-safe.
+[[nodiscard]] auto hostRowKey(std::string_view region, std::string_view hostAddress) -> std::string;
+
+// HostRowRange is the range of keys of one region's rows.
+struct HostRowRange {
+    std::string firstKey;
+    std::string endKey; // not included
+};
+
+// hostRowRange() returns the range of `region`. Thread-safe.
+[[nodiscard]] auto hostRowRange(std::string_view region) -> HostRowRange;
+
 // encodeHostRecord() returns the record as JSON. Thread-safe.
 [[nodiscard]] auto encodeHostRecord(const HostRecord& record) -> std::string;
 
--- a/src/fleet/HostRegistration.cpp
+++ b/src/fleet/HostRegistration.cpp
@@ -25,6 +25,7 @@
 HostRegistration::HostRegistration(boost::asio::io_context& io, StoreClient& store, LocalTarget& target,
     const HostDirectory& directory, Options options)
     : m_io(io)
+    , m_store(store)
     , m_target(target)
     , m_directory(directory)
     , m_options(std::move(options))
@@ -92,12 +93,14 @@
 auto HostRegistration::onHostsLoaded() -> void
 {
     m_areHostsLoaded = true;
-    const auto* stored = m_directory.find(m_options.key);
+    const auto* stored = storedRecord();
     m_rowWriter.setStoredVersion(m_directory.version(m_options.key));
     if (stored)
         m_target.restoreFromStore(
             stored->targetId, stored->targetStartedAt, stored->state == HostRecord::State::Draining);
     m_targetChangedCallback();
+    if (stored && m_directory.version(m_options.key) == 0)
+        m_rowWriter.update(*stored, [this] { removeFormerRow(); });
     if (m_target.current() || !isDeregistrationStored(stored)) {
         writeRow(nullptr);
         return;
@@ -113,6 +116,20 @@
     });
 }
 
+auto HostRegistration::storedRecord() const -> const HostRecord*
+{
+    const auto* stored = m_directory.find(m_options.key);
+    return stored || m_options.formerKey.empty() ? stored : m_directory.find(m_options.formerKey);
+}
+
+auto HostRegistration::removeFormerRow() -> void
+{
+    m_store.write({ m_options.table, m_options.formerKey, m_directory.version(m_options.formerKey), std::nullopt },
+        [](const StoreClient::Result&) {
+            // If the store didn't remove it, the row has the state of this moment until the next start.
+        });
+}
+
 // The row needs no update if it belongs to a later target than the one that deregistered.
 auto HostRegistration::isDeregistrationStored(const HostRecord* stored) const -> bool
 {
@@ -140,7 +157,7 @@
 {
     auto record = m_options.host;
     // The join time stays the same across daemon restarts and removals of the row.
-    if (const auto* stored = m_directory.find(m_options.key); stored && !m_joinedAt)
+    if (const auto* stored = storedRecord(); stored && !m_joinedAt)
         m_joinedAt = stored->joinedAt;
     if (!m_joinedAt)
         m_joinedAt = m_storeClock();
--- a/src/fleet/HostRegistration.h
+++ b/src/fleet/HostRegistration.h
@@ -4,7 +4,7 @@
 // knows that the target is draining. While the store doesn't respond, the target is asked to repeat its message.
 //
 //   HostRegistration registration(
-//       io, store, target, directory, { .table = "hosts", .key = "10.1.0.11", .host = record });
+//       io, store, target, directory, { .table = "hosts", .key = hostRowKey(region, address), .host = record });
 //   registration.receive(deregistration, [exchange](bool isStored) { respond(exchange, isStored); });
 #pragma once
 
@@ -37,6 +37,8 @@
     struct Options {
         std::string table;
         std::string key;
+        // Key under which daemons of version 0.1.0 wrote the row of this host. That row is taken over and removed.
+        std::string formerKey;
         HostRecord host; // the fields that don't depend on the target
         // After this time without a heartbeat the row of a new host is written without a target. Two periods of the
         // slowest heartbeat, so that the row is usually written once, with its target.
@@ -71,6 +73,8 @@
     auto stop() -> void;
 
 private:
+    [[nodiscard]] auto storedRecord() const -> const HostRecord*;
+    auto removeFormerRow() -> void;
     [[nodiscard]] auto makeRecord() -> HostRecord;
     auto writeRow(HostRowWriter::StoredCallback stored) -> void;
     auto acknowledgeWhenStored(const Acknowledge& acknowledge) -> void;
@@ -78,6 +82,7 @@
     auto logTargetChange() const -> void;
 
     boost::asio::io_context& m_io;
+    StoreClient& m_store;
     LocalTarget& m_target;
     const HostDirectory& m_directory;
     Options m_options;
--- a/src/fleet/HostRegistration_test.cpp
+++ b/src/fleet/HostRegistration_test.cpp
@@ -34,7 +34,10 @@
         LocalTarget target { "ledger", "10.1.0.1:8363" };
         HostDirectory directory;
         HostRegistration registration { io, store, target, directory,
-            { .table = "hosts", .key = host, .host = { .peerAddress = "10.1.0.1:8366", .service = "ledger" } } };
+            { .table = "hosts",
+                .key = host,
+                .formerKey = "former",
+                .host = { .peerAddress = "10.1.0.1:8366", .service = "ledger" } } };
         int targetChanges = 0;
         std::vector<bool> acknowledgements;
 
@@ -164,4 +167,23 @@
     CHECK(fixture.store.row.isRemoved);
 }
 
+// Guards against a departed target that is in use again after an upgrade.
+TEST_CASE("the row that an earlier version wrote under another key is taken over with the state of its target")
+{
+    RegistrationFixture fixture;
+    HostRecord former { .peerAddress = "10.1.0.1:8366", .service = "ledger", .targetId = "i-1" };
+    former.targetStartedAt = 100;
+    former.state = HostRecord::State::Draining;
+    former.joinedAt = 3s;
+    fixture.directory.apply({ { "former", encodeHostRecord(former), 41, false } }, true);
+    fixture.registration.onHostsLoaded();
+    CHECK(fixture.storedRecord() == former);
+    REQUIRE(fixture.store.otherWrites.size() == 1);
+    CHECK(fixture.store.otherWrites[0].key == "former");
+    CHECK(fixture.store.otherWrites[0].expectedVersion == 41);
+    CHECK_FALSE(fixture.store.otherWrites[0].value);
+    fixture.sendHeartbeat(9, false);
+    CHECK_FALSE(fixture.target.isServing());
+}
+
 } // namespace coriandergate::fleet
--- a/src/fleet/RelayWatchCodec.cpp
+++ b/src/fleet/RelayWatchCodec.cpp
@@ -9,7 +9,8 @@
 
 auto encodeRelayWatchRequest(const RelayWatchRequest& request) -> std::string
 {
-    return http::makeCborRequest(relayWatchPath, json::array({ request.table, request.after, request.wait.count() }));
+    return http::makeCborRequest(
+        relayWatchPath, json::array({ request.table, request.after, request.wait.count(), request.isSnapshot }));
 }
 
 auto decodeRelayWatchRequest(const std::string& body, Error& reason) -> std::optional<RelayWatchRequest>
@@ -19,6 +20,7 @@
         request.table = value.at(0).get<std::string>();
         request.after = value.at(1).get<std::uint64_t>();
         request.wait = milliseconds(value.at(2).get<milliseconds::rep>());
+        request.isSnapshot = value.size() > 3 && value.at(3).get<bool>(); // missing from daemons of version 0.1.0
     });
     return isDecoded ? std::optional(std::move(request)) : std::nullopt;
 }
--- a/src/fleet/RelayWatchCodec.h
+++ b/src/fleet/RelayWatchCodec.h
@@ -16,11 +16,12 @@
 // HTTP path of the watch request at a relay.
 inline constexpr std::string_view relayWatchPath = "/news";
 
-// RelayWatchRequest is a long poll for the rows of a table that changed after a version.
+// RelayWatchRequest is a long poll for the rows of a table that changed after a version, or for all of its rows.
 struct RelayWatchRequest {
     std::string table;
     std::uint64_t after = 0;
     std::chrono::milliseconds wait { 0 };
+    bool isSnapshot = false; // asks for all rows, at the latest after `wait`; the daemon need not be a relay
 };
 
 // encodeRelayWatchRequest() returns a complete HTTP request, encodeRelayWatchResponse() the body of its response.
--- a/src/fleet/RelayedStoreClient.cpp
+++ b/src/fleet/RelayedStoreClient.cpp
@@ -18,13 +18,6 @@
     const log::Event relayFailed { 1940, log::Severity::Info, "relay of news lost",
         "the store or another relay is used instead for a few seconds" };
 
-    auto describeFailure(const net::HttpClient::Result& result) -> std::string
-    {
-        if (const auto* response = std::get_if<http::Answer>(&result))
-            return "status " + std::to_string(response->status) + ": " + response->body;
-        return std::get<http::ExchangeFailure>(result).error.toText();
-    }
-
     auto reject(const std::shared_ptr<http::Exchange>& exchange, const char* why) -> void
     {
         exchange->answer(http::makeAnswer(http::statusUnavailable, "text/plain", why));
@@ -33,19 +26,37 @@
 } // namespace
 
 RelayedStoreClient::RelayedStoreClient(
-    boost::asio::io_context& io, StoreClient& store, net::HttpClient& relayClient, const Options& options)
-    : m_io(io)
+    Scheduler& scheduler, StoreClient& store, RelayTransport& transport, const Options& options)
+    : m_scheduler(scheduler)
     , m_store(store)
-    , m_relayClient(relayClient)
+    , m_transport(transport)
     , m_options(options)
+    , m_random(options.randomSeed)
 {
+    if (!options.region.empty())
+        m_bootstrapReader.emplace(scheduler, store, transport,
+            BootstrapReader::Options { .hostKey = options.hostKey,
+                .region = options.region,
+                .hostTable = options.hostTable,
+                .maximumAge = options.maximumAge,
+                .randomSeed = options.randomSeed });
 }
 
+RelayedStoreClient::~RelayedStoreClient() { *m_isAlive = false; }
+
 auto RelayedStoreClient::setStoreClock(std::function<std::optional<milliseconds>()> storeClock) -> void
 {
+    if (m_bootstrapReader)
+        m_bootstrapReader->setStoreClock(storeClock);
     m_storeClock = std::move(storeClock);
 }
 
+auto RelayedStoreClient::onClock(BootstrapReader::ClockCallback callback) -> void
+{
+    if (m_bootstrapReader)
+        m_bootstrapReader->onClock(std::move(callback));
+}
+
 auto RelayedStoreClient::setHosts(const HostDirectory& directory, const Locality& here) -> void
 {
     std::vector<std::pair<std::uint64_t, std::string>> byHash;
@@ -61,6 +72,18 @@
             continue;
         (record->locality == here ? m_relays : m_regionRelays).push_back({ host, record->peerAddress });
     }
+    m_areHostsKnown = true;
+    startDelayedWatches();
+}
+
+auto RelayedStoreClient::startDelayedWatches() -> void
+{
+    for (auto& delayed : std::exchange(m_delayedWatches, {})) {
+        if (m_areHostsKnown)
+            watch(delayed.request, std::move(delayed.done));
+        else
+            watchStore(delayed.request, std::move(delayed.done));
+    }
 }
 
 auto RelayedStoreClient::isRelay() const -> bool
@@ -101,16 +124,43 @@
 }
 
 auto RelayedStoreClient::read(const std::string& table, Callback done) -> void
+{
+    const auto cached = m_tables.find(table);
+    const bool isFirst = cached == m_tables.end() || !cached->second.hasSnapshot;
+    if (!m_bootstrapReader || !isFirst) {
+        readFromStore(table, std::move(done));
+        return;
+    }
+    m_bootstrapReader->read(table, [this, alive = m_isAlive, table, done = std::move(done)](Result result) {
+        if (!*alive)
+            return;
+        onRead(table, result);
+        done(std::move(result));
+    });
+}
+
+auto RelayedStoreClient::readFromStore(const std::string& table, Callback done) -> void
 {
     m_store.read(table, [this, alive = m_isAlive, table, done = std::move(done)](Result result) {
-        if (*alive) {
-            if (const auto* response = std::get_if<StoreResponse>(&result))
-                updateCache(table, *response, true);
-        }
+        if (*alive)
+            onRead(table, result);
         done(std::move(result));
     });
 }
 
+auto RelayedStoreClient::onRead(const std::string& table, const Result& result) -> void
+{
+    if (const auto* response = std::get_if<StoreResponse>(&result))
+        updateCache(table, *response, true);
+    else if (table == m_options.hostTable)
+        startDelayedWatches();
+}
+
+auto RelayedStoreClient::readRange(const RangeRequest& range, Callback done) -> void
+{
+    m_store.readRange(range, std::move(done));
+}
+
 auto RelayedStoreClient::write(const WriteRequest& write, Callback done) -> void
 {
     m_store.write(write, std::move(done));
@@ -118,7 +168,11 @@
 
 auto RelayedStoreClient::watch(const WatchRequest& watch, Callback done) -> void
 {
-    const auto now = monotonicNow();
+    if (m_bootstrapReader && !m_areHostsKnown) {
+        m_delayedWatches.push_back({ watch, std::move(done) });
+        return;
+    }
+    const auto now = m_scheduler.now();
     auto request = watch;
     // Rows that are about to exceed the maximum age are requested without waiting for a change.
     if (timeUntilStale(watch) < m_options.minimumTimeout)
@@ -177,39 +231,35 @@
         m_storeFailures = 0;
     else if (table == m_options.freshnessTable) // counted once, because the requests for several tables fail together
         ++m_storeFailures;
-    m_storeBackoffUntil = monotonicNow() + m_options.storeBackoff;
+    m_storeBackoffUntil = m_scheduler.now() + m_options.storeBackoff;
 }
 
 auto RelayedStoreClient::watchRelay(const Relay& relay, const WatchRequest& watch, Callback done) -> void
 {
-    const auto sentAt = SuspendAwareClock::now();
+    const auto sentAt = m_scheduler.suspendAwareNow();
     const bool isFreshnessTable = watch.table == m_options.freshnessTable;
     const auto wait
         = isFreshnessTable ? std::min(watch.wait, m_options.relayPollTime + m_options.relayPollMargin) : watch.wait;
     // A host that the store doesn't serve has no other source of newer rows, so it gives relays the full time.
-    const auto longestTimeout = isStoreInBackoff(monotonicNow()) ? milliseconds::max() : timeUntilStale(watch);
+    const auto longestTimeout = isStoreInBackoff(m_scheduler.now()) ? milliseconds::max() : timeUntilStale(watch);
     const auto timeout = std::max(m_options.minimumTimeout, std::min(wait + m_options.responseTimeout, longestTimeout));
-    m_relayClient.send(relay.address, encodeRelayWatchRequest({ watch.table, watch.after, wait }),
-        { .timeout = timeout },
+    m_transport.watch(relay.address, { watch.table, watch.after, wait }, timeout,
         [this, alive = m_isAlive, relay, sentAt, watch, isFreshnessTable, done = std::move(done)](
-            net::HttpClient::Result result) {
+            RelayTransport::Result result) {
             if (!*alive)
                 return;
-            const auto* received = std::get_if<http::Answer>(&result);
-            Error reason { "watch through relay", relay.host, describeFailure(result) };
-            auto response = received && received->status == http::statusOk
-                ? decodeRelayWatchResponse(received->body, reason)
-                : std::nullopt;
+            auto* response = std::get_if<StoreResponse>(&result);
             const auto storeNow = m_storeClock ? m_storeClock() : std::nullopt;
             const bool isStale
                 = response && storeNow && isFreshnessTable && *storeNow - response->storeTime > m_options.maximumAge;
             if (!response || isStale) {
-                reason.reason = isStale ? "its rows are too old" : reason.reason;
+                const auto reason = response ? Error { "watch through relay", relay.host, "its rows are too old" }
+                                             : std::get<Error>(result);
                 onRelayFailed(relay, reason, watch, done);
                 return;
             }
             response->sentAt = sentAt;
-            response->receivedAt = SuspendAwareClock::now();
+            response->receivedAt = m_scheduler.suspendAwareNow();
             response->isRelayed = true;
             // This host may become a relay and then needs every row.
             updateCache(watch.table, *response, false);
@@ -220,7 +270,7 @@
 auto RelayedStoreClient::onRelayFailed(
     const Relay& relay, const Error& reason, const WatchRequest& watch, Callback done) -> void
 {
-    const auto now = monotonicNow();
+    const auto now = m_scheduler.now();
     m_relayBackoffUntil[relay.host] = now + m_options.relayBackoff;
     log::logEvent(relayFailed, { { "why", reason.toText() } });
     this->watch(watch, std::move(done));
@@ -260,8 +310,26 @@
     respondToPendingWatches(table);
 }
 
+auto RelayedStoreClient::recordUnchanged(const std::string& table, std::uint64_t version, milliseconds storeTime)
+    -> void
+{
+    auto& cached = m_tables[table];
+    cached.newestVersion = std::max(cached.newestVersion, version);
+    cached.storeTime = std::max(cached.storeTime, storeTime);
+}
+
+auto RelayedStoreClient::canBeCopied(const std::string& table) const -> bool
+{
+    const auto cached = m_tables.find(table);
+    const auto storeNow = m_storeClock ? m_storeClock() : std::nullopt;
+    return cached != m_tables.end() && cached->second.hasSnapshot && storeNow
+        && *storeNow - cached->second.storeTime <= m_options.maximumAge;
+}
+
 auto RelayedStoreClient::hasUpdateFor(const CachedTable& table, const PendingWatch& pending) const -> bool
 {
+    if (pending.isSnapshot)
+        return canBeCopied(pending.table);
     if (pending.table == m_options.freshnessTable && table.confirmations > pending.confirmations)
         return true;
     return std::any_of(table.rows.begin(), table.rows.end(),
@@ -278,7 +346,7 @@
         }
         const auto pending = *it;
         it = m_pendingWatches.erase(it);
-        pending.timer->cancel();
+        m_scheduler.cancel(pending.timer);
         respondFrom(cached, pending.after, pending.exchange);
     }
 }
@@ -293,7 +361,7 @@
         }
         const auto pending = *it;
         it = m_pendingWatches.erase(it);
-        pending.timer->cancel();
+        m_scheduler.cancel(pending.timer);
         reject(pending.exchange, "the store is unreachable");
     }
 }
@@ -315,37 +383,57 @@
 {
     Error reason;
     const auto request = decodeRelayWatchRequest(exchange->request().body, reason);
-    const auto cached = request ? m_tables.find(request->table) : m_tables.end();
-    if (!isRelay() || cached == m_tables.end() || !cached->second.hasSnapshot) {
-        reject(exchange, request ? "not a relay" : "unreadable");
+    if (!request) {
+        reject(exchange, "unreadable");
+        return;
+    }
+    const auto cached = m_tables.find(request->table);
+    const bool hasSnapshot = cached != m_tables.end() && cached->second.hasSnapshot;
+    if (!request->isSnapshot && (!isRelay() || !hasSnapshot)) {
+        reject(exchange, "not a relay");
         return;
     }
     // Removed rows stay in the cache, marked as removed, so a response contains every change after the requested
     // version.
-    const auto& table = cached->second;
-    const auto timer = std::make_shared<boost::asio::steady_timer>(m_io, request->wait);
-    const PendingWatch pending { request->table, request->after, table.confirmations, exchange, timer };
-    if (hasUpdateFor(table, pending)) {
+    const auto& table = m_tables[request->table];
+    PendingWatch pending { request->table, request->after, request->isSnapshot, table.confirmations, exchange };
+    if (hasUpdateFor(table, pending))
         respondFrom(table, request->after, exchange);
-        return;
-    }
-    m_pendingWatches.push_back(pending);
-    timer->async_wait([this, alive = m_isAlive, exchange, table = request->table, after = request->after](
-                          const boost::system::error_code& error) {
-        if (error || !*alive)
-            return;
-        m_pendingWatches.remove_if(
-            [&exchange](const PendingWatch& candidate) { return candidate.exchange == exchange; });
-        respondFrom(m_tables[table], after, exchange);
+    else
+        holdWatch(std::move(pending), request->wait);
+}
+
+auto RelayedStoreClient::holdWatch(PendingWatch pending, milliseconds wait) -> void
+{
+    const auto& exchange = pending.exchange;
+    pending.timer = m_scheduler.runAfter(wait, [this, alive = m_isAlive, raw = exchange.get()] {
+        if (*alive)
+            endWatch(raw);
     });
     exchange->onAbandoned([this, alive = m_isAlive, raw = exchange.get()] {
         if (*alive)
-            m_pendingWatches.remove_if([raw](const PendingWatch& candidate) {
+            m_pendingWatches.remove_if([this, raw](const PendingWatch& candidate) {
                 if (candidate.exchange.get() == raw)
-                    candidate.timer->cancel();
+                    m_scheduler.cancel(candidate.timer);
                 return candidate.exchange.get() == raw;
             });
     });
+    m_pendingWatches.push_back(std::move(pending));
+}
+
+// Ends a watch for which there was no update in time.
+auto RelayedStoreClient::endWatch(const http::Exchange* exchange) -> void
+{
+    const auto found = std::find_if(m_pendingWatches.begin(), m_pendingWatches.end(),
+        [exchange](const PendingWatch& pending) { return pending.exchange.get() == exchange; });
+    if (found == m_pendingWatches.end())
+        return;
+    const auto pending = *found;
+    m_pendingWatches.erase(found);
+    if (pending.isSnapshot)
+        reject(pending.exchange, "no recent copy");
+    else
+        respondFrom(m_tables[pending.table], pending.after, pending.exchange);
 }
 
 } // namespace coriandergate::fleet
--- a/src/fleet/RelayedStoreClient.h
+++ b/src/fleet/RelayedStoreClient.h
@@ -7,17 +7,18 @@
 // data centre or else of the region; if no relay responds with recent rows, the host watches the store itself. A relay
 // that the store doesn't serve watches through the other relays in the meantime.
 //
-//   RelayedStoreClient client(io, store, relayClient, { .hostKey = "10.1.0.11", .freshnessTable = "op" });
+//   RelayedStoreClient client(scheduler, store, transport, { .hostKey = "10.1.0.11", .freshnessTable = "op" });
 //   client.setHosts(directory, locality);
 //   client.watch(...);                             // as with any StoreClient
 //   client.handle(exchange);                       // watch requests of other daemons
 #pragma once
 
 #include "base/Locality.h"
+#include "base/Scheduler.h"
+#include "fleet/BootstrapReader.h"
+#include "fleet/RelayTransport.h"
 #include "fleet/StoreClient.h"
-#include "net/HttpClient.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <list>
 #include <map>
 #include <memory>
@@ -35,11 +36,13 @@
 
 class HostDirectory;
 
-// RelayedStoreClient is used on the thread of its io_context. The store and the HTTP client outlive it.
+// RelayedStoreClient is used on the thread of its scheduler. The store and the transport outlive it.
 class RelayedStoreClient : public StoreClient {
 public:
     struct Options {
         std::string hostKey; // of this host in the host directory
+        std::string region; // of this host; if empty, tables are always read from the store
+        std::string hostTable = "hosts";
         std::string freshnessTable; // its age is bounded, so relays also send confirmations that nothing changed
         std::size_t relaysPerDataCentre = 2; // so that one may be unreachable
         std::chrono::milliseconds relayPollTime { 1200 }; // long poll of a relay for the freshness table
@@ -53,10 +56,16 @@
         std::size_t storeFailuresBeforeBackoff = 2; // consecutive
         // How long watches then go to relays; without a relay that has recent rows they still go to the store.
         std::chrono::milliseconds storeBackoff { 3000 };
+        std::uint32_t randomSeed = std::random_device {}(); // of the choice among relays
     };
 
-    RelayedStoreClient(
-        boost::asio::io_context& io, StoreClient& store, net::HttpClient& relayClient, const Options& options);
+    RelayedStoreClient(Scheduler& scheduler, StoreClient& store, RelayTransport& transport, const Options& options);
+    ~RelayedStoreClient() override;
+    RelayedStoreClient(const RelayedStoreClient&) = delete;
+    auto operator=(const RelayedStoreClient&) -> RelayedStoreClient& = delete;
+
+    // onClock() sets what is called with a response of the store that only relates its clock to this host's one.
+    auto onClock(BootstrapReader::ClockCallback callback) -> void;
 
     // setHosts() updates the relays from the list of hosts and this host's locality.
     auto setHosts(const HostDirectory& directory, const Locality& here) -> void;
@@ -65,10 +74,15 @@
     auto setStoreClock(std::function<std::optional<std::chrono::milliseconds>()> storeClock) -> void;
 
     auto read(const std::string& table, Callback done) -> void override;
+    auto readRange(const RangeRequest& range, Callback done) -> void override;
     auto watch(const WatchRequest& watch, Callback done) -> void override;
     auto write(const WriteRequest& write, Callback done) -> void override;
 
-    // handle() responds to another daemon's watch request.
+    // recordUnchanged() records that the rows of `table` are also those of `version`, as of `storeTime`.
+    auto recordUnchanged(const std::string& table, std::uint64_t version, std::chrono::milliseconds storeTime) -> void;
+
+    // handle() responds to another daemon's watch request. Any daemon gives a snapshot, but only relays respond to
+    // watches, because the others may have no recent rows.
     auto handle(const std::shared_ptr<http::Exchange>& exchange) -> void;
 
 private:
@@ -85,9 +99,16 @@
     struct PendingWatch {
         std::string table;
         std::uint64_t after = 0;
+        bool isSnapshot = false;
         std::uint64_t confirmations = 0; // of the table when the request arrived
         std::shared_ptr<http::Exchange> exchange;
-        std::shared_ptr<boost::asio::steady_timer> timer;
+        Scheduler::Timer timer = 0;
+    };
+
+    // DelayedWatch is a watch of this host that waits for the list of hosts, and with it for the relays.
+    struct DelayedWatch {
+        WatchRequest request;
+        Callback done;
     };
 
     // Relay is a daemon that sends the store's rows to other daemons.
@@ -110,17 +131,27 @@
     [[nodiscard]] auto timeUntilStale(const WatchRequest& watch) const -> std::chrono::milliseconds;
     auto updateCache(const std::string& table, const StoreResponse& response, bool isSnapshot) -> void;
     static auto markMissingAsRemoved(CachedTable& table, const StoreResponse& snapshot) -> void;
+    auto readFromStore(const std::string& table, Callback done) -> void;
+    auto onRead(const std::string& table, const Result& result) -> void;
+    auto startDelayedWatches() -> void;
+    // canBeCopied() returns whether the table is complete and recent enough for a starting daemon.
+    [[nodiscard]] auto canBeCopied(const std::string& table) const -> bool;
+    auto endWatch(const http::Exchange* exchange) -> void;
+    auto holdWatch(PendingWatch pending, std::chrono::milliseconds wait) -> void;
     [[nodiscard]] auto hasUpdateFor(const CachedTable& table, const PendingWatch& pending) const -> bool;
     auto respondToPendingWatches(const std::string& table) -> void;
     auto rejectPendingWatches(const std::string& table) -> void;
     auto respondFrom(const CachedTable& table, std::uint64_t after, const std::shared_ptr<http::Exchange>& exchange)
         -> void;
 
-    boost::asio::io_context& m_io;
+    Scheduler& m_scheduler;
     StoreClient& m_store;
-    net::HttpClient& m_relayClient;
+    RelayTransport& m_transport;
     Options m_options;
     std::function<std::optional<std::chrono::milliseconds>()> m_storeClock;
+    std::optional<BootstrapReader> m_bootstrapReader; // until each table was read once
+    bool m_areHostsKnown = false;
+    std::vector<DelayedWatch> m_delayedWatches;
     std::vector<Relay> m_relays; // of this data centre
     std::vector<Relay> m_regionRelays; // of the region's other data centres
     std::map<std::string, MonotonicTime> m_relayBackoffUntil; // by host
@@ -128,7 +159,7 @@
     MonotonicTime m_storeBackoffUntil;
     std::map<std::string, CachedTable> m_tables;
     std::list<PendingWatch> m_pendingWatches;
-    std::minstd_rand m_random { std::random_device {}() };
+    std::minstd_rand m_random;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
 
--- a/src/fleet/RelayedStoreClient_test.cpp
+++ b/src/fleet/RelayedStoreClient_test.cpp
@@ -2,8 +2,11 @@
 
 #include "base/Hash.h"
 #include "fleet/HostDirectory.h"
+#include "fleet/HttpRelayTransport.h"
 #include "fleet/RelayWatchCodec.h"
 #include "http/Exchange.h"
+#include "net/AsioScheduler.h"
+#include "net/HttpClient.h"
 #include "net/HttpServer.h"
 #include "testing/EntryFixture.h"
 #include "testing/RunUntil.h"
@@ -31,6 +34,7 @@
             ++calls;
             done(readResponse);
         }
+        auto readRange(const RangeRequest&, Callback done) -> void override { done(StoreResponse {}); }
         auto watch(const WatchRequest&, Callback done) -> void override
         {
             ++calls;
@@ -66,8 +70,10 @@
     struct Daemon {
         Daemon(boost::asio::io_context& io, const std::string& hostKey)
             : name(hostKey)
+            , scheduler(io)
             , relayClient(io, {})
-            , client(io, store, relayClient, { .hostKey = hostKey, .freshnessTable = "op" })
+            , transport(relayClient)
+            , client(scheduler, store, transport, { .hostKey = hostKey, .freshnessTable = "op" })
             , server(io, {}, [this](std::shared_ptr<http::Exchange> exchange) { client.handle(exchange); })
         {
             Error reason;
@@ -78,7 +84,9 @@
 
         std::string name;
         FakeStore store;
+        net::AsioScheduler scheduler;
         net::HttpClient relayClient;
+        HttpRelayTransport transport;
         RelayedStoreClient client;
         net::HttpServer server;
     };
--- a/src/fleet/StoreClient.h
+++ b/src/fleet/StoreClient.h
@@ -58,6 +58,13 @@
     using Result = std::variant<StoreResponse, StoreFailure>;
     using Callback = std::function<void(Result)>;
 
+    struct RangeRequest {
+        std::string table;
+        std::string firstKey;
+        std::string endKey; // not included
+        std::size_t limit = 0; // number of rows
+    };
+
     struct WatchRequest {
         std::string table;
         std::uint64_t after = 0; // only rows with a later version are returned
@@ -79,6 +86,9 @@
     // read() returns all rows of `table`, with the version to watch from.
     virtual auto read(const std::string& table, Callback done) -> void = 0;
 
+    // readRange() returns the first rows of a range of keys, in the order of their keys.
+    virtual auto readRange(const RangeRequest& range, Callback done) -> void = 0;
+
     // watch() is a long poll: it returns the rows changed since `after` as soon as there are any, and none after
     // `wait`.
     virtual auto watch(const WatchRequest& watch, Callback done) -> void = 0;
--- a/src/fleet/TableWatcher.cpp
+++ b/src/fleet/TableWatcher.cpp
@@ -6,19 +6,22 @@
 
 using std::chrono::milliseconds;
 
-TableWatcher::TableWatcher(boost::asio::io_context& io, StoreClient& store, const Options& options)
-    : m_store(store)
+TableWatcher::TableWatcher(Scheduler& scheduler, StoreClient& store, const Options& options)
+    : m_scheduler(scheduler)
+    , m_store(store)
     , m_options(options)
-    , m_timer(io)
+    , m_random(options.randomSeed)
 {
 }
 
+TableWatcher::~TableWatcher() { stop(); }
+
 auto TableWatcher::start() -> void { read(); }
 
 auto TableWatcher::stop() -> void
 {
     *m_isAlive = false;
-    m_timer.cancel();
+    m_scheduler.cancel(m_timer);
 }
 
 auto TableWatcher::read() -> void
@@ -127,9 +130,9 @@
 
 auto TableWatcher::scheduleNext(milliseconds delay) -> void
 {
-    m_timer.expires_after(delay);
-    m_timer.async_wait([this, alive = m_isAlive](const boost::system::error_code& error) {
-        if (error || !*alive)
+    m_scheduler.cancel(m_timer);
+    m_timer = m_scheduler.runAfter(delay, [this, alive = m_isAlive] {
+        if (!*alive)
             return;
         if (m_hasSnapshot)
             watch();
--- a/src/fleet/TableWatcher.h
+++ b/src/fleet/TableWatcher.h
@@ -1,21 +1,21 @@
 // Watches one table of the store: reads it once, then long-polls for changes, and reads it again if it missed some.
 //
-//   TableWatcher watcher(io, store, { .table = "hosts", .pollTime = 4s });
+//   TableWatcher watcher(scheduler, store, { .table = "hosts", .pollTime = 4s });
 //   watcher.onRows([](const std::vector<StoreRow>& rows, bool isSnapshot) { ... });
 //   watcher.onResponse([&](const StoreResponse& response) { proof.recordResponse(...); });
 //   watcher.start();
 #pragma once
 
+#include "base/Scheduler.h"
 #include "fleet/StoreClient.h"
 
 #include <algorithm>
-#include <boost/asio/steady_timer.hpp>
 #include <memory>
 #include <random>
 
 namespace coriandergate::fleet {
 
-// TableWatcher is used on the thread of its io_context.
+// TableWatcher is used on the thread of its scheduler.
 class TableWatcher {
 public:
     struct Options {
@@ -25,13 +25,17 @@
         std::chrono::milliseconds maximumChangeDelay { 120 }; // the pause doubles up to this while changes continue
         std::chrono::milliseconds initialRetryDelay { 100 };
         std::chrono::milliseconds maximumRetryDelay { 700 };
+        std::uint32_t randomSeed = std::random_device {}(); // of the retry delays
     };
     // RowsCallback receives the changed rows, or, with `isSnapshot`, all rows of the table.
     using RowsCallback = std::function<void(const std::vector<StoreRow>& rows, bool isSnapshot)>;
     using ResponseCallback = std::function<void(const StoreResponse& response)>;
     using FailureCallback = std::function<void(const Error& error)>;
 
-    TableWatcher(boost::asio::io_context& io, StoreClient& store, const Options& options);
+    TableWatcher(Scheduler& scheduler, StoreClient& store, const Options& options);
+    ~TableWatcher();
+    TableWatcher(const TableWatcher&) = delete;
+    auto operator=(const TableWatcher&) -> TableWatcher& = delete;
 
     auto onRows(RowsCallback callback) -> void { m_rowsCallback = std::move(callback); }
     auto onResponse(ResponseCallback callback) -> void { m_responseCallback = std::move(callback); }
@@ -61,9 +65,10 @@
     auto scheduleRetry(const StoreFailure& failure) -> void;
     auto scheduleNext(std::chrono::milliseconds delay) -> void;
 
+    Scheduler& m_scheduler;
     StoreClient& m_store;
     Options m_options;
-    boost::asio::steady_timer m_timer;
+    Scheduler::Timer m_timer = 0;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
     RowsCallback m_rowsCallback;
     ResponseCallback m_responseCallback;
@@ -74,7 +79,7 @@
     bool m_hasSnapshot = false;
     bool m_isCatchingUp = false;
     bool m_needsImmediateResponse = true; // the first request after a failure doesn't wait for a change
-    std::minstd_rand m_random { std::random_device {}() };
+    std::minstd_rand m_random;
 };
 
 } // namespace coriandergate::fleet
--- a/src/fleet/TableWatcher_test.cpp
+++ b/src/fleet/TableWatcher_test.cpp
@@ -1,5 +1,6 @@
 #include "fleet/TableWatcher.h"
 
+#include "net/AsioScheduler.h"
 #include "testing/RunUntil.h"
 
 #include <catch2/catch.hpp>
@@ -14,6 +15,7 @@
     class ScriptedStore : public StoreClient {
     public:
         auto read(const std::string&, Callback done) -> void override { reads.push_back(std::move(done)); }
+        auto readRange(const RangeRequest&, Callback done) -> void override { done(StoreResponse {}); }
         auto watch(const WatchRequest& watch, Callback done) -> void override
         {
             watches.emplace_back(watch, std::move(done));
@@ -55,8 +57,9 @@
         }
 
         boost::asio::io_context io;
+        net::AsioScheduler scheduler { io };
         ScriptedStore store;
-        TableWatcher watcher { io, store,
+        TableWatcher watcher { scheduler, store,
             { .table = "hosts", .pollTime = 2s, .changeDelay = 10ms, .initialRetryDelay = 10ms } };
         std::vector<StoreRow> receivedRows;
         int snapshots = 0;
--- a/src/sidecar/HostSettings.h
+++ b/src/sidecar/HostSettings.h
@@ -15,7 +15,7 @@
 // HostSettings is a value; each field has its unit in its type or comment.
 struct HostSettings {
     std::string hostName;
-    std::string hostAddress; // IP address, the key of the host's row in the store
+    std::string hostAddress; // IP address
     Locality locality;
     std::size_t regionCount = 1; // of the whole deployment
     std::string callerListenAddress; // for requests of callers on this host
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -1,16 +1,15 @@
 #include "sidecar/Sidecar.h"
 
 #include "base/Error.h"
-#include "fleet/CatchUp.h"
 #include "fleet/HostDirectory.h"
 #include "fleet/HostRegistration.h"
+#include "fleet/HttpRelayTransport.h"
 #include "fleet/RelayWatchCodec.h"
-#include "fleet/RelayedStoreClient.h"
-#include "fleet/TableWatcher.h"
-#include "fleet/VersionProof.h"
+#include "fleet/StoreView.h"
 #include "http/Exchange.h"
 #include "http/Status.h"
 #include "log/Event.h"
+#include "net/AsioScheduler.h"
 #include "net/HttpServer.h"
 #include "relay/EntryRequest.h"
 #include "relay/RateLimitOwner.h"
@@ -53,14 +52,6 @@
         "its daemon was unreachable for 15 s; its row is removed, and the daemon writes it again if it is running" };
 
     constexpr const char* hostTable = "hosts";
-    // Long poll for the configuration: half of the time for which a withdrawn API key may still work.
-    constexpr milliseconds configurationPollTime { 2600 };
-    // Long poll for the hosts. It may be long, because a change ends it.
-    constexpr milliseconds hostsPollTime { 15000 };
-    // Delays that batch changes of host rows. Several rows often change together, and when many hosts start or stop,
-    // rows change for several seconds.
-    constexpr milliseconds hostsChangeDelay { 300 };
-    constexpr milliseconds maximumHostsChangeDelay { 600 };
     // Fraction of the revocation bound for which a response of the store counts as fresh. The rest covers the time that
     // a request takes to its target.
     constexpr double freshnessRatio = 0.88;
@@ -105,14 +96,6 @@
         }
     }
 
-    auto recordResponse(dispatch::StalenessTracker& freshness, const fleet::StoreResponse& response) -> void
-    {
-        if (response.isRelayed)
-            freshness.recordRelayed(response.storeTime);
-        else
-            freshness.recordResponse(response.sentAt, response.receivedAt, response.storeTime);
-    }
-
     auto callerOptions(const HostSettings& settings, const config::CallerLimits& limits) -> net::HttpServer::Options
     {
         constexpr std::size_t bufferDivisor = 4; // a quarter of the memory may hold requests
@@ -146,12 +129,10 @@
     auto scheduleUnreachableHostCheck() -> void;
     auto removeUnreachableHosts() -> void;
     auto onConfigurationRows(const std::vector<fleet::StoreRow>& rows) -> void;
-    auto onHostRows(const std::vector<fleet::StoreRow>& rows, bool isSnapshot) -> void;
-    auto onHostsLoaded() -> void;
+    auto onHostsChanged(const std::vector<Error>& faults) -> void;
     auto startPendingRequestsIfReady() -> void;
-    auto onConfigurationResponse(const fleet::StoreResponse& response) -> void;
-    auto onHostsResponse(const fleet::StoreResponse& response) -> void;
-    auto onConfigurationFailure(const Error& error) -> void;
+    auto onStoreResponse() -> void;
+    auto onStoreFailure(const Error& error) -> void;
     auto handlePeer(const std::shared_ptr<http::Exchange>& exchange) -> void;
     auto handleRetryBudgetRequest(const std::shared_ptr<http::Exchange>& exchange) -> void;
     auto rateLimits() const -> dispatch::RateLimits;
@@ -159,16 +140,14 @@
 
     boost::asio::io_context& io;
     HostSettings settings;
+    std::string hostKey; // of this host's row in the store
     Adapter adapter;
     fleet::LocalTarget target;
-    fleet::HostDirectory directory;
+    net::AsioScheduler scheduler;
     net::HttpClient peerClient;
-    fleet::RelayedStoreClient storeClient;
+    fleet::HttpRelayTransport relayTransport;
+    fleet::StoreView storeView;
     fleet::HostRegistration registration;
-    fleet::TableWatcher configurationWatcher;
-    fleet::TableWatcher hostWatcher;
-    dispatch::StalenessTracker configurationFreshness;
-    dispatch::StalenessTracker hostListFreshness;
     dispatch::LoadBalancer loadBalancer;
     dispatch::RetryBudget retryBudget;
     dispatch::CallRatio callRatio;
@@ -186,7 +165,7 @@
     MonotonicTime lastOpenRequestAt; // last time that a request was open
     bool isStopping = false;
     bool isCallerPortClosed = false;
-    bool areHostsLoaded = false;
+    bool areHostsLoaded = false; // and the target of this host accepts requests
     bool isStoreReachable = false;
 };
 
@@ -194,27 +173,28 @@
     fleet::StoreClient& store)
     : io(ioContext)
     , settings(hostSettings)
+    , hostKey(fleet::hostRowKey(settings.locality.region, settings.hostAddress))
     , adapter(std::move(platformAdapter))
     , target(settings.service, settings.targetAddress)
+    , scheduler(io)
     , peerClient(io,
           { .connectTimeout = peerConnectTimeout,
               .idleTimeout = peerClientIdleTimeout,
               .maximumIdlePerPeer = maximumIdleConnectionsPerPeer })
-    , storeClient(io, store, peerClient, { .hostKey = settings.hostAddress, .freshnessTable = adapter.operatorTable })
-    , registration(io, storeClient, target, directory,
+    , relayTransport(peerClient)
+    , storeView(scheduler, store, relayTransport,
+          { .hostKey = hostKey,
+              .locality = settings.locality,
+              .operatorTable = adapter.operatorTable,
+              .hostTable = hostTable,
+              .maximumAge = maximumResponseAge(settings) })
+    , registration(io, storeView.client(), target, storeView.directory(),
           { .table = hostTable,
-              .key = settings.hostAddress,
+              .key = hostKey,
+              .formerKey = settings.hostAddress,
               .host = { .peerAddress = settings.peerAddress.empty() ? settings.peerListenAddress : settings.peerAddress,
                   .locality = settings.locality,
                   .service = settings.service } })
-    , configurationWatcher(io, storeClient, { .table = adapter.operatorTable, .pollTime = configurationPollTime })
-    , hostWatcher(io, storeClient,
-          { .table = hostTable,
-              .pollTime = hostsPollTime,
-              .changeDelay = hostsChangeDelay,
-              .maximumChangeDelay = maximumHostsChangeDelay })
-    , configurationFreshness({ .maximumAge = maximumResponseAge(settings) })
-    , hostListFreshness({ .maximumAge = maximumResponseAge(settings) })
     , loadBalancer({ .ownLocality = settings.locality })
     , retryBudget({ .retriesPerRequest = settings.retryBudgetRatio,
           .retriesPerWindow = settings.retryBudgetAllowance,
@@ -222,16 +202,16 @@
     , entryContext { .io = io,
         .options = {},
         .headers = adapter.headers,
-        .hostKey = settings.hostAddress,
+        .hostKey = hostKey,
         .service = settings.service,
         .locality = settings.locality,
         .peerClient = peerClient,
         .loadBalancer = loadBalancer,
         .retryBudget = retryBudget,
         .callRatio = callRatio,
-        .configurationFreshness = configurationFreshness,
-        .hostListFreshness = hostListFreshness,
-        .directory = directory,
+        .configurationFreshness = storeView.operatorFreshness(),
+        .hostListFreshness = storeView.hostListFreshness(),
+        .directory = storeView.directory(),
         .snapshot = nullptr }
     , rateLimitOwner(entryContext,
           { .limits = rateLimits(),
@@ -269,10 +249,8 @@
 {
     peerServer.onConnectionClosed(
         [this](const std::string& connection) { targetRelay.onConnectionClosed(connection); });
-    const auto storeTime = [this] { return configurationFreshness.storeTime(SuspendAwareClock::now()); };
-    targetRelay.setStoreClock(storeTime);
-    storeClient.setStoreClock(storeTime);
-    registration.setStoreClock([this] { return hostListFreshness.storeTime(SuspendAwareClock::now()); });
+    targetRelay.setStoreClock([this] { return storeView.operatorFreshness().storeTime(SuspendAwareClock::now()); });
+    registration.setStoreClock([this] { return storeView.hostListFreshness().storeTime(SuspendAwareClock::now()); });
     registration.onTargetChanged([this] { targetRelay.onTargetChanged(); });
     if (!callerServer.listen(settings.callerListenAddress, reason)
         || !peerServer.listen(settings.peerListenAddress, reason)
@@ -281,14 +259,11 @@
         return false;
     if (!settings.metricsListenAddress.empty() && !metricsServer.listen(settings.metricsListenAddress, reason))
         return false;
-    configurationWatcher.onRows([this](const auto& rows, bool) { onConfigurationRows(rows); });
-    configurationWatcher.onResponse(
-        [this](const fleet::StoreResponse& response) { onConfigurationResponse(response); });
-    configurationWatcher.onFailure([this](const Error& error) { onConfigurationFailure(error); });
-    hostWatcher.onResponse([this](const fleet::StoreResponse& response) { onHostsResponse(response); });
-    hostWatcher.onRows([this](const auto& rows, bool isSnapshot) { onHostRows(rows, isSnapshot); });
-    configurationWatcher.start();
-    hostWatcher.start();
+    storeView.onOperatorRows([this](const std::vector<fleet::StoreRow>& rows) { onConfigurationRows(rows); });
+    storeView.onHostsChanged([this](const std::vector<Error>& faults) { onHostsChanged(faults); });
+    storeView.onResponse([this] { onStoreResponse(); });
+    storeView.onFailure([this](const Error& error) { onStoreFailure(error); });
+    storeView.start();
     scheduleUnreachableHostCheck();
     log::logEvent(started,
         { { "host", settings.hostName }, { "callers", settings.callerListenAddress },
@@ -301,44 +276,22 @@
 auto Sidecar::State::isReady() const -> bool
 {
     return !isStopping && entryContext.snapshot && areHostsLoaded
-        && configurationFreshness.isFresh(SuspendAwareClock::now());
+        && storeView.operatorFreshness().isFresh(SuspendAwareClock::now());
 }
 
-auto Sidecar::State::onConfigurationResponse(const fleet::StoreResponse& response) -> void
+auto Sidecar::State::onStoreResponse() -> void
 {
-    recordResponse(configurationFreshness, response);
     if (!isStoreReachable)
         log::logEvent(storeReachableAgain, {});
     isStoreReachable = true;
-    if (!areHostsLoaded)
-        return;
-    if (fleet::provesUnchanged(hostWatcher.observedVersion(), response)) {
-        hostWatcher.advanceTo(response.newestVersion);
-        recordResponse(hostListFreshness, response);
-        return;
-    }
-    if (fleet::isCatchUpDue(
-            hostWatcher.observedVersion(), response.newestVersion, hostListFreshness.age(SuspendAwareClock::now())))
-        hostWatcher.catchUp();
 }
 
-// A response on the hosts may also prove that the configuration is unchanged. After an outage of the store the response
-// on the hosts comes first if hosts have changed, while requests with API keys wait for a fresh configuration.
-auto Sidecar::State::onHostsResponse(const fleet::StoreResponse& response) -> void
-{
-    recordResponse(hostListFreshness, response);
-    if (!entryContext.snapshot || !fleet::provesUnchanged(configurationWatcher.observedVersion(), response))
-        return;
-    configurationWatcher.advanceTo(response.newestVersion);
-    recordResponse(configurationFreshness, response);
-}
-
-auto Sidecar::State::onConfigurationFailure(const Error& error) -> void
+auto Sidecar::State::onStoreFailure(const Error& error) -> void
 {
     if (!isStoreReachable)
         return;
     isStoreReachable = false;
-    const auto age = configurationFreshness.age(SuspendAwareClock::now());
+    const auto age = storeView.operatorFreshness().age(SuspendAwareClock::now());
     log::logEvent(
         storeUnreachable, { { "why", error.toText() }, { "proof-age-ms", age ? std::to_string(age->count()) : "" } });
 }
@@ -357,7 +310,7 @@
     else if (exchange->request().target == relay::borrowPath)
         handleRetryBudgetRequest(exchange);
     else if (exchange->request().target == fleet::relayWatchPath)
-        storeClient.handle(exchange);
+        storeView.client().handle(exchange);
     else
         targetRelay.handle(exchange);
 }
@@ -406,14 +359,17 @@
         entryContext.markReady();
 }
 
-auto Sidecar::State::onHostRows(const std::vector<fleet::StoreRow>& rows, bool isSnapshot) -> void
+auto Sidecar::State::onHostsChanged(const std::vector<Error>& faults) -> void
 {
-    for (const auto& fault : directory.apply(rows, isSnapshot))
+    const auto& directory = storeView.directory();
+    for (const auto& fault : faults)
         log::logEvent(hostRecordRejected, { { "reason", fault.toText() } });
-    if (!areHostsLoaded)
-        onHostsLoaded();
+    if (!areHostsLoaded) {
+        areHostsLoaded = true;
+        registration.onHostsLoaded();
+        targetRelay.startAccepting();
+    }
     loadBalancer.setTargets(directory.targets());
-    storeClient.setHosts(directory, settings.locality);
     if (!isStopping)
         registration.onHostsChanged();
     rateLimitOwner.setHosts(directory.rateLimitHostsInRegion(settings.locality.region), monotonicNow());
@@ -424,13 +380,6 @@
     startPendingRequestsIfReady();
 }
 
-auto Sidecar::State::onHostsLoaded() -> void
-{
-    areHostsLoaded = true;
-    registration.onHostsLoaded();
-    targetRelay.startAccepting();
-}
-
 auto Sidecar::State::scheduleUnreachableHostCheck() -> void
 {
     // The period is random, so that usually a single host removes the row of a dead host.
@@ -450,14 +399,15 @@
 auto Sidecar::State::removeUnreachableHosts() -> void
 {
     const auto now = monotonicNow();
+    const auto& directory = storeView.directory();
     for (const auto& host : directory.hostsInDataCentre(settings.locality)) {
         const bool isUnreachable
             = loadBalancer.isUnreachableFor(directory.find(host)->peerAddress, unreachableHostTimeout, now);
-        if (!isUnreachable || host == settings.hostAddress)
+        if (!isUnreachable || host == hostKey)
             continue;
         log::logEvent(
             unreachableHostRemoved, { { "host", host }, { "row-version", std::to_string(directory.version(host)) } });
-        storeClient.write(
+        storeView.client().write(
             { hostTable, host, directory.version(host), std::nullopt }, [](const fleet::StoreClient::Result&) {
                 // If the row has changed or the store is unavailable, the row stays and the next check decides again.
             });
@@ -546,8 +496,7 @@
     const bool isDrained = isCallerPortClosed && now >= lastOpenRequestAt + responseDeliveryTime;
     if (isDrained || isGraceOver) {
         log::logEvent(stopEnded, { { "open", std::to_string(open) } });
-        configurationWatcher.stop();
-        hostWatcher.stop();
+        storeView.stop();
         registration.stop();
         io.stop();
         return;
@@ -565,7 +514,7 @@
 {
     return renderMetricsPage({ .counters = entryContext.counters,
         .loadReport = targetRelay.loadReport(monotonicNow()),
-        .configurationAge = configurationFreshness.age(SuspendAwareClock::now()),
+        .configurationAge = storeView.operatorFreshness().age(SuspendAwareClock::now()),
         .configurationVersion = entryContext.snapshot ? entryContext.snapshot->configuration().version : 0,
         .hostCount = entryContext.hostCount,
         .callerConnections = callerServer.connections(),
--- /dev/null
+++ b/src/testing/FleetSimulation.h
@@ -0,0 +1,129 @@
+// Simulates how the daemons of a large fleet learn the configuration and the list of hosts from the store.
+//
+// It runs the real StoreView of each host on virtual time, over links of limited rate: one of each host, and one
+// between the regions. The store stands in the first region. Daemons can be stopped and started, and the store can
+// become unavailable, for all hosts or for some.
+//
+//   FleetSimulation fleet({ .hosts = 354 });
+//   fleet.startAll();
+//   fleet.runFor(2500ms);
+//   CHECK(fleet.informedShare(1) >= 0.9);
+#pragma once
+
+#include "fleet/StoreView.h"
+#include "testing/SimulatedNetwork.h"
+#include "testing/SimulatedScheduler.h"
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace coriandergate::testing {
+
+// FleetSimulation is used on one thread; a run depends on its options only.
+class FleetSimulation {
+public:
+    struct Options {
+        std::size_t hosts = 354;
+        std::size_t dataCentresPerRegion = 4; // in each of two regions
+        double regionLinkBytesPerSecond = 11'250'000; // in each direction
+        double hostLinkBytesPerSecond = 1'500'000; // the slowest hosts of the large deployments
+        std::chrono::milliseconds regionDelay { 20 }; // one way
+        std::chrono::milliseconds localDelay { 1 };
+        std::chrono::milliseconds storeServiceTime { 4 };
+        std::chrono::milliseconds startSpread { 300 }; // daemons start within this time
+        std::size_t configurationBytes = 40'000;
+        std::uint32_t seed = 1;
+    };
+
+    explicit FleetSimulation(const Options& options);
+    ~FleetSimulation();
+
+    // startAll() starts every daemon that isn't running; stop() ends the daemons for which `isSelected` returns true.
+    auto startAll() -> void;
+    auto stop(const std::function<bool(std::size_t host)>& isSelected) -> void;
+
+    // setStoreServes() sets which hosts the store serves; the others get status 503.
+    auto setStoreServes(std::function<bool(std::size_t host)> serves) -> void;
+
+    // configure() replaces the configuration row.
+    auto configure() -> void;
+
+    auto runFor(std::chrono::milliseconds duration) -> void { m_scheduler.runFor(duration); }
+
+    // informedShare() is the share of a region's hosts that know the newest configuration and all hosts, both fresh.
+    [[nodiscard]] auto informedShare(std::size_t region) const -> double;
+
+    // timeUntilInformed() runs until the share of each region is `share`; nothing if that takes longer than `longest`.
+    [[nodiscard]] auto timeUntilInformed(double share, std::chrono::milliseconds longest)
+        -> std::optional<std::chrono::milliseconds>;
+
+    [[nodiscard]] auto storeRequests() const -> std::uint64_t { return m_storeRequests; }
+    // Bytes of responses that crossed from the store's region to the other one.
+    [[nodiscard]] auto regionLinkBytes() const -> std::uint64_t { return m_network.carriedBytes(m_regionLink); }
+    // Size of the store's responses with both tables.
+    [[nodiscard]] auto snapshotBytes() const -> std::size_t;
+    // Size of the store's response with the first host rows of a region, which each starting daemon reads.
+    [[nodiscard]] auto firstHostsBytes() const -> std::size_t;
+
+private:
+    struct Host;
+    class HostStoreClient;
+    class HostRelayTransport;
+
+    // Request is an exchange of a host with the store or with another host. It ends once: with a response, or with a
+    // failure when its time is over or one of its ends stops.
+    struct Request {
+        std::size_t from = 0;
+        std::optional<std::size_t> to; // nothing for the store
+        std::function<void()> fail;
+        std::function<void()> abandon; // tells the other host that nobody waits for its response
+        Scheduler::Timer timeout = 0;
+        SimulatedNetwork::Transfer transfer = 0;
+    };
+    using RequestId = std::uint64_t;
+
+    auto startHost(std::size_t index) -> void;
+    auto start(const Request& request, std::chrono::milliseconds timeout) -> RequestId;
+    auto respond(RequestId id, std::size_t bytes, std::function<void()> deliver) -> void;
+    auto finish(RequestId id) -> void;
+    auto failRequest(RequestId id) -> void;
+    // A request with a range is a read, else it is a watch.
+    auto queryStore(std::size_t host, const fleet::StoreClient::WatchRequest& watch,
+        const std::optional<fleet::StoreClient::RangeRequest>& range, fleet::StoreClient::Callback done) -> void;
+    auto queryRelay(std::size_t host, const std::string& address, const fleet::RelayWatchRequest& watch,
+        std::chrono::milliseconds timeout, fleet::RelayTransport::Callback done) -> void;
+    auto handleAtStore(RequestId id, const fleet::StoreClient::WatchRequest& watch,
+        const std::optional<fleet::StoreClient::RangeRequest>& range, const fleet::StoreClient::Callback& done) -> void;
+    auto endStoreWatch(RequestId id) -> void;
+    [[nodiscard]] auto rowsAfter(const std::string& table, std::uint64_t after) const -> fleet::StoreResponse;
+    auto put(const std::string& table, const std::string& key, const std::string& value) -> void;
+    [[nodiscard]] auto delay(std::size_t from, std::optional<std::size_t> to) const -> std::chrono::milliseconds;
+    [[nodiscard]] auto responsePath(std::optional<std::size_t> from, std::size_t to) const
+        -> std::vector<SimulatedNetwork::Link>;
+    [[nodiscard]] auto isInformed(const Host& host) const -> bool;
+
+    Options m_options;
+    SimulatedScheduler m_scheduler;
+    SimulatedNetwork m_network;
+    SimulatedNetwork::Link m_regionLink; // from the store's region
+    SimulatedNetwork::Link m_reverseRegionLink;
+    std::vector<std::unique_ptr<Host>> m_hosts;
+    std::map<std::string, std::map<std::string, fleet::StoreRow>> m_tables;
+    std::uint64_t m_version = 0;
+    std::map<RequestId, Request> m_requests;
+    std::map<RequestId, std::pair<fleet::StoreClient::WatchRequest, fleet::StoreClient::Callback>> m_storeWatches;
+    RequestId m_nextRequest = 1;
+    std::uint64_t m_storeRequests = 0;
+    std::function<bool(std::size_t host)> m_storeServes;
+    std::minstd_rand m_random;
+};
+
+} // namespace coriandergate::testing
--- a/src/testing/OneRowStore.h
+++ b/src/testing/OneRowStore.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace coriandergate::testing {
 
@@ -22,6 +23,7 @@
     }
 
     auto read(const std::string&, Callback) -> void override { }
+    auto readRange(const fleet::StoreClient::RangeRequest&, Callback) -> void override { }
     auto watch(const WatchRequest&, Callback) -> void override { }
     auto write(const WriteRequest& write, Callback done) -> void override
     {
@@ -34,6 +36,11 @@
             done(fleet::StoreFailure { fleet::StoreFailure::Kind::NotApplied, { "write", "store", "status 503" }, {} });
             return;
         }
+        if (write.key != m_key) {
+            otherWrites.push_back(write);
+            done(fleet::StoreResponse { .newestVersion = ++newest });
+            return;
+        }
         if (write.expectedVersion != row.version) {
             fleet::StoreFailure failure { fleet::StoreFailure::Kind::ConditionFailed,
                 { "write", "store", "status 412" }, {} };
@@ -47,6 +54,7 @@
         done(fleet::StoreResponse { .newestVersion = newest });
     }
 
+    std::vector<WriteRequest> otherWrites; // to other rows than the one
     fleet::StoreRow row; // of version 0 while there is none
     Callback unanswered; // the last write's, while the store is silent
     std::uint64_t newest = 40;
