Write host rows as CBOR and check each of their fields

Cause: each daemon that starts reads the rows of all hosts, 354 of them, as objects with long field names (190 bytes and more in base64 each). Change: rows are CBOR arrays; decoding bounds nesting, numbers and the address, and rejects the row alone with a reason. Rows of version 0.1.0 are read. The log line of a configuration tells its size.

--- a/src/fleet/HostRecord.cpp
+++ b/src/fleet/HostRecord.cpp
@@ -1,12 +1,19 @@
 #include "fleet/HostRecord.h"
 
+#include "base/BoundedJson.h"
 #include "base/Error.h"
 #include "base/Hash.h"
+#include "net/Endpoint.h"
 
+#include <array>
+#include <limits>
 #include <nlohmann/json.hpp>
+#include <stdexcept>
 
 namespace coriandergate::fleet {
 
+using nlohmann::json;
+
 namespace {
 
     constexpr char regionSeparator = '/';
@@ -24,6 +31,13 @@
         return "empty";
     }
 
+    // Fields in the order in which they are encoded.
+    constexpr std::array fieldNames { "peer", "region", "dataCentre", "service", "target", "startedAt", "slots",
+        "state", "joinedAt" };
+    constexpr std::size_t maximumSlots = 65536; // far above that of any target; more is a malformed row
+    // Milliseconds. Later code adds to it, so it must be far from an overflow.
+    constexpr std::uint64_t maximumJoinTime = std::uint64_t { 1 } << 53;
+
     auto parseState(const std::string& name) -> std::optional<HostRecord::State>
     {
         for (const auto state :
@@ -34,6 +48,43 @@
         return std::nullopt;
     }
 
+    auto readNumber(const json& value, std::uint64_t maximum, const char* name) -> std::uint64_t
+    {
+        if (!value.is_number_unsigned() || value.get<std::uint64_t>() > maximum)
+            throw std::out_of_range(std::string(name) + " must be a whole number from 0 to " + std::to_string(maximum));
+        return value.get<std::uint64_t>();
+    }
+
+    // readFields() reads a record whose fields `field(value, index)` returns.
+    template <typename Field>
+    auto readFields(const json& value, const Field& field, Error& reason) -> std::optional<HostRecord>
+    {
+        try {
+            HostRecord record;
+            field(value, 0).get_to(record.peerAddress);
+            field(value, 1).get_to(record.locality.region);
+            field(value, 2).get_to(record.locality.dataCentre);
+            field(value, 3).get_to(record.service);
+            field(value, 4).get_to(record.targetId);
+            record.targetStartedAt
+                = readNumber(field(value, 5), std::numeric_limits<std::uint64_t>::max(), "the start time");
+            record.slots = readNumber(field(value, 6), maximumSlots, "the number of slots");
+            const auto state = parseState(field(value, 7).template get<std::string>());
+            record.joinedAt = std::chrono::milliseconds(readNumber(field(value, 8), maximumJoinTime, "the join time"));
+            if (!state) {
+                reason.reason = "unknown state";
+                return std::nullopt;
+            }
+            record.state = *state;
+            if (!net::parseEndpoint(record.peerAddress, reason))
+                return std::nullopt;
+            return record;
+        } catch (const std::exception& exception) { // a missing field, a field of another type, a number out of range
+            reason.reason = exception.what();
+            return std::nullopt;
+        }
+    }
+
 } // namespace
 
 auto hostRowKey(std::string_view region, std::string_view hostAddress) -> std::string
@@ -59,35 +110,30 @@
 
 auto encodeHostRecord(const HostRecord& record) -> std::string
 {
-    const nlohmann::json value = { { "peer", record.peerAddress }, { "region", record.locality.region },
-        { "dataCentre", record.locality.dataCentre }, { "service", record.service }, { "target", record.targetId },
-        { "startedAt", record.targetStartedAt }, { "slots", record.slots }, { "state", stateName(record.state) },
-        { "joinedAt", record.joinedAt.count() } };
-    return value.dump();
+    const auto value
+        = json::array({ record.peerAddress, record.locality.region, record.locality.dataCentre, record.service,
+            record.targetId, record.targetStartedAt, record.slots, stateName(record.state), record.joinedAt.count() });
+    const auto bytes = json::to_cbor(value);
+    return { bytes.begin(), bytes.end() };
 }
 
-auto decodeHostRecord(std::string_view key, std::string_view text, Error& reason) -> std::optional<HostRecord>
+auto decodeHostRecord(std::string_view key, std::string_view bytes, Error& reason) -> std::optional<HostRecord>
 {
-    try {
-        const auto value = nlohmann::json::parse(text);
-        HostRecord record;
-        value.at("peer").get_to(record.peerAddress);
-        value.at("region").get_to(record.locality.region);
-        value.at("dataCentre").get_to(record.locality.dataCentre);
-        value.at("service").get_to(record.service);
-        value.at("target").get_to(record.targetId);
-        value.at("startedAt").get_to(record.targetStartedAt);
-        value.at("slots").get_to(record.slots);
-        record.joinedAt = std::chrono::milliseconds(value.value("joinedAt", std::int64_t { 0 }));
-        const auto state = parseState(value.at("state").get<std::string>());
-        if (state) {
-            record.state = *state;
+    // Daemons of version 0.1.0 wrote an object as JSON text.
+    const bool isJson = bytes.starts_with('{');
+    const auto value = isJson ? parseBoundedJson(bytes, reason) : parseBoundedCbor(bytes, reason);
+    if (value) {
+        auto record = isJson
+            ? readFields(
+                *value,
+                [](const json& object, std::size_t field) -> const json& { return object.at(fieldNames.at(field)); },
+                reason)
+            : readFields(
+                *value, [](const json& array, std::size_t field) -> const json& { return array.at(field); }, reason);
+        if (record)
             return record;
-        }
-        reason = { "decode host record", std::string(key), "unknown state" };
-    } catch (const nlohmann::json::exception& exception) {
-        reason = { "decode host record", std::string(key), exception.what() };
     }
+    reason = { "decode host record", std::string(key), reason.reason };
     return std::nullopt;
 }
 
--- a/src/fleet/HostRecord.h
+++ b/src/fleet/HostRecord.h
@@ -54,12 +54,14 @@
 // hostRowRange() returns the range of `region`. Thread-safe.
 [[nodiscard]] auto hostRowRange(std::string_view region) -> HostRowRange;
 
-// encodeHostRecord() returns the record as JSON. Thread-safe.
+// encodeHostRecord() returns the record as CBOR: every daemon reads the rows of all hosts when it starts, so they are
+// short. Thread-safe.
 [[nodiscard]] auto encodeHostRecord(const HostRecord& record) -> std::string;
 
-// decodeHostRecord() parses the output of encodeHostRecord(). It returns nothing, with a reason that names the row, if
-// the text is malformed. Thread-safe.
-[[nodiscard]] auto decodeHostRecord(std::string_view key, std::string_view text, Error& reason)
+// decodeHostRecord() parses the output of encodeHostRecord(), also that of version 0.1.0. It returns nothing, with a
+// reason that names the row, if the bytes are malformed, nested too deeply, or have a number or an address out of range.
+// Thread-safe.
+[[nodiscard]] auto decodeHostRecord(std::string_view key, std::string_view bytes, Error& reason)
     -> std::optional<HostRecord>;
 
 } // namespace coriandergate::fleet
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -348,7 +348,7 @@
         log::logEvent(configurationApplied,
             { { "version", std::to_string(applied.version) }, { "routes", std::to_string(applied.routes.size()) },
                 { "accounts", std::to_string(applied.clientAccounts.size()) },
-                { "row-version", std::to_string(row.version) } });
+                { "row-version", std::to_string(row.version) }, { "bytes", std::to_string(row.value.size()) } });
     }
     startPendingRequestsIfReady();
 }
