Let the hosts of a deployment's first start wait for each other's rows

Change: where the settings say that the whole deployment starts for the first time and the region's hosts are none or all have joined within 5 s, the list of hosts begins empty and partial, so that rows can be written; 1.9 to 2.5 s later it is read again, and both tables are copied from peers as at any other start.

--- a/src/fleet/BootstrapReader.cpp
+++ b/src/fleet/BootstrapReader.cpp
@@ -34,12 +34,13 @@
         return;
     }
     m_pendingReads.push_back({ table, std::move(done) });
-    if (m_pendingReads.size() == 1)
+    if (!m_isRequestingFirstHosts)
         readFirstHosts();
 }
 
 auto BootstrapReader::readFirstHosts() -> void
 {
+    m_isRequestingFirstHosts = true;
     auto range = hostRowRange(m_options.region);
     m_store.readRange({ .table = m_options.hostTable,
                           .firstKey = std::move(range.firstKey),
@@ -53,27 +54,58 @@
 
 auto BootstrapReader::onFirstHosts(StoreClient::Result result) -> void
 {
-    const auto pending = std::move(m_pendingReads);
-    m_pendingReads.clear();
+    m_isRequestingFirstHosts = false;
     const auto* response = std::get_if<StoreResponse>(&result);
     if (!response) {
-        for (const auto& read : pending)
+        for (const auto& read : std::exchange(m_pendingReads, {}))
             read.done(result);
         return;
     }
     if (m_clockCallback)
         m_clockCallback(*response);
     std::vector<BootstrapPeers::Peer> firstHosts;
+    bool haveAllJustJoined = true;
     for (const auto& row : response->rows) {
         Error reason; // a row that can't be decoded is reported when the whole table is read
-        if (const auto record = decodeHostRecord(row.key, row.value, reason))
-            firstHosts.push_back({ row.key, record->peerAddress });
+        const auto record = decodeHostRecord(row.key, row.value, reason);
+        if (!record)
+            continue;
+        firstHosts.push_back({ row.key, record->peerAddress });
+        haveAllJustJoined
+            = haveAllJustJoined && response->storeTime - record->joinedAt < m_options.maximumFirstStartAge;
     }
+    const bool mustWait = firstHosts.empty() || (haveAllJustJoined && !m_hasWaitedForHosts);
+    if (m_options.isFirstStart && mustWait)
+        giveEmptyHostList(*response);
+    else
+        setFirstHosts(firstHosts);
+}
+
+auto BootstrapReader::setFirstHosts(const std::vector<BootstrapPeers::Peer>& firstHosts) -> void
+{
+    if (m_peers)
+        return;
     m_peers.emplace(m_options.hostKey, firstHosts, m_options.peers);
-    for (const auto& read : pending)
+    for (const auto& read : std::exchange(m_pendingReads, {}))
         copyOrRead(read.table, *m_peers, read.done);
 }
 
+// The reads of other tables remain pending.
+auto BootstrapReader::giveEmptyHostList(const StoreResponse& response) -> void
+{
+    auto partial = response;
+    partial.rows.clear();
+    partial.newestVersion = 0;
+    partial.isPartial = true;
+    m_hasWaitedForHosts = true;
+    for (const auto& read : std::exchange(m_pendingReads, {})) {
+        if (read.table == m_options.hostTable)
+            read.done(partial);
+        else
+            m_pendingReads.push_back(read);
+    }
+}
+
 // Each attempt has its own copy of `peers`, so that the tables' failures don't add up.
 auto BootstrapReader::copyOrRead(
     const std::string& table, const BootstrapPeers& peers, const StoreClient::Callback& done) -> void
--- a/src/fleet/BootstrapReader.h
+++ b/src/fleet/BootstrapReader.h
@@ -3,6 +3,10 @@
 // See BootstrapPeers for why and from whom. One small read of the first host rows of the region precedes the first
 // table. A peer that is still starting itself holds the request until it has the table.
 //
+// Load pattern of the first start of a whole deployment: no host has a row, so there is nobody to copy from, and every
+// daemon would read and watch the store itself. Instead the list of hosts begins as a partial, empty one. The other
+// tables wait until the list is read again and finds the rows that the hosts have written by then.
+//
 //   BootstrapReader reader(scheduler, store, transport, { .hostKey = key, .region = "far", .hostTable = "hosts" });
 //   reader.onClock([&](const StoreResponse& response) { freshness.recordClock(...); });
 //   reader.read("op", [](StoreClient::Result result) { ... });
@@ -37,6 +41,9 @@
         // How long a peer may hold a request until it has the table: the time of two reads over a loaded link.
         std::chrono::milliseconds copyWait { 900 };
         std::chrono::milliseconds copyTimeout { 1600 }; // for the whole copy
+        bool isFirstStart = false; // of the whole deployment
+        // A region whose first hosts all joined within this time may still be at its first start.
+        std::chrono::milliseconds maximumFirstStartAge { 5000 };
         std::chrono::milliseconds maximumAge { 1900 }; // of a copy, by the store's clock
         std::chrono::milliseconds retryDelay { 200 }; // daemons that start together are up within twice this time
         BootstrapPeers::Options peers;
@@ -68,6 +75,8 @@
     };
 
     auto readFirstHosts() -> void;
+    auto giveEmptyHostList(const StoreResponse& response) -> void;
+    auto setFirstHosts(const std::vector<BootstrapPeers::Peer>& firstHosts) -> void;
     auto onFirstHosts(StoreClient::Result result) -> void;
     auto copyOrRead(const std::string& table, const BootstrapPeers& peers, const StoreClient::Callback& done) -> void;
     [[nodiscard]] auto isRecent(const StoreResponse& copy) const -> bool;
@@ -79,6 +88,8 @@
     ClockCallback m_clockCallback;
     std::function<std::optional<std::chrono::milliseconds>()> m_storeClock;
     std::vector<PendingRead> m_pendingReads; // wait for the first hosts
+    bool m_isRequestingFirstHosts = false;
+    bool m_hasWaitedForHosts = false; // of the first start
     std::optional<BootstrapPeers> m_peers; // once the first hosts are known
     std::minstd_rand m_random;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
--- a/src/fleet/RelayedStoreClient.cpp
+++ b/src/fleet/RelayedStoreClient.cpp
@@ -39,6 +39,7 @@
             BootstrapReader::Options { .hostKey = options.hostKey,
                 .region = options.region,
                 .hostTable = options.hostTable,
+                .isFirstStart = options.isFirstStart,
                 .maximumAge = options.maximumAge,
                 .randomSeed = options.randomSeed });
 }
@@ -81,10 +82,23 @@
         if (relayCount++ < m_options.storeWatchersPerDataCentre)
             m_storeWatchers.push_back(relay);
     }
-    m_areHostsKnown = true;
+    m_areHostsKnown = m_areHostsKnown || !m_options.isFirstStart || !byHash.empty();
+    if (!m_areHostsKnown)
+        return;
     startDelayedWatches();
 }
 
+// Reads the list of hosts again once most hosts have written their rows. It then contains all changes since version 0.
+auto RelayedStoreClient::watchFirstHosts(Callback done) -> void
+{
+    std::uniform_int_distribution<milliseconds::rep> spread(0, m_options.firstHostsDelay.count() / 4);
+    m_scheduler.runAfter(m_options.firstHostsDelay - milliseconds(spread(m_random)),
+        [this, alive = m_isAlive, done = std::move(done)]() mutable {
+            if (*alive)
+                read(m_options.hostTable, std::move(done));
+        });
+}
+
 auto RelayedStoreClient::startDelayedWatches() -> void
 {
     for (auto& delayed : std::exchange(m_delayedWatches, {})) {
@@ -188,9 +202,12 @@
 
 auto RelayedStoreClient::onRead(const std::string& table, const Result& result) -> void
 {
-    if (const auto* response = std::get_if<StoreResponse>(&result))
+    const auto* response = std::get_if<StoreResponse>(&result);
+    if (response && table == m_options.hostTable)
+        m_isHostListPartial = response->isPartial;
+    if (response && !response->isPartial)
         updateCache(table, *response, true);
-    else if (table == m_options.hostTable)
+    else if (!response && table == m_options.hostTable)
         startDelayedWatches();
 }
 
@@ -206,6 +223,10 @@
 
 auto RelayedStoreClient::watch(const WatchRequest& watch, Callback done) -> void
 {
+    if (m_isHostListPartial && watch.table == m_options.hostTable) {
+        watchFirstHosts(std::move(done));
+        return;
+    }
     if (m_bootstrapReader && !m_areHostsKnown) {
         m_delayedWatches.push_back({ watch, std::move(done) });
         return;
--- a/src/fleet/RelayedStoreClient.h
+++ b/src/fleet/RelayedStoreClient.h
@@ -47,6 +47,9 @@
         std::string hostKey; // of this host in the host directory
         std::string region; // of this host; if empty, tables are always read from the store
         std::string hostTable = "hosts";
+        bool isFirstStart = false; // of the whole deployment
+        // How long the list of hosts then remains empty, at most. Targets send a heartbeat every 1.5 to 2 s.
+        std::chrono::milliseconds firstHostsDelay { 2500 };
         std::string freshnessTable; // its age is bounded, so relays also send confirmations that nothing changed
         // Relays of a data centre that may watch the store itself. Two, so that one may be unreachable.
         std::size_t storeWatchersPerDataCentre = 2;
@@ -147,6 +150,7 @@
     auto readFromStore(const std::string& table, Callback done) -> void;
     auto onRead(const std::string& table, const Result& result) -> void;
     auto startDelayedWatches() -> void;
+    auto watchFirstHosts(Callback done) -> void;
     // canBeCopied() returns whether the table is complete and recent enough for a starting daemon.
     [[nodiscard]] auto canBeCopied(const std::string& table) const -> bool;
     auto endWatch(const http::Exchange* exchange) -> void;
@@ -164,6 +168,7 @@
     std::function<std::optional<std::chrono::milliseconds>()> m_storeClock;
     std::optional<BootstrapReader> m_bootstrapReader; // until each table was read once
     bool m_areHostsKnown = false;
+    bool m_isHostListPartial = false; // at the first start of the deployment
     std::vector<DelayedWatch> m_delayedWatches;
     std::vector<Relay> m_relays; // of this data centre
     std::vector<Relay> m_regionRelays; // of the region's other data centres
--- a/src/fleet/StoreClient.h
+++ b/src/fleet/StoreClient.h
@@ -35,6 +35,7 @@
     std::chrono::milliseconds storeTime { 0 }; // the store's steady clock at the time of the response
     SuspendAwareTime sentAt; // when the request was sent
     SuspendAwareTime receivedAt;
+    bool isPartial = false; // rows are missing; a watch from newestVersion returns them
     bool isRelayed = false; // received from another daemon: as recent as storeTime, not as sentAt
 };
 
--- a/src/fleet/StoreView.cpp
+++ b/src/fleet/StoreView.cpp
@@ -35,6 +35,7 @@
           { .hostKey = options.hostKey,
               .region = options.locality.region,
               .hostTable = options.hostTable,
+              .isFirstStart = options.isFirstStart,
               .freshnessTable = options.operatorTable,
               .randomSeed = options.randomSeed })
     , m_operatorWatcher(scheduler, m_client,
--- a/src/fleet/StoreView.h
+++ b/src/fleet/StoreView.h
@@ -32,6 +32,7 @@
         std::string operatorTable;
         std::string hostTable = "hosts";
         std::chrono::milliseconds maximumAge { 4400 }; // of a response that counts as fresh
+        bool isFirstStart = false; // of the whole deployment
         std::uint32_t randomSeed = std::random_device {}();
     };
     using OperatorRowsCallback = std::function<void(const std::vector<StoreRow>& rows)>;
--- a/src/fleet/StoreView_test.cpp
+++ b/src/fleet/StoreView_test.cpp
@@ -26,6 +26,19 @@
     CHECK(bytes <= 3 * fleet.snapshotBytes() + 177 * fleet.firstHostsBytes());
 }
 
+// Replays the first start of a deployment, when there is nobody to copy from. A naive host reads both tables, watches
+// both at the store while it knows no relay, and writes its row: 5 requests and more.
+TEST_CASE("at its first start a fleet is informed soon, with few requests for each host")
+{
+    FleetSimulation fleet({ .hosts = GENERATE(1U, 2U, 30U, 354U), .isFirstStart = true });
+    fleet.startAll();
+    const auto time = fleet.timeUntilInformed(1.0, 10s);
+    REQUIRE(time);
+    CHECK(time->count() <= 5000); // half of the time until the first traffic
+    // The first rows, its own row, the list of hosts; the tables that the first hosts read, and the first watches.
+    CHECK(fleet.storeRequests() <= 3 * fleet.hostCount() + 60);
+}
+
 TEST_CASE("hosts that are started again copy the tables from those that kept running")
 {
     FleetSimulation fleet({ .hosts = 354, .seed = GENERATE(1U, 2U, 3U) });
--- a/src/sidecar/HostSettings.h
+++ b/src/sidecar/HostSettings.h
@@ -17,6 +17,7 @@
     std::string hostName;
     std::string hostAddress; // IP address
     Locality locality;
+    bool isFirstStart = false; // of the whole deployment: no host has a row in the store yet
     std::size_t regionCount = 1; // of the whole deployment
     std::string callerListenAddress; // for requests of callers on this host
     std::string peerListenAddress; // for requests of other daemons
--- a/src/sidecar/RunSidecar.cpp
+++ b/src/sidecar/RunSidecar.cpp
@@ -102,7 +102,7 @@
             std::vector<Error> faults;
             auto settings = m_platform.readSettings(m_path, faults);
             if (settings)
-                settings->peerAddress = m_activeSettings.peerAddress; // from the command line
+                keepStartSettings(*settings);
             if (!isSignalled && settings == m_lastRead)
                 return;
             for (const auto& fault : faults)
@@ -112,6 +112,13 @@
             m_lastRead = settings;
         }
 
+        // The address comes from the command line, and later starts don't concern a running daemon.
+        auto keepStartSettings(HostSettings& settings) const -> void
+        {
+            settings.peerAddress = m_activeSettings.peerAddress;
+            settings.isFirstStart = m_activeSettings.isFirstStart;
+        }
+
         boost::asio::signal_set m_signals;
         boost::asio::steady_timer m_timer;
         const PlatformBindings& m_platform;
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -187,7 +187,8 @@
               .locality = settings.locality,
               .operatorTable = adapter.operatorTable,
               .hostTable = hostTable,
-              .maximumAge = maximumResponseAge(settings) })
+              .maximumAge = maximumResponseAge(settings),
+              .isFirstStart = settings.isFirstStart })
     , registration(io, storeView.client(), target, storeView.directory(),
           { .table = hostTable,
               .key = hostKey,
--- a/src/testing/FleetSimulation.cpp
+++ b/src/testing/FleetSimulation.cpp
@@ -114,6 +114,7 @@
 
     Locality locality;
     std::string key;
+    std::string row; // value of its row in the store
     SimulatedNetwork::Link uplink = 0;
     SimulatedNetwork::Link downlink = 0;
     HostStoreClient store;
@@ -148,9 +149,12 @@
             .joinedAt = milliseconds(1000 + index) };
         host->key
             = fleet::hostRowKey(record.locality.region, record.peerAddress.substr(0, record.peerAddress.find(':')));
-        put(hostTable, host->key, fleet::encodeHostRecord(record));
+        host->row = fleet::encodeHostRecord(record);
+        if (!options.isFirstStart)
+            put(hostTable, host->key, host->row);
         m_hosts.push_back(std::move(host));
     }
+    m_tables[hostTable];
     configure();
 }
 
@@ -194,6 +198,7 @@
             .locality = host.locality,
             .operatorTable = operatorTable,
             .hostTable = hostTable,
+            .isFirstStart = m_options.isFirstStart,
             .randomSeed = static_cast<std::uint32_t>(m_random()) });
     host.view->onOperatorRows([&host](const std::vector<fleet::StoreRow>& rows) {
         for (const auto& row : rows)
@@ -201,6 +206,27 @@
     });
     host.view->onHostsChanged([](const std::vector<Error>&) {});
     host.view->start();
+    if (!m_options.isFirstStart)
+        return;
+    std::uniform_int_distribution<milliseconds::rep> spread(0, m_options.heartbeatPeriod.count());
+    m_scheduler.runAfter(milliseconds(spread(m_random)), [this, index] { writeRow(index); });
+}
+
+// Writes the row once the daemon knows whether it has one.
+auto FleetSimulation::writeRow(std::size_t index) -> void
+{
+    auto& host = *m_hosts[index];
+    if (!host.view)
+        return;
+    if (!host.view->areHostsLoaded()) {
+        m_scheduler.runAfter(m_options.heartbeatPeriod, [this, index] { writeRow(index); });
+        return;
+    }
+    ++m_storeRequests;
+    Error reason;
+    auto record = fleet::decodeHostRecord(host.key, host.row, reason).value();
+    record.joinedAt = storeTime();
+    put(hostTable, host.key, fleet::encodeHostRecord(record));
 }
 
 auto FleetSimulation::stop(const std::function<bool(std::size_t host)>& isSelected) -> void
@@ -237,7 +263,7 @@
         ++hosts;
         informed += isInformed(*m_hosts[index]) ? 1 : 0;
     }
-    return informed / hosts;
+    return hosts == 0 ? 1 : informed / hosts;
 }
 
 auto FleetSimulation::timeUntilInformed(double share, milliseconds longest) -> std::optional<milliseconds>
@@ -420,11 +446,16 @@
     respond(id, responseBytes(response), [done = done, response] { done(response); });
 }
 
+auto FleetSimulation::storeTime() const -> milliseconds
+{
+    return std::chrono::duration_cast<milliseconds>(m_scheduler.now().time_since_epoch());
+}
+
 auto FleetSimulation::rowsAfter(const std::string& table, std::uint64_t after) const -> StoreResponse
 {
     StoreResponse response;
     response.newestVersion = m_version;
-    response.storeTime = std::chrono::duration_cast<milliseconds>(m_scheduler.now().time_since_epoch());
+    response.storeTime = storeTime();
     for (const auto& [key, row] : m_tables.at(table)) {
         if (row.version > after)
             response.rows.push_back(row);
--- a/src/testing/FleetSimulation.h
+++ b/src/testing/FleetSimulation.h
@@ -40,6 +40,8 @@
         std::chrono::milliseconds localDelay { 1 };
         std::chrono::milliseconds storeServiceTime { 4 };
         std::chrono::milliseconds startSpread { 300 }; // daemons start within this time
+        bool isFirstStart = false; // no host has a row; each writes its own after its target's first heartbeat
+        std::chrono::milliseconds heartbeatPeriod { 1500 };
         std::size_t configurationBytes = 15'000; // that of 190 client accounts and 16 routes
         std::uint32_t seed = 1;
     };
@@ -69,6 +71,7 @@
     // hostsWatchingConfiguration() returns the hosts whose watches for the configuration are open at the store.
     [[nodiscard]] auto hostsWatchingConfiguration() const -> std::set<std::size_t>;
 
+    [[nodiscard]] auto hostCount() const -> std::size_t { return m_hosts.size(); }
     [[nodiscard]] auto storeRequests() const -> std::uint64_t { return m_storeRequests; }
     // Bytes of responses that crossed from the store's region to the other one.
     [[nodiscard]] auto regionLinkBytes() const -> std::uint64_t { return m_network.carriedBytes(m_regionLink); }
@@ -95,6 +98,7 @@
     using RequestId = std::uint64_t;
 
     auto startHost(std::size_t index) -> void;
+    auto writeRow(std::size_t index) -> void;
     auto start(const Request& request, std::chrono::milliseconds timeout) -> RequestId;
     auto respond(RequestId id, std::size_t bytes, std::function<void()> deliver) -> void;
     auto finish(RequestId id) -> void;
@@ -107,6 +111,7 @@
     auto handleAtStore(RequestId id, const fleet::StoreClient::WatchRequest& watch,
         const std::optional<fleet::StoreClient::RangeRequest>& range, const fleet::StoreClient::Callback& done) -> void;
     auto endStoreWatch(RequestId id) -> void;
+    [[nodiscard]] auto storeTime() const -> std::chrono::milliseconds;
     [[nodiscard]] auto rowsAfter(const std::string& table, std::uint64_t after) const -> fleet::StoreResponse;
     auto put(const std::string& table, const std::string& key, const std::string& value) -> void;
     [[nodiscard]] auto delay(std::size_t from, std::optional<std::size_t> to) const -> std::chrono::milliseconds;
