Choose the services of a split route by a Weyl sequence

Cause: each daemon chose by a random number, so over 2,000 requests a share strays by up to 0.03; wanted is 0.02 with both parts healthy, also where many daemons carry a few requests each. Change: the numbers of a route are a Weyl sequence from a random start. Measured: PolicySnapshot_test.cpp, four sets of weights at 1, 20 and 100 daemons within 0.02 of 2,000 requests; a change of weights, and a split that becomes a plain route and a split again, hold from the next request.

--- a/src/relay/EntryContext.cpp
+++ b/src/relay/EntryContext.cpp
@@ -15,4 +15,10 @@
     }
 }
 
+auto EntryContext::nextSplitPosition(const std::string& route) -> std::uint64_t
+{
+    constexpr std::uint64_t goldenRatio = 0x9e3779b97f4a7c15ULL; // times 2^64
+    return splitPositions.try_emplace(route, random()).first->second += goldenRatio;
+}
+
 } // namespace coriandergate::relay
--- a/src/relay/EntryContext.h
+++ b/src/relay/EntryContext.h
@@ -38,6 +38,10 @@
     // markReady() is called once configuration and hosts are known; it starts the requests that waited for them.
     auto markReady() -> void;
 
+    // nextSplitPosition() returns the number by which the next request of `route` chooses one of its services. The
+    // numbers of a route are a Weyl sequence: any run of them is spread evenly, more so than random numbers.
+    [[nodiscard]] auto nextSplitPosition(const std::string& route) -> std::uint64_t;
+
     struct Options {
         // From the daemon's start; requests that arrive before the first configuration and host list wait for them this
         // long. Twice the store's usual response time.
@@ -80,6 +84,7 @@
     std::map<std::string, MonotonicTime> rateLimitOwnerAvoidedUntil; // by host; the owner gave no decision
     std::map<std::string, MonotonicTime> rateExhaustedUntil; // by "account@host"; the owner had no request left
     std::map<std::string, dispatch::RetryBudget::CallsPerRequest> callsPerRequest; // by service, as last reported
+    std::map<std::string, std::uint64_t> splitPositions; // by route name
     std::map<std::string, double> meanResponseBytes; // moving average, by route name
     std::map<const EntryRequest*, std::weak_ptr<EntryRequest>> openRequests; // authenticated and not yet destroyed
     std::optional<MonotonicTime> shutdownDeadline; // set at shutdown; every request gets its response by then
--- a/src/relay/EntryRequest.cpp
+++ b/src/relay/EntryRequest.cpp
@@ -221,7 +221,7 @@
 
 auto EntryRequest::prepareForwarding() -> void
 {
-    m_service = PolicySnapshot::chooseService(*m_route, m_context.random());
+    m_service = PolicySnapshot::chooseService(*m_route, m_context.nextSplitPosition(m_route->name));
     if (isCallFromTarget())
         m_priority = std::min(m_priority, m_snapshot->highestPriority(m_service));
     const auto now = monotonicNow();
--- /dev/null
+++ b/src/relay/PolicySnapshot_test.cpp
@@ -0,0 +1,71 @@
+#include "relay/PolicySnapshot.h"
+
+#include "config/Configuration.h"
+#include "testing/EntryFixture.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+
+namespace coriandergate::relay {
+
+namespace {
+
+    auto makeRoute(const std::vector<config::TrafficPart>& split) -> config::Route
+    {
+        config::Route route;
+        route.name = "orders";
+        route.service = split.empty() ? "plain" : "";
+        route.split = split;
+        return route;
+    }
+
+    // Shares of the services over `requests` of the route at each of `daemons`.
+    auto measureShares(const config::Route& route, int daemons, int requests) -> std::map<std::string, double>
+    {
+        std::map<std::string, double> shares;
+        for (int daemon = 0; daemon < daemons; ++daemon) {
+            testing::EntryFixture entry;
+            entry.context.random.seed(static_cast<std::uint64_t>(daemon) + 1);
+            for (int i = 0; i < requests; ++i)
+                shares[PolicySnapshot::chooseService(route, entry.context.nextSplitPosition(route.name))]
+                    += 1.0 / (daemons * requests);
+        }
+        return shares;
+    }
+
+} // namespace
+
+// Load pattern: a split that many daemons carry out, each with a few requests, must keep its weights over all of them.
+TEST_CASE("the services of a split get their weights' shares within 0.02 of 2,000 requests, at one daemon or at many")
+{
+    const auto weights = GENERATE(std::vector<double> { 90, 10 }, std::vector<double> { 1, 1 },
+        std::vector<double> { 50, 30, 20 }, std::vector<double> { 1, 0 });
+    const auto daemons = GENERATE(1, 20, 100);
+    std::vector<config::TrafficPart> split;
+    double total = 0;
+    for (const auto weight : weights) {
+        split.push_back({ "service-" + std::to_string(split.size()), weight });
+        total += weight;
+    }
+    auto shares = measureShares(makeRoute(split), daemons, 2000 / daemons);
+    for (const auto& part : split)
+        CHECK(shares[part.service] == Approx(part.weight / total).margin(0.02));
+}
+
+TEST_CASE(
+    "a configuration that changes weights, or replaces a split by a service and back, holds from the next request")
+{
+    CHECK(measureShares(makeRoute({ { "a", 1 }, { "b", 9 } }), 1, 2000)["a"] == Approx(0.1).margin(0.02));
+    CHECK(measureShares(makeRoute({ { "a", 9 }, { "b", 1 } }), 1, 2000)["a"] == Approx(0.9).margin(0.02));
+    CHECK(measureShares(makeRoute({}), 1, 20)["plain"] == Approx(1));
+    testing::EntryFixture entry;
+    const auto split = makeRoute({ { "a", 1 }, { "b", 1 } });
+    int countOfA = 0;
+    for (int i = 0; i < 1000; ++i) {
+        countOfA += PolicySnapshot::chooseService(split, entry.context.nextSplitPosition("orders")) == "a" ? 1 : 0;
+        CHECK(PolicySnapshot::chooseService(makeRoute({}), entry.context.nextSplitPosition("orders")) == "plain");
+    }
+    CHECK(countOfA == Approx(500).margin(20));
+}
+
+} // namespace coriandergate::relay
