Let copies of the tables take as long as they make progress

Cause: the new simulation at 1,000 hosts: each of the fourteen peers of a region sends 79 KB to 35 hosts in 2.2 s, longer than a copy might take (1.6 s) and might be old (1.9 s), so hosts read from the store instead, 63 MB over the region's link, and 370 of 500 far hosts were uninformed 8 s after the start. Change: a copy times out when nothing arrives; the list of hosts, which a watch then brings up to date, may be as old as rows that count as fresh. The configuration's copy may still be 1.9 s old at most.

--- a/src/fleet/BootstrapReader.cpp
+++ b/src/fleet/BootstrapReader.cpp
@@ -121,7 +121,7 @@
         [this, alive = m_isAlive, address = *address, table, peers, done, sentAt](RelayTransport::Result result) {
             if (!*alive)
                 return;
-            if (auto* copy = std::get_if<StoreResponse>(&result); copy && isRecent(*copy)) {
+            if (auto* copy = std::get_if<StoreResponse>(&result); copy && isRecent(table, *copy)) {
                 copy->sentAt = sentAt;
                 copy->receivedAt = m_scheduler.suspendAwareNow();
                 copy->isRelayed = true;
@@ -144,10 +144,11 @@
         });
 }
 
-auto BootstrapReader::isRecent(const StoreResponse& copy) const -> bool
+auto BootstrapReader::isRecent(const std::string& table, const StoreResponse& copy) const -> bool
 {
     const auto storeNow = m_storeClock ? m_storeClock() : std::nullopt;
-    return storeNow && *storeNow - copy.storeTime <= m_options.maximumAge;
+    const auto maximumAge = table == m_options.hostTable ? m_options.maximumHostListAge : m_options.maximumAge;
+    return storeNow && *storeNow - copy.storeTime <= maximumAge;
 }
 
 } // namespace coriandergate::fleet
--- a/src/fleet/BootstrapReader.h
+++ b/src/fleet/BootstrapReader.h
@@ -40,11 +40,13 @@
         std::size_t firstHosts = 16; // rows of the region that are read first; each of them serves some others
         // How long a peer may hold a request until it has the table: the time of two reads over a loaded link.
         std::chrono::milliseconds copyWait { 900 };
-        std::chrono::milliseconds copyTimeout { 1600 }; // for the whole copy
+        std::chrono::milliseconds copyTimeout { 1600 }; // until the copy begins, and between its parts
         bool isFirstStart = false; // of the whole deployment
         // A region whose first hosts all joined within this time may still be at its first start.
         std::chrono::milliseconds maximumFirstStartAge { 5000 };
         std::chrono::milliseconds maximumAge { 1900 }; // of a copy, by the store's clock
+        // The list of hosts is large, and its copy may be under way for longer. A watch brings it up to date.
+        std::chrono::milliseconds maximumHostListAge { 4400 };
         std::chrono::milliseconds retryDelay { 200 }; // daemons that start together are up within twice this time
         BootstrapPeers::Options peers;
         std::uint32_t randomSeed = std::random_device {}();
@@ -79,7 +81,7 @@
     auto setFirstHosts(const std::vector<BootstrapPeers::Peer>& firstHosts) -> void;
     auto onFirstHosts(StoreClient::Result result) -> void;
     auto copyOrRead(const std::string& table, const BootstrapPeers& peers, const StoreClient::Callback& done) -> void;
-    [[nodiscard]] auto isRecent(const StoreResponse& copy) const -> bool;
+    [[nodiscard]] auto isRecent(const std::string& table, const StoreResponse& copy) const -> bool;
 
     Scheduler& m_scheduler;
     StoreClient& m_store;
--- a/src/fleet/HttpRelayTransport.cpp
+++ b/src/fleet/HttpRelayTransport.cpp
@@ -33,7 +33,8 @@
 auto HttpRelayTransport::watch(const std::string& address, const RelayWatchRequest& request,
     std::chrono::milliseconds timeout, Callback done) -> void
 {
-    m_client.send(address, encodeRelayWatchRequest(request), { .timeout = timeout },
+    const auto stallTimeout = request.isSnapshot ? std::optional(timeout) : std::nullopt;
+    m_client.send(address, encodeRelayWatchRequest(request), { .timeout = timeout, .stallTimeout = stallTimeout },
         [address, done = std::move(done)](
             const net::HttpClient::Result& result) { done(decodeResult(result, address)); });
 }
--- a/src/fleet/RelayTransport.h
+++ b/src/fleet/RelayTransport.h
@@ -28,7 +28,8 @@
     virtual ~RelayTransport() = default;
 
     // watch() sends `request` to the daemon at `address` and calls `done` once, later: with the response, or with the
-    // reason why none came within `timeout`. Of the response only the rows, the version and the store's time are set.
+    // reason why none came within `timeout`. A snapshot may take longer while its bytes keep arriving. Of the response
+    // only the rows, the version and the store's time are set.
     virtual auto watch(const std::string& address, const RelayWatchRequest& request, std::chrono::milliseconds timeout,
         Callback done) -> void
         = 0;
--- a/src/fleet/StoreView_test.cpp
+++ b/src/fleet/StoreView_test.cpp
@@ -26,6 +26,15 @@
     CHECK(bytes <= 3 * fleet.snapshotBytes() + 177 * fleet.firstHostsBytes());
 }
 
+// Guards against a fleet that outgrows the time for one copy: copies that are begun anew would load the link again.
+TEST_CASE("after a restart of 1,000 hosts the bytes over the link still are those of a few tables")
+{
+    FleetSimulation fleet({ .hosts = 1000, .seed = GENERATE(1U, 4U) });
+    fleet.startAll();
+    REQUIRE(fleet.timeUntilInformed(0.9, 20s));
+    CHECK(fleet.regionLinkBytes() <= 3 * fleet.snapshotBytes() + 500 * fleet.firstHostsBytes());
+}
+
 // Replays the first start of a deployment, when there is nobody to copy from. A naive host reads both tables, watches
 // both at the store while it knows no relay, and writes its row: 5 requests and more.
 TEST_CASE("at its first start a fleet is informed soon, with few requests for each host")
--- a/src/testing/FleetSimulation.cpp
+++ b/src/testing/FleetSimulation.cpp
@@ -23,8 +23,9 @@
     // A new connection takes a round trip before the request follows.
     constexpr int delaysUntilRequest = 3;
     constexpr int delaysUntilRefused = 2;
-    // Largest time between two parts of a response of the store, as in platform::PlatformStore.
-    constexpr milliseconds storeTimeout { 1100 };
+    constexpr milliseconds storeTimeout { 1100 }; // until a response begins, as in platform::PlatformStore
+    // For the rest of a large response, as in net::HttpClient.
+    constexpr milliseconds longestResponse { 8000 };
     constexpr milliseconds stepTime { 10 };
 
     auto addressOf(std::size_t host)
@@ -333,6 +334,8 @@
     if (found == m_requests.end())
         return;
     auto& request = found->second;
+    if (request.mayTakeLong)
+        extendTimeout(id);
     request.transfer
         = m_network.start(responsePath(request.to, request.from), bytes, [this, id, deliver = std::move(deliver)] {
               const auto sent = m_requests.find(id);
@@ -347,6 +350,14 @@
           });
 }
 
+// Transfers always progress here, so a response that has begun doesn't stall.
+auto FleetSimulation::extendTimeout(RequestId id) -> void
+{
+    auto& request = m_requests.at(id);
+    m_scheduler.cancel(request.timeout);
+    request.timeout = m_scheduler.runAfter(longestResponse, [this, id] { failRequest(id); });
+}
+
 auto FleetSimulation::queryRelay(std::size_t host, const std::string& address, const fleet::RelayWatchRequest& watch,
     milliseconds timeout, fleet::RelayTransport::Callback done) -> void
 {
@@ -354,7 +365,8 @@
     while (addressOf(relay) != address)
         ++relay;
     const auto fail = [done, address] { done(Error { "watch through relay", address, "no response" }); };
-    const auto id = start({ .from = host, .to = relay, .fail = fail, .abandon = nullptr }, timeout);
+    const auto id = start(
+        { .from = host, .to = relay, .mayTakeLong = watch.isSnapshot, .fail = fail, .abandon = nullptr }, timeout);
     if (!m_hosts[relay]->view) {
         m_scheduler.runAfter(delaysUntilRefused * delay(host, relay), [this, id] { failRequest(id); });
         return;
@@ -403,8 +415,8 @@
     const auto fail = [complete] {
         complete(StoreFailure { StoreFailure::Kind::Unknown, { "query", "store", "no whole response in time" }, {} });
     };
-    const auto id
-        = start({ .from = host, .to = std::nullopt, .fail = fail, .abandon = nullptr }, storeTimeout + watch.wait);
+    const auto id = start({ .from = host, .to = std::nullopt, .mayTakeLong = true, .fail = fail, .abandon = nullptr },
+        storeTimeout + watch.wait);
     m_scheduler.runAfter(delaysUntilRequest * delay(host, std::nullopt) + m_options.storeServiceTime,
         [this, id, watch, range, complete] {
             if (m_requests.contains(id))
--- a/src/testing/FleetSimulation.h
+++ b/src/testing/FleetSimulation.h
@@ -90,6 +90,7 @@
     struct Request {
         std::size_t from = 0;
         std::optional<std::size_t> to; // nothing for the store
+        bool mayTakeLong = false; // its timeout ends when the response begins
         std::function<void()> fail;
         std::function<void()> abandon; // tells the other host that nobody waits for its response
         Scheduler::Timer timeout = 0;
@@ -101,6 +102,7 @@
     auto writeRow(std::size_t index) -> void;
     auto start(const Request& request, std::chrono::milliseconds timeout) -> RequestId;
     auto respond(RequestId id, std::size_t bytes, std::function<void()> deliver) -> void;
+    auto extendTimeout(RequestId id) -> void;
     auto finish(RequestId id) -> void;
     auto failRequest(RequestId id) -> void;
     // A request with a range is a read, else it is a watch.
