Cut a target's second answer at every byte in a test

Cause: other operators report a late second copy of an answer that reached the next caller of the connection. Change: a test; of the code nothing. The same for the store's answers, which bear no id, is listed as open.

--- a/src/net/HttpClient_test.cpp
+++ b/src/net/HttpClient_test.cpp
@@ -400,4 +400,97 @@
     CHECK(std::chrono::steady_clock::now() - secondStart < 700ms);
 }
 
+namespace {
+
+    // RepeatingPeer answers the first request of its first connection with "one" and then sends a second copy of that
+    // answer: the first bytes of it after a pause, the rest when the next request comes. All other requests get "two".
+    class RepeatingPeer {
+    public:
+        RepeatingPeer(boost::asio::io_context& io, std::size_t earlyBytes)
+            : m_acceptor(io, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
+            , m_earlyBytes(earlyBytes)
+        {
+            accept();
+        }
+
+        [[nodiscard]] auto address() const -> std::string
+        {
+            return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+        }
+
+        // sendEarlyBytes() sends the first part of the copy.
+        auto sendEarlyBytes() -> void
+        {
+            boost::system::error_code ignored; // the client may have closed the connection
+            boost::asio::write(*m_sockets.front(), boost::asio::buffer(m_copy.substr(0, m_earlyBytes)), ignored);
+        }
+
+    private:
+        auto accept() -> void
+        {
+            m_acceptor.async_accept([this](const boost::system::error_code& error, tcp::socket socket) {
+                if (error)
+                    return;
+                m_sockets.push_back(std::make_shared<tcp::socket>(std::move(socket)));
+                read(m_sockets.back(), m_sockets.size() == 1);
+                accept();
+            });
+        }
+
+        auto read(const std::shared_ptr<tcp::socket>& socket, bool isFirst) -> void
+        {
+            const auto received = std::make_shared<std::string>();
+            boost::asio::async_read_until(*socket, boost::asio::dynamic_buffer(*received), "\r\n\r\n",
+                [this, socket, isFirst, received](const boost::system::error_code& error, std::size_t) {
+                    if (error)
+                        return;
+                    const bool isRepeated = !isFirst && socket == m_sockets.front();
+                    const auto bytes
+                        = isFirst ? m_copy : (isRepeated ? m_copy.substr(m_earlyBytes) : "") + good("two", "second");
+                    boost::system::error_code ignored; // the client may have closed the connection
+                    boost::asio::write(*socket, boost::asio::buffer(bytes), ignored);
+                    read(socket, false);
+                });
+        }
+
+        tcp::acceptor m_acceptor;
+        std::size_t m_earlyBytes;
+        std::string m_copy = good("one", "first");
+        std::vector<std::shared_ptr<tcp::socket>> m_sockets;
+    };
+
+    auto sendWithId(boost::asio::io_context& io, HttpClient& client, const std::string& peer, const std::string& id)
+        -> HttpClient::Result
+    {
+        auto sendOptions = options;
+        sendOptions.answerId = id;
+        std::optional<HttpClient::Result> received;
+        client.send(
+            peer, requestBytes(), sendOptions, [&](HttpClient::Result result) { received = std::move(result); });
+        while (!received)
+            io.run_one();
+        return std::move(*received);
+    }
+
+} // namespace
+
+// Guards against a late second copy of an answer that reaches the next request of the connection.
+TEST_CASE("a second copy of an answer never answers the next request, wherever it is cut by the pause between them")
+{
+    const auto copyBytes = good("one", "first").size();
+    const bool isReadBeforeReuse = GENERATE(true, false);
+    for (std::size_t earlyBytes = 0; earlyBytes <= copyBytes; ++earlyBytes) {
+        INFO(earlyBytes << " bytes of the copy come before the next request, read before it: " << isReadBeforeReuse);
+        boost::asio::io_context io;
+        RepeatingPeer peer(io, earlyBytes);
+        HttpClient client(io, {});
+        REQUIRE(bodyOf(sendWithId(io, client, peer.address(), "first")) == "one");
+        peer.sendEarlyBytes();
+        for (int i = 0; isReadBeforeReuse && i < 3; ++i)
+            io.run_one_for(1ms);
+        const auto second = sendWithId(io, client, peer.address(), "second");
+        CHECK(bodyOf(second) == "two");
+    }
+}
+
 } // namespace coriandergate::net
