Complete a copied list of hosts with the store's changes since

Change: a list of hosts that is older than the daemon's first response of the store is completed with the changes since.

--- a/src/fleet/BootstrapReader.cpp
+++ b/src/fleet/BootstrapReader.cpp
@@ -4,6 +4,9 @@
 #include "fleet/RelayTransport.h"
 #include "log/Event.h"
 
+#include <algorithm>
+#include <map>
+
 namespace coriandergate::fleet {
 
 namespace {
@@ -61,6 +64,8 @@
             read.done(result);
         return;
     }
+    if (m_startStoreTime.count() == 0)
+        m_startStoreTime = response->storeTime;
     if (m_clockCallback)
         m_clockCallback(*response);
     std::vector<BootstrapPeers::Peer> firstHosts;
@@ -128,7 +133,7 @@
                 log::logEvent(tableCopied,
                     { { "table", table }, { "peer", address }, { "rows", std::to_string(copy->rows.size()) },
                         { "version", std::to_string(copy->newestVersion) } });
-                done(std::move(*copy));
+                onCopied(table, std::move(*copy), done);
                 return;
             }
             const auto* error = std::get_if<Error>(&result);
@@ -144,6 +149,44 @@
         });
 }
 
+// A list of hosts that is older than this daemon may lack the newest row of its host, which tells whether its target
+// had left. The changes since the copy are then requested from the store. Other tables may be as old as rows that
+// relays send.
+auto BootstrapReader::onCopied(const std::string& table, StoreResponse copy, const StoreClient::Callback& done) -> void
+{
+    if (table != m_options.hostTable || copy.storeTime >= m_startStoreTime) {
+        done(std::move(copy));
+        return;
+    }
+    const auto version = copy.newestVersion;
+    m_store.watch({ .table = table, .after = version },
+        [this, alive = m_isAlive, table, copy = std::move(copy), done](StoreClient::Result result) mutable {
+            if (!*alive)
+                return;
+            if (auto* changes = std::get_if<StoreResponse>(&result))
+                done(merge(std::move(copy), std::move(*changes)));
+            else if (std::get<StoreFailure>(result).kind == StoreFailure::Kind::HistoryTruncated)
+                m_store.read(table, done);
+            else
+                done(std::move(result));
+        });
+}
+
+// Returns the rows of `copy` with the changes made since, as of the time of the changes.
+auto BootstrapReader::merge(StoreResponse copy, StoreResponse changes) -> StoreResponse
+{
+    std::map<std::string, StoreRow> rows;
+    for (auto* response : { &copy, &changes }) {
+        for (auto& row : response->rows)
+            rows[row.key] = std::move(row);
+    }
+    changes.rows.clear();
+    for (auto& entry : rows)
+        changes.rows.push_back(std::move(entry.second));
+    changes.newestVersion = std::max(changes.newestVersion, copy.newestVersion);
+    return changes;
+}
+
 auto BootstrapReader::isRecent(const std::string& table, const StoreResponse& copy) const -> bool
 {
     const auto storeNow = m_storeClock ? m_storeClock() : std::nullopt;
--- a/src/fleet/BootstrapReader.h
+++ b/src/fleet/BootstrapReader.h
@@ -1,7 +1,8 @@
 // Reads whole tables for a starting daemon: from peers that already have them where possible, else from the store.
 //
 // See BootstrapPeers for why and from whom. One small read of the first host rows of the region precedes the first
-// table. A peer that is still starting itself holds the request until it has the table.
+// table. A peer that is still starting itself holds the request until it has the table. A list of hosts
+// that is older than the daemon is completed by the store, so that the daemon knows the newest row of its own host.
 //
 // Load pattern of the first start of a whole deployment: no host has a row, so there is nobody to copy from, and every
 // daemon would read and watch the store itself. Instead the list of hosts begins as a partial, empty one. The other
@@ -81,6 +82,8 @@
     auto setFirstHosts(const std::vector<BootstrapPeers::Peer>& firstHosts) -> void;
     auto onFirstHosts(StoreClient::Result result) -> void;
     auto copyOrRead(const std::string& table, const BootstrapPeers& peers, const StoreClient::Callback& done) -> void;
+    auto onCopied(const std::string& table, StoreResponse copy, const StoreClient::Callback& done) -> void;
+    [[nodiscard]] static auto merge(StoreResponse copy, StoreResponse changes) -> StoreResponse;
     [[nodiscard]] auto isRecent(const std::string& table, const StoreResponse& copy) const -> bool;
 
     Scheduler& m_scheduler;
@@ -90,6 +93,7 @@
     ClockCallback m_clockCallback;
     std::function<std::optional<std::chrono::milliseconds>()> m_storeClock;
     std::vector<PendingRead> m_pendingReads; // wait for the first hosts
+    std::chrono::milliseconds m_startStoreTime { 0 }; // of the store's first response
     bool m_isRequestingFirstHosts = false;
     bool m_hasWaitedForHosts = false; // of the first start
     std::optional<BootstrapPeers> m_peers; // once the first hosts are known
--- a/src/fleet/RelayedStoreClient.h
+++ b/src/fleet/RelayedStoreClient.h
@@ -166,7 +166,7 @@
     RelayTransport& m_transport;
     Options m_options;
     std::function<std::optional<std::chrono::milliseconds>()> m_storeClock;
-    std::optional<BootstrapReader> m_bootstrapReader; // until each table was read once
+    std::optional<BootstrapReader> m_bootstrapReader; // for the first read of each table
     bool m_areHostsKnown = false;
     bool m_isHostListPartial = false; // at the first start of the deployment
     std::vector<DelayedWatch> m_delayedWatches;
--- a/src/testing/FleetSimulation.cpp
+++ b/src/testing/FleetSimulation.cpp
@@ -1,6 +1,5 @@
 #include "testing/FleetSimulation.h"
 
-#include "fleet/HostRecord.h"
 #include "http/Exchange.h"
 #include "http/Status.h"
 
@@ -122,6 +121,7 @@
     HostRelayTransport transport;
     bool isStarting = false;
     std::unique_ptr<fleet::StoreView> view; // while the daemon runs
+    std::optional<fleet::HostRecord::State> stateAtStart;
     std::uint64_t configurationVersion = 0; // row version that the daemon knows
 };
 
@@ -169,6 +169,19 @@
     put(operatorTable, configurationKey, std::string(m_options.configurationBytes, 'c'));
 }
 
+auto FleetSimulation::setState(std::size_t host, fleet::HostRecord::State state) -> void
+{
+    Error reason;
+    auto record = fleet::decodeHostRecord(m_hosts[host]->key, m_hosts[host]->row, reason).value();
+    record.state = state;
+    put(hostTable, m_hosts[host]->key, fleet::encodeHostRecord(record));
+}
+
+auto FleetSimulation::stateAtStart(std::size_t host) const -> std::optional<fleet::HostRecord::State>
+{
+    return m_hosts[host]->stateAtStart;
+}
+
 auto FleetSimulation::setStoreServes(std::function<bool(std::size_t host)> serves) -> void
 {
     m_storeServes = std::move(serves);
@@ -194,6 +207,7 @@
     auto& host = *m_hosts[index];
     host.isStarting = false;
     host.configurationVersion = 0;
+    host.stateAtStart.reset();
     host.view = std::make_unique<fleet::StoreView>(m_scheduler, host.store, host.transport,
         fleet::StoreView::Options { .hostKey = host.key,
             .locality = host.locality,
@@ -205,7 +219,10 @@
         for (const auto& row : rows)
             host.configurationVersion = std::max(host.configurationVersion, row.version);
     });
-    host.view->onHostsChanged([](const std::vector<Error>&) {});
+    host.view->onHostsChanged([&host](const std::vector<Error>&) {
+        if (const auto* record = host.view->directory().find(host.key); record && !host.stateAtStart)
+            host.stateAtStart = record->state;
+    });
     host.view->start();
     if (!m_options.isFirstStart)
         return;
@@ -502,6 +519,8 @@
     return responseBytes(rowsAfter(operatorTable, 0)) + responseBytes(rowsAfter(hostTable, 0));
 }
 
+auto FleetSimulation::emptyResponseBytes() -> std::size_t { return responseBytes({}); }
+
 auto FleetSimulation::firstHostsBytes() const -> std::size_t
 {
     auto response = rowsAfter(hostTable, 0);
--- a/src/testing/FleetSimulation.h
+++ b/src/testing/FleetSimulation.h
@@ -10,6 +10,7 @@
 //   CHECK(fleet.informedShare(1) >= 0.9);
 #pragma once
 
+#include "fleet/HostRecord.h"
 #include "fleet/StoreView.h"
 #include "testing/SimulatedNetwork.h"
 #include "testing/SimulatedScheduler.h"
@@ -56,8 +57,12 @@
     // setStoreServes() sets which hosts the store serves; the others get status 503.
     auto setStoreServes(std::function<bool(std::size_t host)> serves) -> void;
 
-    // configure() replaces the configuration row.
+    // configure() replaces the configuration row; setState() changes a host's row.
     auto configure() -> void;
+    auto setState(std::size_t host, fleet::HostRecord::State state) -> void;
+
+    // stateAtStart() is the state in its own row that a host's daemon learned with the list of hosts when it started.
+    [[nodiscard]] auto stateAtStart(std::size_t host) const -> std::optional<fleet::HostRecord::State>;
 
     auto runFor(std::chrono::milliseconds duration) -> void { m_scheduler.runFor(duration); }
 
@@ -79,6 +84,8 @@
     [[nodiscard]] auto snapshotBytes() const -> std::size_t;
     // Size of the store's response with the first host rows of a region, which each starting daemon reads.
     [[nodiscard]] auto firstHostsBytes() const -> std::size_t;
+    // Size of the store's response without rows.
+    [[nodiscard]] static auto emptyResponseBytes() -> std::size_t;
 
 private:
     struct Host;
