--- a/review/1/Case.cpp
+++ b/review/1/Case.cpp
@@ -33,7 +33,6 @@
     Record record(argc > 1 ? argv[1] : "record.txt");
     Ledger ledger;
     const bool troubled = isTroubled();
-    Fleet* fleet = nullptr;
     std::atomic<bool> isOn = false;
     std::map<std::string, std::pair<long, long>> counts; // by instance: arrivals, and copies sent
     std::map<std::string, long> sheds;
@@ -49,7 +48,7 @@
         if (!troubled || !isOn || !isMarked || arrival > 1 || sheds[instance] + 1 > shedFraction * arrivals)
             return Instance::Fate::Run;
         ++sheds[instance];
-        const bool isFaulty = instance.starts_with("i-ledger-1-");
+        const bool isFaulty = instance.starts_with("i-ledger-1-"); // one of two, within a share of 0.6
         if (!isFaulty || copies + 1 > extraFraction * arrivals)
             return Instance::Fate::Shed;
         ++copies;
@@ -61,11 +60,10 @@
         ++ledger.runs[id];
         record.line("instance " + instance + " begins to run " + id);
     };
-    Fleet deployment(record, { { .name = "ledger", .instances = 2, .workMs = 40 } }, chooseFate, started);
-    fleet = &deployment;
-    if (!fleet->start()) {
+    Fleet fleet(record, { { .name = "ledger", .instances = 2, .workMs = 40 } }, chooseFate, started);
+    if (!fleet.start()) {
         std::cerr << "the deployment didn't come up\n";
-        fleet->stop();
+        fleet.stop();
         finish(2);
     }
     isOn = true;
@@ -73,12 +71,12 @@
     std::map<std::string, int> statuses;
     std::vector<std::thread> clients;
     const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(loadSeconds);
-    for (std::size_t number = 0; number < fleet->size() * clientsPerHost; ++number) {
+    for (std::size_t number = 0; number < fleet.size() * clientsPerHost; ++number) {
         clients.emplace_back([&, number] {
-            Client client(fleet->host(number % fleet->size()).callers());
+            Client client(fleet.host(number % fleet.size()).callers());
             for (int i = 1; std::chrono::steady_clock::now() < end; ++i) {
-                // The client with the number 0 sends the marked requests, one in 12 of its own.
-                const bool isMarked = number == 0 && i % 12 == 0;
+                // The client with the number 0 sends the marked requests, one in 8 of its own.
+                const bool isMarked = number == 0 && i % 8 == 0;
                 const auto id = "c" + std::to_string(number) + "-" + std::to_string(i) + (isMarked ? "-marked" : "");
                 const auto outcome = client.send("POST", "/book-ledger/1", id, "one order");
                 record.line("client got " + std::to_string(outcome.status) + " for " + id);
@@ -93,7 +91,7 @@
     for (auto& client : clients)
         client.join();
     std::this_thread::sleep_for(std::chrono::seconds(2));
-    fleet->stop();
+    fleet.stop();
     const std::lock_guard lock(ledger.mutex);
     int twice = 0;
     int falselyRefused = 0;
