--- a/review/1/Case.cpp
+++ b/review/1/Case.cpp
@@ -75,8 +75,8 @@
         clients.emplace_back([&, number] {
             Client client(fleet.host(number % fleet.size()).callers());
             for (int i = 1; std::chrono::steady_clock::now() < end; ++i) {
-                // The client with the number 0 sends the marked requests, one in 8 of its own.
-                const bool isMarked = number == 0 && i % 8 == 0;
+                // One client at each machine sends the marked requests, one in 8 of its own.
+                const bool isMarked = number < fleet.size() && i % 8 == 0;
                 const auto id = "c" + std::to_string(number) + "-" + std::to_string(i) + (isMarked ? "-marked" : "");
                 const auto outcome = client.send("POST", "/book-ledger/1", id, "one order");
                 record.line("client got " + std::to_string(outcome.status) + " for " + id);
