Never send a request again to a target that rejected it

What callers saw: a booking ran twice, or was refused with 503 (not run) after it had run, when a target wrote its rejection once more on a kept connection. Cause: a rejected request was sent to the same target again once all targets had been tried. Both sendings bear one request id, so the second rejection can't be told from a copy of the first, which may come before, during or after the run, and on any connection. A rejection without a request id was trusted too. Change: a target that rejected a request is left out for the rest of that request; when every target has rejected it, the request is refused at once instead of waiting for its target latency. A rejection that doesn't name the request counts as 'may have run'. The fake target echoes the request id in its rejections, as targets of the platform do.

--- a/src/relay/EntryRequest.cpp
+++ b/src/relay/EntryRequest.cpp
@@ -309,20 +309,31 @@
         }
         advanceStage();
         if (m_stage == Stage::WithinTargetLatency)
-            m_excludedTargets.clear();
+            m_excludedTargets = m_rejectingTargets;
     }
     waitOrFinish();
 }
 
+auto EntryRequest::isRejectedByAllTargets() const -> bool
+{
+    const auto targets = m_context.loadBalancer.targets(m_service);
+    return !m_rejectingTargets.empty() && std::all_of(targets.begin(), targets.end(), [this](const auto& target) {
+        const auto& address = target->description.address;
+        return target->description.isDraining
+            || std::find(m_rejectingTargets.begin(), m_rejectingTargets.end(), address) != m_rejectingTargets.end();
+    });
+}
+
 // No target is usable now. Searches again after a pause while the target latency can still be met and no target refused
 // for lack of slots; otherwise ends the request.
 auto EntryRequest::waitOrFinish() -> void
 {
     const auto now = monotonicNow();
-    if (m_slotRefusals == 0 && !m_isRetryBudgetExhausted && targetLatencyLeft(now) > noTargetPause) {
+    if (m_slotRefusals == 0 && !m_isRetryBudgetExhausted && !isRejectedByAllTargets()
+        && targetLatencyLeft(now) > noTargetPause) {
         m_stage = Stage::NoWait;
         m_triesInStage = 0;
-        m_excludedTargets.clear();
+        m_excludedTargets = m_rejectingTargets;
         m_waitTimer.expires_after(noTargetPause);
         m_waitTimer.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
             if (!error && !self->m_isDone)
@@ -577,6 +588,8 @@
     endAttempt();
     if (outcome == RunOutcome::NotSent)
         undoAttempt();
+    if (outcome == RunOutcome::NotRun)
+        m_rejectingTargets.push_back(m_excludedTargets.back());
     if (outcome == RunOutcome::NotSent || outcome == RunOutcome::NotRun) {
         tryNextTarget();
         return;
--- a/src/relay/EntryRequest_test.cpp
+++ b/src/relay/EntryRequest_test.cpp
@@ -168,6 +168,22 @@
     }
 }
 
+// Guards against a request that runs twice, or is refused after it ran: a target that rejected it and gets it again may
+// send the rejection once more while it executes the request.
+TEST_CASE("EntryRequest never sends a request again to a target that rejected it")
+{
+    Entry entry;
+    const std::size_t targets = GENERATE(1U, 2U);
+    for (std::size_t i = 0; i < targets; ++i)
+        entry.addPeer(RunOutcome::NotRun);
+    const auto before = monotonicNow();
+    const auto response = entry.request("/notes/1");
+    CHECK(response.status == 503);
+    CHECK(response.headers.find("Retry-After"));
+    CHECK(entry.runRequests == static_cast<int>(targets));
+    CHECK(monotonicNow() - before < 150ms); // no target is left, so it does not wait for the target latency of 200 ms
+}
+
 // Guards against a burst of retries when all daemons restart under load: requests that are refused until the store's
 // first response, a quarter of a second later, would all be retried at the same time.
 TEST_CASE("EntryRequest waits for the first configuration and host list after a start")
--- a/src/relay/TargetRelay.cpp
+++ b/src/relay/TargetRelay.cpp
@@ -456,6 +456,12 @@
     if (isRejection) {
         recordRejection(response, now);
         finishRun(run, std::nullopt);
+        // Without its id the response may belong to an earlier request.
+        if (!response.headers.find(headerNames.requestId)) {
+            reply(run, RunOutcome::MayHaveRun, http::makeAnswer(http::statusBadGateway, "text/plain", ""),
+                "the rejection does not name the request");
+            return;
+        }
         reply(run, RunOutcome::NotRun, http::makeAnswer(http::statusUnavailable, "text/plain", ""),
             "the target rejected the request");
         return;
--- a/src/relay/TargetRelay_test.cpp
+++ b/src/relay/TargetRelay_test.cpp
@@ -41,7 +41,8 @@
             if (rejects)
                 response.headers.add(names.notExecuted, "1");
             response.headers.add(names.signature, "signed");
-            response.headers.add(names.requestId, exchange->request().headers.find(names.requestId).value_or(""));
+            if (echoesId)
+                response.headers.add(names.requestId, exchange->request().headers.find(names.requestId).value_or(""));
             exchange->answer(std::move(response));
         }
 
@@ -103,6 +104,7 @@
         net::HttpClient client;
         int status = 200;
         bool rejects = false;
+        bool echoesId = true;
         int runs = 0;
     };
 
@@ -138,6 +140,12 @@
         CHECK(outcome(fixture.run(call, false)) == RunOutcome::NotRun);
         CHECK(fixture.runs == 1);
     }
+    SECTION("the rejection doesn't name the request, so it may be an earlier one that comes again")
+    {
+        fixture.rejects = true;
+        fixture.echoesId = false;
+        CHECK(outcome(fixture.run(call, false)) == RunOutcome::MayHaveRun);
+    }
     SECTION("the target accepts no connections")
     {
         fixture.targetServer.finishDrain();
