Keep routes closed when the last client account is taken away

What callers saw: after a configuration without client accounts every route ran every request, with the withdrawn key and with keys that never existed. Cause: an empty list of client accounts was taken for a deployment without API keys, which also skipped the check of the configuration's age.

--- a/src/config/Configuration.h
+++ b/src/config/Configuration.h
@@ -18,6 +18,9 @@
     std::uint64_t version = 0;
     std::vector<Route> routes;
     std::vector<ClientAccount> clientAccounts;
+    // Whether routes that aren't open need an API key. It stays true when no client account is left: then every key has
+    // been withdrawn. Read by PolicySnapshot only.
+    bool requiresApiKeys = false;
     std::vector<Service> services;
     CallerLimits callerLimits;
 
--- a/src/relay/EntryContext.h
+++ b/src/relay/EntryContext.h
@@ -43,6 +43,9 @@
     [[nodiscard]] auto nextSplitPosition(const std::string& route) -> std::uint64_t;
 
     struct Options {
+        // The deployment has client accounts, so routes that aren't open need an API key whatever the configuration
+        // says.
+        bool requiresApiKeys = false;
         // From the daemon's start; requests that arrive before the first configuration and host list wait for them this
         // long. Twice the store's usual response time.
         std::chrono::milliseconds startupWait { 600 };
--- a/src/relay/EntryRequest.cpp
+++ b/src/relay/EntryRequest.cpp
@@ -169,7 +169,7 @@
 
 auto EntryRequest::authenticate() -> bool
 {
-    if (m_route->isOpen || m_snapshot->configuration().clientAccounts.empty())
+    if (m_route->isOpen || !(m_context.options.requiresApiKeys || m_snapshot->requiresApiKeys()))
         return true;
     const auto now = SuspendAwareClock::now();
     if (!m_context.configurationFreshness.isFresh(now) || !m_context.hostListFreshness.isFresh(now)) {
--- a/src/relay/EntryRequest_test.cpp
+++ b/src/relay/EntryRequest_test.cpp
@@ -218,6 +218,27 @@
     CHECK(entry.reservations.empty());
 }
 
+// Guards against a configuration without client accounts that opens every route of a deployment that has some.
+TEST_CASE("EntryRequest requires a key where the deployment has client accounts, also when the configuration lists none")
+{
+    Entry entry;
+    auto configuration = Entry::makeConfiguration();
+    configuration.clientAccounts.clear();
+    SECTION("the settings say that the deployment has client accounts")
+    {
+        entry.context.options.requiresApiKeys = true;
+    }
+    SECTION("the configuration has an empty list of client accounts")
+    {
+        configuration.requiresApiKeys = true;
+    }
+    entry.context.snapshot = std::make_shared<const PolicySnapshot>(configuration);
+    const auto now = SuspendAwareClock::now();
+    entry.freshness.recordResponse(now, now, 1s);
+    CHECK(entry.request("/sheets/1").status == 401);
+    CHECK(entry.reservations.empty());
+}
+
 TEST_CASE("EntryRequest refuses a request that needs a key while the configuration is not known to be fresh")
 {
     Entry entry;
--- a/src/relay/PolicySnapshot.cpp
+++ b/src/relay/PolicySnapshot.cpp
@@ -49,6 +49,11 @@
     return route == found->second.end() ? nullptr : *route;
 }
 
+auto PolicySnapshot::requiresApiKeys() const -> bool
+{
+    return m_configuration->requiresApiKeys || !m_configuration->clientAccounts.empty();
+}
+
 auto PolicySnapshot::clientAccount(std::string_view name) const -> const config::ClientAccount*
 {
     const auto found = m_clientAccounts.find(name);
--- a/src/relay/PolicySnapshot.h
+++ b/src/relay/PolicySnapshot.h
@@ -27,6 +27,10 @@
     [[nodiscard]] auto configuration() const -> const config::Configuration& { return *m_configuration; }
     [[nodiscard]] auto keys() const -> const config::KeyIndex& { return m_keys; }
 
+    // requiresApiKeys() returns whether a route that isn't open needs an API key. Without client accounts no key is
+    // valid, so such routes are closed.
+    [[nodiscard]] auto requiresApiKeys() const -> bool;
+
     // clientAccount() returns the account called `name`, or null.
     [[nodiscard]] auto clientAccount(std::string_view name) const -> const config::ClientAccount*;
 
--- a/src/sidecar/HostSettings.h
+++ b/src/sidecar/HostSettings.h
@@ -28,6 +28,7 @@
     std::string targetAddress;
     std::string service; // of the target
     std::string storeAddress;
+    bool requiresApiKeys = false; // the deployment has client accounts, also while the configuration lists none
     std::size_t memoryLimitMegabytes = 256; // of this process
     std::size_t fileDescriptorLimit = 1024; // of this process
 
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -209,7 +209,7 @@
           .retriesPerWindow = settings.retryBudgetAllowance,
           .window = settings.retryBudgetWindow })
     , entryContext { .io = io,
-        .options = {},
+        .options = { .requiresApiKeys = settings.requiresApiKeys },
         .headers = adapter.headers,
         .hostKey = hostKey,
         .service = settings.service,
