Keep an acknowledged drain in the store when its daemon stops

What callers saw: bookings reached a target later than the drain bound after its leaving had been acknowledged, and were lost when it exited. Cause: a planned stop removed the host's row when its target was draining, and other hosts removed the row of a daemon that was unreachable for 15 s. The row is the one place that holds the acknowledged drain, so a daemon that was only restarted knew nothing of it and followed a heartbeat that came late. Change: the row stays and marks the host as departed. A departed host is in no list of hosts, takes no part in limits and is no relay or copy source; a daemon that starts again takes the drain over from it and joins anew. One host of each region removes such rows after 10 minutes, at most 64 in a check. HostRowWriter::remove() is gone with its last use.

--- a/src/fleet/BootstrapReader.cpp
+++ b/src/fleet/BootstrapReader.cpp
@@ -73,7 +73,7 @@
     for (const auto& row : response->rows) {
         Error reason; // a row that can't be decoded is reported when the whole table is read
         const auto record = decodeHostRecord(row.key, row.value, reason);
-        if (!record)
+        if (!record || record->state == HostRecord::State::Departed)
             continue;
         firstHosts.push_back({ row.key, record->peerAddress });
         haveAllJustJoined
--- a/src/fleet/HostDirectory.cpp
+++ b/src/fleet/HostDirectory.cpp
@@ -7,6 +7,7 @@
     std::vector<Error> faults;
     if (isSnapshot) {
         m_hosts.clear();
+        m_departedHosts.clear();
         m_versions.clear();
     }
     for (const auto& row : rows) {
@@ -14,30 +15,56 @@
         if (row.version < version)
             continue;
         version = row.version;
-        if (row.isRemoved) {
-            m_hosts.erase(row.key);
-            continue;
-        }
         Error reason;
-        if (auto record = decodeHostRecord(row.key, row.value, reason))
-            m_hosts[row.key] = std::move(*record);
-        else
+        if (!applyRow(row, reason))
             faults.push_back(reason);
     }
     rebuildRateLimitHosts();
     return faults;
 }
 
+auto HostDirectory::applyRow(const StoreRow& row, Error& reason) -> bool
+{
+    auto record = row.isRemoved ? std::nullopt : decodeHostRecord(row.key, row.value, reason);
+    if (!record && !row.isRemoved)
+        return false;
+    m_hosts.erase(row.key);
+    m_departedHosts.erase(row.key);
+    if (record) {
+        auto& hosts = record->state == HostRecord::State::Departed ? m_departedHosts : m_hosts;
+        hosts.emplace(row.key, std::move(*record));
+    }
+    return true;
+}
+
 auto HostDirectory::find(const std::string& key) const -> const HostRecord*
 {
     const auto found = m_hosts.find(key);
     return found == m_hosts.end() ? nullptr : &found->second;
 }
 
+auto HostDirectory::findDeparted(const std::string& key) const -> const HostRecord*
+{
+    const auto found = m_departedHosts.find(key);
+    return found == m_departedHosts.end() ? nullptr : &found->second;
+}
+
+auto HostDirectory::hostsDepartedBefore(const std::string& region, std::chrono::milliseconds time) const
+    -> std::vector<std::string>
+{
+    std::vector<std::string> hosts;
+    for (const auto& [key, record] : m_departedHosts) {
+        if (record.locality.region == region && record.departedAt < time)
+            hosts.push_back(key);
+    }
+    return hosts;
+}
+
 auto HostDirectory::version(const std::string& key) const -> std::uint64_t
 {
     const auto found = m_versions.find(key);
-    return m_hosts.contains(key) && found != m_versions.end() ? found->second : 0;
+    const bool hasRow = m_hosts.contains(key) || m_departedHosts.contains(key);
+    return hasRow && found != m_versions.end() ? found->second : 0;
 }
 
 auto HostDirectory::hostsInRegion(const std::string& region) const -> std::vector<std::string>
--- a/src/fleet/HostDirectory.h
+++ b/src/fleet/HostDirectory.h
@@ -11,6 +11,7 @@
 #include "fleet/HostRecord.h"
 #include "fleet/StoreClient.h"
 
+#include <chrono>
 #include <map>
 #include <string>
 #include <vector>
@@ -26,13 +27,22 @@
     // that can't be decoded are skipped and returned as errors.
     auto apply(const std::vector<StoreRow>& rows, bool isSnapshot) -> std::vector<Error>;
 
+    // Departed hosts are in none of the lists below, only where a function says so.
+
     // size() counts all hosts, including those whose target is draining or whose daemon is unreachable.
     [[nodiscard]] auto size() const -> std::size_t { return m_hosts.size(); }
 
     // find() returns the record of the host with that key, or null.
     [[nodiscard]] auto find(const std::string& key) const -> const HostRecord*;
 
-    // version() returns the version of a host's row, 0 if there is none.
+    // findDeparted() returns the record of the departed host with that key, or null.
+    [[nodiscard]] auto findDeparted(const std::string& key) const -> const HostRecord*;
+
+    // hostsDepartedBefore() returns the keys of the hosts of `region` that departed before `time` on the store's clock.
+    [[nodiscard]] auto hostsDepartedBefore(const std::string& region, std::chrono::milliseconds time) const
+        -> std::vector<std::string>;
+
+    // version() returns the version of a row, also of a departed host, 0 if there is none.
     [[nodiscard]] auto version(const std::string& key) const -> std::uint64_t;
 
     // hostsInRegion() returns the sorted keys of the hosts in `region`; hostsInDataCentre() those in one data centre.
@@ -51,9 +61,12 @@
     [[nodiscard]] auto targets() const -> std::vector<dispatch::LoadBalancer::Description>;
 
 private:
+    // applyRow() updates the index from one row; false with a reason if the row can't be decoded.
+    auto applyRow(const StoreRow& row, Error& reason) -> bool;
     auto rebuildRateLimitHosts() -> void;
 
     std::map<std::string, HostRecord> m_hosts;
+    std::map<std::string, HostRecord> m_departedHosts;
     // Computed when rows change, because every request with an API key reads it.
     RateLimitHostsByRegion m_rateLimitHosts;
     std::map<std::string, std::uint64_t> m_versions; // of the last rows received, including removed ones
--- /dev/null
+++ b/src/fleet/HostDirectory_test.cpp
@@ -0,0 +1,57 @@
+#include "fleet/HostDirectory.h"
+
+#include <catch2/catch.hpp>
+
+namespace coriandergate::fleet {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+    auto makeRecord(HostRecord::State state) -> HostRecord
+    {
+        HostRecord record { .peerAddress = "10.1.0.1:8366", .locality = { "west", "west-a" }, .service = "ledger" };
+        record.targetId = "i-1";
+        record.state = state;
+        return record;
+    }
+
+} // namespace
+
+// Guards against departed hosts that keep their share of the limits or receive requests, and rows that are never removed.
+TEST_CASE("a departed host is in no list of hosts, and its row expires")
+{
+    HostDirectory directory;
+    const auto departed = makeDeparted(makeRecord(HostRecord::State::Draining), 60s);
+    directory.apply({ { "west/a", encodeHostRecord(makeRecord(HostRecord::State::Serving)), 1, false },
+                        { "west/b", encodeHostRecord(departed), 2, false } },
+        true);
+    CHECK(directory.size() == 1);
+    CHECK(directory.targets().size() == 1);
+    CHECK(directory.hostsInRegion("west") == std::vector<std::string> { "west/a" });
+    CHECK(directory.hostsInDataCentre({ "west", "west-a" }) == std::vector<std::string> { "west/a" });
+    CHECK(directory.rateLimitHostsInRegion("west").size() == 1);
+    CHECK_FALSE(directory.find("west/b"));
+    REQUIRE(directory.findDeparted("west/b"));
+    CHECK(*directory.findDeparted("west/b") == departed);
+    CHECK(directory.version("west/b") == 2);
+    CHECK(directory.hostsDepartedBefore("west", 60s).empty());
+    CHECK(directory.hostsDepartedBefore("east", 61s).empty());
+    CHECK(directory.hostsDepartedBefore("west", 61s) == std::vector<std::string> { "west/b" });
+
+    SECTION("its row is removed")
+    {
+        directory.apply({ { "west/b", "", 3, true } }, false);
+        CHECK_FALSE(directory.findDeparted("west/b"));
+        CHECK(directory.version("west/b") == 0);
+    }
+    SECTION("its daemon comes back")
+    {
+        directory.apply({ { "west/b", encodeHostRecord(makeRecord(HostRecord::State::Draining)), 3, false } }, false);
+        CHECK_FALSE(directory.findDeparted("west/b"));
+        CHECK(directory.find("west/b"));
+        CHECK(directory.size() == 2);
+    }
+}
+
+} // namespace coriandergate::fleet
--- a/src/fleet/HostRecord.cpp
+++ b/src/fleet/HostRecord.cpp
@@ -27,20 +27,22 @@
             return "serving";
         case HostRecord::State::Draining:
             return "leaving";
+        case HostRecord::State::Departed:
+            return "departed";
         }
         return "empty";
     }
 
     // Fields in the order in which they are encoded.
     constexpr std::array fieldNames { "peer", "region", "dataCentre", "service", "target", "startedAt", "slots",
-        "state", "joinedAt" };
-    // Milliseconds. Later code adds to it, so it must be far from an overflow.
-    constexpr std::uint64_t maximumJoinTime = std::uint64_t { 1 } << 53;
+        "state", "joinedAt", "departedAt" };
+    // Milliseconds. Later code adds to such times, so they must be far from an overflow.
+    constexpr std::uint64_t maximumStoreTime = std::uint64_t { 1 } << 53;
 
     auto parseState(const std::string& name) -> std::optional<HostRecord::State>
     {
-        for (const auto state :
-            { HostRecord::State::NoTarget, HostRecord::State::Serving, HostRecord::State::Draining }) {
+        for (const auto state : { HostRecord::State::NoTarget, HostRecord::State::Serving, HostRecord::State::Draining,
+                 HostRecord::State::Departed }) {
             if (name == stateName(state))
                 return state;
         }
@@ -69,12 +71,15 @@
                 = readNumber(field(value, 5), std::numeric_limits<std::uint64_t>::max(), "the start time");
             record.slots = readNumber(field(value, 6), maximumSlots, "the number of slots");
             const auto state = parseState(field(value, 7).template get<std::string>());
-            record.joinedAt = std::chrono::milliseconds(readNumber(field(value, 8), maximumJoinTime, "the join time"));
+            record.joinedAt = std::chrono::milliseconds(readNumber(field(value, 8), maximumStoreTime, "the join time"));
             if (!state) {
                 reason.reason = "unknown state";
                 return std::nullopt;
             }
             record.state = *state;
+            if (record.state == HostRecord::State::Departed)
+                record.departedAt
+                    = std::chrono::milliseconds(readNumber(field(value, 9), maximumStoreTime, "the time of departure"));
             if (!net::parseEndpoint(record.peerAddress, reason))
                 return std::nullopt;
             return record;
@@ -107,11 +112,20 @@
     return range;
 }
 
+auto makeDeparted(HostRecord record, std::chrono::milliseconds time) -> HostRecord
+{
+    record.state = HostRecord::State::Departed;
+    record.departedAt = time;
+    return record;
+}
+
 auto encodeHostRecord(const HostRecord& record) -> std::string
 {
-    const auto value
+    auto value
         = json::array({ record.peerAddress, record.locality.region, record.locality.dataCentre, record.service,
             record.targetId, record.targetStartedAt, record.slots, stateName(record.state), record.joinedAt.count() });
+    if (record.state == HostRecord::State::Departed)
+        value.push_back(record.departedAt.count());
     const auto bytes = json::to_cbor(value);
     return { bytes.begin(), bytes.end() };
 }
--- a/src/fleet/HostRecord.h
+++ b/src/fleet/HostRecord.h
@@ -30,6 +30,9 @@
         NoTarget, // no target is known on the host; "empty" in the stored row
         Serving,
         Draining, // the target gets no new requests; "leaving" in the stored row
+        // The daemon stopped, or was unreachable, after its target began to drain. The host takes no part in the fleet;
+        // the row only lets a restarted daemon know that the target drains. It is removed after a while.
+        Departed,
     };
 
     std::string peerAddress; // where other daemons reach the daemon of this host
@@ -40,6 +43,7 @@
     std::size_t slots = 1;
     State state = State::NoTarget;
     std::chrono::milliseconds joinedAt { 0 }; // when the host first wrote its row, by the store's clock
+    std::chrono::milliseconds departedAt { 0 }; // set for Departed only, by the store's clock
 
     friend auto operator==(const HostRecord&, const HostRecord&) -> bool = default;
 };
@@ -57,6 +61,9 @@
 // hostRowRange() returns the range of `region`. Thread-safe.
 [[nodiscard]] auto hostRowRange(std::string_view region) -> HostRowRange;
 
+// makeDeparted() returns the record of a draining host as one that departed at `time`, on the store's clock.
+[[nodiscard]] auto makeDeparted(HostRecord record, std::chrono::milliseconds time) -> HostRecord;
+
 // encodeHostRecord() returns the record as CBOR: every daemon reads the rows of all hosts when it starts, so they are
 // short. Thread-safe.
 [[nodiscard]] auto encodeHostRecord(const HostRecord& record) -> std::string;
--- a/src/fleet/HostRegistration.cpp
+++ b/src/fleet/HostRegistration.cpp
@@ -96,8 +96,8 @@
     const auto* stored = storedRecord();
     m_rowWriter.setStoredVersion(m_directory.version(m_options.key));
     if (stored)
-        m_target.restoreFromStore(
-            stored->targetId, stored->targetStartedAt, stored->state == HostRecord::State::Draining);
+        m_target.restoreFromStore(stored->targetId, stored->targetStartedAt,
+            stored->state == HostRecord::State::Draining || stored->state == HostRecord::State::Departed);
     m_targetChangedCallback();
     if (stored && m_directory.version(m_options.key) == 0)
         m_rowWriter.update(*stored, [this] { removeFormerRow(); });
@@ -119,6 +119,8 @@
 auto HostRegistration::storedRecord() const -> const HostRecord*
 {
     const auto* stored = m_directory.find(m_options.key);
+    if (!stored)
+        stored = m_directory.findDeparted(m_options.key);
     return stored || m_options.formerKey.empty() ? stored : m_directory.find(m_options.formerKey);
 }
 
@@ -147,17 +149,19 @@
         m_rowWriter.onRowRemoved();
 }
 
-auto HostRegistration::removeRowIfDraining() -> void
+auto HostRegistration::beginStop() -> void
 {
+    m_isStopping = true;
     if (m_target.current() ? !m_target.isServing() : m_target.deregistered().has_value())
-        m_rowWriter.remove(nullptr);
+        writeRow(nullptr);
 }
 
 auto HostRegistration::makeRecord() -> HostRecord
 {
     auto record = m_options.host;
-    // The join time stays the same across daemon restarts and removals of the row.
-    if (const auto* stored = storedRecord(); stored && !m_joinedAt)
+    // The join time stays the same across daemon restarts and removals of the row. A host that departed joins anew, since
+    // the other hosts have passed its share of the rate limits on.
+    if (const auto* stored = storedRecord(); stored && stored->state != HostRecord::State::Departed && !m_joinedAt)
         m_joinedAt = stored->joinedAt;
     if (!m_joinedAt)
         m_joinedAt = m_storeClock();
@@ -172,7 +176,9 @@
         record.targetStartedAt = deregistered->startedAt;
         record.state = HostRecord::State::Draining;
     }
-    return record;
+    if (m_isStopping && !m_departedAt)
+        m_departedAt = m_storeClock();
+    return m_departedAt && record.state == HostRecord::State::Draining ? makeDeparted(record, *m_departedAt) : record;
 }
 
 auto HostRegistration::writeRow(HostRowWriter::StoredCallback stored) -> void
--- a/src/fleet/HostRegistration.h
+++ b/src/fleet/HostRegistration.h
@@ -66,9 +66,9 @@
     // onHostsChanged() writes the row again if another host removed it.
     auto onHostsChanged() -> void;
 
-    // removeRowIfDraining() removes the row if the target is draining or deregistered, because then the host is being
-    // shut down.
-    auto removeRowIfDraining() -> void;
+    // beginStop() marks the host as departed if its target is draining or deregistered, or as soon as it is, because
+    // then the host is probably being shut down. The row stays, since the daemon may also be restarted alone.
+    auto beginStop() -> void;
 
     auto stop() -> void;
 
@@ -91,7 +91,9 @@
     std::function<void()> m_targetChangedCallback;
     boost::asio::steady_timer m_firstHeartbeatTimer;
     std::optional<std::chrono::milliseconds> m_joinedAt; // when this host first wrote its row, by the store's clock
+    std::optional<std::chrono::milliseconds> m_departedAt; // when the row was first marked as departed
     bool m_areHostsLoaded = false;
+    bool m_isStopping = false;
 };
 
 } // namespace coriandergate::fleet
--- a/src/fleet/HostRowWriter.cpp
+++ b/src/fleet/HostRowWriter.cpp
@@ -20,14 +20,7 @@
 
 auto HostRowWriter::update(const HostRecord& record, StoredCallback stored) -> void
 {
-    setDesired(encodeHostRecord(record), std::move(stored));
-}
-
-auto HostRowWriter::remove(StoredCallback stored) -> void { setDesired(std::nullopt, std::move(stored)); }
-
-auto HostRowWriter::setDesired(std::optional<std::string> desired, StoredCallback stored) -> void
-{
-    m_desired = std::move(desired);
+    m_desired = encodeHostRecord(record);
     if (stored)
         m_storedCallbacks.push_back(std::move(stored));
     if (isStored())
@@ -60,7 +53,7 @@
     if (failure) {
         adoptStoredRow(failure->current);
     } else {
-        m_version = written ? std::get<StoreResponse>(result).newestVersion : 0;
+        m_version = std::get<StoreResponse>(result).newestVersion;
         m_confirmed = written;
         m_hasConfirmed = true;
     }
--- a/src/fleet/HostRowWriter.h
+++ b/src/fleet/HostRowWriter.h
@@ -35,19 +35,15 @@
     // update() writes `record` unless the store already has it, and calls `stored` once it does.
     auto update(const HostRecord& record, StoredCallback stored) -> void;
 
-    // remove() removes the row and calls `stored` once the store confirms it.
-    auto remove(StoredCallback stored) -> void;
-
     // onRowRemoved() writes the row again after another host removed it.
     auto onRowRemoved() -> void;
 
-    // isStored() tells whether the store has confirmed the last update or removal.
+    // isStored() tells whether the store has confirmed the last update.
     [[nodiscard]] auto isStored() const -> bool { return m_hasConfirmed && m_confirmed == m_desired; }
 
     auto stop() -> void;
 
 private:
-    auto setDesired(std::optional<std::string> desired, StoredCallback stored) -> void;
     auto write() -> void;
     auto onWriteDone(const std::optional<std::string>& written, StoreClient::Result result) -> void;
     auto adoptStoredRow(const std::vector<StoreRow>& rows) -> void;
@@ -59,8 +55,8 @@
     std::string m_key;
     boost::asio::steady_timer m_timer;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
-    std::optional<std::string> m_desired; // nothing if the row must not exist
-    std::optional<std::string> m_confirmed; // nothing if the store confirmed the removal
+    std::optional<std::string> m_desired; // nothing before the first update
+    std::optional<std::string> m_confirmed;
     std::vector<StoredCallback> m_storedCallbacks;
     std::uint64_t m_version = 0; // last known version of the row, 0 for none
     std::chrono::milliseconds m_retryDelay { s_initialRetryDelay };
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -66,6 +66,10 @@
     // shorter.
     constexpr milliseconds unreachableHostTimeout { 15000 };
     constexpr milliseconds unreachableHostCheckPeriod { 8000 }; // minimum; the maximum is twice that
+    // How long the row of a departed host is kept: far longer than a target runs on after its deregistration, and than
+    // its heartbeats may be delayed.
+    constexpr std::chrono::minutes departedRowLifetime { 10 };
+    constexpr std::size_t maximumRowRemovals = 64; // in one check, so that the store isn't flooded
     constexpr milliseconds stopPollPeriod { 40 };
     constexpr milliseconds responseDeliveryTime { 120 };
     constexpr milliseconds killMargin { 400 }; // the daemon ends this long before the process is killed
@@ -133,8 +137,11 @@
     auto receive(const fleet::Deregistration& deregistration, const std::shared_ptr<http::Exchange>& exchange) -> void;
     [[nodiscard]] static auto makeAcknowledge(const std::shared_ptr<http::Exchange>& exchange)
         -> fleet::HostRegistration::Acknowledge;
+    [[nodiscard]] auto remainingRow(const fleet::HostRecord& record) const -> std::optional<std::string>;
+    auto replaceRow(const std::string& key, const std::optional<std::string>& value) -> void;
     auto scheduleUnreachableHostCheck() -> void;
     auto removeUnreachableHosts() -> void;
+    auto removeExpiredRows() -> void;
     auto onConfigurationRows(const std::vector<fleet::StoreRow>& rows) -> void;
     auto onHostsChanged(const std::vector<Error>& faults) -> void;
     auto startPendingRequestsIfReady() -> void;
@@ -400,6 +407,7 @@
         if (error || isStopping)
             return;
         removeUnreachableHosts();
+        removeExpiredRows();
         scheduleUnreachableHostCheck();
     });
 }
@@ -417,13 +425,42 @@
             continue;
         log::logEvent(
             unreachableHostRemoved, { { "host", host }, { "row-version", std::to_string(directory.version(host)) } });
-        storeView.client().write(
-            { hostTable, host, directory.version(host), std::nullopt }, [](const fleet::StoreClient::Result&) {
-                // If the row has changed or the store is unavailable, the row stays and the next check decides again.
-            });
+        replaceRow(host, remainingRow(*directory.find(host)));
     }
 }
 
+// The row of a host whose target drains outlives the host for a while, because its daemon may come back while the target
+// still runs. Any other row is removed.
+auto Sidecar::State::remainingRow(const fleet::HostRecord& record) const -> std::optional<std::string>
+{
+    const auto storeTime = storeView.hostListFreshness().storeTime(SuspendAwareClock::now());
+    if (record.state != fleet::HostRecord::State::Draining || !storeTime)
+        return std::nullopt;
+    return fleet::encodeHostRecord(fleet::makeDeparted(record, *storeTime));
+}
+
+auto Sidecar::State::replaceRow(const std::string& key, const std::optional<std::string>& value) -> void
+{
+    storeView.client().write(
+        { hostTable, key, storeView.directory().version(key), value }, [](const fleet::StoreClient::Result&) {
+            // If the row has changed or the store is unavailable, the row stays and the next check decides again.
+        });
+}
+
+// One host of each region removes what has expired.
+auto Sidecar::State::removeExpiredRows() -> void
+{
+    const auto& directory = storeView.directory();
+    const auto hosts = directory.hostsInRegion(settings.locality.region);
+    const auto storeTime = storeView.hostListFreshness().storeTime(SuspendAwareClock::now());
+    if (!storeTime || hosts.empty() || hosts.front() != hostKey)
+        return;
+    auto expired = directory.hostsDepartedBefore(settings.locality.region, *storeTime - departedRowLifetime);
+    expired.resize(std::min(expired.size(), maximumRowRemovals));
+    for (const auto& key : expired)
+        replaceRow(key, std::nullopt);
+}
+
 auto Sidecar::State::handleControl(const std::shared_ptr<http::Exchange>& exchange) -> void
 {
     Error reason;
@@ -472,8 +509,7 @@
             { "running", std::to_string(targetRelay.running()) } });
     callerServer.beginDrain();
     setOpenRequestDeadlines();
-    // The row of a serving target stays in the store while the daemon restarts.
-    registration.removeRowIfDraining();
+    registration.beginStop();
     pollStop();
 }
 
