Stop retrying a request that has crashed several targets

What callers saw: a request that crashes each target that begins to execute it was retried at every coming, without end, and each further crash ended what else its target was at work on. Cause: nothing in the platform's daemon knew such requests. An idempotent request whose target broke off was retried as often as its route and the retry budget allow. Change: the daemon beside a target tells the entry when the target ended the connection during a run. The entry reports it, by a fingerprint of method, host, path and body, to two hosts of the fleet that count the crashes of that request, and retries only while they know of fewer than three. From the third crash on a row in the table of the hosts, which every daemon watches anyway, marks the request, also after a restart of all daemons. If no such host can be told, the request isn't retried. A success clears the count and the mark.

--- a/src/fleet/HostDirectory.cpp
+++ b/src/fleet/HostDirectory.cpp
@@ -1,5 +1,7 @@
 #include "fleet/HostDirectory.h"
 
+#include "fleet/CrashRow.h"
+
 namespace coriandergate::fleet {
 
 auto HostDirectory::apply(const std::vector<StoreRow>& rows, bool isSnapshot) -> std::vector<Error>
@@ -8,6 +10,7 @@
     if (isSnapshot) {
         m_hosts.clear();
         m_departedHosts.clear();
+        m_crashingRequests.clear();
         m_versions.clear();
     }
     for (const auto& row : rows) {
@@ -25,6 +28,17 @@
 
 auto HostDirectory::applyRow(const StoreRow& row, Error& reason) -> bool
 {
+    if (const auto fingerprint = parseCrashRowKey(row.key)) {
+        const auto lastCrashAt = row.isRemoved ? std::nullopt : decodeCrashRow(row.key, row.value, reason);
+        auto& rows = m_crashingRequests[*fingerprint];
+        if (lastCrashAt)
+            rows[row.key] = *lastCrashAt;
+        else if (row.isRemoved)
+            rows.erase(row.key);
+        if (rows.empty())
+            m_crashingRequests.erase(*fingerprint);
+        return lastCrashAt || row.isRemoved;
+    }
     auto record = row.isRemoved ? std::nullopt : decodeHostRecord(row.key, row.value, reason);
     if (!record && !row.isRemoved)
         return false;
@@ -60,10 +74,30 @@
     return hosts;
 }
 
+auto HostDirectory::crashRows(std::uint64_t fingerprint) const -> CrashRows
+{
+    const auto found = m_crashingRequests.find(fingerprint);
+    return found == m_crashingRequests.end() ? CrashRows {} : found->second;
+}
+
+auto HostDirectory::crashRowsBefore(const std::string& region, std::chrono::milliseconds time) const
+    -> std::vector<std::string>
+{
+    std::vector<std::string> keys;
+    for (const auto& [fingerprint, rows] : m_crashingRequests) {
+        const auto found = rows.find(crashRowKey(region, fingerprint));
+        if (found != rows.end() && found->second < time)
+            keys.push_back(found->first);
+    }
+    return keys;
+}
+
 auto HostDirectory::version(const std::string& key) const -> std::uint64_t
 {
     const auto found = m_versions.find(key);
-    const bool hasRow = m_hosts.contains(key) || m_departedHosts.contains(key);
+    const auto fingerprint = parseCrashRowKey(key);
+    const bool hasRow
+        = fingerprint ? crashRows(*fingerprint).contains(key) : m_hosts.contains(key) || m_departedHosts.contains(key);
     return hasRow && found != m_versions.end() ? found->second : 0;
 }
 
--- a/src/fleet/HostDirectory.h
+++ b/src/fleet/HostDirectory.h
@@ -1,4 +1,5 @@
-// Index of all hosts of the fleet, built from their rows in the store.
+// Index of all hosts of the fleet, built from their rows in the store, and of the requests that are known to crash
+// targets, whose rows are in the same table.
 //
 //   HostDirectory directory;
 //   for (const auto& fault : directory.apply(rows, isSnapshot)) log(fault);
@@ -12,8 +13,10 @@
 #include "fleet/StoreClient.h"
 
 #include <chrono>
+#include <cstdint>
 #include <map>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace coriandergate::fleet {
@@ -42,7 +45,22 @@
     [[nodiscard]] auto hostsDepartedBefore(const std::string& region, std::chrono::milliseconds time) const
         -> std::vector<std::string>;
 
-    // version() returns the version of a row, also of a departed host, 0 if there is none.
+    // crashesTargets() returns whether a request is marked as one that crashes targets.
+    [[nodiscard]] auto crashesTargets(std::uint64_t fingerprint) const -> bool
+    {
+        return m_crashingRequests.contains(fingerprint);
+    }
+    // crashingRequests() is the number of such requests.
+    [[nodiscard]] auto crashingRequests() const -> std::size_t { return m_crashingRequests.size(); }
+    // CrashRows maps the keys of rows to the time of the last crash, by the store's clock.
+    using CrashRows = std::map<std::string, std::chrono::milliseconds>;
+    // crashRows() returns the rows that mark a request; each region may have one.
+    [[nodiscard]] auto crashRows(std::uint64_t fingerprint) const -> CrashRows;
+    // crashRowsBefore() returns the keys of the rows of `region` whose last crash was before `time`.
+    [[nodiscard]] auto crashRowsBefore(const std::string& region, std::chrono::milliseconds time) const
+        -> std::vector<std::string>;
+
+    // version() returns the version of a row, also of a departed host or a crashing request, 0 if there is none.
     [[nodiscard]] auto version(const std::string& key) const -> std::uint64_t;
 
     // hostsInRegion() returns the sorted keys of the hosts in `region`; hostsInDataCentre() those in one data centre.
@@ -67,6 +85,7 @@
 
     std::map<std::string, HostRecord> m_hosts;
     std::map<std::string, HostRecord> m_departedHosts;
+    std::unordered_map<std::uint64_t, CrashRows> m_crashingRequests; // by fingerprint
     // Computed when rows change, because every request with an API key reads it.
     RateLimitHostsByRegion m_rateLimitHosts;
     std::map<std::string, std::uint64_t> m_versions; // of the last rows received, including removed ones
--- a/src/fleet/HostDirectory_test.cpp
+++ b/src/fleet/HostDirectory_test.cpp
@@ -18,7 +18,8 @@
 
 } // namespace
 
-// Guards against departed hosts that keep their share of the limits or receive requests, and rows that are never removed.
+// Guards against departed hosts that keep their share of the limits or receive requests, and rows that are never
+// removed.
 TEST_CASE("a departed host is in no list of hosts, and its row expires")
 {
     HostDirectory directory;
--- a/src/fleet/HostRecord.cpp
+++ b/src/fleet/HostRecord.cpp
@@ -121,9 +121,8 @@
 
 auto encodeHostRecord(const HostRecord& record) -> std::string
 {
-    auto value
-        = json::array({ record.peerAddress, record.locality.region, record.locality.dataCentre, record.service,
-            record.targetId, record.targetStartedAt, record.slots, stateName(record.state), record.joinedAt.count() });
+    auto value = json::array({ record.peerAddress, record.locality.region, record.locality.dataCentre, record.service,
+        record.targetId, record.targetStartedAt, record.slots, stateName(record.state), record.joinedAt.count() });
     if (record.state == HostRecord::State::Departed)
         value.push_back(record.departedAt.count());
     const auto bytes = json::to_cbor(value);
--- a/src/fleet/HostRegistration.cpp
+++ b/src/fleet/HostRegistration.cpp
@@ -159,8 +159,8 @@
 auto HostRegistration::makeRecord() -> HostRecord
 {
     auto record = m_options.host;
-    // The join time stays the same across daemon restarts and removals of the row. A host that departed joins anew, since
-    // the other hosts have passed its share of the rate limits on.
+    // The join time stays the same across daemon restarts and removals of the row. A host that departed joins anew,
+    // since the other hosts have passed its share of the rate limits on.
     if (const auto* stored = storedRecord(); stored && stored->state != HostRecord::State::Departed && !m_joinedAt)
         m_joinedAt = stored->joinedAt;
     if (!m_joinedAt)
--- /dev/null
+++ b/src/relay/CrashRegistry.cpp
@@ -0,0 +1,96 @@
+#include "relay/CrashRegistry.h"
+
+#include "base/Error.h"
+#include "fleet/CrashRow.h"
+#include "fleet/HostDirectory.h"
+#include "http/Exchange.h"
+#include "http/Status.h"
+#include "log/Event.h"
+#include "relay/PeerMessages.h"
+
+#include <algorithm>
+
+namespace coriandergate::relay {
+
+namespace {
+
+    const log::Event requestMarked { 1937, log::Severity::Warning, "request crashes targets",
+        "no host retries it; find its callers by the attempts that ended with connection-lost" };
+    const log::Event requestUnmarked { 1938, log::Severity::Info, "request no longer crashes targets", "nothing" };
+
+} // namespace
+
+CrashRegistry::CrashRegistry(const fleet::HostDirectory& directory, fleet::StoreClient& store, Options options)
+    : m_directory(directory)
+    , m_store(store)
+    , m_options(std::move(options))
+{
+}
+
+CrashRegistry::~CrashRegistry() { *m_isAlive = false; }
+
+auto CrashRegistry::handle(const std::shared_ptr<http::Exchange>& exchange) -> void
+{
+    Error reason;
+    const auto report = decodeCrashReport(exchange->request().body, reason);
+    exchange->answer(report
+            ? http::makeAnswer(http::statusOk, "text/plain", encodeCrashes(record(*report, monotonicNow())))
+            : http::makeAnswer(http::statusBadRequest, "text/plain", reason.toText()));
+}
+
+auto CrashRegistry::record(const CrashReport& report, MonotonicTime now) -> std::size_t
+{
+    if (report.hasSucceeded) {
+        m_tracker.recordSuccess(report.fingerprint);
+        unmark(report.fingerprint);
+        return 0;
+    }
+    const auto crashes = m_tracker.recordCrash(report.fingerprint, report.target, now);
+    if (crashes >= dispatch::CrashTracker::s_maximumCrashes || crashesTargets(report.fingerprint))
+        mark(report.fingerprint, crashes);
+    return crashes;
+}
+
+auto CrashRegistry::crashesTargets(std::uint64_t fingerprint) const -> bool
+{
+    return m_directory.crashesTargets(fingerprint);
+}
+
+auto CrashRegistry::hasMarks() const -> bool { return m_directory.crashingRequests() > 0; }
+
+auto CrashRegistry::mark(std::uint64_t fingerprint, std::size_t crashes) -> void
+{
+    const auto storeTime = m_storeClock ? m_storeClock() : std::nullopt;
+    const auto rows = m_directory.crashRows(fingerprint);
+    const bool isRecent = std::any_of(rows.begin(), rows.end(),
+        [&](const auto& row) { return storeTime && row.second + m_options.refreshAfter > *storeTime; });
+    const bool isFull = rows.empty() && m_directory.crashingRequests() >= m_options.maximumMarks;
+    const auto key = fleet::crashRowKey(m_options.region, fingerprint);
+    if (!storeTime || isRecent || isFull || m_pendingWrites.contains(key))
+        return;
+    log::logEvent(requestMarked, { { "key", key }, { "crashes", std::to_string(crashes) } });
+    write(key, fleet::encodeCrashRow(*storeTime));
+}
+
+auto CrashRegistry::unmark(std::uint64_t fingerprint) -> void
+{
+    for (const auto& [key, lastCrashAt] : m_directory.crashRows(fingerprint)) {
+        if (m_pendingWrites.contains(key))
+            continue;
+        log::logEvent(requestUnmarked, { { "key", key } });
+        write(key, std::nullopt);
+    }
+}
+
+auto CrashRegistry::write(const std::string& key, std::optional<std::string> value) -> void
+{
+    m_pendingWrites.insert(key);
+    m_store.write({ m_options.table, key, m_directory.version(key), std::move(value) },
+        [this, alive = m_isAlive, key](const fleet::StoreClient::Result&) {
+            // If the write failed, the next crash or success of the request tries it again.
+            if (*alive)
+                m_pendingWrites.erase(key);
+        });
+}
+
+} // namespace coriandergate::relay
--- /dev/null
+++ b/src/relay/CrashRegistry_test.cpp
@@ -0,0 +1,149 @@
+#include "relay/CrashRegistry.h"
+
+#include "fleet/CrashRow.h"
+#include "http/Exchange.h"
+#include "net/HttpServer.h"
+#include "relay/CrashReporter.h"
+#include "testing/EntryFixture.h"
+#include "testing/RunUntil.h"
+
+#include <catch2/catch.hpp>
+#include <optional>
+
+namespace coriandergate::relay {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+    const MonotonicTime start { 100s };
+    constexpr std::uint64_t fingerprint = 0xfeed;
+
+    auto crashAt(const std::string& target) -> CrashReport { return { .fingerprint = fingerprint, .target = target }; }
+
+    // Two hosts that count crashes, and the entry that reports to them.
+    struct Fleet : testing::EntryFixture {
+        Fleet()
+            : server(io, {}, [this](std::shared_ptr<http::Exchange> exchange) { answer(exchange); })
+        {
+            Error reason;
+            REQUIRE(server.listen("127.0.0.1:0", reason));
+            crashRegistry.setStoreClock([] { return 9s; });
+        }
+
+        auto answer(const std::shared_ptr<http::Exchange>& exchange) -> void
+        {
+            Error reason;
+            reports.push_back(decodeCrashReport(exchange->request().body, reason).value_or(CrashReport {}));
+            exchange->answer(http::makeAnswer(200, "text/plain", encodeCrashes(knownCrashes)));
+        }
+
+        // Adds `count` hosts that count, or that can't be reached.
+        auto addHosts(std::size_t count, bool isReachable) -> void
+        {
+            std::vector<fleet::StoreRow> rows;
+            for (std::size_t i = 0; i < count; ++i)
+                rows.push_back(testing::makeHostRow(
+                    (isReachable ? "a" : "b") + std::to_string(i), isReachable ? server.port() : 1, s_locality));
+            directory.apply(rows, false);
+        }
+
+        auto report(const CrashReport& message) -> std::optional<std::size_t>
+        {
+            bool isDone = false;
+            std::optional<std::size_t> result;
+            CrashReporter::start(context, message, [&](std::optional<std::size_t> crashes) {
+                isDone = true;
+                result = crashes;
+            });
+            testing::runUntil(io, [&isDone] { return isDone; });
+            REQUIRE(isDone);
+            return result;
+        }
+
+        net::HttpServer server;
+        std::size_t knownCrashes = 2;
+        std::vector<CrashReport> reports;
+    };
+
+} // namespace
+
+TEST_CASE("CrashRegistry marks a request at its third crash, once, and renews the mark later")
+{
+    Fleet fleet;
+    auto& writes = fleet.store.otherWrites;
+    fleet.crashRegistry.record(crashAt("a"), start);
+    fleet.crashRegistry.record(crashAt("b"), start);
+    CHECK(writes.empty());
+    CHECK(fleet.crashRegistry.record(crashAt("c"), start) == 3);
+    REQUIRE(writes.size() == 1);
+    CHECK(writes[0].key == fleet::crashRowKey("west", fingerprint));
+    CHECK(writes[0].expectedVersion == 0);
+    fleet.directory.apply({ { writes[0].key, *writes[0].value, 7, false } }, false);
+    CHECK(fleet.crashRegistry.crashesTargets(fingerprint));
+    fleet.crashRegistry.record(crashAt("d"), start + 1s);
+    CHECK(writes.size() == 1);
+    fleet.crashRegistry.setStoreClock([] { return CrashRegistry::s_markLifetime; });
+    fleet.crashRegistry.record(crashAt("d"), start + 20min);
+    REQUIRE(writes.size() == 2);
+    CHECK(writes[1].expectedVersion == 7);
+    CHECK(fleet.directory.crashRowsBefore("west", 10s).size() == 1);
+    CHECK(fleet.directory.crashRowsBefore("west", 9s).empty());
+    CHECK(fleet.directory.crashRowsBefore("east", 10s).empty());
+}
+
+TEST_CASE("CrashRegistry tries to mark a request again when the store did not confirm the row")
+{
+    Fleet fleet;
+    const bool isStoreAway = GENERATE(true, false);
+    if (isStoreAway)
+        fleet.store.isAway = true;
+    else
+        fleet.crashRegistry.setStoreClock([] { return std::nullopt; });
+    for (const auto* target : { "a", "b", "c" })
+        fleet.crashRegistry.record(crashAt(target), start);
+    CHECK(fleet.store.otherWrites.empty());
+    fleet.store.isAway = false;
+    fleet.crashRegistry.setStoreClock([] { return 9s; });
+    CHECK(fleet.crashRegistry.record(crashAt("d"), start) == 4);
+    CHECK(fleet.store.otherWrites.size() == 1);
+}
+
+TEST_CASE("CrashRegistry bounds the number of marks")
+{
+    Fleet fleet;
+    CrashRegistry registry(fleet.directory, fleet.store, { .table = "hosts", .region = "west", .maximumMarks = 2 });
+    registry.setStoreClock([] { return 9s; });
+    for (std::uint64_t request = 0; request < 10; ++request) {
+        for (const auto* target : { "a", "b", "c" })
+            registry.record({ .fingerprint = request, .target = target }, start);
+        const auto& writes = fleet.store.otherWrites;
+        fleet.directory.apply({ { writes.back().key, *writes.back().value, request + 1, false } }, false);
+    }
+    CHECK(fleet.store.otherWrites.size() == 2);
+}
+
+// Guards against a restart of one of the hosts that count: the higher count of the other one decides.
+TEST_CASE("CrashReporter tells two hosts and returns the highest count")
+{
+    Fleet fleet;
+    fleet.addHosts(5, true);
+    CHECK(fleet.report(crashAt("t")) == 2U);
+    CHECK(fleet.reports == std::vector<CrashReport> { crashAt("t"), crashAt("t") });
+    fleet.knownCrashes = 0;
+    CHECK(fleet.report(crashAt("u")) == 2U); // both that this host has seen
+}
+
+TEST_CASE("CrashReporter replaces hosts that do not respond, and returns nothing when none does")
+{
+    Fleet fleet;
+    fleet.addHosts(4, false);
+    CHECK_FALSE(fleet.report(crashAt("t")));
+    fleet.directory.apply({}, true);
+    fleet.addHosts(2, false);
+    fleet.addHosts(2, true);
+    CHECK(fleet.report(crashAt("t")) == 2U);
+    CHECK(fleet.reports.size() == 2);
+}
+
+} // namespace coriandergate::relay
--- a/src/relay/EntryContext.h
+++ b/src/relay/EntryContext.h
@@ -31,6 +31,7 @@
 
 namespace coriandergate::relay {
 
+class CrashRegistry;
 class EntryRequest;
 
 // EntryContext is used on the thread of its io_context and must outlive every request.
@@ -56,6 +57,7 @@
         std::chrono::milliseconds crossRegionRateLimitTimeout { 250 }; // for an owner in another region
         std::chrono::milliseconds borrowTimeout { 100 }; // for a host of this data centre to lend a retry
         std::size_t maximumLenders = 2;
+        std::chrono::milliseconds crashReportTimeout { 250 }; // for any host of the fleet to record a crash
         std::chrono::milliseconds rateLimitOwnerBackoff { 1000 }; // an owner that gave no decision is skipped this long
         std::chrono::milliseconds minimumRetryAfter { 200 };
         std::chrono::milliseconds maximumRetryAfter { 3000 };
@@ -79,6 +81,7 @@
     dispatch::StalenessTracker& configurationFreshness;
     dispatch::StalenessTracker& hostListFreshness;
     const fleet::HostDirectory& directory;
+    CrashRegistry& crashRegistry;
     std::shared_ptr<const PolicySnapshot> snapshot; // null until the first configuration arrives
     MonotonicTime startedAt = monotonicNow();
     bool isReady = false; // configuration and hosts are known; never reset
--- a/src/relay/EntryRequest.cpp
+++ b/src/relay/EntryRequest.cpp
@@ -1,9 +1,12 @@
 #include "relay/EntryRequest.h"
 
+#include "base/Hash.h"
 #include "http/Exchange.h"
 #include "http/Status.h"
 #include "log/Event.h"
 #include "relay/AttemptEvent.h"
+#include "relay/CrashRegistry.h"
+#include "relay/CrashReporter.h"
 #include "relay/RateLimitCheck.h"
 #include "relay/RetryBorrower.h"
 
@@ -329,7 +332,7 @@
 auto EntryRequest::waitOrFinish() -> void
 {
     const auto now = monotonicNow();
-    if (m_slotRefusals == 0 && !m_isRetryBudgetExhausted && !isRejectedByAllTargets()
+    if (m_slotRefusals == 0 && m_retryStopReason.empty() && !isRejectedByAllTargets()
         && targetLatencyLeft(now) > noTargetPause) {
         m_stage = Stage::NoWait;
         m_triesInStage = 0;
@@ -346,8 +349,8 @@
     else if (m_mayHaveRun)
         fail(http::statusBadGateway, "no target left after one may have run it");
     else
-        refuse(http::statusUnavailable,
-            m_isRetryBudgetExhausted ? "no further attempt in the budget" : "no slot in time", overloadRetryAfter());
+        refuse(http::statusUnavailable, m_retryStopReason.empty() ? "no slot in time" : m_retryStopReason,
+            overloadRetryAfter());
 }
 
 auto EntryRequest::overloadRetryAfter() -> milliseconds
@@ -402,6 +405,8 @@
         std::exchange(m_rateLimitCheck, nullptr)->cancel();
     if (m_retryBorrower)
         std::exchange(m_retryBorrower, nullptr)->cancel();
+    if (m_crashReporter)
+        std::exchange(m_crashReporter, nullptr)->detach();
     if (m_target)
         m_context.loadBalancer.endRequest(*m_target);
     m_target = nullptr;
@@ -478,6 +483,10 @@
             refuse(http::statusUnauthorized, "the key was withdrawn", std::nullopt);
         return;
     }
+    if (m_attempts > 0 && crashesTargets()) {
+        stopRetrying("the request crashes targets");
+        return;
+    }
     const bool isWithinBudget = m_attempts == 0 || std::exchange(m_hasUnusedRetry, false)
         || m_context.retryBudget.tryAcquire(
             m_service, m_context.callsPerRequest[m_service], retryClass(), m_context.hostCount, monotonicNow());
@@ -515,13 +524,68 @@
         { { "request", m_requestId }, { "peer", m_target->description.address }, { "step", "run" },
             { "outcome", "not-run" }, { "why", "retry budget exhausted" },
             { "calls", encodeCallsPerRequest(m_context.callsPerRequest[m_service]) } });
+    stopRetrying("no further attempt in the budget");
+}
+
+// Gives back the slot that was reserved for a further attempt and ends the request.
+auto EntryRequest::stopRetrying(std::string_view why) -> void
+{
     m_context.peerClient.cancel(m_call);
     endAttempt();
     m_stage = Stage::Exhausted;
-    m_isRetryBudgetExhausted = true;
+    m_retryStopReason = why;
     waitOrFinish();
 }
 
+// The same for all attempts of a request and for the same request of another caller.
+auto EntryRequest::fingerprint() const -> std::uint64_t
+{
+    const auto& request = m_exchange->request();
+    const auto host = request.headers.find("Host").value_or("");
+    return hashOf(request.body, hashOf(request.method + ' ' + std::string(host) + request.target));
+}
+
+auto EntryRequest::crashesTargets() const -> bool
+{
+    return m_context.crashRegistry.hasMarks() && m_context.crashRegistry.crashesTargets(fingerprint());
+}
+
+// The target ended the connection while it executed the request. It may have crashed because of the request, so the
+// request is retried only if it hasn't crashed others.
+auto EntryRequest::onCrash(const std::string& target) -> void
+{
+    m_hasReportedCrash = true;
+    const CrashReport report { .fingerprint = fingerprint(), .target = target };
+    if (!isIdempotent()) {
+        CrashReporter::start(m_context, report, nullptr);
+        fail(http::statusBadGateway, "the target ended the connection");
+        return;
+    }
+    m_crashReporter
+        = CrashReporter::start(m_context, report, [weak = weak_from_this()](std::optional<std::size_t> crashes) {
+              const auto self = weak.lock();
+              if (self && !self->m_isDone)
+                  self->onCrashesCounted(crashes);
+          });
+}
+
+auto EntryRequest::onCrashesCounted(std::optional<std::size_t> crashes) -> void
+{
+    if (!crashes || *crashes >= dispatch::CrashTracker::s_maximumCrashes) {
+        fail(http::statusBadGateway, "the request crashes targets");
+        return;
+    }
+    constexpr std::string_view why = "the target ended the connection";
+    retryOrFinish(http::makeAnswer(http::statusBadGateway, "text/plain", std::string(why)), why);
+}
+
+// The request was thought to crash targets, or was running on one that crashed.
+auto EntryRequest::recordSuccess() -> void
+{
+    if (m_hasReportedCrash || crashesTargets())
+        CrashReporter::start(m_context, { .fingerprint = fingerprint(), .target = {}, .hasSucceeded = true }, nullptr);
+}
+
 auto EntryRequest::sendRequest() -> void
 {
     const auto now = monotonicNow();
@@ -576,7 +640,8 @@
     auto response = std::get<http::Answer>(std::move(result));
     applyLoadReport(response);
     const auto outcome = parseOutcome(response.headers.find(outcomeHeader).value_or(""));
-    m_excludedTargets.push_back(m_target->description.address);
+    const auto target = m_target->description.address;
+    m_excludedTargets.push_back(target);
     if (outcome == RunOutcome::Answered) {
         onTargetResponse(std::move(response));
         return;
@@ -589,12 +654,16 @@
     if (outcome == RunOutcome::NotSent)
         undoAttempt();
     if (outcome == RunOutcome::NotRun)
-        m_rejectingTargets.push_back(m_excludedTargets.back());
+        m_rejectingTargets.push_back(target);
     if (outcome == RunOutcome::NotSent || outcome == RunOutcome::NotRun) {
         tryNextTarget();
         return;
     }
     m_mayHaveRun = true;
+    if (outcome == RunOutcome::ConnectionLost) {
+        onCrash(target);
+        return;
+    }
     const int status
         = response.status == http::statusGatewayTimeout ? http::statusGatewayTimeout : http::statusBadGateway;
     retryOrFinish(
@@ -608,6 +677,7 @@
     endAttempt();
     if (response.status < http::firstServerError) {
         recordResponseSize(response);
+        recordSuccess();
         finish(std::move(response), "answered");
         return;
     }
--- a/src/relay/EntryRequest.h
+++ b/src/relay/EntryRequest.h
@@ -15,9 +15,11 @@
 #include "relay/PeerMessages.h"
 
 #include <boost/asio/steady_timer.hpp>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace coriandergate::http {
@@ -26,6 +28,7 @@
 
 namespace coriandergate::relay {
 
+class CrashReporter;
 class RetryBorrower;
 class RateLimitCheck;
 
@@ -76,6 +79,12 @@
     [[nodiscard]] auto isKeyRevoked() const -> bool;
     auto borrowRetry() -> void;
     auto onRetryBudgetExhausted() -> void;
+    auto onCrash(const std::string& target) -> void;
+    auto onCrashesCounted(std::optional<std::size_t> crashes) -> void;
+    auto stopRetrying(std::string_view why) -> void;
+    auto recordSuccess() -> void;
+    [[nodiscard]] auto fingerprint() const -> std::uint64_t;
+    [[nodiscard]] auto crashesTargets() const -> bool;
     auto sendRequest() -> void;
     auto undoAttempt() -> void;
     auto onRunResult(net::HttpClient::Result result) -> void;
@@ -127,7 +136,9 @@
     bool m_hasUnusedRetry = false; // charged to the retry budget, but its attempt did not reach a target
     bool m_mayHaveRun = false; // a target may have executed the request
     std::optional<http::Answer> m_lastErrorResponse; // the last 5xx that a target itself sent
-    bool m_isRetryBudgetExhausted = false;
+    std::shared_ptr<CrashReporter> m_crashReporter; // set while the crashes of the request are asked for
+    std::string_view m_retryStopReason; // why no further attempt is made, if there is a reason
+    bool m_hasReportedCrash = false;
     bool m_hasBegun = false;
     bool m_isDone = false;
 };
--- a/src/relay/EntryRequest_test.cpp
+++ b/src/relay/EntryRequest_test.cpp
@@ -1,5 +1,7 @@
 #include "relay/EntryRequest.h"
 
+#include "base/Hash.h"
+#include "fleet/CrashRow.h"
 #include "http/Exchange.h"
 #include "http/Serialize.h"
 #include "net/HttpServer.h"
@@ -49,6 +51,7 @@
                 .isOpen = true,
                 .repeatPolicy = config::RepeatPolicy::Idempotent,
                 .targetLatency = 200ms,
+                .maximumAttempts = 2,
                 .priority = 3 });
             configuration.routes.push_back({ .name = "sheets",
                 .host = "shop.example",
@@ -91,6 +94,12 @@
             loadBalancer.setTargets(targets);
         }
 
+        // fingerprint() is that of request(path).
+        static auto fingerprint(const std::string& path) -> std::uint64_t
+        {
+            return hashOf("", hashOf("GET shop.example" + path));
+        }
+
         auto request(const std::string& path) -> http::Answer
         {
             http::Request message;
@@ -184,6 +193,54 @@
     CHECK(monotonicNow() - before < 150ms); // no target is left, so it does not wait for the target latency of 200 ms
 }
 
+// Guards against a request that crashes one target after another for as long as its callers repeat it.
+TEST_CASE("EntryRequest does not retry a request that has crashed several targets, until a target answers it")
+{
+    Entry entry;
+    entry.directory.apply({ testing::makeHostRow("self", 1, Entry::s_locality) }, true);
+    for (std::size_t i = 0; i < 4; ++i)
+        entry.addPeer(RunOutcome::ConnectionLost);
+    CHECK(entry.request("/notes/crash").status == 502);
+    CHECK(entry.runRequests == 2);
+    entry.crashRegistry.record(
+        { .fingerprint = Entry::fingerprint("/notes/crash"), .target = "of another entry" }, monotonicNow());
+    entry.runRequests = 0;
+    for (int i = 0; i < 6; ++i)
+        CHECK(entry.request("/notes/crash").status == 502);
+    CHECK(entry.runRequests == 6);
+    entry.runRequests = 0;
+    entry.request("/notes/another");
+    CHECK(entry.runRequests == 2);
+
+    SECTION("the mark of another host holds for every further attempt, whatever the first one came to")
+    {
+        entry.runRequests = 0;
+        entry.peers.clear();
+        entry.addPeer(RunOutcome::NotRun);
+        entry.addPeer(RunOutcome::NotRun);
+        REQUIRE(entry.request("/notes/marked").status == 503);
+        REQUIRE(entry.runRequests == 2);
+        entry.directory.apply({ { fleet::crashRowKey("east", Entry::fingerprint("/notes/marked")),
+                                  fleet::encodeCrashRow(9s), 5, false } },
+            false);
+        entry.runRequests = 0;
+        CHECK(entry.request("/notes/marked").status == 503);
+        CHECK(entry.runRequests == 1);
+    }
+    SECTION("a target answers it")
+    {
+        entry.peers.clear();
+        entry.addPeer(RunOutcome::Answered);
+        entry.directory.apply(
+            { { fleet::crashRowKey("east", Entry::fingerprint("/notes/crash")), fleet::encodeCrashRow(9s), 5, false } },
+            false);
+        CHECK(entry.request("/notes/crash").status == 200);
+        REQUIRE(entry.store.otherWrites.size() == 1);
+        CHECK(entry.store.otherWrites[0].expectedVersion == 5);
+        CHECK_FALSE(entry.store.otherWrites[0].value);
+    }
+}
+
 // Guards against a burst of retries when all daemons restart under load: requests that are refused until the store's
 // first response, a quarter of a second later, would all be retried at the same time.
 TEST_CASE("EntryRequest waits for the first configuration and host list after a start")
@@ -219,7 +276,8 @@
 }
 
 // Guards against a configuration without client accounts that opens every route of a deployment that has some.
-TEST_CASE("EntryRequest requires a key where the deployment has client accounts, also when the configuration lists none")
+TEST_CASE(
+    "EntryRequest requires a key where the deployment has client accounts, also when the configuration lists none")
 {
     Entry entry;
     auto configuration = Entry::makeConfiguration();
@@ -228,10 +286,7 @@
     {
         entry.context.options.requiresApiKeys = true;
     }
-    SECTION("the configuration has an empty list of client accounts")
-    {
-        configuration.requiresApiKeys = true;
-    }
+    SECTION("the configuration has an empty list of client accounts") { configuration.requiresApiKeys = true; }
     entry.context.snapshot = std::make_shared<const PolicySnapshot>(configuration);
     const auto now = SuspendAwareClock::now();
     entry.freshness.recordResponse(now, now, 1s);
--- a/src/relay/PeerMessages.cpp
+++ b/src/relay/PeerMessages.cpp
@@ -46,13 +46,22 @@
 
     constexpr double percentPerUnit = 100;
 
-    constexpr std::array<std::pair<RunOutcome, std::string_view>, 4> outcomeNames { {
+    constexpr std::array<std::pair<RunOutcome, std::string_view>, 5> outcomeNames { {
         { RunOutcome::Answered, "answered" },
         { RunOutcome::NotSent, "not-sent" },
         { RunOutcome::NotRun, "not-run" },
         { RunOutcome::MayHaveRun, "may-have-run" },
+        { RunOutcome::ConnectionLost, "connection-lost" },
     } };
 
+    template <typename Number> auto parseNumber(std::string_view text) -> std::optional<Number>
+    {
+        Number number = 0;
+        const auto* end = text.data() + text.size();
+        const auto parsed = std::from_chars(text.data(), end, number);
+        return parsed.ec == std::errc {} && parsed.ptr == end ? std::optional(number) : std::nullopt;
+    }
+
 } // namespace
 
 auto encodeReserveRequest(const ReserveRequest& message) -> std::string
@@ -144,16 +153,34 @@
     return isDecoded ? std::optional(std::move(message)) : std::nullopt;
 }
 
+auto encodeCrashReport(const CrashReport& message) -> std::string
+{
+    return http::makeCborRequest(crashPath, json::array({ message.fingerprint, message.target, message.hasSucceeded }));
+}
+
+auto decodeCrashReport(const std::string& body, Error& reason) -> std::optional<CrashReport>
+{
+    CrashReport message;
+    const bool isDecoded = http::readCbor(body, decodeStep, reason, [&message](const json& value) {
+        message.fingerprint = value.at(0).get<std::uint64_t>();
+        message.target = value.at(1).get<std::string>();
+        message.hasSucceeded = value.at(2).get<bool>();
+    });
+    return isDecoded ? std::optional(std::move(message)) : std::nullopt;
+}
+
 auto encodeRetryAfter(milliseconds retryAfter) -> std::string { return std::to_string(retryAfter.count()); }
 
 auto decodeRetryAfter(std::string_view text) -> std::optional<milliseconds>
 {
-    milliseconds::rep number = 0;
-    const auto* end = text.data() + text.size();
-    const auto parsed = std::from_chars(text.data(), end, number);
-    return parsed.ec == std::errc {} && parsed.ptr == end ? std::optional(milliseconds(number)) : std::nullopt;
+    const auto number = parseNumber<milliseconds::rep>(text);
+    return number ? std::optional(milliseconds(*number)) : std::nullopt;
 }
 
+auto encodeCrashes(std::size_t crashes) -> std::string { return std::to_string(crashes); }
+
+auto decodeCrashes(std::string_view text) -> std::optional<std::size_t> { return parseNumber<std::size_t>(text); }
+
 auto outcomeName(RunOutcome outcome) -> std::string_view
 {
     for (const auto& [value, name] : outcomeNames) {
--- a/src/relay/PeerMessages.h
+++ b/src/relay/PeerMessages.h
@@ -28,6 +28,7 @@
 inline constexpr std::string_view runPath = "/run";
 inline constexpr std::string_view rateLimitPath = "/rate";
 inline constexpr std::string_view borrowPath = "/attempt";
+inline constexpr std::string_view crashPath = "/crash";
 // On every response to a RunRequest: how the attempt ended at the target.
 inline constexpr std::string_view outcomeHeader = "Coriandergate-Outcome";
 // On every response: running requests, waiting requests, slots, percentage of requests rejected and, for a failing
@@ -47,6 +48,7 @@
     NotSent, // the request was never sent to the target
     NotRun, // the target rejected the request without executing it
     MayHaveRun, // no complete response; the target may have executed it
+    ConnectionLost, // the same, because the target ended the connection; it may have crashed
 };
 
 // ReserveRequest asks for a slot at a target.
@@ -86,6 +88,16 @@
     friend auto operator==(const BorrowRequest&, const BorrowRequest&) -> bool = default;
 };
 
+// CrashReport tells another host how an attempt ended that may have crashed its target, or that succeeded although the
+// request was thought to crash targets. The response's body is the number of crashes that the other host knows of.
+struct CrashReport {
+    std::uint64_t fingerprint = 0; // of the request
+    std::string target; // address of the daemon beside the target
+    bool hasSucceeded = false;
+
+    friend auto operator==(const CrashReport&, const CrashReport&) -> bool = default;
+};
+
 // TargetLoadReport is the state of a target as its host's daemon reports it.
 struct TargetLoadReport {
     dispatch::TargetLoad load;
@@ -98,18 +110,25 @@
 [[nodiscard]] auto encodeRunRequest(const RunRequest& message) -> std::string;
 [[nodiscard]] auto encodeRateLimitRequest(const RateLimitRequest& message) -> std::string;
 [[nodiscard]] auto encodeBorrowRequest(const BorrowRequest& message) -> std::string;
+[[nodiscard]] auto encodeCrashReport(const CrashReport& message) -> std::string;
 
 // The decoders parse the body of such a request; nullopt with a reason when it is malformed. Thread-safe.
 [[nodiscard]] auto decodeReserveRequest(const std::string& body, Error& reason) -> std::optional<ReserveRequest>;
 [[nodiscard]] auto decodeRunRequest(const std::string& body, Error& reason) -> std::optional<RunRequest>;
 [[nodiscard]] auto decodeRateLimitRequest(const std::string& body, Error& reason) -> std::optional<RateLimitRequest>;
 [[nodiscard]] auto decodeBorrowRequest(const std::string& body, Error& reason) -> std::optional<BorrowRequest>;
+[[nodiscard]] auto decodeCrashReport(const std::string& body, Error& reason) -> std::optional<CrashReport>;
 
 // encodeRetryAfter() returns the body of a rate limit refusal: the milliseconds until the owner can grant the account's
 // next request. decodeRetryAfter() parses it; nullopt when it is malformed.
 [[nodiscard]] auto encodeRetryAfter(std::chrono::milliseconds retryAfter) -> std::string;
 [[nodiscard]] auto decodeRetryAfter(std::string_view text) -> std::optional<std::chrono::milliseconds>;
 
+// encodeCrashes() returns the body of the response to a CrashReport; decodeCrashes() returns nullopt when it is
+// malformed.
+[[nodiscard]] auto encodeCrashes(std::size_t crashes) -> std::string;
+[[nodiscard]] auto decodeCrashes(std::string_view text) -> std::optional<std::size_t>;
+
 // outcomeName() returns the value of `outcomeHeader`; parseOutcome() is its inverse, nullopt for an unknown name.
 [[nodiscard]] auto outcomeName(RunOutcome outcome) -> std::string_view;
 [[nodiscard]] auto parseOutcome(std::string_view name) -> std::optional<RunOutcome>;
--- a/src/relay/TargetRelay.cpp
+++ b/src/relay/TargetRelay.cpp
@@ -430,7 +430,8 @@
         recordOutcome(TargetHealth::Outcome::Failed, failure.error.toText());
     finishRun(*run, std::nullopt);
     const int status = failure.wasTimeout ? http::statusGatewayTimeout : http::statusBadGateway;
-    reply(*run, failure.mayHaveRun ? RunOutcome::MayHaveRun : RunOutcome::NotSent,
+    const auto mayHaveRunOutcome = failure.wasReset ? RunOutcome::ConnectionLost : RunOutcome::MayHaveRun;
+    reply(*run, failure.mayHaveRun ? mayHaveRunOutcome : RunOutcome::NotSent,
         http::makeAnswer(status, "text/plain", ""), failure.error.toText());
 }
 
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -11,6 +11,7 @@
 #include "log/Event.h"
 #include "net/AsioScheduler.h"
 #include "net/HttpServer.h"
+#include "relay/CrashRegistry.h"
 #include "relay/EntryRequest.h"
 #include "relay/RateLimitOwner.h"
 #include "relay/TargetRelay.h"
@@ -49,7 +50,9 @@
         "the rate per second and the burst over all hosts; 0 for no limit" };
 
     const log::Event unreachableHostRemoved { 1935, log::Severity::Warning, "host taken for gone",
-        "its daemon was unreachable for 15 s; its row is removed, and the daemon writes it again if it is running" };
+        "its daemon was unreachable for 15 s; its row is removed, or marked as departed if its target drains, and the "
+        "daemon "
+        "writes it again if it is running" };
 
     constexpr const char* hostTable = "hosts";
     // Fraction of the revocation bound for which a response of the store counts as fresh. The rest covers the time that
@@ -165,6 +168,7 @@
     dispatch::LoadBalancer loadBalancer;
     dispatch::RetryBudget retryBudget;
     dispatch::CallRatio callRatio;
+    relay::CrashRegistry crashRegistry;
     relay::EntryContext entryContext;
     relay::RateLimitOwner rateLimitOwner;
     relay::TargetRelay targetRelay;
@@ -215,6 +219,8 @@
     , retryBudget({ .retriesPerRequest = settings.retryBudgetRatio,
           .retriesPerWindow = settings.retryBudgetAllowance,
           .window = settings.retryBudgetWindow })
+    , crashRegistry(
+          storeView.directory(), storeView.client(), { .table = hostTable, .region = settings.locality.region })
     , entryContext { .io = io,
         .options = { .requiresApiKeys = settings.requiresApiKeys },
         .headers = adapter.headers,
@@ -228,6 +234,7 @@
         .configurationFreshness = storeView.operatorFreshness(),
         .hostListFreshness = storeView.hostListFreshness(),
         .directory = storeView.directory(),
+        .crashRegistry = crashRegistry,
         .snapshot = nullptr }
     , rateLimitOwner(entryContext,
           { .limits = rateLimits(),
@@ -268,6 +275,7 @@
         [this](const std::string& connection) { targetRelay.onConnectionClosed(connection); });
     targetRelay.setStoreClock([this] { return storeView.operatorFreshness().storeTime(SuspendAwareClock::now()); });
     registration.setStoreClock([this] { return storeView.hostListFreshness().storeTime(SuspendAwareClock::now()); });
+    crashRegistry.setStoreClock([this] { return storeView.hostListFreshness().storeTime(SuspendAwareClock::now()); });
     registration.onTargetChanged([this] { targetRelay.onTargetChanged(); });
     if (!callerServer.listen(settings.callerListenAddress, reason)
         || !peerServer.listen(settings.peerListenAddress, reason)
@@ -326,6 +334,8 @@
         rateLimitOwner.handle(exchange);
     else if (exchange->request().target == relay::borrowPath)
         handleRetryBudgetRequest(exchange);
+    else if (exchange->request().target == relay::crashPath)
+        crashRegistry.handle(exchange);
     else if (exchange->request().target == fleet::relayWatchPath)
         storeView.client().handle(exchange);
     else
@@ -429,8 +439,8 @@
     }
 }
 
-// The row of a host whose target drains outlives the host for a while, because its daemon may come back while the target
-// still runs. Any other row is removed.
+// The row of a host whose target drains outlives the host for a while, because its daemon may come back while the
+// target still runs. Any other row is removed.
 auto Sidecar::State::remainingRow(const fleet::HostRecord& record) const -> std::optional<std::string>
 {
     const auto storeTime = storeView.hostListFreshness().storeTime(SuspendAwareClock::now());
@@ -456,6 +466,9 @@
     if (!storeTime || hosts.empty() || hosts.front() != hostKey)
         return;
     auto expired = directory.hostsDepartedBefore(settings.locality.region, *storeTime - departedRowLifetime);
+    const auto marks
+        = directory.crashRowsBefore(settings.locality.region, *storeTime - relay::CrashRegistry::s_markLifetime);
+    expired.insert(expired.end(), marks.begin(), marks.end());
     expired.resize(std::min(expired.size(), maximumRowRemovals));
     for (const auto& key : expired)
         replaceRow(key, std::nullopt);
--- a/src/testing/EntryFixture.cpp
+++ b/src/testing/EntryFixture.cpp
@@ -21,6 +21,7 @@
     , loadBalancer({ .ownLocality = s_locality })
     , retryBudget({})
     , freshness({ .maximumAge = 1s })
+    , crashRegistry(directory, store, { .table = "hosts", .region = s_locality.region })
     , context { .io = io,
         .options = {},
         .headers = {},
@@ -34,6 +35,7 @@
         .configurationFreshness = freshness,
         .hostListFreshness = freshness,
         .directory = directory,
+        .crashRegistry = crashRegistry,
         .snapshot = nullptr }
 {
     context.isReady = true;
--- a/src/testing/EntryFixture.h
+++ b/src/testing/EntryFixture.h
@@ -7,7 +7,9 @@
 #pragma once
 
 #include "fleet/HostDirectory.h"
+#include "relay/CrashRegistry.h"
 #include "relay/EntryContext.h"
+#include "testing/OneRowStore.h"
 
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
@@ -32,6 +34,8 @@
     dispatch::CallRatio callRatio;
     dispatch::StalenessTracker freshness; // of the configuration and the host list; stale until a response is recorded
     fleet::HostDirectory directory;
+    OneRowStore store { "" }; // of the marks of requests that crash targets
+    relay::CrashRegistry crashRegistry;
     relay::EntryContext context;
 };
 
