Refuse requests that arrive late in a planned stop

What callers saw: a request sent late in the grace period, behind another one on its connection or with a slow body, was passed on and then given up with 504 while its target worked on it; a booking was lost so. Cause: the callers' port and idle connections are closed 2.3 s after the signal, but a connection that always has a request under way stays open, and what came on it was passed on until 0.8 s before the end. Change: a request that is complete after that moment is refused as not run, and no target is asked any more when less than the target latency is left. The last responses come an eighth of the grace period before its end, at most 0.8 s as before, so that this is within its last sixth for a short grace period too. Evidence: the test 'a planned stop refuses requests that arrive after the callers' port is closed, and answers earlier ones' fails with the daemon before this change (the request ran, 504) and passes now (not run, 503).

--- a/src/relay/EntryContext.h
+++ b/src/relay/EntryContext.h
@@ -94,6 +94,7 @@
     std::map<std::string, double> meanResponseBytes; // moving average, by route name
     std::map<const EntryRequest*, std::weak_ptr<EntryRequest>> openRequests; // authenticated and not yet destroyed
     std::optional<MonotonicTime> shutdownDeadline; // set at shutdown; every request gets its response by then
+    std::optional<MonotonicTime> callerPortClosesAt; // set at shutdown; requests that arrive later are refused
     EntryCounters counters;
     std::mt19937_64 random { std::random_device {}() };
 };
--- a/src/relay/EntryRequest.cpp
+++ b/src/relay/EntryRequest.cpp
@@ -34,6 +34,7 @@
     constexpr milliseconds noTargetPause { 60 };
     // Fraction of the time to the deadline that a request past its target latency may wait for a slot.
     constexpr double slotWaitFraction = 0.5;
+    constexpr std::string_view shutdownReason = "the daemon stops";
 
     auto secondsText(milliseconds time) -> std::string
     {
@@ -108,6 +109,10 @@
     m_hasBegun = true;
     m_waitTimer.cancel();
     m_snapshot = m_context.snapshot;
+    if (m_context.callerPortClosesAt && m_receivedAt >= *m_context.callerPortClosesAt) {
+        refuse(http::statusUnavailable, shutdownReason, m_context.options.minimumRetryAfter);
+        return;
+    }
     const auto& headers = m_exchange->request().headers;
     if (!m_snapshot) {
         constexpr milliseconds retryAfter { 500 };
@@ -332,7 +337,7 @@
 auto EntryRequest::waitOrFinish() -> void
 {
     const auto now = monotonicNow();
-    if (m_slotRefusals == 0 && m_retryStopReason.empty() && !isRejectedByAllTargets()
+    if (m_slotRefusals == 0 && m_stopReason.empty() && !isRejectedByAllTargets()
         && targetLatencyLeft(now) > noTargetPause) {
         m_stage = Stage::NoWait;
         m_triesInStage = 0;
@@ -349,8 +354,7 @@
     else if (m_mayHaveRun)
         fail(http::statusBadGateway, "no target left after one may have run it");
     else
-        refuse(http::statusUnavailable, m_retryStopReason.empty() ? "no slot in time" : m_retryStopReason,
-            overloadRetryAfter());
+        refuse(http::statusUnavailable, m_stopReason.empty() ? "no slot in time" : m_stopReason, overloadRetryAfter());
 }
 
 auto EntryRequest::overloadRetryAfter() -> milliseconds
@@ -483,8 +487,12 @@
             refuse(http::statusUnauthorized, "the key was withdrawn", std::nullopt);
         return;
     }
+    if (isTooLateBeforeShutdown(monotonicNow())) {
+        stopTrying(shutdownReason);
+        return;
+    }
     if (m_attempts > 0 && crashesTargets()) {
-        stopRetrying("the request crashes targets");
+        stopTrying("the request crashes targets");
         return;
     }
     const bool isWithinBudget = m_attempts == 0 || std::exchange(m_hasUnusedRetry, false)
@@ -496,6 +504,12 @@
         borrowRetry();
 }
 
+// A target that is still at work when the daemon ends is cut off, and its work is lost.
+auto EntryRequest::isTooLateBeforeShutdown(MonotonicTime now) const -> bool
+{
+    return m_context.shutdownDeadline && now + m_route->targetLatency > *m_context.shutdownDeadline;
+}
+
 // The key may have been revoked while the request waited for a slot.
 auto EntryRequest::isKeyRevoked() const -> bool
 {
@@ -524,16 +538,16 @@
         { { "request", m_requestId }, { "peer", m_target->description.address }, { "step", "run" },
             { "outcome", "not-run" }, { "why", "retry budget exhausted" },
             { "calls", encodeCallsPerRequest(m_context.callsPerRequest[m_service]) } });
-    stopRetrying("no further attempt in the budget");
+    stopTrying("no further attempt in the budget");
 }
 
-// Gives back the slot that was reserved for a further attempt and ends the request.
-auto EntryRequest::stopRetrying(std::string_view why) -> void
+// Gives back the slot that was reserved and ends the request.
+auto EntryRequest::stopTrying(std::string_view why) -> void
 {
     m_context.peerClient.cancel(m_call);
     endAttempt();
     m_stage = Stage::Exhausted;
-    m_retryStopReason = why;
+    m_stopReason = why;
     waitOrFinish();
 }
 
--- a/src/relay/EntryRequest.h
+++ b/src/relay/EntryRequest.h
@@ -77,11 +77,12 @@
     auto onSlotRefused(const http::Answer& response) -> void;
     auto startAttempt() -> void;
     [[nodiscard]] auto isKeyRevoked() const -> bool;
+    [[nodiscard]] auto isTooLateBeforeShutdown(MonotonicTime now) const -> bool;
     auto borrowRetry() -> void;
     auto onRetryBudgetExhausted() -> void;
     auto onCrash(const std::string& target) -> void;
     auto onCrashesCounted(std::optional<std::size_t> crashes) -> void;
-    auto stopRetrying(std::string_view why) -> void;
+    auto stopTrying(std::string_view why) -> void;
     auto recordSuccess() -> void;
     [[nodiscard]] auto fingerprint() const -> std::uint64_t;
     [[nodiscard]] auto crashesTargets() const -> bool;
@@ -137,7 +138,7 @@
     bool m_mayHaveRun = false; // a target may have executed the request
     std::optional<http::Answer> m_lastErrorResponse; // the last 5xx that a target itself sent
     std::shared_ptr<CrashReporter> m_crashReporter; // set while the crashes of the request are asked for
-    std::string_view m_retryStopReason; // why no further attempt is made, if there is a reason
+    std::string_view m_stopReason; // why no further target is tried, if there is a reason
     bool m_hasReportedCrash = false;
     bool m_hasBegun = false;
     bool m_isDone = false;
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -75,8 +75,10 @@
     constexpr std::size_t maximumRowRemovals = 64; // in one check, so that the store isn't flooded
     constexpr milliseconds stopPollPeriod { 40 };
     constexpr milliseconds responseDeliveryTime { 120 };
-    constexpr milliseconds killMargin { 400 }; // the daemon ends this long before the process is killed
-    constexpr milliseconds finalResponseMargin { 800 }; // open requests end this long before the process is killed
+    // Open requests end this long before the process is killed, and the daemon after half of that time. A target that
+    // is still at work in the last sixth of the grace period has had its time.
+    constexpr milliseconds maximumFinalResponseMargin { 800 };
+    constexpr int finalResponseDivisor = 8; // of the grace period
 
     constexpr milliseconds peerConnectTimeout { 400 };
     constexpr milliseconds peerClientIdleTimeout { 30000 };
@@ -86,6 +88,11 @@
     constexpr std::size_t peerConnectionDivisor = 3; // a third of the file descriptors may serve peers
     constexpr std::size_t bytesPerMegabyte = 1024 * 1024;
 
+    auto finalResponseMargin(const HostSettings& settings) -> milliseconds
+    {
+        return std::min(maximumFinalResponseMargin, settings.stopGracePeriod / finalResponseDivisor);
+    }
+
     auto maximumResponseAge(const HostSettings& settings) -> milliseconds
     {
         return std::chrono::duration_cast<milliseconds>(settings.revocationBound * freshnessRatio);
@@ -530,7 +537,8 @@
 // the process ends, instead of a closed connection.
 auto Sidecar::State::setOpenRequestDeadlines() -> void
 {
-    entryContext.shutdownDeadline = stopStartedAt + settings.stopGracePeriod - finalResponseMargin;
+    entryContext.shutdownDeadline = stopStartedAt + settings.stopGracePeriod - finalResponseMargin(settings);
+    entryContext.callerPortClosesAt = stopStartedAt + callerDrainDelay;
     const auto requests = entryContext.openRequests;
     for (const auto& [raw, weak] : requests) {
         if (const auto request = weak.lock())
@@ -548,7 +556,7 @@
     }
     if (now >= stopStartedAt + targetDrainDelay)
         targetRelay.stopAccepting();
-    const bool isGraceOver = now >= stopStartedAt + settings.stopGracePeriod - killMargin;
+    const bool isGraceOver = now >= stopStartedAt + settings.stopGracePeriod - finalResponseMargin(settings) / 2;
     if (open > 0)
         lastOpenRequestAt = now;
     // The last responses may still be in transit to their callers.
