Let a departed host wait for its target before it joins again

Cause: a daemon that found its row marked as departed wrote it again at once. Change: such a daemon waits for a heartbeat as a new host does; the row holds the drain meanwhile.

--- a/src/fleet/HostRegistration.cpp
+++ b/src/fleet/HostRegistration.cpp
@@ -20,6 +20,11 @@
     const log::Event drainNotStored { 1936, log::Severity::Warning, "leaving not confirmed",
         "the store hasn't responded; the target gets no new requests here and is asked to repeat its message" };
 
+    auto isDrainStored(const HostRecord& record) -> bool
+    {
+        return record.state == HostRecord::State::Draining || record.state == HostRecord::State::Departed;
+    }
+
 } // namespace
 
 HostRegistration::HostRegistration(boost::asio::io_context& io, StoreClient& store, LocalTarget& target,
@@ -96,8 +101,7 @@
     const auto* stored = storedRecord();
     m_rowWriter.setStoredVersion(m_directory.version(m_options.key));
     if (stored)
-        m_target.restoreFromStore(stored->targetId, stored->targetStartedAt,
-            stored->state == HostRecord::State::Draining || stored->state == HostRecord::State::Departed);
+        m_target.restoreFromStore(stored->targetId, stored->targetStartedAt, isDrainStored(*stored));
     m_targetChangedCallback();
     if (stored && m_directory.version(m_options.key) == 0)
         m_rowWriter.update(*stored, [this] { removeFormerRow(); });
@@ -105,10 +109,10 @@
         writeRow(nullptr);
         return;
     }
-    if (stored)
+    if (stored && stored->state != HostRecord::State::Departed)
         return;
-    // The row of a new host waits for the first heartbeat, which is due soon: each change of a row is sent to all
-    // hosts, so one change is cheaper than two.
+    // The row of a new host, or of one that departed, waits for the first heartbeat, which is due soon: each change of
+    // a row is sent to all hosts, so one change is cheaper than two.
     m_firstHeartbeatTimer.expires_after(m_options.firstHeartbeatTimeout);
     m_firstHeartbeatTimer.async_wait([this](const boost::system::error_code& error) {
         if (!error && !m_target.current())
@@ -139,7 +143,7 @@
     if (!deregistered || !stored)
         return !deregistered;
     if (stored->targetId == deregistered->id)
-        return stored->state == HostRecord::State::Draining;
+        return isDrainStored(*stored);
     return deregistered->startedAt < stored->targetStartedAt;
 }
 
--- a/src/fleet/HostRegistration_test.cpp
+++ b/src/fleet/HostRegistration_test.cpp
@@ -192,6 +192,13 @@
     fixture.directory.apply({ { host, encodeHostRecord(departed), 41, false } }, true);
     fixture.store.row = { host, encodeHostRecord(departed), 41, false };
     fixture.registration.onHostsLoaded();
+    // The hosts that a lost data centre had before must not all change their limits once more when it comes back.
+    CHECK(fixture.store.writes == 0);
+    const bool hasHeartbeat = GENERATE(true, false);
+    if (hasHeartbeat)
+        fixture.sendHeartbeat(1, false);
+    else
+        fixture.io.run_for(5s);
     CHECK(fixture.storedRecord().joinedAt == 7s);
     CHECK(fixture.storedRecord().state == HostRecord::State::Draining);
 }
