Keep the offset to the store's clock through rounding, drift and late responses

Cause: the store states its clock in whole milliseconds. With a short way the lower bound of the offset exceeded the upper one by a fraction; both were then taken from the latest response alone, a long poll, so that every relayed response counted as 15 s old. Relays were judged by the other bound, so the store was not asked. Drift, and a response that overtakes a newer one, had the same effect. Change: the lower bound allows for the rounding, both bounds widen by 200 millionths of the time that passes, and only an offset that contradicts them replaces them. Relayed responses are judged by the bound by which their age counts, so a host that they can't make fresh asks the store, which tightens the bound.

--- a/src/dispatch/StalenessTracker.h
+++ b/src/dispatch/StalenessTracker.h
@@ -40,7 +40,7 @@
 
     // recordRelayed() records a response that another host received from the store and relayed, by the store's clock
     // reading in it. It has no effect before this host's own first response, which relates the two clocks.
-    auto recordRelayed(std::chrono::milliseconds storeTime) -> void;
+    auto recordRelayed(SuspendAwareTime receivedAt, std::chrono::milliseconds storeTime) -> void;
 
     // age() is the upper bound on the age of the data; nothing before the first response.
     [[nodiscard]] auto age(SuspendAwareTime now) const -> std::optional<std::chrono::milliseconds>;
@@ -51,12 +51,22 @@
     // storeTime() is a lower bound on the store's clock at `now`; nothing before the first response.
     [[nodiscard]] auto storeTime(SuspendAwareTime now) const -> std::optional<std::chrono::milliseconds>;
 
+    // latestStoreTime() is an upper bound. A relayed response counts as old as the difference to it.
+    [[nodiscard]] auto latestStoreTime(SuspendAwareTime now) const -> std::optional<std::chrono::milliseconds>;
+
 private:
+    // ClockOffset bounds the local clock minus the store's clock, as of the local time `at`.
+    struct ClockOffset {
+        std::chrono::nanoseconds lower;
+        std::chrono::nanoseconds upper;
+        SuspendAwareTime at;
+    };
+
+    [[nodiscard]] auto offsetAt(SuspendAwareTime now) const -> ClockOffset;
+
     Options m_options;
     std::optional<SuspendAwareTime> m_freshAsOf;
-    std::optional<std::chrono::nanoseconds> m_offsetLowerBound; // of the local clock minus the store's clock
-    std::optional<std::chrono::nanoseconds> m_offsetUpperBound;
-    std::chrono::milliseconds m_lastStoreTime { 0 };
+    std::optional<ClockOffset> m_offset;
 };
 
 } // namespace coriandergate::dispatch
--- a/src/fleet/StoreView.cpp
+++ b/src/fleet/StoreView.cpp
@@ -21,7 +21,7 @@
     auto recordResponse(dispatch::StalenessTracker& freshness, const StoreResponse& response) -> void
     {
         if (response.isRelayed)
-            freshness.recordRelayed(response.storeTime);
+            freshness.recordRelayed(response.receivedAt, response.storeTime);
         else
             freshness.recordResponse(response.sentAt, response.receivedAt, response.storeTime);
     }
@@ -49,7 +49,8 @@
     , m_operatorFreshness({ .maximumAge = options.maximumAge })
     , m_hostListFreshness({ .maximumAge = options.maximumAge })
 {
-    m_client.setStoreClock([this] { return m_operatorFreshness.storeTime(m_scheduler.suspendAwareNow()); });
+    // By this clock the client refuses what would not count as fresh here, and asks the store itself.
+    m_client.setStoreClock([this] { return m_operatorFreshness.latestStoreTime(m_scheduler.suspendAwareNow()); });
     m_client.onClock([this](const StoreResponse& response) {
         m_operatorFreshness.recordClock(response.sentAt, response.receivedAt, response.storeTime);
         m_hostListFreshness.recordClock(response.sentAt, response.receivedAt, response.storeTime);
