Let requests outlive their context at the end of a stop

Cause: the io_context destroys its last handlers, and the requests in them, after the daemon. The destructor then erased the request from a map of the destroyed context, and cancelled its rate limit check there. Change: the map of open requests is shared by the requests, and the context cancels them in its destructor, so that a request that is destroyed later touches nothing of it. Evidence: the test 'EntryRequest may outlive its context, in a handler that is destroyed with the io_context' destroys them in this order and passes. It was not shown to fail before: valgrind can't read the debug information of this build, and no sanitizer build was made.

--- a/src/relay/EntryContext.cpp
+++ b/src/relay/EntryContext.cpp
@@ -6,6 +6,15 @@
 
 namespace coriandergate::relay {
 
+EntryContext::~EntryContext()
+{
+    const auto requests = *openRequests;
+    for (const auto& [raw, weak] : requests) {
+        if (const auto request = weak.lock())
+            request->cancel();
+    }
+}
+
 auto EntryContext::markReady() -> void
 {
     isReady = true;
--- a/src/relay/EntryContext.h
+++ b/src/relay/EntryContext.h
@@ -34,8 +34,14 @@
 class CrashRegistry;
 class EntryRequest;
 
-// EntryContext is used on the thread of its io_context and must outlive every request.
+// EntryContext is used on the thread of its io_context. Everything that it refers to outlives it.
 struct EntryContext {
+    // OpenRequests holds the requests that are authenticated and not yet destroyed.
+    using OpenRequests = std::map<const EntryRequest*, std::weak_ptr<EntryRequest>>;
+
+    // The destructor cancels all requests. Some of them may be destroyed later, with the io_context.
+    ~EntryContext();
+
     // markReady() is called once configuration and hosts are known; it starts the requests that waited for them.
     auto markReady() -> void;
 
@@ -92,7 +98,7 @@
     std::map<std::string, dispatch::RetryBudget::CallsPerRequest> callsPerRequest; // by service, as last reported
     std::map<std::string, std::uint64_t> splitPositions; // by route name
     std::map<std::string, double> meanResponseBytes; // moving average, by route name
-    std::map<const EntryRequest*, std::weak_ptr<EntryRequest>> openRequests; // authenticated and not yet destroyed
+    std::shared_ptr<OpenRequests> openRequests = std::make_shared<OpenRequests>();
     std::optional<MonotonicTime> shutdownDeadline; // set at shutdown; every request gets its response by then
     std::optional<MonotonicTime> callerPortClosesAt; // set at shutdown; requests that arrive later are refused
     EntryCounters counters;
--- a/src/relay/EntryRequest.cpp
+++ b/src/relay/EntryRequest.cpp
@@ -71,6 +71,7 @@
 
 EntryRequest::EntryRequest(EntryContext& context, std::shared_ptr<http::Exchange> exchange)
     : m_context(context)
+    , m_openRequests(context.openRequests)
     , m_exchange(std::move(exchange))
     , m_requestId(m_exchange->request().headers.find(context.headers.requestId).value_or(""))
     , m_receivedAt(monotonicNow())
@@ -132,7 +133,7 @@
     readDeadline();
     if (!authenticate())
         return;
-    m_context.openRequests[this] = weak_from_this();
+    (*m_openRequests)[this] = weak_from_this();
     armDeadlineTimer();
     checkRateLimit();
 }
@@ -154,12 +155,7 @@
     armDeadlineTimer();
 }
 
-EntryRequest::~EntryRequest()
-{
-    if (m_rateLimitCheck)
-        m_rateLimitCheck->cancel(); // refers to the account in this request's snapshot
-    m_context.openRequests.erase(this);
-}
+EntryRequest::~EntryRequest() { m_openRequests->erase(this); }
 
 auto EntryRequest::readDeadline() -> void
 {
@@ -726,16 +722,21 @@
         refuse(http::statusUnavailable, "no slot before the deadline", overloadRetryAfter());
 }
 
-auto EntryRequest::onCallerDisconnected() -> void
+auto EntryRequest::cancel() -> void
 {
-    if (m_isDone)
-        return;
     m_isDone = true;
     const auto call = m_call;
     endAttempt();
     m_context.peerClient.cancel(call);
     m_deadlineTimer.cancel();
     m_waitTimer.cancel();
+}
+
+auto EntryRequest::onCallerDisconnected() -> void
+{
+    if (m_isDone)
+        return;
+    cancel();
     ++m_context.counters.endedByReason["caller left"];
     log::logEvent(requestEnded,
         { { "request", m_requestId }, { "status", "none" }, { "why", "caller left" },
@@ -764,6 +765,8 @@
     m_isDone = true;
     m_deadlineTimer.cancel();
     m_waitTimer.cancel();
+    if (m_rateLimitCheck)
+        std::exchange(m_rateLimitCheck, nullptr)->cancel(); // refers to the account in this request's snapshot
     const auto latency = std::chrono::duration_cast<milliseconds>(monotonicNow() - m_receivedAt);
     ++m_context.counters.endedByReason[std::to_string(response.status) + " " + std::string(why)];
     if (why == "answered")
--- a/src/relay/EntryRequest.h
+++ b/src/relay/EntryRequest.h
@@ -35,8 +35,8 @@
 // EntryRequest keeps itself alive until it has responded or the caller disconnects.
 class EntryRequest : public std::enable_shared_from_this<EntryRequest> {
 public:
-    // start() handles a complete request and responds exactly once, possibly before it returns. `context` must outlive
-    // the request.
+    // start() handles a complete request and responds exactly once, possibly before it returns. After `context` is
+    // destroyed the request does nothing any more.
     static auto start(EntryContext& context, std::shared_ptr<http::Exchange> exchange) -> void;
 
     EntryRequest(EntryContext& context, std::shared_ptr<http::Exchange> exchange);
@@ -51,6 +51,9 @@
     // capDeadline() moves the deadline to `time` if that is earlier; used before the daemon stops.
     auto capDeadline(MonotonicTime time) -> void;
 
+    // cancel() ends the request without a response, and releases what it holds of its context.
+    auto cancel() -> void;
+
 private:
     // Stage tells how long the request waits for a slot at each target that it tries.
     enum class Stage {
@@ -110,6 +113,7 @@
     [[nodiscard]] auto overloadRetryAfter() -> std::chrono::milliseconds;
 
     EntryContext& m_context;
+    std::shared_ptr<EntryContext::OpenRequests> m_openRequests; // may outlive m_context
     std::shared_ptr<http::Exchange> m_exchange;
     std::shared_ptr<const PolicySnapshot> m_snapshot;
     const config::Route* m_route = nullptr;
--- a/src/relay/EntryRequest_test.cpp
+++ b/src/relay/EntryRequest_test.cpp
@@ -66,6 +66,10 @@
         {
             Error reason;
             reservations.push_back(decodeReserveRequest(exchange->request().body, reason).value_or(ReserveRequest {}));
+            if (isSilent) {
+                unanswered.push_back(exchange);
+                return;
+            }
             exchange->answer(http::makeAnswer(503, "text/plain", std::string(noSlotInTime)));
         }
 
@@ -100,16 +104,21 @@
             return hashOf("", hashOf("GET shop.example" + path));
         }
 
-        auto request(const std::string& path) -> http::Answer
+        auto startRequest(const std::string& path, net::HttpClient::Callback done) -> void
         {
             http::Request message;
             message.method = "GET";
             message.target = path;
             message.headers.add("Host", "shop.example");
             message.headers.add("Request-Id", "r-1");
-            std::optional<net::HttpClient::Result> result;
             peerClient.send("127.0.0.1:" + std::to_string(callerServer.port()), http::serializeRequest(message),
-                { .timeout = 3s }, [&result](net::HttpClient::Result received) { result = std::move(received); });
+                { .timeout = 3s }, std::move(done));
+        }
+
+        auto request(const std::string& path) -> http::Answer
+        {
+            std::optional<net::HttpClient::Result> result;
+            startRequest(path, [&result](net::HttpClient::Result received) { result = std::move(received); });
             testing::runUntil(
                 io, [&result] { return result.has_value(); }, 4s);
             REQUIRE(result);
@@ -126,6 +135,8 @@
 
         std::vector<std::unique_ptr<net::HttpServer>> peers;
         int runRequests = 0;
+        bool isSilent = false; // the refusing peer doesn't respond
+        std::vector<std::shared_ptr<http::Exchange>> unanswered;
         std::vector<ReserveRequest> reservations;
         boost::asio::steady_timer timer { io };
         net::HttpServer refusingPeer;
@@ -294,6 +305,27 @@
     CHECK(entry.reservations.empty());
 }
 
+// Guards against a crash at the end of a planned stop: the io_context destroys its last handlers, and the requests that
+// they hold, after the context of the requests.
+TEST_CASE("EntryRequest may outlive its context, in a handler that is destroyed with the io_context")
+{
+    std::shared_ptr<boost::asio::io_context> io;
+    std::weak_ptr<EntryContext::OpenRequests> openRequests;
+    {
+        Entry entry;
+        io = entry.ownedIo;
+        openRequests = entry.context.openRequests;
+        entry.isSilent = true;
+        entry.startRequest("/notes/1", [](const net::HttpClient::Result&) {});
+        testing::runUntil(*io, [&entry] { return !entry.reservations.empty(); });
+        REQUIRE(entry.context.openRequests->size() == 1);
+    }
+    REQUIRE_FALSE(openRequests.expired());
+    CHECK(openRequests.lock()->size() == 1);
+    io.reset();
+    CHECK(openRequests.expired());
+}
+
 TEST_CASE("EntryRequest refuses a request that needs a key while the configuration is not known to be fresh")
 {
     Entry entry;
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -539,7 +539,7 @@
 {
     entryContext.shutdownDeadline = stopStartedAt + settings.stopGracePeriod - finalResponseMargin(settings);
     entryContext.callerPortClosesAt = stopStartedAt + callerDrainDelay;
-    const auto requests = entryContext.openRequests;
+    const auto requests = *entryContext.openRequests;
     for (const auto& [raw, weak] : requests) {
         if (const auto request = weak.lock())
             request->capDeadline(*entryContext.shutdownDeadline);
--- a/src/testing/EntryFixture.h
+++ b/src/testing/EntryFixture.h
@@ -13,6 +13,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
+#include <memory>
 #include <string>
 
 namespace coriandergate::testing {
@@ -27,7 +28,8 @@
 
     static const Locality s_locality;
 
-    boost::asio::io_context io;
+    std::shared_ptr<boost::asio::io_context> ownedIo = std::make_shared<boost::asio::io_context>();
+    boost::asio::io_context& io = *ownedIo;
     net::HttpClient peerClient;
     dispatch::LoadBalancer loadBalancer;
     dispatch::RetryBudget retryBudget;
