Bound what request bodies take on their way, and refuse the rest as not run

What callers saw: one body of 60 MB, within max_body_bytes, took the daemon over its 260 MB; it was killed, and 14 or 15 requests of others ended without an answer. A body above an eighth of the memory always ended with 502. Cause: the bound on request bytes was a quarter of the memory, but a body is held up to seven times on its way. The peer's port refused a large body before reading it to the end, which counted as 'may have run'. Change: the requests of callers, and those of peers, may each take a twentieth of the memory as received bytes; what goes beyond is refused with 503 (not run). The copies themselves remain, so a body between a twentieth of the memory and max_body_bytes is not served.

--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -84,7 +84,12 @@
     constexpr milliseconds peerClientIdleTimeout { 30000 };
     constexpr std::size_t maximumIdleConnectionsPerPeer = 4;
     constexpr milliseconds peerServerIdleTimeout { 60000 };
-    constexpr std::size_t peerBodyDivisor = 8; // one request body may take an eighth of the memory
+    // Part of the memory that the requests of callers may take as received bytes, and as much again those of peers. On
+    // its way a body is held up to seven times by the entry and five times by the daemon beside the target, which may
+    // be one process, and responses take up to a third of the memory.
+    constexpr std::size_t requestBytesDivisor = 20;
+    // In addition to the body of the caller's request, a peer sends its headers and how to run it.
+    constexpr std::size_t peerMessageOverhead = 64 * 1024;
     constexpr std::size_t peerConnectionDivisor = 3; // a third of the file descriptors may serve peers
     constexpr std::size_t bytesPerMegabyte = 1024 * 1024;
 
@@ -117,16 +122,20 @@
         return settings.memoryLimitMegabytes * bytesPerMegabyte / answerDivisor;
     }
 
+    auto maximumRequestBytes(const HostSettings& settings) -> std::size_t
+    {
+        return settings.memoryLimitMegabytes * bytesPerMegabyte / requestBytesDivisor;
+    }
+
     auto callerOptions(const HostSettings& settings, const config::CallerLimits& limits) -> net::HttpServer::Options
     {
-        constexpr std::size_t bufferDivisor = 4; // a quarter of the memory may hold requests
         constexpr std::size_t connectionDivisor = 2; // half of the file descriptors may serve callers
         net::HttpServer::Options options;
         options.maximumHeaderBytes = limits.maximumHeaderBytes;
         options.maximumBodyBytes = limits.maximumBodyBytes;
         options.headerTimeout = limits.headerTimeout;
         options.idleTimeout = limits.idleTimeout;
-        options.maximumBufferedBytes = settings.memoryLimitMegabytes * bytesPerMegabyte / bufferDivisor;
+        options.maximumBufferedBytes = maximumRequestBytes(settings);
         options.maximumConnections = settings.fileDescriptorLimit / connectionDivisor;
         return options;
     }
@@ -254,9 +263,10 @@
               relay::EntryRequest::start(entryContext, std::move(exchange));
           })
     , peerServer(io,
-          { .maximumBodyBytes = settings.memoryLimitMegabytes * bytesPerMegabyte / peerBodyDivisor,
+          { .maximumBodyBytes = maximumRequestBytes(settings) + peerMessageOverhead,
               .idleTimeout = peerServerIdleTimeout,
-              .maximumConnections = settings.fileDescriptorLimit / peerConnectionDivisor },
+              .maximumConnections = settings.fileDescriptorLimit / peerConnectionDivisor,
+              .maximumBufferedBytes = maximumRequestBytes(settings) + peerMessageOverhead },
           [this](std::shared_ptr<http::Exchange> exchange) { handlePeer(exchange); })
     , controlServer(io, {}, [this](std::shared_ptr<http::Exchange> exchange) { handleControl(exchange); })
     , readinessServer(io, {},
--- a/src/testing/ProcessUnderTest.cpp
+++ b/src/testing/ProcessUnderTest.cpp
@@ -7,8 +7,9 @@
 #include <QProcess>
 #include <QProcessEnvironment>
 #include <QTemporaryFile>
-
 #include <csignal>
+#include <cstdlib>
+#include <fstream>
 
 namespace coriandergate::testing {
 
@@ -128,6 +129,18 @@
     return file.readAll().toStdString();
 }
 
+auto ProcessUnderTest::peakMemoryBytes() const -> std::size_t
+{
+    constexpr std::string_view field = "VmHWM:";
+    constexpr std::size_t bytesPerKilobyte = 1024;
+    std::ifstream status("/proc/" + std::to_string(m_state->process.processId()) + "/status");
+    for (std::string line; std::getline(status, line);) {
+        if (line.starts_with(field))
+            return std::strtoull(line.c_str() + field.size(), nullptr, 10) * bytesPerKilobyte;
+    }
+    return 0;
+}
+
 auto ProcessUnderTest::sendSignal(int number) -> void
 {
     // The number belongs to this object's own child until QProcess has reaped it, so it can't name another process.
--- a/src/testing/ProcessUnderTest.h
+++ b/src/testing/ProcessUnderTest.h
@@ -14,6 +14,7 @@
 #include "base/Error.h"
 
 #include <chrono>
+#include <cstddef>
 #include <memory>
 #include <optional>
 #include <string>
@@ -64,6 +65,9 @@
     // isRunning() says whether the process has been started and hasn't ended.
     [[nodiscard]] auto isRunning() -> bool;
 
+    // peakMemoryBytes() is the most memory that the process has held so far; 0 when it doesn't run.
+    [[nodiscard]] auto peakMemoryBytes() const -> std::size_t;
+
     // output() is all that the process has printed, both channels merged.
     [[nodiscard]] auto output() const -> std::string;
 
