Report successes of crashing requests by few hosts, and bound the calls to the store

Cause (by reading): a request that most callers send, and that was running on three targets as they crashed, would be marked; every host that then served it would report and try to remove the mark, each time. Change: only the hosts that count a request's crashes write its mark, a row at most once in two seconds, and a host reports a success at most once in that time. A host that knows of a crash clears it with the next success of the same request, so that such requests are rarely marked. Removed rows no longer prove another table unchanged, since a relay that missed a removal sends it with a later version, and SIGHUP before its handler doesn't end a daemon. Measured: the test 'successes of a marked request cost one write and one report in a while' (100 successes: 1 and 1); the tests of relay pass.

--- a/src/fleet/VersionProof.h
+++ b/src/fleet/VersionProof.h
@@ -16,12 +16,13 @@
 
 // provesUnchanged() returns whether `response`, on one table, proves that another table hasn't changed since
 // `observedVersion`. It may return false for an unchanged table, because a row that changed twice has only its last
-// version. Thread-safe.
+// version, and because removed rows don't count: a relay that missed a removal doesn't know its version and sends a
+// later one, which may be that of a change of the other table. Thread-safe.
 [[nodiscard]] inline auto provesUnchanged(std::uint64_t observedVersion, const StoreResponse& response) -> bool
 {
     std::set<std::uint64_t> versions; // rows of one transaction share its version
     for (const auto& row : response.rows) {
-        if (row.version > observedVersion && row.version <= response.newestVersion)
+        if (!row.isRemoved && row.version > observedVersion && row.version <= response.newestVersion)
             versions.insert(row.version);
     }
     return observedVersion + versions.size() >= response.newestVersion;
--- a/src/relay/CrashRegistry.cpp
+++ b/src/relay/CrashRegistry.cpp
@@ -27,30 +27,39 @@
 {
 }
 
-CrashRegistry::~CrashRegistry() { *m_isAlive = false; }
-
 auto CrashRegistry::handle(const std::shared_ptr<http::Exchange>& exchange) -> void
 {
     Error reason;
     const auto report = decodeCrashReport(exchange->request().body, reason);
     exchange->answer(report
-            ? http::makeAnswer(http::statusOk, "text/plain", encodeCrashes(record(*report, monotonicNow())))
+            ? http::makeAnswer(http::statusOk, "text/plain", encodeCrashes(recordAndMark(*report, monotonicNow())))
             : http::makeAnswer(http::statusBadRequest, "text/plain", reason.toText()));
 }
 
 auto CrashRegistry::record(const CrashReport& report, MonotonicTime now) -> std::size_t
 {
-    if (report.hasSucceeded) {
-        m_tracker.recordSuccess(report.fingerprint);
-        unmark(report.fingerprint);
-        return 0;
-    }
-    const auto crashes = m_tracker.recordCrash(report.fingerprint, report.target, now);
-    if (crashes >= dispatch::CrashTracker::s_maximumCrashes || crashesTargets(report.fingerprint))
-        mark(report.fingerprint, crashes);
+    if (!report.hasSucceeded)
+        return m_tracker.recordCrash(report.fingerprint, report.target, now);
+    m_tracker.recordSuccess(report.fingerprint);
+    return 0;
+}
+
+auto CrashRegistry::recordAndMark(const CrashReport& report, MonotonicTime now) -> std::size_t
+{
+    const auto crashes = record(report, now);
+    if (report.hasSucceeded)
+        unmark(report.fingerprint, now);
+    else if (crashes >= dispatch::CrashTracker::s_maximumCrashes || crashesTargets(report.fingerprint))
+        mark(report.fingerprint, crashes, now);
     return crashes;
 }
 
+auto CrashRegistry::tryBeginSuccessReport(std::uint64_t fingerprint, MonotonicTime now) -> bool
+{
+    return (m_tracker.crashes(fingerprint, now) > 0 || crashesTargets(fingerprint))
+        && m_recentSuccessReports.tryAdd(fingerprint, now);
+}
+
 auto CrashRegistry::crashesTargets(std::uint64_t fingerprint) const -> bool
 {
     return m_directory.crashesTargets(fingerprint);
@@ -58,7 +67,7 @@
 
 auto CrashRegistry::hasMarks() const -> bool { return m_directory.crashingRequests() > 0; }
 
-auto CrashRegistry::mark(std::uint64_t fingerprint, std::size_t crashes) -> void
+auto CrashRegistry::mark(std::uint64_t fingerprint, std::size_t crashes, MonotonicTime now) -> void
 {
     const auto storeTime = m_storeClock ? m_storeClock() : std::nullopt;
     const auto rows = m_directory.crashRows(fingerprint);
@@ -66,16 +75,16 @@
         [&](const auto& row) { return storeTime && row.second + m_options.refreshAfter > *storeTime; });
     const bool isFull = rows.empty() && m_directory.crashingRequests() >= m_options.maximumMarks;
     const auto key = fleet::crashRowKey(m_options.region, fingerprint);
-    if (!storeTime || isRecent || isFull || m_pendingWrites.contains(key))
+    if (!storeTime || isRecent || isFull || !m_recentWrites.tryAdd(key, now))
         return;
     log::logEvent(requestMarked, { { "key", key }, { "crashes", std::to_string(crashes) } });
     write(key, fleet::encodeCrashRow(*storeTime));
 }
 
-auto CrashRegistry::unmark(std::uint64_t fingerprint) -> void
+auto CrashRegistry::unmark(std::uint64_t fingerprint, MonotonicTime now) -> void
 {
     for (const auto& [key, lastCrashAt] : m_directory.crashRows(fingerprint)) {
-        if (m_pendingWrites.contains(key))
+        if (!m_recentWrites.tryAdd(key, now))
             continue;
         log::logEvent(requestUnmarked, { { "key", key } });
         write(key, std::nullopt);
@@ -84,12 +93,9 @@
 
 auto CrashRegistry::write(const std::string& key, std::optional<std::string> value) -> void
 {
-    m_pendingWrites.insert(key);
-    m_store.write({ m_options.table, key, m_directory.version(key), std::move(value) },
-        [this, alive = m_isAlive, key](const fleet::StoreClient::Result&) {
+    m_store.write(
+        { m_options.table, key, m_directory.version(key), std::move(value) }, [](const fleet::StoreClient::Result&) {
             // If the write failed, the next crash or success of the request tries it again.
-            if (*alive)
-                m_pendingWrites.erase(key);
         });
 }
 
--- a/src/relay/CrashRegistry.h
+++ b/src/relay/CrashRegistry.h
@@ -15,9 +15,9 @@
 
 #include <chrono>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 
 namespace coriandergate::fleet {
@@ -48,29 +48,53 @@
     using StoreClock = std::function<std::optional<std::chrono::milliseconds>()>;
 
     CrashRegistry(const fleet::HostDirectory& directory, fleet::StoreClient& store, Options options);
-    ~CrashRegistry();
-    CrashRegistry(const CrashRegistry&) = delete;
-    auto operator=(const CrashRegistry&) -> CrashRegistry& = delete;
-
     // setStoreClock() sets the function that reads the store's clock. Without a time, no row is written.
     auto setStoreClock(StoreClock storeClock) -> void { m_storeClock = std::move(storeClock); }
 
     // handle() serves a CrashReport of another host.
     auto handle(const std::shared_ptr<http::Exchange>& exchange) -> void;
 
-    // record() records a crash or a success, marks or unmarks the request in the store, and returns the number of its
-    // crashes that are known here.
+    // record() records a crash or a success and returns the number of the request's crashes that are known here.
     auto record(const CrashReport& report, MonotonicTime now) -> std::size_t;
 
+    // recordAndMark() does the same, and marks or unmarks the request in the store if that is due. Only the few hosts
+    // that count the request's crashes call it, so that a mark costs few calls to the store.
+    auto recordAndMark(const CrashReport& report, MonotonicTime now) -> std::size_t;
+
     // crashesTargets() returns whether the request is marked.
     [[nodiscard]] auto crashesTargets(std::uint64_t fingerprint) const -> bool;
 
     // hasMarks() returns whether any request is marked.
     [[nodiscard]] auto hasMarks() const -> bool;
 
+    // isEmpty() returns whether no request is marked and no crash is known here.
+    [[nodiscard]] auto isEmpty() const -> bool { return m_tracker.size() == 0 && !hasMarks(); }
+
+    // tryBeginSuccessReport() returns whether a success of the request should be reported: a crash of it is known here
+    // or it is marked, and none was reported in the last seconds.
+    [[nodiscard]] auto tryBeginSuccessReport(std::uint64_t fingerprint, MonotonicTime now) -> bool;
+
 private:
-    auto mark(std::uint64_t fingerprint, std::size_t crashes) -> void;
-    auto unmark(std::uint64_t fingerprint) -> void;
+    // Pause between two writes of a row and between two reports of a success: until then this host usually sees the
+    // effect of the first one.
+    static constexpr std::chrono::milliseconds s_pause { 2000 };
+
+    // RecentEvents remembers events for s_pause.
+    template <typename Key> class RecentEvents {
+    public:
+        // tryAdd() adds an event unless the same one is remembered.
+        [[nodiscard]] auto tryAdd(const Key& key, MonotonicTime now) -> bool
+        {
+            std::erase_if(m_times, [now](const auto& entry) { return entry.second + s_pause <= now; });
+            return m_times.try_emplace(key, now).second;
+        }
+
+    private:
+        std::map<Key, MonotonicTime> m_times;
+    };
+
+    auto mark(std::uint64_t fingerprint, std::size_t crashes, MonotonicTime now) -> void;
+    auto unmark(std::uint64_t fingerprint, MonotonicTime now) -> void;
     auto write(const std::string& key, std::optional<std::string> value) -> void;
 
     const fleet::HostDirectory& m_directory;
@@ -78,8 +102,8 @@
     Options m_options;
     StoreClock m_storeClock;
     dispatch::CrashTracker m_tracker { {} };
-    std::set<std::string> m_pendingWrites; // keys
-    std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
+    RecentEvents<std::string> m_recentWrites; // by the row's key
+    RecentEvents<std::uint64_t> m_recentSuccessReports; // by fingerprint
 };
 
 } // namespace coriandergate::relay
--- a/src/relay/CrashRegistry_test.cpp
+++ b/src/relay/CrashRegistry_test.cpp
@@ -72,19 +72,19 @@
 {
     Fleet fleet;
     auto& writes = fleet.store.otherWrites;
-    fleet.crashRegistry.record(crashAt("a"), start);
-    fleet.crashRegistry.record(crashAt("b"), start);
+    fleet.crashRegistry.recordAndMark(crashAt("a"), start);
+    fleet.crashRegistry.recordAndMark(crashAt("b"), start);
     CHECK(writes.empty());
-    CHECK(fleet.crashRegistry.record(crashAt("c"), start) == 3);
+    CHECK(fleet.crashRegistry.recordAndMark(crashAt("c"), start) == 3);
     REQUIRE(writes.size() == 1);
     CHECK(writes[0].key == fleet::crashRowKey("west", fingerprint));
     CHECK(writes[0].expectedVersion == 0);
     fleet.directory.apply({ { writes[0].key, *writes[0].value, 7, false } }, false);
     CHECK(fleet.crashRegistry.crashesTargets(fingerprint));
-    fleet.crashRegistry.record(crashAt("d"), start + 1s);
+    fleet.crashRegistry.recordAndMark(crashAt("d"), start + 1s);
     CHECK(writes.size() == 1);
     fleet.crashRegistry.setStoreClock([] { return CrashRegistry::s_markLifetime; });
-    fleet.crashRegistry.record(crashAt("d"), start + 20min);
+    fleet.crashRegistry.recordAndMark(crashAt("d"), start + 20min);
     REQUIRE(writes.size() == 2);
     CHECK(writes[1].expectedVersion == 7);
     CHECK(fleet.directory.crashRowsBefore("west", 10s).size() == 1);
@@ -101,14 +101,35 @@
     else
         fleet.crashRegistry.setStoreClock([] { return std::nullopt; });
     for (const auto* target : { "a", "b", "c" })
-        fleet.crashRegistry.record(crashAt(target), start);
+        fleet.crashRegistry.recordAndMark(crashAt(target), start);
+    CHECK(fleet.store.writes <= 1); // not again within seconds
     CHECK(fleet.store.otherWrites.empty());
     fleet.store.isAway = false;
     fleet.crashRegistry.setStoreClock([] { return 9s; });
-    CHECK(fleet.crashRegistry.record(crashAt("d"), start) == 4);
+    CHECK(fleet.crashRegistry.recordAndMark(crashAt("d"), start + 2s) == 4);
     CHECK(fleet.store.otherWrites.size() == 1);
 }
 
+// Load pattern: a request that most callers send was running on targets as they crashed, and is answered everywhere.
+TEST_CASE("successes of a marked request cost one write and one report in a while")
+{
+    Fleet fleet;
+    fleet.directory.apply({ { fleet::crashRowKey("east", fingerprint), fleet::encodeCrashRow(9s), 5, false } }, false);
+    int reports = 0;
+    for (int i = 0; i < 100; ++i) {
+        const auto now = start + i * 10ms;
+        reports += fleet.crashRegistry.tryBeginSuccessReport(fingerprint, now) ? 1 : 0;
+        fleet.crashRegistry.recordAndMark({ .fingerprint = fingerprint, .target = "", .hasSucceeded = true }, now);
+    }
+    CHECK(reports == 1);
+    CHECK(fleet.store.writes == 1);
+    fleet.directory.apply({ { fleet::crashRowKey("east", fingerprint), "", 6, true } }, false);
+    CHECK_FALSE(fleet.crashRegistry.tryBeginSuccessReport(fingerprint, start + 1min));
+    fleet.crashRegistry.record(crashAt("a"), start + 1min);
+    CHECK(fleet.store.writes == 1);
+    CHECK(fleet.crashRegistry.tryBeginSuccessReport(fingerprint, start + 1min));
+}
+
 TEST_CASE("CrashRegistry bounds the number of marks")
 {
     Fleet fleet;
@@ -116,7 +137,7 @@
     registry.setStoreClock([] { return 9s; });
     for (std::uint64_t request = 0; request < 10; ++request) {
         for (const auto* target : { "a", "b", "c" })
-            registry.record({ .fingerprint = request, .target = target }, start);
+            registry.recordAndMark({ .fingerprint = request, .target = target }, start);
         const auto& writes = fleet.store.otherWrites;
         fleet.directory.apply({ { writes.back().key, *writes.back().value, request + 1, false } }, false);
     }
--- a/src/relay/CrashReporter.cpp
+++ b/src/relay/CrashReporter.cpp
@@ -52,7 +52,8 @@
     const auto host = std::move(m_candidates.back());
     m_candidates.pop_back();
     if (host == m_context.hostKey) {
-        ++m_told; // the report was recorded at the start
+        ++m_told;
+        m_crashes = std::max(m_crashes, m_context.crashRegistry.recordAndMark(m_report, monotonicNow()));
         return;
     }
     ++m_pending;
--- a/src/relay/EntryRequest.cpp
+++ b/src/relay/EntryRequest.cpp
@@ -571,7 +571,6 @@
 // request is retried only if it hasn't crashed others.
 auto EntryRequest::onCrash(const std::string& target) -> void
 {
-    m_hasReportedCrash = true;
     const CrashReport report { .fingerprint = fingerprint(), .target = target };
     if (!isIdempotent()) {
         CrashReporter::start(m_context, report, nullptr);
@@ -596,10 +595,11 @@
     retryOrFinish(http::makeAnswer(http::statusBadGateway, "text/plain", std::string(why)), why);
 }
 
-// The request was thought to crash targets, or was running on one that crashed.
+// Clears a request that was thought to crash targets, or that ran on one that crashed.
 auto EntryRequest::recordSuccess() -> void
 {
-    if (m_hasReportedCrash || crashesTargets())
+    auto& registry = m_context.crashRegistry;
+    if (!registry.isEmpty() && registry.tryBeginSuccessReport(fingerprint(), monotonicNow()))
         CrashReporter::start(m_context, { .fingerprint = fingerprint(), .target = {}, .hasSucceeded = true }, nullptr);
 }
 
--- a/src/relay/EntryRequest.h
+++ b/src/relay/EntryRequest.h
@@ -143,7 +143,6 @@
     std::optional<http::Answer> m_lastErrorResponse; // the last 5xx that a target itself sent
     std::shared_ptr<CrashReporter> m_crashReporter; // set while the crashes of the request are asked for
     std::string_view m_stopReason; // why no further target is tried, if there is a reason
-    bool m_hasReportedCrash = false;
     bool m_hasBegun = false;
     bool m_isDone = false;
 };
--- a/src/sidecar/RunSidecar.cpp
+++ b/src/sidecar/RunSidecar.cpp
@@ -158,6 +158,9 @@
 
 auto runSidecar(int argc, char** argv, const PlatformBindings& platform) -> int
 {
+    // By default the signal ends a process that doesn't handle it yet. SettingsMonitor handles it later; the settings
+    // are read after this and then periodically, so no change is missed.
+    std::signal(SIGHUP, SIG_IGN);
     const auto version = std::string("coriandergate-sidecar ") + CORIANDERGATE_VERSION;
     const auto arguments = docopt::docopt(usage, { argv + 1, argv + argc }, true, version);
     if (arguments.at("--event-catalogue").asBool()) {
