Release a refused body at once, and refuse the large requests before the small ones

What was seen: the test of large bodies failed once beside load: after a refused body of 30 MB a small request got 503. Cause: the bytes of a refused request counted until its connection was gone, up to 2 s later, and every request that arrived meanwhile was refused. While a large body arrived, small requests paid for it as well. With an earlier request under way on the connection, each further read of the rest was refused once more. Change: a refusal releases what had arrived, and nothing more is read on that connection. Beyond the limit only requests above the average size are refused. Evidence: 'a body beyond the buffers is refused, and small requests beside it are not' and 'nothing is read behind a refused request, also while another one is under way before it' pass; that they fail before this change was not run.

--- a/src/net/HttpServer_test.cpp
+++ b/src/net/HttpServer_test.cpp
@@ -145,4 +145,55 @@
     // Nothing of either reached the handler.
 }
 
+// Guards against one large body that shuts out all other callers while it arrives, and while its connection lingers
+// after it was refused.
+TEST_CASE("a body beyond the buffers is refused, and small requests beside it are not")
+{
+    constexpr std::size_t limit = 64 * 1024;
+    Served test({ .maximumBufferedBytes = limit });
+    const auto sendSmall = [&test] {
+        const auto before = test.exchanges.size();
+        tcp::socket other(test.io);
+        other.connect({ boost::asio::ip::address_v4::loopback(), test.server.port() });
+        const std::string body(2000, 'x');
+        boost::asio::write(
+            other, boost::asio::buffer("POST /1 HTTP/1.1\r\nHost: test\r\nContent-Length: 2000\r\n\r\n" + body));
+        return test.runUntil([&] { return test.exchanges.size() > before; });
+    };
+    test.write("POST /1 HTTP/1.1\r\nHost: test\r\nContent-Length: 1000000\r\n\r\n" + std::string(limit - 1000, 'x'));
+    for (int i = 0; i < 20; ++i)
+        test.io.run_one_for(5ms);
+    CHECK(sendSmall()); // the large one has nearly used up the buffers
+    test.write(std::string(limit, 'x'));
+    CHECK(test.readUntil("\r\n\r\n").starts_with("HTTP/1.1 503"));
+    CHECK(test.server.connections() > 0);
+    for (int i = 0; i < 10; ++i)
+        CHECK(sendSmall());
+    // The rest of the body is no request, whatever is in it.
+    const auto before = test.exchanges.size();
+    test.write(get("/smuggled"));
+    for (int i = 0; i < 20; ++i)
+        test.io.run_one_for(5ms);
+    CHECK(test.exchanges.size() == before);
+}
+
+// Guards against the rest of a refused body that is taken for a request, while an earlier request is still under way.
+TEST_CASE("nothing is read behind a refused request, also while another one is under way before it")
+{
+    Served test({ .maximumBodyBytes = 10 });
+    test.write(get("/1"));
+    REQUIRE(test.runUntil([&] { return test.exchanges.size() == 1; }));
+    test.write("POST /2 HTTP/1.1\r\nHost: test\r\nContent-Length: 1000\r\n\r\n");
+    for (int i = 0; i < 20; ++i)
+        test.io.run_one_for(5ms);
+    test.write(get("/smuggled"));
+    for (int i = 0; i < 20; ++i)
+        test.io.run_one_for(5ms);
+    CHECK(test.exchanges.size() == 1);
+    test.exchanges[0]->answer(http::makeAnswer(200, "text/plain", "answer"));
+    const auto received = test.readUntil("413");
+    CHECK(received.find("HTTP/1.1 200") < received.find("HTTP/1.1 413"));
+    CHECK(received.find("HTTP/1.1 413") == received.rfind("HTTP/1.1 413"));
+}
+
 } // namespace coriandergate::net
--- a/src/net/internal/HttpServerConnection.cpp
+++ b/src/net/internal/HttpServerConnection.cpp
@@ -106,7 +106,7 @@
         return;
     }
     m_lastActivity = steady_clock::now();
-    if (!m_isLast && !m_isShutDown) {
+    if (!m_isLast && !m_isShutDown && !m_isRefused) {
         if (m_unparsed.empty() && !m_parser.hasStarted())
             m_requestStart = m_lastActivity;
         m_unparsed.append(m_readBuffer.data(), bytes);
@@ -124,7 +124,8 @@
     if (m_isParsing)
         return;
     m_isParsing = true;
-    while (!m_isClosed && !m_isLast && !m_unparsed.empty() && m_pending.size() < m_state->options.maximumPipelined) {
+    while (!m_isClosed && !m_isLast && !m_isRefused && !m_unparsed.empty()
+        && m_pending.size() < m_state->options.maximumPipelined) {
         const auto used = m_parser.feed(m_unparsed);
         m_unparsed.erase(0, used);
         if (m_parser.progress() == ParseProgress::Failed) {
@@ -154,7 +155,18 @@
     const auto bytes = m_parser.bodyBytes();
     m_state->bufferedBytes += bytes - m_unfinishedBytes;
     m_unfinishedBytes = bytes;
-    return m_state->bufferedBytes <= m_state->options.maximumBufferedBytes;
+    // Beyond the limit only requests above the average size are refused, so that a few large ones don't shut out the
+    // small ones of other callers.
+    return m_state->bufferedBytes <= m_state->options.maximumBufferedBytes
+        || bytes * (m_state->openRequests + 1) < m_state->bufferedBytes;
+}
+
+auto HttpServerConnection::dropUnfinished() -> void
+{
+    m_state->bufferedBytes -= m_unfinishedBytes;
+    m_unfinishedBytes = 0;
+    m_parser = http::RequestParser(parserOptions(m_state->options));
+    m_unparsed.clear();
 }
 
 auto HttpServerConnection::handleRequest() -> void
@@ -205,7 +217,8 @@
         .answer = http::makeAnswer(status, http::problemContentType, http::problemBody(status, reason)) };
     m_pending.push_back(std::move(pending));
     ++m_state->openRequests;
-    m_unparsed.clear();
+    m_isRefused = true;
+    dropUnfinished();
     flush();
 }
 
