--- a/src/fleet/VersionProof_test.cpp
+++ b/src/fleet/VersionProof_test.cpp
@@ -25,8 +25,8 @@
     CHECK(provesUnchanged(9, makeResponse(7, {}))); // the response is older than the known version
 }
 
-// Guards against a new configuration that a host passes over for good: a relay that had missed a removal sent it with the
-// version of the configuration.
+// Guards against a new configuration that a host passes over for good: a relay that had missed a removal sent it with
+// the version of the configuration.
 TEST_CASE("a removed row accounts for no version")
 {
     auto response = makeResponse(8, { 8 });
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -51,8 +51,7 @@
 
     const log::Event unreachableHostRemoved { 1935, log::Severity::Warning, "host taken for gone",
         "its daemon was unreachable for 15 s; its row is removed, or marked as departed if its target drains, and the "
-        "daemon "
-        "writes it again if it is running" };
+        "daemon writes it again if it is running" };
 
     constexpr const char* hostTable = "hosts";
     // Fraction of the revocation bound for which a response of the store counts as fresh. The rest covers the time that
