--- a/src/net/HttpClient.h
+++ b/src/net/HttpClient.h
@@ -39,6 +39,8 @@
         // without end don't exhaust the memory.
         std::size_t maximumBufferedBytes = 64 * 1024 * 1024;
         std::chrono::milliseconds unacknowledgedTimeout { 2000 }; // sent bytes that no peer confirms end a connection
+        // Called for each answer that is skipped because it belongs to an earlier request; may be empty.
+        std::function<void(const http::Answer&)> onSkippedAnswer;
         double idlePart = 0.6; // of the idle time that the peer states; the rest covers the way and its clock
     };
     struct SendOptions {
--- a/src/net/HttpClient_test.cpp
+++ b/src/net/HttpClient_test.cpp
@@ -174,6 +174,19 @@
     CHECK(bodyOf(send(io, client, peer.address())) == "own");
 }
 
+// Guards against targets that respond twice unnoticed.
+TEST_CASE("each skipped answer is reported")
+{
+    boost::asio::io_context io;
+    ScriptedPeer peer(io, { { good("late", "earlier") + good("later", "other") + good("own"), Then::Keep } });
+    std::vector<std::string> skipped;
+    HttpClient client(io, { .onSkippedAnswer = [&skipped](const http::Answer& answer) {
+        skipped.emplace_back(answer.headers.find("X-Request-Id").value_or(""));
+    } });
+    CHECK(bodyOf(send(io, client, peer.address())) == "own");
+    CHECK(skipped == std::vector<std::string> { "earlier", "other" });
+}
+
 TEST_CASE("bytes behind a whole answer belong to no request, and their connection serves no other")
 {
     boost::asio::io_context io;
--- a/src/net/internal/HttpClientConnection.cpp
+++ b/src/net/internal/HttpClientConnection.cpp
@@ -189,6 +189,8 @@
             finish(std::move(answer));
             return;
         }
+        if (m_options.onSkippedAnswer)
+            m_options.onSkippedAnswer(answer);
         if (++m_skippedAnswers > maximumSkippedAnswers) {
             fail({ .stage = Stage::ReadAnswer, .mayHaveRun = true, .error = {} }, "too many answers to other requests");
             return;
--- a/src/relay/TargetRelay.cpp
+++ b/src/relay/TargetRelay.cpp
@@ -24,6 +24,9 @@
     const log::Event targetStartedFailing { 1912, log::Severity::Warning, "target fails",
         "it receives only probes until it recovers; check its own logs" };
     const log::Event targetRecovered { 1913, log::Severity::Info, "target is sound again", "nothing" };
+    const log::Event lateResponse { 1914, log::Severity::Warning, "late response skipped",
+        "the target responded once more to a request that had ended; the request, the status, and whether it was a "
+        "rejection" };
 
     // Weight of the newest request in the moving average of rejections; it spans about the last eight requests.
     constexpr double rejectionWeight = 0.12;
@@ -54,7 +57,9 @@
 struct TargetRelay::Run {
     std::shared_ptr<http::Exchange> exchange;
     std::string requestId;
+    std::string target; // "id/start time"; empty if it was never sent
     bool isProbe = false;
+    bool isOnNewConnection = false;
     bool isRecordedAsUnresponsive = false;
     bool isDone = false;
     MonotonicTime startedAt;
@@ -70,7 +75,8 @@
     , m_options(options)
     , m_client(io,
           { .connectTimeout = options.targetConnectTimeout,
-              .maximumBufferedBytes = options.maximumBufferedAnswerBytes })
+              .maximumBufferedBytes = options.maximumBufferedAnswerBytes,
+              .onSkippedAnswer = [this](const http::Answer& response) { recordLateResponse(response); } })
     , m_slots({})
     , m_health(options.health)
     , m_waitTimer(io)
@@ -344,17 +350,20 @@
         .maximumIdleAge = message.isIdempotent ? milliseconds::max() : m_options.nonIdempotentMaximumIdleAge,
         .answerIdHeader = m_options.headers.requestId,
         .answerId = message.requestId };
+    run->target = m_knownIncarnation;
+    const auto connectionsBefore = m_client.connectionsOpened();
     run->call = m_client.send(m_target.address(), http::serializeRequest(request), options,
         [this, alive = m_isAlive, run](net::HttpClient::Result result) {
             if (*alive)
                 onTargetResult(run, std::move(result));
         });
+    run->isOnNewConnection = m_client.connectionsOpened() > connectionsBefore;
     run->exchange->onAbandoned([this, alive = m_isAlive, run] {
         if (!*alive || run->isDone)
             return;
         m_client.cancel(run->call);
         log::logEvent(runEnded,
-            { { "request", run->requestId }, { "outcome", "cancelled" },
+            { { "request", run->requestId }, { "target", run->target }, { "outcome", "cancelled" },
                 { "ms", std::to_string(millisecondsSince(run->startedAt, monotonicNow()).count()) } });
         finishRun(*run, std::nullopt);
     });
@@ -402,7 +411,8 @@
     const auto now = monotonicNow();
     const auto load = encodeLoadReport(loadReport(now));
     log::logEvent(runEnded,
-        { { "request", run.requestId }, { "outcome", std::string(outcomeName(outcome)) },
+        { { "request", run.requestId }, { "target", run.target },
+            { "connection", run.isOnNewConnection ? "new" : "used" }, { "outcome", std::string(outcomeName(outcome)) },
             { "status", std::to_string(response.status) }, { "why", std::string(why) }, { "load", load },
             { "ms",
                 std::to_string(
@@ -435,6 +445,21 @@
         http::makeAnswer(status, "text/plain", ""), failure.error.toText());
 }
 
+auto TargetRelay::recordLateResponse(const http::Answer& response) -> void
+{
+    ++m_lateResponses;
+    log::logEvent(lateResponse,
+        { { "request", std::string(response.headers.find(m_options.headers.requestId).value_or("")) },
+            { "target", m_knownIncarnation }, { "status", std::to_string(response.status) },
+            { "rejection", isRejection(response) ? "yes" : "no" } });
+}
+
+auto TargetRelay::isRejection(const http::Answer& response) const -> bool
+{
+    return response.headers.find(m_options.headers.notExecuted).has_value()
+        || response.status == http::statusMisdirected;
+}
+
 // A target that rejects requests while all its slots are taken has less capacity than it announced, so fewer requests
 // are admitted for a while. Other rejections show only in the rejection rate, which is reported to the entries.
 auto TargetRelay::recordRejection(const http::Answer& response, MonotonicTime now) -> void
@@ -452,9 +477,7 @@
     const auto now = monotonicNow();
     const auto serviceTime = millisecondsSince(run.startedAt, now);
     m_lastResponseAt = now;
-    const bool isRejection
-        = response.headers.find(headerNames.notExecuted).has_value() || response.status == http::statusMisdirected;
-    if (isRejection) {
+    if (isRejection(response)) {
         recordRejection(response, now);
         finishRun(run, std::nullopt);
         // Without its id the response may belong to an earlier request.
--- a/src/relay/TargetRelay.h
+++ b/src/relay/TargetRelay.h
@@ -80,6 +80,8 @@
     // loadReport() is the state of the target that entries receive with every response.
     [[nodiscard]] auto loadReport(MonotonicTime now) const -> TargetLoadReport;
     [[nodiscard]] auto targetConnectionsOpened() const -> std::uint64_t { return m_client.connectionsOpened(); }
+    // lateResponses() counts responses of the target to requests that had ended before.
+    [[nodiscard]] auto lateResponses() const -> std::uint64_t { return m_lateResponses; }
 
 private:
     struct Reservation;
@@ -101,7 +103,9 @@
     auto finishRun(Run& run, std::optional<std::chrono::milliseconds> serviceTime) -> void;
     auto reply(Run& run, RunOutcome outcome, http::Answer response, std::string_view why) -> void;
     auto recordRejection(const http::Answer& response, MonotonicTime now) -> void;
+    auto recordLateResponse(const http::Answer& response) -> void;
     auto recordOutcome(dispatch::TargetHealth::Outcome outcome, std::string_view why) -> void;
+    [[nodiscard]] auto isRejection(const http::Answer& response) const -> bool;
     [[nodiscard]] auto refusalReason(const ReserveRequest& message) const -> std::string_view;
     [[nodiscard]] auto makeTargetRequest(const RunRequest& message, std::chrono::milliseconds timeLeft) const
         -> http::Request;
@@ -121,6 +125,7 @@
     std::string m_knownIncarnation; // "id/start time"
     double m_rejectionRate = 0; // moving average of the fraction of requests that the target rejected
     MonotonicTime m_lastResponseAt;
+    std::uint64_t m_lateResponses = 0;
     bool m_isAccepting = false;
     bool m_isStopping = false;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
--- a/src/sidecar/MetricsPage.cpp
+++ b/src/sidecar/MetricsPage.cpp
@@ -94,6 +94,8 @@
             metrics.targetConnectionsOpened),
         makeCounter("coriandergate_hop_connections_total", "connections opened to other daemons",
             metrics.peerConnectionsOpened),
+        makeCounter("coriandergate_late_responses_total",
+            "responses of the target of this host to requests that had ended", metrics.lateResponses),
         makeGauge(
             "coriandergate_target_running", "requests at the target of this host", static_cast<double>(load.running)),
         makeGauge(
--- a/src/sidecar/MetricsPage.h
+++ b/src/sidecar/MetricsPage.h
@@ -24,6 +24,7 @@
     std::size_t openRequests = 0;
     std::uint64_t targetConnectionsOpened = 0; // since the start
     std::uint64_t peerConnectionsOpened = 0; // since the start
+    std::uint64_t lateResponses = 0; // of the target of this host, since the start
 };
 
 // renderMetricsPage() returns the page. Thread-safe.
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -596,7 +596,8 @@
         .callerConnections = callerServer.connections(),
         .openRequests = callerServer.openRequests(),
         .targetConnectionsOpened = targetRelay.targetConnectionsOpened(),
-        .peerConnectionsOpened = peerClient.connectionsOpened() });
+        .peerConnectionsOpened = peerClient.connectionsOpened(),
+        .lateResponses = targetRelay.lateResponses() });
 }
 
 Sidecar::Sidecar(boost::asio::io_context& io, const HostSettings& settings, Adapter adapter, fleet::StoreClient& store)
