Soak: targets that send their rejections twice, and daemons of other versions

The checker took only 429 and 503 for promises. A new kind of fault changes what the existing seeds draw.

--- a/soak/Checker.cpp
+++ b/soak/Checker.cpp
@@ -10,7 +10,8 @@
 
     auto promisesNotRun(int status) -> bool
     {
-        return status == http::statusTooManyRequests || status == http::statusUnavailable;
+        return status == http::statusRequestTimeout || status == http::statusMisdirected
+            || status == http::statusTooManyRequests || status == http::statusUnavailable;
     }
 
 } // namespace
--- a/soak/Plan.cpp
+++ b/soak/Plan.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-    constexpr std::array<std::pair<FaultKind, std::string_view>, 23> names { {
+    constexpr std::array<std::pair<FaultKind, std::string_view>, 24> names { {
         { FaultKind::KillDaemon, "kill-daemon" },
         { FaultKind::PauseDaemon, "pause-daemon" },
         { FaultKind::StopDaemon, "stop-daemon" },
@@ -30,6 +30,7 @@
         { FaultKind::InstanceFails, "instance-fails" },
         { FaultKind::InstanceHangs, "instance-hangs" },
         { FaultKind::InstanceRefuses, "instance-refuses" },
+        { FaultKind::InstancesRepeatRejections, "instances-repeat-rejections" },
         { FaultKind::InstanceUnsigned, "instance-unsigned" },
         { FaultKind::InstanceSlow, "instance-slow" },
         { FaultKind::ReplaceInstance, "replace-instance" },
--- a/soak/Plan.h
+++ b/soak/Plan.h
@@ -33,6 +33,7 @@
     InstanceFails,
     InstanceHangs,
     InstanceRefuses,
+    InstancesRepeatRejections, // all reject some requests, and send a rejection again when the request comes again
     InstanceUnsigned,
     InstanceSlow,
     ReplaceInstance, // it leaves as planned, and another comes
--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -34,15 +34,16 @@
     // Soak holds what one run needs.
     class Soak {
     public:
-        Soak(const PlanOptions& options, std::ostream& log)
+        Soak(const SoakOptions& options, std::ostream& log)
             : m_log(log)
             , m_checker({ .rateLimit = (limitedRate * 5 + limitedRate) * 1.1 + 20, .limitedAccount = "two" })
             , m_fleet({ .hasFaultProxies = true,
+                  .daemonProgram = options.daemonProgram,
                   .onRequestStarted = [this](std::size_t, const std::string& instance, const http::Request& request) {
                       recordRun(instance, request);
                   } })
         {
-            m_report.options = options;
+            m_report.options = options.plan;
         }
 
         auto play() -> SoakReport
@@ -200,6 +201,9 @@
             case FaultKind::InstanceRefuses:
                 instance(step, FakeTarget::Mode::Reject);
                 return;
+            case FaultKind::InstancesRepeatRejections:
+                repeatRejections(step);
+                return;
             case FaultKind::InstanceUnsigned:
                 instance(step, FakeTarget::Mode::OmitSignature);
                 return;
@@ -244,6 +248,17 @@
             later(step.length, [this, host = step.host] { m_fleet.target(host).setMode(FakeTarget::Mode::Succeed); });
         }
 
+        // A request is sent to the same instance again only if all others have rejected it too, and only while few
+        // requests are rejected, since each further attempt takes a part of the retry budget.
+        auto repeatRejections(const Step& step) -> void
+        {
+            constexpr std::uint64_t oneIn = 12;
+            for (std::size_t host = 0; host < m_fleet.hostCount(); ++host) {
+                m_fleet.target(host).setMode(FakeTarget::Mode::RepeatRejection, oneIn);
+                later(step.length, [this, host] { m_fleet.target(host).setMode(FakeTarget::Mode::Succeed); });
+            }
+        }
+
         auto killDaemon(std::size_t host) -> void
         {
             m_fleet.daemon(host).resume();
@@ -323,7 +338,7 @@
 
 } // namespace
 
-auto runSoak(const PlanOptions& options, std::ostream& log) -> SoakReport { return Soak(options, log).play(); }
+auto runSoak(const SoakOptions& options, std::ostream& log) -> SoakReport { return Soak(options, log).play(); }
 
 auto toText(const SoakReport& report) -> std::string
 {
--- a/soak/SoakRun.h
+++ b/soak/SoakRun.h
@@ -1,6 +1,6 @@
 // One soak: a fleet of real daemons as processes, callers, and the faults of a plan, with every promise checked.
 //
-//   const auto report = runSoak({ .seed = 7, .hosts = 6, .length = 20s }, std::cout);
+//   const auto report = runSoak({ .plan = { .seed = 7, .hosts = 6, .length = 20s } }, std::cout);
 //   if (!report.violations.empty()) ...
 #pragma once
 
@@ -13,6 +13,11 @@
 
 namespace coriandergate::soak {
 
+struct SoakOptions {
+    PlanOptions plan;
+    std::string daemonProgram; // path; if empty, the daemon of the same build
+};
+
 struct SoakReport {
     PlanOptions options;
     std::vector<std::string> faults; // each injected fault with its time
@@ -20,8 +25,8 @@
     Checker::Counts counts;
 };
 
-// runSoak() plays the plan of `options` and writes each fault to `log` as it is injected.
-[[nodiscard]] auto runSoak(const PlanOptions& options, std::ostream& log) -> SoakReport;
+// runSoak() draws a plan, plays it and writes each fault to `log` as it is injected.
+[[nodiscard]] auto runSoak(const SoakOptions& options, std::ostream& log) -> SoakReport;
 
 // toText() and toJson() are the report for people and for programs.
 [[nodiscard]] auto toText(const SoakReport& report) -> std::string;
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -13,7 +13,8 @@
 constexpr auto usage = R"(coriandergate-soak: real daemons under drawn faults, with every promise checked
 
 Usage:
-  coriandergate-soak [--seed=N] [--runs=N] [--seconds=N] [--hosts=N] [--faults=LIST] [--json=FILE]
+  coriandergate-soak [--seed=N] [--runs=N] [--seconds=N] [--hosts=N] [--faults=LIST]
+                      [--sidecar=FILE] [--json=FILE]
   coriandergate-soak --list
   coriandergate-soak (-h | --help)
 
@@ -23,6 +24,7 @@
   --seconds=N     length of each run [default: 20]
   --hosts=N       hosts of the fleet, 2 to 60 [default: 6]
   --faults=LIST   names of faults, separated by commas; all when left out
+  --sidecar=FILE  the daemon's program, such as one of an earlier version; that of the same build when left out
   --json=FILE     the last report, for programs
   --list          the names of all faults
 
@@ -45,10 +47,10 @@
     return true;
 }
 
-auto runAll(PlanOptions options, long runs, const std::string& jsonPath) -> int
+auto runAll(SoakOptions options, long runs, const std::string& jsonPath) -> int
 {
     int broken = 0;
-    for (long run = 0; run < runs; ++run, ++options.seed) {
+    for (long run = 0; run < runs; ++run, ++options.plan.seed) {
         std::ostringstream faults;
         const auto report = runSoak(options, faults);
         std::cout << toText(report);
@@ -76,17 +78,19 @@
     }
     constexpr long fewestHosts = 2;
     constexpr long mostHosts = 60; // three processes each
-    PlanOptions options;
-    options.seed = static_cast<std::uint64_t>(arguments["--seed"].asLong());
-    options.length = std::chrono::seconds(std::max(1L, arguments["--seconds"].asLong()));
+    SoakOptions options;
+    options.plan.seed = static_cast<std::uint64_t>(arguments["--seed"].asLong());
+    options.plan.length = std::chrono::seconds(std::max(1L, arguments["--seconds"].asLong()));
     const long hosts = arguments["--hosts"].asLong();
     if (hosts < fewestHosts || hosts > mostHosts) {
         std::cerr << "read arguments (--hosts): 2 to 60 are needed\n";
         return 2;
     }
-    options.hosts = static_cast<std::size_t>(hosts);
-    if (arguments["--faults"].isString() && !parseFaults(arguments["--faults"].asString(), options.kinds))
+    options.plan.hosts = static_cast<std::size_t>(hosts);
+    if (arguments["--faults"].isString() && !parseFaults(arguments["--faults"].asString(), options.plan.kinds))
         return 2;
+    if (arguments["--sidecar"].isString())
+        options.daemonProgram = arguments["--sidecar"].asString();
     const auto json = arguments["--json"].isString() ? arguments["--json"].asString() : "";
     return runAll(options, arguments["--runs"].asLong(), json);
 }
