Handle nothing that was sent behind a request which ends its connection

Callers saw a once-only request run twice, or run although it may be sent again: it was sent behind a request with "Connection: close" or of HTTP/1.0. The response to the first one closes the connection, so by the protocol everything behind it counts as not read and is sent again, whatever its kind.

Cause: the connection stopped reading requests when the closing response was written, not when the request that asks for it was read. What came in between was handled, and its response was never sent. Change: once such a request was read, what follows is dropped, as behind a refused request. Nothing that can be handled comes behind it any more, so the response is true.

--- a/src/net/HttpServer_test.cpp
+++ b/src/net/HttpServer_test.cpp
@@ -177,6 +177,28 @@
     CHECK(test.exchanges.size() == before);
 }
 
+// Guards against a request that runs twice: it is sent again when the answer before it ends the connection.
+TEST_CASE("nothing behind a request that ends its connection is handled")
+{
+    const auto last = GENERATE(std::string("GET /1 HTTP/1.1\r\nHost: test\r\nConnection: close\r\n\r\n"),
+        std::string("GET /1 HTTP/1.0\r\nHost: test\r\n\r\n"));
+    const bool isInOneSegment = GENERATE(true, false);
+    Served test;
+    test.write(last + (isInOneSegment ? get("/2") : ""));
+    REQUIRE(test.runUntil([&] { return !test.exchanges.empty(); }));
+    if (!isInOneSegment)
+        test.write(get("/2"));
+    for (int i = 0; i < 20; ++i)
+        test.io.run_one_for(5ms);
+    CHECK(test.exchanges.size() == 1);
+    test.exchanges[0]->answer(http::makeAnswer(200, "text/plain", "answer"));
+    CHECK(test.readUntil("answer").find("Connection: close") != std::string::npos);
+    for (int i = 0; i < 20; ++i)
+        test.io.run_one_for(5ms);
+    CHECK(test.exchanges.size() == 1);
+    CHECK(test.server.openRequests() == 0);
+}
+
 // Guards against the rest of a refused body that is taken for a request, while an earlier request is still under way.
 TEST_CASE("nothing is read behind a refused request, also while another one is under way before it")
 {
--- a/src/net/internal/HttpServerConnection.cpp
+++ b/src/net/internal/HttpServerConnection.cpp
@@ -106,7 +106,7 @@
         return;
     }
     m_lastActivity = steady_clock::now();
-    if (!m_isLast && !m_isShutDown && !m_isRefused) {
+    if (!m_isLast && !m_isShutDown && !m_isEnding) {
         if (m_unparsed.empty() && !m_parser.hasStarted())
             m_requestStart = m_lastActivity;
         m_unparsed.append(m_readBuffer.data(), bytes);
@@ -124,7 +124,7 @@
     if (m_isParsing)
         return;
     m_isParsing = true;
-    while (!m_isClosed && !m_isLast && !m_isRefused && !m_unparsed.empty()
+    while (!m_isClosed && !m_isLast && !m_isEnding && !m_unparsed.empty()
         && m_pending.size() < m_state->options.maximumPipelined) {
         const auto used = m_parser.feed(m_unparsed);
         m_unparsed.erase(0, used);
@@ -161,8 +161,9 @@
         || bytes * (m_state->openRequests + 1) < m_state->bufferedBytes;
 }
 
-auto HttpServerConnection::dropUnfinished() -> void
+auto HttpServerConnection::endReading() -> void
 {
+    m_isEnding = true;
     m_state->bufferedBytes -= m_unfinishedBytes;
     m_unfinishedBytes = 0;
     m_parser = http::RequestParser(parserOptions(m_state->options));
@@ -182,6 +183,8 @@
         .exchange = {},
         .answer = {} };
     m_unfinishedBytes = 0;
+    if (!pending.isKeepAlive)
+        endReading();
     const auto exchange = std::make_shared<http::Exchange>(
         std::move(request), m_peer, 0, [weak = weak_from_this(), number](http::Answer&& answer) {
             if (const auto self = weak.lock())
@@ -217,8 +220,7 @@
         .answer = http::makeAnswer(status, http::problemContentType, http::problemBody(status, reason)) };
     m_pending.push_back(std::move(pending));
     ++m_state->openRequests;
-    m_isRefused = true;
-    dropUnfinished();
+    endReading();
     flush();
 }
 
--- a/src/net/internal/HttpServerConnection.h
+++ b/src/net/internal/HttpServerConnection.h
@@ -48,7 +48,7 @@
     auto onRead(const boost::system::error_code& error, std::size_t bytes) -> void;
     auto parse() -> void;
     auto accountUnfinished() -> bool;
-    auto dropUnfinished() -> void;
+    auto endReading() -> void;
     auto handleRequest() -> void;
     auto setAnswer(std::uint64_t number, http::Answer&& answer) -> void;
     auto refuse(int status, std::string_view reason) -> void;
@@ -78,7 +78,7 @@
     bool m_isReading = false;
     bool m_isWriting = false;
     bool m_isLast = false; // the connection ends with what is in the write buffer
-    bool m_isRefused = false; // a request was refused before its end, so what follows can't be understood
+    bool m_isEnding = false; // after the answers that are owed; nothing that follows is read as a request
     bool m_isShutDown = false;
     bool m_isClosed = false;
     bool m_isParsing = false;
