Let a stopping server's last answers arrive whole when their callers send more

Callers saw a response break off with a reset around a planned stop: the request had run, and its caller had sent another one behind it.

Cause: once the callers' port is closed, idle connections are closed every 40 ms, also those that have just been answered for the last time. Bytes that come for a closed socket reset the connection, and the part of the answer that the caller had no room for yet is lost. Such connections were meant to be read from until the caller closes them. Change: only connections that may serve another request are closed; the others end by themselves or with the process.

--- a/src/net/HttpServer_test.cpp
+++ b/src/net/HttpServer_test.cpp
@@ -199,6 +199,23 @@
     CHECK(test.server.openRequests() == 0);
 }
 
+// Guards against a reset that destroys an answer on its way when bytes come behind it.
+TEST_CASE("the last answer of a connection arrives whole, although its caller sends more and the server stops")
+{
+    Served test;
+    test.write(get("/1"));
+    REQUIRE(test.runUntil([&] { return test.exchanges.size() == 1; }));
+    test.server.beginDrain();
+    constexpr std::size_t large = 64 * 1024; // half of it waits at the server, since the caller has little room
+    test.caller.set_option(boost::asio::socket_base::receive_buffer_size(4096));
+    test.exchanges[0]->answer(http::makeAnswer(200, "text/plain", std::string(large, 'x') + "end"));
+    REQUIRE(test.runUntil([&] { return test.server.openRequests() == 0; }));
+    test.server.finishDrain();
+    test.write(get("/2"));
+    CHECK(test.readUntil("end").size() > large);
+    CHECK(test.exchanges.size() == 1);
+}
+
 // Guards against the rest of a refused body that is taken for a request, while an earlier request is still under way.
 TEST_CASE("nothing is read behind a refused request, also while another one is under way before it")
 {
--- a/src/net/internal/HttpServerConnection.cpp
+++ b/src/net/internal/HttpServerConnection.cpp
@@ -82,7 +82,7 @@
 auto HttpServerConnection::closeWhenIdle() -> void
 {
     boost::system::error_code error;
-    if (!m_isClosed && isIdle() && m_socket.available(error) == 0)
+    if (!m_isClosed && !m_isShutDown && isIdle() && m_socket.available(error) == 0)
         close();
 }
 
--- a/src/net/internal/HttpServerConnection.h
+++ b/src/net/internal/HttpServerConnection.h
@@ -30,7 +30,8 @@
     // close() ends the connection at once and abandons the requests under way.
     auto close() -> void;
 
-    // closeWhenIdle() ends the connection if no request is under way and none has begun to arrive.
+    // closeWhenIdle() ends the connection if no request is under way and none has begun to arrive. One that was
+    // answered for the last time ends by itself.
     auto closeWhenIdle() -> void;
 
 private:
