Let callers of the soak pipeline, send slowly, leave early, and say what they take for unread

Cause: the soak's callers sent one request after the other on a connection, so the promise about requests behind a response that closes the connection was never checked, nor were bodies that come late or in chunks. Change: two further callers a host use a socket in these ways, with several deadlines. They tell the checker which requests count as not read: those sent behind a response that closes the connection, and a request that was alone on its connection when a reset came instead of a response. Such a once-only request must not have run, nor run later. All earlier checks stay.

--- a/soak/Callers.cpp
+++ b/soak/Callers.cpp
@@ -4,7 +4,9 @@
 #include "http/Serialize.h"
 #include "net/HttpClient.h"
 #include "platform/ProtocolNames.h"
+#include "soak/SocketCaller.h"
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <random>
 
@@ -34,6 +36,13 @@
                 callers.push_back(
                     { host, addresses[host], std::make_unique<net::HttpClient>(io, net::HttpClient::Options {}),
                         std::make_unique<boost::asio::steady_timer>(io), 0, callers.size() });
+            for (std::size_t i = 0; i < options.socketsPerHost; ++i)
+                socketCallers.push_back(std::make_unique<SocketCaller>(io, checker,
+                    SocketCaller::Options { .host = host,
+                        .address = addresses[host],
+                        .name = "s-" + std::to_string(socketCallers.size()),
+                        .pause = options.pause,
+                        .seed = random() }));
         }
     }
 
@@ -127,6 +136,7 @@
     boost::asio::io_context io;
     std::mt19937_64 random;
     std::vector<Caller> callers;
+    std::vector<std::unique_ptr<SocketCaller>> socketCallers;
     std::thread thread;
     std::atomic<bool> isStopping { false };
     std::size_t underWay = 0;
@@ -143,12 +153,18 @@
 {
     for (auto& caller : m_state->callers)
         m_state->pause(caller);
+    for (const auto& caller : m_state->socketCallers)
+        caller->start();
     m_state->thread = std::thread([this] { m_state->io.run(); });
 }
 
 auto Callers::stop() -> void
 {
     m_state->isStopping = true;
+    boost::asio::post(m_state->io, [this] {
+        for (const auto& caller : m_state->socketCallers)
+            caller->stop();
+    });
     if (m_state->thread.joinable())
         m_state->thread.join();
 }
--- a/soak/Callers.h
+++ b/soak/Callers.h
@@ -1,4 +1,5 @@
-// Callers of a fleet: each keeps its connection, sends one request after the other, and tells the checker.
+// Callers of a fleet: most keep their connection, send one request after the other, and tell the checker; some use
+// their connection in the other ways that the protocol allows.
 //
 //   Callers callers(checker, addresses, { .perHost = 4 });
 //   callers.start();
@@ -23,6 +24,7 @@
 public:
     struct Options {
         std::size_t perHost = 4;
+        std::size_t socketsPerHost = 2; // further callers (SocketCaller.h)
         std::chrono::milliseconds pause { 40 }; // between a caller's requests, on average
         std::chrono::milliseconds deadline { 2500 };
         std::uint64_t seed = 1;
--- a/soak/Checker.cpp
+++ b/soak/Checker.cpp
@@ -59,6 +59,8 @@
         violateLocked("twice", run.id + " ran again at " + instance);
     if (request.isAnswered && !sent.isRepeatable && promisesNotRun(request.status))
         violateLocked("refused", run.id + " ran at " + instance + " after it was refused as not run");
+    if (request.wasNotRead && !sent.isRepeatable)
+        violateLocked("unread", run.id + " ran at " + instance + " after its connection showed that it wasn't read");
     const auto leaving = m_leaving.find(instance);
     if (leaving != m_leaving.end() && now > leaving->second + m_options.drain)
         violateLocked("drain", run.id + " ran at " + instance + " long after it had left");
@@ -121,6 +123,23 @@
         violateLocked("lost", id + " ran and was cut off around a planned stop");
 }
 
+auto Checker::notRead(const std::string& id) -> void
+{
+    const MutexLock lock(m_mutex);
+    ++m_counts.notRead;
+    auto& request = m_requests[id];
+    request.wasNotRead = true;
+    if (request.runs > 0 && !request.sent.isRepeatable)
+        violateLocked("unread", id + " had run, and its connection showed that it wasn't read");
+}
+
+auto Checker::unasked(const std::string& name, const std::string& bytes) -> void
+{
+    constexpr std::size_t longestQuote = 60;
+    const MutexLock lock(m_mutex);
+    violateLocked("mixed", name + " got bytes that are no answer: " + bytes.substr(0, longestQuote));
+}
+
 auto Checker::leaveConfirmed(const std::string& instance, MonotonicTime now) -> void
 {
     const MutexLock lock(m_mutex);
--- a/soak/Checker.h
+++ b/soak/Checker.h
@@ -68,6 +68,13 @@
     // cut() says that the connection ended without an answer.
     auto cut(const std::string& id, MonotonicTime now) -> void;
 
+    // notRead() says that the caller may conclude from the protocol that the daemon did not read the request, and sends
+    // it again whatever its kind.
+    auto notRead(const std::string& id) -> void;
+
+    // unasked() says that `bytes` which are no answer to any request came on a connection of the caller `name`.
+    auto unasked(const std::string& name, const std::string& bytes) -> void;
+
     auto leaveConfirmed(const std::string& instance, MonotonicTime now) -> void;
     auto keyWithdrawn(const std::string& key, MonotonicTime now) -> void;
     auto daemonStarted(std::size_t host) -> void;
@@ -86,6 +93,7 @@
         std::size_t refused = 0; // with the promise that they haven't run
         std::size_t failed = 0;
         std::size_t cut = 0;
+        std::size_t notRead = 0;
         std::size_t runs = 0;
     };
     [[nodiscard]] auto counts() const -> Counts;
@@ -97,6 +105,7 @@
         std::size_t runs = 0;
         int status = 0;
         bool isAnswered = false;
+        bool wasNotRead = false;
     };
     struct Served {
         std::uint64_t generation = 0;
--- a/soak/Checker_test.cpp
+++ b/soak/Checker_test.cpp
@@ -81,6 +81,22 @@
         checker.answered("r", GENERATE(429, 503), "", false, at(2ms));
         CHECK(violates(checker, "refused"));
     }
+    SECTION("a run of what its caller may take for not read, before or later")
+    {
+        const bool runsLater = GENERATE(true, false);
+        checker.sent(sent, at(0ms));
+        if (runsLater)
+            checker.notRead("r");
+        checker.ran("i", runOf(sent), at(1ms));
+        if (!runsLater)
+            checker.notRead("r");
+        CHECK(violates(checker, "unread"));
+    }
+    SECTION("bytes that are no answer")
+    {
+        checker.unasked("s-1", "ran /book/1");
+        CHECK(violates(checker, "mixed"));
+    }
     SECTION("an answer of another request, or without the signature")
     {
         checker.sent(sent, at(0ms));
@@ -162,6 +178,22 @@
         checker.sent(older, at(2100ms));
         checker.ran("i", runOf(older), at(2101ms));
     }
+    SECTION("a repeatable request that ran although its caller may take it for not read")
+    {
+        auto repeatable = sent;
+        repeatable.isRepeatable = true;
+        checker.sent(repeatable, at(0ms));
+        checker.ran("i", runOf(repeatable), at(1ms));
+        checker.notRead("r");
+    }
+    SECTION("a request that was not read and did not run, or may have been read and ran")
+    {
+        checker.sent(sent, at(0ms));
+        checker.notRead("r");
+        checker.sent(book("q"), at(0ms));
+        checker.ran("i", runOf(book("q")), at(1ms));
+        checker.cut("q", at(2ms));
+    }
     SECTION("a request that was sent before the key's time was over")
     {
         checker.keyWithdrawn("key-one", at(0ms));
--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -332,7 +332,8 @@
     text << "seed " << report.options.seed << ", " << report.options.hosts << " hosts, "
          << report.options.length.count() << " ms, " << report.faults.size() << " faults: sent " << counts.sent
          << ", served " << counts.served << ", refused " << counts.refused << ", failed " << counts.failed << ", cut "
-         << counts.cut << ", runs " << counts.runs << ", violations " << report.violations.size() << '\n';
+         << counts.cut << ", not read " << counts.notRead << ", runs " << counts.runs << ", violations "
+         << report.violations.size() << '\n';
     for (const auto& violation : report.violations)
         text << "  " << violation << '\n';
     return text.str();
@@ -345,7 +346,8 @@
         { "lengthMs", report.options.length.count() }, { "faults", report.faults }, { "violations", report.violations },
         { "counts",
             { { "sent", counts.sent }, { "served", counts.served }, { "refused", counts.refused },
-                { "failed", counts.failed }, { "cut", counts.cut }, { "runs", counts.runs } } } };
+                { "failed", counts.failed }, { "cut", counts.cut }, { "notRead", counts.notRead },
+                { "runs", counts.runs } } } };
     return value.dump(2);
 }
 
