--- a/src/net/HttpServer_test.cpp
+++ b/src/net/HttpServer_test.cpp
@@ -177,6 +177,45 @@
     CHECK(test.exchanges.size() == before);
 }
 
+// Guards against a request that runs twice: it is sent again when the answer before it ends the connection.
+TEST_CASE("nothing behind a request that ends its connection is handled")
+{
+    const auto last = GENERATE(std::string("GET /1 HTTP/1.1\r\nHost: test\r\nConnection: close\r\n\r\n"),
+        std::string("GET /1 HTTP/1.0\r\nHost: test\r\n\r\n"));
+    const bool isInOneSegment = GENERATE(true, false);
+    Served test;
+    test.write(last + (isInOneSegment ? get("/2") : ""));
+    REQUIRE(test.runUntil([&] { return !test.exchanges.empty(); }));
+    if (!isInOneSegment)
+        test.write(get("/2"));
+    for (int i = 0; i < 20; ++i)
+        test.io.run_one_for(5ms);
+    CHECK(test.exchanges.size() == 1);
+    test.exchanges[0]->answer(http::makeAnswer(200, "text/plain", "answer"));
+    CHECK(test.readUntil("answer").find("Connection: close") != std::string::npos);
+    for (int i = 0; i < 20; ++i)
+        test.io.run_one_for(5ms);
+    CHECK(test.exchanges.size() == 1);
+    CHECK(test.server.openRequests() == 0);
+}
+
+// Guards against a reset that destroys an answer on its way when bytes come behind it.
+TEST_CASE("the last answer of a connection arrives whole, although its caller sends more and the server stops")
+{
+    Served test;
+    test.write(get("/1"));
+    REQUIRE(test.runUntil([&] { return test.exchanges.size() == 1; }));
+    test.server.beginDrain();
+    constexpr std::size_t large = 64 * 1024; // half of it waits at the server, since the caller has little room
+    test.caller.set_option(boost::asio::socket_base::receive_buffer_size(4096));
+    test.exchanges[0]->answer(http::makeAnswer(200, "text/plain", std::string(large, 'x') + "end"));
+    REQUIRE(test.runUntil([&] { return test.server.openRequests() == 0; }));
+    test.server.finishDrain();
+    test.write(get("/2"));
+    CHECK(test.readUntil("end").size() > large);
+    CHECK(test.exchanges.size() == 1);
+}
+
 // Guards against the rest of a refused body that is taken for a request, while an earlier request is still under way.
 TEST_CASE("nothing is read behind a refused request, also while another one is under way before it")
 {
