Promise "not run" only where the target's header states it

What callers saw: a target executed a once-only request and answered it with 503, 429 or 408, signed and with its id, but without the header that says it was not executed. The caller got that status, which promises that the request has not run and never will, and may send it again. A 421 of this kind was counted as a rejection, and the request went to a second target.

Cause: TargetRelay passed each signed status on, and took a 421 alone for a rejection.

Change: for a once-only request such a status without the header counts as "may have run". The caller gets 502 without the target's signature, and no second target. The daemon beside the target decides it, since it reads the target's statements and knows whether the request may be repeated. Idempotent requests keep the target's answer.

--- a/src/http/Status.h
+++ b/src/http/Status.h
@@ -13,6 +13,7 @@
 inline constexpr int statusForbidden = 403;
 inline constexpr int statusNotFound = 404;
 inline constexpr int statusMethodNotAllowed = 405;
+inline constexpr int statusRequestTimeout = 408;
 inline constexpr int statusConflict = 409;
 inline constexpr int statusGone = 410;
 inline constexpr int statusPreconditionFailed = 412;
--- a/src/relay/TargetRelay.cpp
+++ b/src/relay/TargetRelay.cpp
@@ -8,6 +8,7 @@
 #include "log/Event.h"
 
 #include <algorithm>
+#include <array>
 
 namespace coriandergate::relay {
 
@@ -30,6 +31,10 @@
     // Added to the priority of requests that can't meet their target latency, so that they queue behind all that can.
     constexpr int pastTargetLatencyPenalty = 100;
 
+    // Callers take these for the statement that a request was not executed and never will be.
+    constexpr std::array notExecutedStatuses { http::statusRequestTimeout, http::statusMisdirected,
+        http::statusTooManyRequests, http::statusUnavailable };
+
     auto millisecondsSince(MonotonicTime start, MonotonicTime now) -> milliseconds
     {
         return std::chrono::duration_cast<milliseconds>(now - start);
@@ -55,6 +60,7 @@
     std::shared_ptr<http::Exchange> exchange;
     std::string requestId;
     bool isProbe = false;
+    bool isIdempotent = false;
     bool isRecordedAsUnresponsive = false;
     bool isDone = false;
     MonotonicTime startedAt;
@@ -289,6 +295,7 @@
             message ? "no slot was granted on this connection" : reason.reason);
         return;
     }
+    run->isIdempotent = message->isIdempotent;
     run->isProbe = found->second->isProbe;
     const bool acceptsFailingTarget = run->isProbe || found->second->acceptsFailingTarget;
     found->second->isProbe = false;
@@ -454,7 +461,11 @@
     m_lastResponseAt = now;
     const bool isRejection
         = response.headers.find(headerNames.notExecuted).has_value() || response.status == http::statusMisdirected;
-    if (isRejection) {
+    // Without the header the status states nothing, and a once-only request may have been executed.
+    const bool isUnstated = !run.isIdempotent && !response.headers.find(headerNames.notExecuted)
+        && std::find(notExecutedStatuses.begin(), notExecutedStatuses.end(), response.status)
+            != notExecutedStatuses.end();
+    if (isRejection && !isUnstated) {
         recordRejection(response, now);
         finishRun(run, std::nullopt);
         // Without its id the response may belong to an earlier request.
@@ -481,6 +492,11 @@
             "the response did not come unaltered from the target");
         return;
     }
+    if (isUnstated) {
+        reply(run, RunOutcome::MayHaveRun, http::makeAnswer(http::statusBadGateway, "text/plain", ""),
+            "status " + std::to_string(response.status) + " without the statement that it was not executed");
+        return;
+    }
     http::removeHopByHop(response.headers);
     reply(run, RunOutcome::Answered, std::move(response), "");
 }
--- a/src/relay/TargetRelay_test.cpp
+++ b/src/relay/TargetRelay_test.cpp
@@ -129,6 +129,31 @@
     CHECK(fixture.runs == 1);
 }
 
+// Guards against a caller that reads "not run" for a once-only request that its target executed.
+TEST_CASE("TargetRelay takes no status alone for a statement that a once-only request was not executed")
+{
+    RelayFixture fixture;
+    net::HttpClient::Call call = 0;
+    fixture.status = GENERATE(408, 421, 429, 503);
+    REQUIRE(fixture.reserve(call, false).status == 200);
+    const auto response = fixture.run(call, false);
+    CHECK(outcome(response) == RunOutcome::MayHaveRun);
+    CHECK(response.status == 502);
+    CHECK_FALSE(response.headers.find(fixture.names.signature));
+}
+
+TEST_CASE("TargetRelay returns the status of a target to an idempotent request as it is")
+{
+    RelayFixture fixture;
+    net::HttpClient::Call call = 0;
+    fixture.status = GENERATE(408, 429, 503);
+    REQUIRE(fixture.reserve(call, true).status == 200);
+    const auto response = fixture.run(call, true);
+    CHECK(outcome(response) == RunOutcome::Answered);
+    CHECK(response.status == fixture.status);
+    CHECK(response.headers.find(fixture.names.signature));
+}
+
 TEST_CASE("TargetRelay distinguishes a rejection by the target from a request that was never sent")
 {
     RelayFixture fixture;
