Let no target's header speak for the daemon beside it

What callers saw: a target that executed a request and put "Coriandergate-Outcome: not-sent" into its response made the entry send the request on, to each target again and again, and at last promise 503 ("not run").

Cause: TargetRelay added its own headers behind those of the target, and the entry reads the first.

Change: the daemon beside the target replaces its headers for outcome and load, and removes the one for calls, which it sends only with a granted slot. By reading, no daemon reads these headers from a caller's request.

--- a/src/relay/TargetRelay.cpp
+++ b/src/relay/TargetRelay.cpp
@@ -414,8 +414,10 @@
             { "ms",
                 std::to_string(
                     run.startedAt == MonotonicTime {} ? 0 : millisecondsSince(run.startedAt, now).count()) } });
-    response.headers.add(outcomeHeader, outcomeName(outcome));
-    response.headers.add(loadHeader, load);
+    // The target may have sent these headers too, and they speak for the daemon.
+    response.headers.replace(outcomeHeader, outcomeName(outcome));
+    response.headers.replace(loadHeader, load);
+    response.headers.removeAll(callsHeader);
     run.exchange->answer(std::move(response));
 }
 
--- a/src/relay/TargetRelay_test.cpp
+++ b/src/relay/TargetRelay_test.cpp
@@ -43,6 +43,8 @@
             response.headers.add(names.signature, "signed");
             if (echoesId)
                 response.headers.add(names.requestId, exchange->request().headers.find(names.requestId).value_or(""));
+            for (const auto& header : moreHeaders)
+                response.headers.add(header.name, header.value);
             exchange->answer(std::move(response));
         }
 
@@ -105,6 +107,7 @@
         int status = 200;
         bool rejects = false;
         bool echoesId = true;
+        http::HeaderList moreHeaders; // of the target's response
         int runs = 0;
     };
 
@@ -154,6 +157,26 @@
     CHECK(response.headers.find(fixture.names.signature));
 }
 
+// Guards against a request that runs twice: its target says in the daemons' own words that it was not sent.
+TEST_CASE("TargetRelay does not pass on headers with which a target's response speaks for the daemon")
+{
+    RelayFixture fixture;
+    net::HttpClient::Call call = 0;
+    fixture.moreHeaders.add("coriandergate-outcome", outcomeName(GENERATE(RunOutcome::NotSent, RunOutcome::NotRun)));
+    fixture.moreHeaders.add(loadHeader, "0,0,99,0,5000");
+    fixture.moreHeaders.add(callsHeader, "stock=9");
+    fixture.rejects = GENERATE(false, true);
+    REQUIRE(fixture.reserve(call, false).status == 200);
+    const auto response = fixture.run(call, false);
+    CHECK(outcome(response) == (fixture.rejects ? RunOutcome::NotRun : RunOutcome::Answered));
+    CHECK(response.headers.count(outcomeHeader) == 1);
+    const auto load = decodeLoadReport(response.headers.find(loadHeader).value_or(""));
+    REQUIRE(load);
+    CHECK(load->load.slots == 4);
+    CHECK(response.headers.count(loadHeader) == 1);
+    CHECK(response.headers.count(callsHeader) == 0);
+}
+
 TEST_CASE("TargetRelay distinguishes a rejection by the target from a request that was never sent")
 {
     RelayFixture fixture;
