Refuse a response head that ran into the next one

What callers saw: a late response that is cut within its head and directly followed by the response to the request was read as one head: the status and the statement of the first, the id and the length of the second. A rejection of an earlier request so became the rejection of a once-only request that the target executed, which then ran at a second target, or ended with 503 ("not run").

Cause: the second status line was taken for a part of the header value, or of the reason phrase, in which the first head broke off. A cut between two lines was refused before, since a status line is no header.

Change: AnswerParser fails where a status line ("HTTP/1.1 200" and a blank or the end) stands within a header value or the reason phrase. The request counts as "may have run" and the connection is closed. Sound values that merely mention the version pass.

--- a/src/http/AnswerParser.cpp
+++ b/src/http/AnswerParser.cpp
@@ -2,6 +2,7 @@
 
 #include "http/internal/BeastBuffer.h"
 
+#include <algorithm>
 #include <optional>
 
 namespace coriandergate::http {
@@ -14,6 +15,21 @@
     constexpr int switchingProtocols = 101;
     constexpr int maximumInterimAnswers = 8;
 
+    auto isDigit(char c) -> bool { return c >= '0' && c <= '9'; }
+
+    // hasStatusLine() says that `text` holds a status line, such as "HTTP/1.1 200 OK".
+    auto hasStatusLine(std::string_view text) -> bool
+    {
+        constexpr std::string_view version = "HTTP/1.";
+        for (auto at = text.find(version); at != std::string_view::npos; at = text.find(version, at + 1)) {
+            const auto rest = text.substr(at + version.size());
+            if (rest.size() >= 5 && isDigit(rest[0]) && rest[1] == ' '
+                && std::all_of(rest.begin() + 2, rest.begin() + 5, isDigit) && (rest.size() == 5 || rest[5] == ' '))
+                return true;
+        }
+        return false;
+    }
+
 } // namespace
 
 struct AnswerParser::State {
@@ -48,6 +64,11 @@
     auto takeHeaders() -> bool
     {
         headers = internal::copyHeaders(parser->get());
+        // A head that was cut runs into the next one, whose status line then stands within it.
+        if (hasStatusLine(internal::toView(parser->get().reason()))
+            || std::any_of(
+                headers.begin(), headers.end(), [](const Header& field) { return hasStatusLine(field.value); }))
+            return fail("two heads that run into each other");
         if (isInterim()) {
             if (parser->get().result_int() == switchingProtocols)
                 return fail("the peer switched protocols unasked");
--- a/src/net/HttpClient_test.cpp
+++ b/src/net/HttpClient_test.cpp
@@ -117,16 +117,26 @@
         .timeout = 1000ms, .mayEndWithConnection = true, .answerIdHeader = "X-Request-Id", .answerId = "r"
     };
 
-    // send() sends one request and runs the loop until its result.
-    auto send(boost::asio::io_context& io, HttpClient& client, const std::string& peer) -> HttpClient::Result
+    // sendWith() sends one request and runs the loop until its result.
+    auto sendWith(boost::asio::io_context& io, HttpClient& client, const std::string& peer,
+        const HttpClient::SendOptions& sendOptions) -> HttpClient::Result
     {
         std::optional<HttpClient::Result> received;
-        client.send(peer, requestBytes(), options, [&](HttpClient::Result result) { received = std::move(result); });
+        client.send(
+            peer, requestBytes(), sendOptions, [&](HttpClient::Result result) { received = std::move(result); });
         while (!received)
             io.run_one();
         return std::move(*received);
     }
 
+    auto send(boost::asio::io_context& io, HttpClient& client, const std::string& peer,
+        std::chrono::milliseconds timeout = options.timeout) -> HttpClient::Result
+    {
+        auto sendOptions = options;
+        sendOptions.timeout = timeout;
+        return sendWith(io, client, peer, sendOptions);
+    }
+
     auto bodyOf(const HttpClient::Result& result) -> std::string
     {
         const auto* answer = std::get_if<http::Answer>(&result);
@@ -174,6 +184,52 @@
     CHECK(bodyOf(send(io, client, peer.address())) == "own");
 }
 
+// Guards against the rest of a late response that is taken for the head of the next one: read as one head, the two
+// could say that a request was not executed while it was.
+TEST_CASE("a response that is cut and runs into the next one never speaks for it, wherever it is cut")
+{
+    const std::string rejection
+        = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Type: text/plain\r\n";
+    const std::string idLast = rejection + "Content-Length: 4\r\nX-Request-Id: earlier\r\n\r\nfull";
+    const std::string idFirst = "HTTP/1.1 503 Service Unavailable\r\nX-Request-Id: earlier\r\nX-Not-Executed: 1\r\n"
+                                "Content-Length: 4\r\n\r\nfull";
+    const std::string late
+        = GENERATE_COPY(values<std::string>({ idLast, idFirst, rejection + "X-Request-Id: earlier\r\n\r\nfull",
+            rejection + "X-Request-Id: earlier\r\nContent-Length: 0\r\n\r\n",
+            rejection
+                + "Transfer-Encoding: chunked\r\nX-Request-Id: earlier\r\n\r\n4;x=y\r\nfull\r\n0\r\nX-More: z\r\n\r\n",
+            "HTTP/1.1 204 No Content\r\nX-Signature: a\r\nX-Request-Id: earlier\r\n\r\n",
+            "HTTP/1.0 400 Bad Request\r\nX-Request-Id: earlier\r\nContent-Length: 0\r\n\r\n",
+            "HTTP/1.1 100 Continue\r\nX-Not-Executed: 1\r\n\r\n" + idLast }));
+    const auto then = GENERATE(Then::Keep, Then::Close);
+    for (std::size_t cut = 0; cut <= late.size(); ++cut) {
+        INFO("after " << late.substr(0, cut));
+        boost::asio::io_context io;
+        ScriptedPeer peer(io, { { late.substr(0, cut) + good("own"), then } });
+        HttpClient client(io, {});
+        const auto result = send(io, client, peer.address(), 60ms);
+        if (const auto* failure = std::get_if<http::ExchangeFailure>(&result))
+            CHECK(failure->mayHaveRun);
+        else
+            CHECK(std::get<http::Answer>(result).status == 200);
+        if (cut == 0 || (cut == late.size() && late.find("Content-Length") != std::string::npos))
+            CHECK(bodyOf(result) == "own");
+        CHECK((bodyOf(result) == "own" || bodyOf(result) == "no answer"));
+    }
+}
+
+TEST_CASE("a response that repeats the request's id, or mentions HTTP in a header, is sound")
+{
+    const auto* header
+        = GENERATE("X-Request-Id: r\r\n", "Via: HTTP/1.1 edge, HTTP/1.0 200x\r\n", "X-Note: HTTP/1.1\r\n");
+    boost::asio::io_context io;
+    ScriptedPeer peer(io,
+        { { "HTTP/1.1 200 Speaks HTTP/1.1\r\nX-Request-Id: r\r\n" + std::string(header)
+            + "Content-Length: 3\r\n\r\nown" } });
+    HttpClient client(io, {});
+    CHECK(bodyOf(send(io, client, peer.address())) == "own");
+}
+
 TEST_CASE("bytes behind a whole answer belong to no request, and their connection serves no other")
 {
     boost::asio::io_context io;
