Refuse a response that bears the ids of several requests

What callers saw: of a response with several request ids the first one counted. A rejection with the id of the request and that of another was taken for a statement about this request, which may have been executed.

Cause: HttpClientConnection compared the first value of the header only.

Change: a response with several ids, of which one is another request's, fails the exchange as "may have run" and closes the connection, since it can't be told whether the request's own response is still to come. A repeated id of the request passes.

--- a/src/net/HttpClient_test.cpp
+++ b/src/net/HttpClient_test.cpp
@@ -218,6 +218,22 @@
     }
 }
 
+TEST_CASE("a response with the ids of several requests answers none of them")
+{
+    const auto* ids
+        = GENERATE("X-Request-Id: r\r\nX-Request-Id: earlier\r\n", "X-Request-Id: earlier\r\nX-Request-Id: r\r\n",
+            "X-Request-Id: r\r\nX-Request-Id:\r\n", "X-Request-Id: r\r\nx-request-id: r, earlier\r\n");
+    const auto* body = GENERATE("Content-Length: 0\r\n\r\n", "\r\n");
+    boost::asio::io_context io;
+    ScriptedPeer peer(
+        io, { { "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n" + std::string(ids) + body, Then::Close } });
+    HttpClient client(io, {});
+    const auto result = send(io, client, peer.address());
+    REQUIRE(std::holds_alternative<http::ExchangeFailure>(result));
+    CHECK(std::get<http::ExchangeFailure>(result).mayHaveRun);
+    CHECK_FALSE(std::get<http::ExchangeFailure>(result).wasTimeout);
+}
+
 TEST_CASE("a response that repeats the request's id, or mentions HTTP in a header, is sound")
 {
     const auto* header
--- a/src/net/internal/HttpClientConnection.cpp
+++ b/src/net/internal/HttpClientConnection.cpp
@@ -2,6 +2,7 @@
 
 #include "net/Endpoint.h"
 
+#include <algorithm>
 #include <boost/asio/write.hpp>
 #include <charconv>
 #include <fcntl.h>
@@ -140,7 +141,7 @@
         if (m_parser->progress() == ParseProgress::Complete) {
             auto answer = m_parser->takeAnswer();
             answer.isKeepAlive = false;
-            if (!isForEarlierRequest(answer)) {
+            if (!isForEarlierRequest(answer) && !bearsOtherIdsToo(answer)) {
                 finish(std::move(answer));
                 return;
             }
@@ -185,6 +186,10 @@
         if (m_parser->progress() == ParseProgress::NeedsMore)
             return;
         auto answer = m_parser->takeAnswer();
+        if (bearsOtherIdsToo(answer)) {
+            fail({ .stage = Stage::ReadAnswer, .mayHaveRun = true, .error = {} }, "an answer with several ids");
+            return;
+        }
         if (!isForEarlierRequest(answer)) {
             finish(std::move(answer));
             return;
@@ -206,6 +211,16 @@
     return id && *id != m_sendOptions.answerId;
 }
 
+// Such an answer can't be told to belong to one request or another.
+auto HttpClientConnection::bearsOtherIdsToo(const http::Answer& answer) const -> bool
+{
+    const auto& name = m_sendOptions.answerIdHeader;
+    return !name.empty() && answer.headers.count(name) > 1
+        && std::any_of(answer.headers.begin(), answer.headers.end(), [this, &name](const http::Header& header) {
+               return http::isSameName(header.name, name) && header.value != m_sendOptions.answerId;
+           });
+}
+
 auto HttpClientConnection::armTimer(steady_clock::time_point at) -> void
 {
     m_timer.expires_at(at);
--- a/src/net/internal/HttpClientConnection.h
+++ b/src/net/internal/HttpClientConnection.h
@@ -53,6 +53,7 @@
     auto extendDeadline() -> void;
     auto parse() -> void;
     auto isForEarlierRequest(const http::Answer& answer) const -> bool;
+    auto bearsOtherIdsToo(const http::Answer& answer) const -> bool;
     auto onTimeout() -> void;
     auto armTimer(std::chrono::steady_clock::time_point at) -> void;
     auto finish(http::Answer answer) -> void;
