--- a/src/relay/TargetRelay.cpp
+++ b/src/relay/TargetRelay.cpp
@@ -8,6 +8,7 @@
 #include "log/Event.h"
 
 #include <algorithm>
+#include <array>
 
 namespace coriandergate::relay {
 
@@ -33,6 +34,10 @@
     // Added to the priority of requests that can't meet their target latency, so that they queue behind all that can.
     constexpr int pastTargetLatencyPenalty = 100;
 
+    // Callers take these for the statement that a request was not executed and never will be.
+    constexpr std::array notExecutedStatuses { http::statusRequestTimeout, http::statusMisdirected,
+        http::statusTooManyRequests, http::statusUnavailable };
+
     auto millisecondsSince(MonotonicTime start, MonotonicTime now) -> milliseconds
     {
         return std::chrono::duration_cast<milliseconds>(now - start);
@@ -59,6 +64,7 @@
     std::string requestId;
     std::string target; // "id/start time"; empty if it was never sent
     bool isProbe = false;
+    bool isIdempotent = false;
     bool isOnNewConnection = false;
     bool isRecordedAsUnresponsive = false;
     bool isDone = false;
@@ -295,6 +301,7 @@
             message ? "no slot was granted on this connection" : reason.reason);
         return;
     }
+    run->isIdempotent = message->isIdempotent;
     run->isProbe = found->second->isProbe;
     const bool acceptsFailingTarget = run->isProbe || found->second->acceptsFailingTarget;
     found->second->isProbe = false;
@@ -417,8 +424,10 @@
             { "ms",
                 std::to_string(
                     run.startedAt == MonotonicTime {} ? 0 : millisecondsSince(run.startedAt, now).count()) } });
-    response.headers.add(outcomeHeader, outcomeName(outcome));
-    response.headers.add(loadHeader, load);
+    // The target may have sent these headers too, and they speak for the daemon.
+    response.headers.replace(outcomeHeader, outcomeName(outcome));
+    response.headers.replace(loadHeader, load);
+    response.headers.removeAll(callsHeader);
     run.exchange->answer(std::move(response));
 }
 
@@ -477,7 +486,11 @@
     const auto now = monotonicNow();
     const auto serviceTime = millisecondsSince(run.startedAt, now);
     m_lastResponseAt = now;
-    if (isRejection(response)) {
+    // Without the header the status states nothing, and a once-only request may have been executed.
+    const bool isUnstated = !run.isIdempotent && !response.headers.find(headerNames.notExecuted)
+        && std::find(notExecutedStatuses.begin(), notExecutedStatuses.end(), response.status)
+            != notExecutedStatuses.end();
+    if (isRejection(response) && !isUnstated) {
         recordRejection(response, now);
         finishRun(run, std::nullopt);
         // Without its id the response may belong to an earlier request.
@@ -504,6 +517,11 @@
             "the response did not come unaltered from the target");
         return;
     }
+    if (isUnstated) {
+        reply(run, RunOutcome::MayHaveRun, http::makeAnswer(http::statusBadGateway, "text/plain", ""),
+            "status " + std::to_string(response.status) + " without the statement that it was not executed");
+        return;
+    }
     http::removeHopByHop(response.headers);
     reply(run, RunOutcome::Answered, std::move(response), "");
 }
