Remember a rejecting target by its id and host, not by its address alone

Callers saw 503 ("not run, and never will") for a booking that ran. The same cause can make one run twice.

Cause: the entry never sends a request again to a target that rejected it, but knew the target by the address of the daemon beside it. The entry then took it for another target and sent it the same request; the target wrote its rejection once more and ran it.

Change: a target counts as the one that rejected the request if its address, its id or the key of its host's row is the same.

--- a/src/dispatch/LoadBalancer.cpp
+++ b/src/dispatch/LoadBalancer.cpp
@@ -15,6 +15,11 @@
     // A failing target that is due for a probe is preferred, so that it can recover.
     constexpr double probeBonus = 0.35;
 
+    auto contains(std::span<const std::string> texts, const std::string& text) -> bool
+    {
+        return std::find(texts.begin(), texts.end(), text) != texts.end();
+    }
+
     // The first round of the 64-bit finalizer of MurmurHash3.
     auto mixBits(std::uint64_t value) -> std::uint64_t
     {
@@ -125,8 +130,9 @@
     std::uint64_t index = 0;
     for (const auto& target : found->second) {
         ++index;
-        if (std::find(criteria.excluded.begin(), criteria.excluded.end(), target->description.address)
-            != criteria.excluded.end())
+        const auto& description = target->description;
+        if (contains(criteria.excluded, description.address) || contains(criteria.excludedIds, description.targetId)
+            || contains(criteria.excludedIds, description.hostKey))
             continue;
         const auto tieBreak = static_cast<double>(mixBits(random + index) >> 40) / static_cast<double>(1ULL << 24);
         const double targetCost = cost(*target, criteria, mean, isPanicMode, now) + tieBreakWeight * tieBreak;
--- a/src/dispatch/LoadBalancer.h
+++ b/src/dispatch/LoadBalancer.h
@@ -54,6 +54,8 @@
     // Description is a target as it is announced.
     struct Description {
         std::string address; // of the daemon on its host
+        std::string hostKey; // of its host; empty if it isn't known
+        std::string targetId; // empty if it isn't known
         std::string service;
         Locality locality;
         std::size_t slots = 1;
@@ -82,6 +84,7 @@
         bool mayProbe = false; // the request may be sent to a failing target as a probe
         double distanceFactor = 1; // scales the distance penalties, for responses that are costly to transfer
         std::span<const std::string> excluded; // addresses that were tried already
+        std::span<const std::string> excludedIds; // ids of targets and keys of hosts, at whatever address
     };
 
     explicit LoadBalancer(const Options& options);
--- a/src/fleet/HostDirectory.cpp
+++ b/src/fleet/HostDirectory.cpp
@@ -143,6 +143,8 @@
         if (record.state == HostRecord::State::NoTarget)
             continue;
         targets.push_back({ .address = record.peerAddress,
+            .hostKey = key,
+            .targetId = record.targetId,
             .service = record.service,
             .locality = record.locality,
             .slots = record.slots,
--- a/src/fleet/HostDirectory_test.cpp
+++ b/src/fleet/HostDirectory_test.cpp
@@ -28,7 +28,9 @@
                         { "west/b", encodeHostRecord(departed), 2, false } },
         true);
     CHECK(directory.size() == 1);
-    CHECK(directory.targets().size() == 1);
+    REQUIRE(directory.targets().size() == 1);
+    CHECK(directory.targets().front().hostKey == "west/a");
+    CHECK(directory.targets().front().targetId == "i-1");
     CHECK(directory.hostsInRegion("west") == std::vector<std::string> { "west/a" });
     CHECK(directory.hostsInDataCentre({ "west", "west-a" }) == std::vector<std::string> { "west/a" });
     CHECK(directory.rateLimitHostsInRegion("west").size() == 1);
--- a/src/relay/EntryRequest.cpp
+++ b/src/relay/EntryRequest.cpp
@@ -258,7 +258,8 @@
     return m_context.loadBalancer.choose({ .service = m_service,
                                              .mayProbe = mayProbe,
                                              .distanceFactor = distanceFactor(),
-                                             .excluded = m_excludedTargets },
+                                             .excluded = m_excludedTargets,
+                                             .excludedIds = m_rejectingIds },
         now, m_context.random());
 }
 
@@ -320,18 +321,31 @@
         }
         advanceStage();
         if (m_stage == Stage::WithinTargetLatency)
-            m_excludedTargets = m_rejectingTargets;
+            m_excludedTargets = m_rejectingAddresses;
     }
     waitOrFinish();
 }
 
+auto EntryRequest::recordRejection() -> void
+{
+    const auto& target = m_target->description;
+    m_rejectingAddresses.push_back(target.address);
+    for (const auto& id : { target.targetId, target.hostKey }) {
+        if (!id.empty())
+            m_rejectingIds.push_back(id);
+    }
+}
+
 auto EntryRequest::isRejectedByAllTargets() const -> bool
 {
+    const auto contains = [](const std::vector<std::string>& texts, const std::string& text) {
+        return std::find(texts.begin(), texts.end(), text) != texts.end();
+    };
     const auto targets = m_context.loadBalancer.targets(m_service);
-    return !m_rejectingTargets.empty() && std::all_of(targets.begin(), targets.end(), [this](const auto& target) {
-        const auto& address = target->description.address;
-        return target->description.isDraining
-            || std::find(m_rejectingTargets.begin(), m_rejectingTargets.end(), address) != m_rejectingTargets.end();
+    return !m_rejectingAddresses.empty() && std::all_of(targets.begin(), targets.end(), [&](const auto& target) {
+        const auto& description = target->description;
+        return description.isDraining || contains(m_rejectingAddresses, description.address)
+            || contains(m_rejectingIds, description.targetId) || contains(m_rejectingIds, description.hostKey);
     });
 }
 
@@ -344,7 +358,7 @@
         && targetLatencyLeft(now) > noTargetPause) {
         m_stage = Stage::NoWait;
         m_triesInStage = 0;
-        m_excludedTargets = m_rejectingTargets;
+        m_excludedTargets = m_rejectingAddresses;
         m_waitTimer.expires_after(noTargetPause);
         m_waitTimer.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
             if (!error && !self->m_isDone)
@@ -668,11 +682,11 @@
     log::logEvent(attemptEnded,
         { { "request", m_requestId }, { "peer", m_target->description.address }, { "step", "run" },
             { "outcome", std::string(outcomeName(outcome)) }, { "status", std::to_string(response.status) } });
+    if (outcome == RunOutcome::NotRun)
+        recordRejection();
     endAttempt();
     if (outcome == RunOutcome::NotSent)
         undoAttempt();
-    if (outcome == RunOutcome::NotRun)
-        m_rejectingTargets.push_back(target);
     if (outcome == RunOutcome::NotSent || outcome == RunOutcome::NotRun) {
         tryNextTarget();
         return;
--- a/src/relay/EntryRequest.h
+++ b/src/relay/EntryRequest.h
@@ -97,6 +97,7 @@
     auto applyLoadReport(const http::Answer& response) -> void;
     auto endAttempt() -> void;
     auto waitOrFinish() -> void;
+    auto recordRejection() -> void;
     [[nodiscard]] auto isRejectedByAllTargets() const -> bool;
     auto onDeadline() -> void;
     auto onCallerDisconnected() -> void;
@@ -130,9 +131,11 @@
     std::size_t m_triesInStage = 0;
     std::size_t m_slotRefusals = 0;
     std::vector<std::string> m_excludedTargets; // addresses of targets to skip
-    // Addresses of targets that rejected the request. A target may send its rejection again while it executes the same
-    // request, and the two responses bear the same id, so a target that rejected a request never gets it again.
-    std::vector<std::string> m_rejectingTargets;
+    // Targets that rejected the request. A target may send its rejection again while it executes the same request, and
+    // the two responses bear the same id, so a target that rejected a request never gets it again, also if its daemon
+    // has another address by then.
+    std::vector<std::string> m_rejectingAddresses;
+    std::vector<std::string> m_rejectingIds; // of the targets, and the keys of their hosts
     dispatch::LoadBalancer::TargetPointer m_target;
     net::HttpClient::Call m_call = 0;
     std::shared_ptr<RateLimitCheck> m_rateLimitCheck; // set once the owners of the rate limit are asked
--- a/src/relay/EntryRequest_test.cpp
+++ b/src/relay/EntryRequest_test.cpp
@@ -81,6 +81,8 @@
                 std::make_unique<net::HttpServer>(io, net::HttpServer::Options {}, [this, outcome](auto exchange) {
                     const bool isRun = exchange->request().target == runPath;
                     runRequests += isRun ? 1 : 0;
+                    if (isRun && onRun)
+                        onRun();
                     const bool isSuccess = !isRun || outcome == RunOutcome::Answered;
                     auto response = http::makeAnswer(isSuccess ? 200 : 503, "text/plain", "");
                     response.headers.add(outcomeHeader, outcomeName(outcome));
@@ -91,13 +93,21 @@
             REQUIRE(peers.back()->listen("127.0.0.1:0", reason));
             std::vector<dispatch::LoadBalancer::Description> targets;
             for (const auto& peer : peers)
-                targets.push_back({ .address = "127.0.0.1:" + std::to_string(peer->port()),
-                    .service = "stock",
-                    .locality = s_locality,
-                    .slots = 4 });
+                targets.push_back(describe(*peer, "", ""));
             loadBalancer.setTargets(targets);
         }
 
+        static auto describe(const net::HttpServer& peer, const std::string& hostKey, const std::string& targetId)
+            -> dispatch::LoadBalancer::Description
+        {
+            return { .address = "127.0.0.1:" + std::to_string(peer.port()),
+                .hostKey = hostKey,
+                .targetId = targetId,
+                .service = "stock",
+                .locality = s_locality,
+                .slots = 4 };
+        }
+
         // fingerprint() is that of request(path).
         static auto fingerprint(const std::string& path) -> std::uint64_t
         {
@@ -135,6 +145,7 @@
 
         std::vector<std::unique_ptr<net::HttpServer>> peers;
         int runRequests = 0;
+        std::function<void()> onRun; // called before a peer responds to an attempt
         bool isSilent = false; // the refusing peer doesn't respond
         std::vector<std::shared_ptr<http::Exchange>> unanswered;
         std::vector<ReserveRequest> reservations;
@@ -204,6 +215,23 @@
     CHECK(monotonicNow() - before < 150ms); // no target is left, so it does not wait for the target latency of 200 ms
 }
 
+// Guards against the same, if the daemon beside the target has moved to another address since.
+TEST_CASE("EntryRequest never sends a request again to a target that rejected it, at whatever address")
+{
+    Entry entry;
+    entry.addPeer(RunOutcome::Answered);
+    entry.addPeer(RunOutcome::NotRun);
+    entry.loadBalancer.setTargets({ Entry::describe(*entry.peers[1], "host-1", "i-1") });
+    const auto [hostKey, targetId]
+        = GENERATE(table<const char*, const char*>({ { "host-2", "i-1" }, { "host-1", "i-2" }, { "host-2", "i-2" } }));
+    const bool isOther = std::string(hostKey) == "host-2" && std::string(targetId) == "i-2";
+    entry.onRun = [&entry, moved = Entry::describe(*entry.peers[0], hostKey, targetId)] {
+        entry.loadBalancer.setTargets({ moved });
+    };
+    CHECK(entry.request("/notes/1").status == (isOther ? 200 : 503));
+    CHECK(entry.runRequests == (isOther ? 2 : 1));
+}
+
 // Guards against a request that crashes one target after another for as long as its callers repeat it.
 TEST_CASE("EntryRequest does not retry a request that has crashed several targets, until a target answers it")
 {
