Take a bare 421 for the rejection that it is

Once-only requests at an address that another target has taken over would end with 502 instead of going to another target. Change: only 408, 429 and 503 need the header.

--- a/src/relay/EntryRequest.cpp
+++ b/src/relay/EntryRequest.cpp
@@ -791,7 +791,7 @@
         { { "request", m_requestId }, { "status", std::to_string(response.status) }, { "why", std::string(why) },
             { "ms", std::to_string(latency.count()) }, { "route", m_route ? m_route->name : "" },
             { "service", m_service }, { "account", m_clientAccount ? m_clientAccount->name : "" },
-            { "runs", std::to_string(m_attempts) }, { "rejections", std::to_string(m_rejectingTargets.size()) },
+            { "runs", std::to_string(m_attempts) }, { "rejections", std::to_string(m_rejectingAddresses.size()) },
             { "version", m_snapshot ? std::to_string(m_snapshot->configuration().version) : "" },
             { "proof-age-ms", configurationAge ? std::to_string(configurationAge->count()) : "" },
             { "hosts-age-ms", hostListAge ? std::to_string(hostListAge->count()) : "" } });
--- a/src/relay/TargetRelay.cpp
+++ b/src/relay/TargetRelay.cpp
@@ -34,9 +34,10 @@
     // Added to the priority of requests that can't meet their target latency, so that they queue behind all that can.
     constexpr int pastTargetLatencyPenalty = 100;
 
-    // Callers take these for the statement that a request was not executed and never will be.
-    constexpr std::array notExecutedStatuses { http::statusRequestTimeout, http::statusMisdirected,
-        http::statusTooManyRequests, http::statusUnavailable };
+    // Callers take these for the statement that a request was not executed and never will be. A target states that only
+    // by the header, or by a 421, which is the answer of another target than the one that was expected.
+    constexpr std::array ambiguousStatuses { http::statusRequestTimeout, http::statusTooManyRequests,
+        http::statusUnavailable };
 
     auto millisecondsSince(MonotonicTime start, MonotonicTime now) -> milliseconds
     {
@@ -486,11 +487,7 @@
     const auto now = monotonicNow();
     const auto serviceTime = millisecondsSince(run.startedAt, now);
     m_lastResponseAt = now;
-    // Without the header the status states nothing, and a once-only request may have been executed.
-    const bool isUnstated = !run.isIdempotent && !response.headers.find(headerNames.notExecuted)
-        && std::find(notExecutedStatuses.begin(), notExecutedStatuses.end(), response.status)
-            != notExecutedStatuses.end();
-    if (isRejection(response) && !isUnstated) {
+    if (isRejection(response)) {
         recordRejection(response, now);
         finishRun(run, std::nullopt);
         // Without its id the response may belong to an earlier request.
@@ -517,7 +514,9 @@
             "the response did not come unaltered from the target");
         return;
     }
-    if (isUnstated) {
+    const bool isAmbiguous
+        = std::find(ambiguousStatuses.begin(), ambiguousStatuses.end(), response.status) != ambiguousStatuses.end();
+    if (isAmbiguous && !run.isIdempotent) {
         reply(run, RunOutcome::MayHaveRun, http::makeAnswer(http::statusBadGateway, "text/plain", ""),
             "status " + std::to_string(response.status) + " without the statement that it was not executed");
         return;
