Send 100 Continue once, also to a request behind another one

Callers saw 408 for a request with "Expect: 100-continue" that was sent behind another one: they waited for the interim response until the daemon's time for a request was over. Others got the interim response several times.

Cause: it was sent only if nothing was under way at the moment when the headers arrived, and again with each read until a byte of the body had come. Change: it is sent once, and once the responses before it are written.

--- a/src/net/HttpServer_test.cpp
+++ b/src/net/HttpServer_test.cpp
@@ -235,4 +235,28 @@
     CHECK(received.find("HTTP/1.1 413") == received.rfind("HTTP/1.1 413"));
 }
 
+// Guards against a caller that waits for the interim answer until its request is refused as too slow.
+TEST_CASE("a request that waits for 100 Continue gets it once, also behind another request")
+{
+    const bool isBehind = GENERATE(true, false);
+    Served test;
+    test.write((isBehind ? get("/1") : "")
+        + "POST /2 HTTP/1.1\r\nHost: test\r\nExpect: 100-continue\r\nTransfer-Encoding: chunked\r\n\r\n");
+    if (isBehind) {
+        REQUIRE(test.runUntil([&] { return test.exchanges.size() == 1; }));
+        test.exchanges[0]->answer(http::makeAnswer(200, "text/plain", "answer 1"));
+    }
+    auto received = test.readUntil("100 Continue");
+    CHECK(received.find("100 Continue") != std::string::npos);
+    test.write("4");
+    for (int i = 0; i < 20; ++i)
+        test.io.run_one_for(5ms);
+    const std::size_t requests = isBehind ? 2 : 1;
+    test.write("\r\nbody\r\n0\r\n\r\n");
+    REQUIRE(test.runUntil([&] { return test.exchanges.size() == requests; }));
+    test.exchanges.back()->answer(http::makeAnswer(200, "text/plain", "answer 2"));
+    received += test.readUntil("answer 2");
+    CHECK(received.find("100 Continue") == received.rfind("100 Continue"));
+}
+
 } // namespace coriandergate::net
--- a/src/net/internal/HttpServerConnection.cpp
+++ b/src/net/internal/HttpServerConnection.cpp
@@ -137,10 +137,7 @@
             break;
         }
         if (m_parser.progress() != ParseProgress::Complete) {
-            if (m_parser.awaitsContinue() && m_pending.empty() && !m_isWriting) {
-                m_outgoing += "HTTP/1.1 100 Continue\r\n\r\n";
-                write();
-            }
+            sendContinue();
             break;
         }
         handleRequest();
@@ -150,6 +147,16 @@
         read();
 }
 
+// An interim answer would be taken for that of an earlier request, so it waits until those are answered.
+auto HttpServerConnection::sendContinue() -> void
+{
+    if (!m_parser.awaitsContinue() || m_hasSentContinue || !m_pending.empty() || m_isWriting)
+        return;
+    m_hasSentContinue = true;
+    m_outgoing += "HTTP/1.1 100 Continue\r\n\r\n";
+    write();
+}
+
 auto HttpServerConnection::accountUnfinished() -> bool
 {
     const auto bytes = m_parser.bodyBytes();
@@ -174,6 +181,7 @@
 {
     auto request = m_parser.takeRequest();
     m_parser = http::RequestParser(parserOptions(m_state->options));
+    m_hasSentContinue = false;
     m_requestStart = steady_clock::now();
     const auto number = m_nextNumber++;
     Pending pending { .number = number,
@@ -275,6 +283,8 @@
     m_unwrittenAnswers = 0;
     if (m_isLast)
         finishWriting();
+    else
+        sendContinue();
 }
 
 // Closing a socket that holds unread bytes resets the connection, and the reset can overtake the answer. So only the
--- a/src/net/internal/HttpServerConnection.h
+++ b/src/net/internal/HttpServerConnection.h
@@ -48,6 +48,7 @@
     auto read() -> void;
     auto onRead(const boost::system::error_code& error, std::size_t bytes) -> void;
     auto parse() -> void;
+    auto sendContinue() -> void;
     auto accountUnfinished() -> bool;
     auto endReading() -> void;
     auto handleRequest() -> void;
@@ -76,6 +77,7 @@
     std::chrono::steady_clock::time_point m_lastActivity;
     std::chrono::steady_clock::time_point m_requestStart;
     std::array<char, 16384> m_readBuffer {};
+    bool m_hasSentContinue = false; // for the request that is arriving
     bool m_isReading = false;
     bool m_isWriting = false;
     bool m_isLast = false; // the connection ends with what is in the write buffer
