Check that a request whose last bytes come with its timeout is handled or refused, not both

Cause: after a suspension the rest of a request and the timeout that refuses it as not run are due together; nothing checked that only one of them holds. Change: a test with headers, a body with a length and one in chunks.

--- a/src/net/HttpServer_test.cpp
+++ b/src/net/HttpServer_test.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
+#include <thread>
 #include <vector>
 
 namespace coriandergate::net {
@@ -259,4 +260,24 @@
     CHECK(received.find("100 Continue") == received.rfind("100 Continue"));
 }
 
+// Guards against a request that is handled and refused: its last bytes come while the process is suspended, and its
+// timeout is due when it resumes.
+TEST_CASE("a request whose last bytes come with its timeout is either handled or refused")
+{
+    const auto [first, rest]
+        = GENERATE(table<std::string, std::string>({ { "GET /1 HTTP/1.1\r\n", "Host: test\r\n\r\n" },
+            { "POST /1 HTTP/1.1\r\nHost: test\r\nContent-Length: 4\r\n\r\nab", "cd" },
+            { "POST /1 HTTP/1.1\r\nHost: test\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n", "\r\n" } }));
+    Served test({ .headerTimeout = 50ms });
+    test.write(first);
+    for (int i = 0; i < 5; ++i)
+        test.io.run_one_for(5ms);
+    std::this_thread::sleep_for(100ms);
+    test.write(rest + get("/2"));
+    for (int i = 0; i < 20; ++i)
+        test.io.run_one_for(5ms);
+    const bool isRefused = test.caller.available() > 0;
+    CHECK(test.exchanges.empty() == isRefused);
+}
+
 } // namespace coriandergate::net
