Check that a request which waited for the configuration is forwarded once, and not after its caller left

Cause: two events end the wait for the first configuration, and a caller may leave meanwhile; nothing checked that only one of them starts the request. Change: a test.

--- a/src/relay/EntryRequest_test.cpp
+++ b/src/relay/EntryRequest_test.cpp
@@ -104,14 +104,14 @@
             return hashOf("", hashOf("GET shop.example" + path));
         }
 
-        auto startRequest(const std::string& path, net::HttpClient::Callback done) -> void
+        auto startRequest(const std::string& path, net::HttpClient::Callback done) -> net::HttpClient::Call
         {
             http::Request message;
             message.method = "GET";
             message.target = path;
             message.headers.add("Host", "shop.example");
             message.headers.add("Request-Id", "r-1");
-            peerClient.send("127.0.0.1:" + std::to_string(callerServer.port()), http::serializeRequest(message),
+            return peerClient.send("127.0.0.1:" + std::to_string(callerServer.port()), http::serializeRequest(message),
                 { .timeout = 3s }, std::move(done));
         }
 
@@ -286,6 +286,31 @@
     CHECK(entry.reservations.empty());
 }
 
+// Guards against a request that runs twice, or after its caller has left, because two events end its wait for the
+// configuration.
+TEST_CASE("EntryRequest forwards a request that waited for the configuration once, and never after its caller left")
+{
+    Entry entry;
+    entry.addPeer(RunOutcome::Answered);
+    entry.context.isReady = false;
+    entry.context.options.startupWait = 100ms;
+    entry.context.startedAt = monotonicNow();
+    const auto call = entry.startRequest("/notes/1", [](const net::HttpClient::Result&) {});
+    testing::runUntil(entry.io, [&entry] { return !entry.context.pendingRequests.empty(); });
+    REQUIRE(entry.context.pendingRequests.size() == 1);
+    const bool callerLeaves = GENERATE(true, false);
+    if (callerLeaves) {
+        entry.peerClient.cancel(call);
+        testing::runUntil(
+            entry.io, [] { return false; }, 20ms);
+    }
+    entry.context.markReady();
+    entry.context.markReady();
+    testing::runUntil(
+        entry.io, [] { return false; }, 300ms);
+    CHECK(entry.runRequests == (callerLeaves ? 0 : 1));
+}
+
 // Guards against a configuration without client accounts that opens every route of a deployment that has some.
 TEST_CASE(
     "EntryRequest requires a key where the deployment has client accounts, also when the configuration lists none")
