Prove that the daemon beside a target says "not run" only when the target did not execute the request

An odd target rejects requests twice, late, without an id or with several, cuts responses and copies, lets a cut copy run into the response, forges the daemon's headers and the statuses of rejections, resets, hangs, or sends interim responses and extra bytes. For each pair of these, for a copy cut at any byte, and for random sequences, TargetRelay reports "not sent" or "not run" only for sendings that the target did not execute; sound responses and sound rejections between them are reported as what they are.

--- a/src/relay/TargetRelay_test.cpp
+++ b/src/relay/TargetRelay_test.cpp
@@ -5,10 +5,19 @@
 #include "net/HttpServer.h"
 #include "testing/RunUntil.h"
 
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
+#include <rapidcheck.h>
+#include <set>
+#include <utility>
+#include <vector>
 
 namespace coriandergate::relay {
 
+using boost::asio::ip::tcp;
 using namespace std::chrono_literals;
 
 namespace {
@@ -24,7 +33,14 @@
             Error reason;
             REQUIRE(targetServer.listen("127.0.0.1:0", reason));
             REQUIRE(relayServer.listen("127.0.0.1:0", reason));
-            const auto address = "127.0.0.1:" + std::to_string(targetServer.port());
+            startRelay("127.0.0.1:" + std::to_string(targetServer.port()));
+        }
+
+        // Starts a relay for the target at `address`, in place of the one before.
+        auto startRelay(const std::string& address) -> void
+        {
+            relay.reset();
+            Error reason;
             target.emplace("ledger", address);
             REQUIRE(target->receive(
                         { .id = "i-1", .service = "ledger", .address = address, .startedAt = 1, .slots = 4 }, reason)
@@ -70,22 +86,26 @@
         auto reserve(net::HttpClient::Call& call, bool isIdempotent) -> http::Answer
         {
             return exchange(call,
-                encodeReserveRequest(
-                    { .requestId = "r", .service = "ledger", .isIdempotent = isIdempotent, .targetLatencyLeft = 1s }));
+                encodeReserveRequest({ .requestId = "r",
+                    .service = "ledger",
+                    .isIdempotent = isIdempotent,
+                    .targetLatencyLeft = 1s,
+                    .acceptsFailingTarget = acceptsFailingTarget }));
         }
 
-        auto run(net::HttpClient::Call& call, bool isIdempotent) -> http::Answer
+        auto run(net::HttpClient::Call& call, bool isIdempotent, const std::string& id = "r",
+            std::chrono::milliseconds timeLeft = 1s) -> http::Answer
         {
             http::Request request;
             request.method = "POST";
             request.target = "/orders/1";
             request.headers.add("Host", "shop.example");
-            request.headers.add(names.requestId, "r");
+            request.headers.add(names.requestId, id);
             return exchange(call,
                 encodeRunRequest({ .request = request,
-                    .requestId = "r",
+                    .requestId = id,
                     .isIdempotent = isIdempotent,
-                    .timeLeft = 1s,
+                    .timeLeft = timeLeft,
                     .targetLatencyLeft = 1s }));
         }
 
@@ -108,6 +128,7 @@
         bool rejects = false;
         bool echoesId = true;
         http::HeaderList moreHeaders; // of the target's response
+        bool acceptsFailingTarget = false;
         int runs = 0;
     };
 
@@ -202,4 +223,233 @@
     }
 }
 
+namespace {
+
+    // How an odd target handles one sending.
+    enum class Oddity {
+        Serve,
+        Reject,
+        RejectWithoutId,
+        RejectTwice, // the copy comes before the response to the next request
+        RejectAfterCopy, // a copy of the last rejection comes first
+        ServeAfterCopy,
+        ServeAfterCutCopy,
+        ServeAfterCopyWithoutId,
+        ServeThenExtraBytes,
+        RejectWithSeveralIds, // after executing it
+        ForgeOutcome, // after executing it
+        ForgeStatus, // after executing it, a status alone that callers would take for a rejection
+        CutServe,
+        CutReject,
+        InterimThenClose,
+        Reset,
+        Hang,
+        End // the number of enumerators
+    };
+
+    struct Sending {
+        Oddity oddity = Oddity::Serve;
+        std::size_t cut = 0; // of the response or the copy that is cut
+    };
+
+    // OddTarget handles each sending as its script says, and records the ids of those that it executed.
+    class OddTarget {
+    public:
+        OddTarget(boost::asio::io_context& io, std::vector<Sending> script)
+            : m_acceptor(io, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
+            , m_script(std::move(script))
+        {
+            accept();
+        }
+
+        [[nodiscard]] auto address() const -> std::string
+        {
+            return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+        }
+
+        [[nodiscard]] auto hasExecuted(const std::string& id) const -> bool { return m_executed.count(id) > 0; }
+
+    private:
+        struct Connection {
+            explicit Connection(tcp::socket accepted)
+                : socket(std::move(accepted))
+            {
+            }
+            tcp::socket socket;
+            std::string received;
+        };
+
+        struct Reply {
+            std::string bytes;
+            bool isExecuted = true;
+            bool isClosed = false;
+            bool isReset = false;
+        };
+
+        auto accept() -> void
+        {
+            m_acceptor.async_accept([this](const boost::system::error_code& error, tcp::socket socket) {
+                if (error)
+                    return;
+                read(std::make_shared<Connection>(std::move(socket)));
+                accept();
+            });
+        }
+
+        auto read(const std::shared_ptr<Connection>& connection) -> void
+        {
+            boost::asio::async_read_until(connection->socket, boost::asio::dynamic_buffer(connection->received),
+                "\r\n\r\n", [this, connection](const boost::system::error_code& error, std::size_t size) {
+                    if (error)
+                        return;
+                    const auto head = connection->received.substr(0, size);
+                    connection->received.erase(0, size);
+                    const std::string name = "Request-Id: ";
+                    const auto at = head.find(name) + name.size();
+                    respond(connection, head.substr(at, head.find('\r', at) - at));
+                });
+        }
+
+        static auto served(const std::string& id, const std::string& headers = "") -> std::string
+        {
+            return "HTTP/1.1 200 OK\r\n" + headers + "Signature: signed\r\nRequest-Id: " + id
+                + "\r\nContent-Length: 3\r\n\r\nran";
+        }
+
+        static auto rejected(const std::string& idHeaders) -> std::string
+        {
+            return "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nLoad: 1,0,4\r\n" + idHeaders
+                + "Content-Length: 4\r\n\r\nfull";
+        }
+
+        auto makeReply(const Sending& sending, const std::string& id) -> Reply
+        {
+            const auto rejection = rejected("Request-Id: " + id + "\r\n");
+            const auto copy = m_lastRejection.empty() ? rejected("Request-Id: before\r\n") : m_lastRejection;
+            switch (sending.oddity) {
+            case Oddity::Reject:
+                m_lastRejection = rejection;
+                return { rejection, false };
+            case Oddity::RejectWithoutId:
+                return { rejected(""), false };
+            case Oddity::RejectTwice:
+                m_lastRejection = rejection;
+                return { rejection + rejection, false };
+            case Oddity::RejectAfterCopy:
+                return { copy + rejection, false };
+            case Oddity::ServeAfterCopy:
+                return { copy + served(id) };
+            case Oddity::ServeAfterCutCopy:
+                return { copy.substr(0, sending.cut % copy.size()) + served(id) };
+            case Oddity::ServeAfterCopyWithoutId:
+                return { rejected("") + served(id) };
+            case Oddity::ServeThenExtraBytes:
+                return { served(id) + copy };
+            case Oddity::RejectWithSeveralIds:
+                return { rejected("Request-Id: " + id + "\r\nRequest-Id: before\r\n") };
+            case Oddity::ForgeOutcome:
+                return { served(
+                    id, std::string(outcomeHeader) + ": not-run\r\n" + std::string(loadHeader) + ": 0,0,4\r\n") };
+            case Oddity::ForgeStatus: {
+                const auto status = std::to_string(std::array { 408, 421, 429, 503 }[sending.cut % 4]);
+                return { "HTTP/1.1 " + status + served(id).substr(std::string_view("HTTP/1.1 200").size()) };
+            }
+            case Oddity::CutServe:
+                return { served(id).substr(0, sending.cut % served(id).size()), true, true };
+            case Oddity::CutReject:
+                return { rejection.substr(0, sending.cut % rejection.size()), true, true };
+            case Oddity::InterimThenClose:
+                return { "HTTP/1.1 103 Early Hints\r\nNot-Run: 1\r\nRequest-Id: " + id + "\r\n\r\n", true, true };
+            case Oddity::Reset:
+                return { "", true, true, true };
+            case Oddity::Hang:
+                return { "" };
+            case Oddity::Serve:
+            case Oddity::End:
+                break;
+            }
+            return { served(id) };
+        }
+
+        auto respond(const std::shared_ptr<Connection>& connection, const std::string& id) -> void
+        {
+            const auto reply = makeReply(m_script[std::min(m_next++, m_script.size() - 1)], id);
+            if (reply.isExecuted)
+                m_executed.insert(id);
+            boost::system::error_code ignored; // the relay may have closed the connection
+            boost::asio::write(connection->socket, boost::asio::buffer(reply.bytes), ignored);
+            if (reply.isReset)
+                connection->socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+            if (reply.isClosed)
+                connection->socket.close(ignored);
+            else
+                read(connection);
+        }
+
+        tcp::acceptor m_acceptor;
+        std::vector<Sending> m_script;
+        std::size_t m_next = 0;
+        std::string m_lastRejection;
+        std::set<std::string> m_executed;
+    };
+
+    // Sends one once-only request for each entry of the script, and returns the first untrue report of the relay.
+    auto findUntruth(const std::vector<Sending>& script) -> std::string
+    {
+        RelayFixture fixture;
+        OddTarget target(fixture.io, script);
+        fixture.startRelay(target.address());
+        fixture.acceptsFailingTarget = true;
+        for (std::size_t i = 0; i < script.size(); ++i) {
+            const auto oddity = script[i].oddity;
+            const auto id = "r-" + std::to_string(i);
+            net::HttpClient::Call call = 0;
+            REQUIRE(fixture.reserve(call, false).status == 200);
+            const auto response = fixture.run(call, false, id, oddity == Oddity::Hang ? 20ms : 60ms);
+            const auto reported = outcome(response);
+            const bool isReportedAsNotRun = reported == RunOutcome::NotSent || reported == RunOutcome::NotRun;
+            const bool isTrue = !(isReportedAsNotRun && target.hasExecuted(id))
+                && (reported == RunOutcome::Answered || response.status == 502 || response.status == 504
+                    || isReportedAsNotRun)
+                && (oddity != Oddity::Serve || reported == RunOutcome::Answered)
+                && (oddity != Oddity::Reject || reported == RunOutcome::NotRun);
+            if (!isTrue)
+                return "sending " + std::to_string(i) + ", oddity " + std::to_string(static_cast<int>(oddity))
+                    + ", cut " + std::to_string(script[i].cut) + ": " + std::string(outcomeName(*reported));
+        }
+        return {};
+    }
+
+} // namespace
+
+// Guards against a once-only request that runs twice, or is refused after it ran.
+TEST_CASE("TargetRelay reports a request as not run only if the target did not execute it, whatever the target sends")
+{
+    constexpr auto oddities = static_cast<int>(Oddity::End);
+    SECTION("each pair of oddities")
+    {
+        for (int first = 0; first < oddities; ++first) {
+            for (int second = 0; second < oddities; ++second)
+                CHECK(
+                    findUntruth({ { static_cast<Oddity>(first), 61 }, { static_cast<Oddity>(second), 47 }, {} }) == "");
+        }
+    }
+    SECTION("a copy of a rejection is cut at any byte and runs into the response")
+    {
+        for (std::size_t cut = 0; cut < 130; ++cut)
+            CHECK(findUntruth({ { Oddity::Reject, 0 }, { Oddity::ServeAfterCutCopy, cut }, {} }) == "");
+    }
+    SECTION("random sequences")
+    {
+        CHECK(rc::check([] {
+            const auto choices = *rc::gen::container<std::vector<std::pair<int, int>>>(
+                rc::gen::pair(rc::gen::inRange(0, oddities), rc::gen::inRange(0, 150)));
+            std::vector<Sending> script;
+            for (const auto& [oddity, cut] : choices)
+                script.push_back({ static_cast<Oddity>(oddity), static_cast<std::size_t>(cut) });
+            RC_ASSERT(findUntruth(script) == "");
+        }));
+    }
+}
+
 } // namespace coriandergate::relay
