--- a/src/net/HttpClient_test.cpp
+++ b/src/net/HttpClient_test.cpp
@@ -184,6 +184,19 @@
     CHECK(bodyOf(send(io, client, peer.address())) == "own");
 }
 
+// Guards against targets that respond twice unnoticed.
+TEST_CASE("each skipped answer is reported")
+{
+    boost::asio::io_context io;
+    ScriptedPeer peer(io, { { good("late", "earlier") + good("later", "other") + good("own"), Then::Keep } });
+    std::vector<std::string> skipped;
+    HttpClient client(io, { .onSkippedAnswer = [&skipped](const http::Answer& answer) {
+        skipped.emplace_back(answer.headers.find("X-Request-Id").value_or(""));
+    } });
+    CHECK(bodyOf(send(io, client, peer.address())) == "own");
+    CHECK(skipped == std::vector<std::string> { "earlier", "other" });
+}
+
 // Guards against the rest of a late response that is taken for the head of the next one: read as one head, the two
 // could say that a request was not executed while it was.
 TEST_CASE("a response that is cut and runs into the next one never speaks for it, wherever it is cut")
--- a/src/net/internal/HttpServerConnection.h
+++ b/src/net/internal/HttpServerConnection.h
@@ -30,7 +30,8 @@
     // close() ends the connection at once and abandons the requests under way.
     auto close() -> void;
 
-    // closeWhenIdle() ends the connection if no request is under way and none has begun to arrive.
+    // closeWhenIdle() ends the connection if no request is under way and none has begun to arrive. One that was
+    // answered for the last time ends by itself.
     auto closeWhenIdle() -> void;
 
 private:
@@ -48,7 +49,7 @@
     auto onRead(const boost::system::error_code& error, std::size_t bytes) -> void;
     auto parse() -> void;
     auto accountUnfinished() -> bool;
-    auto dropUnfinished() -> void;
+    auto endReading() -> void;
     auto handleRequest() -> void;
     auto setAnswer(std::uint64_t number, http::Answer&& answer) -> void;
     auto refuse(int status, std::string_view reason) -> void;
@@ -78,7 +79,7 @@
     bool m_isReading = false;
     bool m_isWriting = false;
     bool m_isLast = false; // the connection ends with what is in the write buffer
-    bool m_isRefused = false; // a request was refused before its end, so what follows can't be understood
+    bool m_isEnding = false; // after the answers that are owed; nothing that follows is read as a request
     bool m_isShutDown = false;
     bool m_isClosed = false;
     bool m_isParsing = false;
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -265,7 +265,8 @@
           { .maximumBodyBytes = maximumRequestBytes(settings) + peerMessageOverhead,
               .idleTimeout = peerServerIdleTimeout,
               .maximumConnections = settings.fileDescriptorLimit / peerConnectionDivisor,
-              .maximumBufferedBytes = maximumRequestBytes(settings) + peerMessageOverhead },
+              .maximumBufferedBytes = maximumRequestBytes(settings) + peerMessageOverhead,
+              .refusalHeaders = relay::unreadRequestHeaders() },
           [this](std::shared_ptr<http::Exchange> exchange) { handlePeer(exchange); })
     , controlServer(io, {}, [this](std::shared_ptr<http::Exchange> exchange) { handleControl(exchange); })
     , readinessServer(io, {},
@@ -596,7 +597,8 @@
         .callerConnections = callerServer.connections(),
         .openRequests = callerServer.openRequests(),
         .targetConnectionsOpened = targetRelay.targetConnectionsOpened(),
-        .peerConnectionsOpened = peerClient.connectionsOpened() });
+        .peerConnectionsOpened = peerClient.connectionsOpened(),
+        .lateResponses = targetRelay.lateResponses() });
 }
 
 Sidecar::Sidecar(boost::asio::io_context& io, const HostSettings& settings, Adapter adapter, fleet::StoreClient& store)
