Ask in the test of odd targets that a bare 421 counts as a rejection

Cause: the test counted a target that answers 421 without the header among those that had executed the request.

Change: 421 is an oddity of its own, which must be reported as "not run"; the forged statuses are 503, 429 and 408.

--- a/src/relay/TargetRelay_test.cpp
+++ b/src/relay/TargetRelay_test.cpp
@@ -250,6 +250,7 @@
         RejectWithSeveralIds, // after executing it
         ForgeOutcome, // after executing it
         ForgeStatus, // after executing it, a status alone that callers would take for a rejection
+        Misdirected, // rejects it by status 421 alone
         CutServe,
         CutReject,
         InterimThenClose,
@@ -362,9 +363,12 @@
                 return { served(
                     id, std::string(outcomeHeader) + ": not-run\r\n" + std::string(loadHeader) + ": 0,0,4\r\n") };
             case Oddity::ForgeStatus: {
-                const auto status = std::to_string(std::array { 408, 421, 429, 503 }[sending.cut % 4]);
+                const auto status = std::to_string(std::array { 408, 429, 503 }[sending.cut % 3]);
                 return { "HTTP/1.1 " + status + served(id).substr(std::string_view("HTTP/1.1 200").size()) };
             }
+            case Oddity::Misdirected:
+                return { "HTTP/1.1 421 Misdirected Request\r\nRequest-Id: " + id + "\r\nContent-Length: 0\r\n\r\n",
+                    false };
             case Oddity::CutServe:
                 return { served(id).substr(0, sending.cut % served(id).size()), true, true };
             case Oddity::CutReject:
@@ -423,7 +427,7 @@
                 && (reported == RunOutcome::Answered || response.status == 502 || response.status == 504
                     || isReportedAsNotRun)
                 && (oddity != Oddity::Serve || reported == RunOutcome::Answered)
-                && (oddity != Oddity::Reject || reported == RunOutcome::NotRun);
+                && ((oddity != Oddity::Reject && oddity != Oddity::Misdirected) || reported == RunOutcome::NotRun);
             if (!isTrue)
                 return "sending " + std::to_string(i) + ", oddity " + std::to_string(static_cast<int>(oddity))
                     + ", cut " + std::to_string(script[i].cut) + ": " + std::string(outcomeName(*reported));
