Let only a peer's own statement prove that a request was not sent

Callers saw bookings run twice, and 503 ("not run, and never will") for some that ran, where something between the daemons speaks HTTP and answers 503 itself when it loses the peer's daemon.

Cause: the entry took any 413 or 503 without an outcome for one with which the peer's server refuses a message unread. It is no proof: whatever stands between the daemons may answer so after the peer got the request. The entry then sent a once-only request again, 16 times in 200 ms.

Change: a peer's server states the outcome in what it refuses unread, and an answer without an outcome counts as "may have run".

The test failed 10 of 10 times before (16 attempts for one, 503 for 502) and holds now (build/coriandergate_tests "EntryRequest takes only a peer's statement for proof that a request was not sent to the target"). During an upgrade, a large body that a daemon of the former version has no room for is answered 502, not 503.

--- a/src/net/HttpServer.h
+++ b/src/net/HttpServer.h
@@ -9,6 +9,8 @@
 //   io.run();
 #pragma once
 
+#include "http/HeaderList.h"
+
 #include <boost/asio/io_context.hpp>
 #include <chrono>
 #include <cstddef>
@@ -38,6 +40,7 @@
         std::size_t maximumConnections = 2048;
         std::size_t maximumPipelined = 16; // requests of one connection that are handled at the same time
         std::size_t maximumBufferedBytes = 64 * 1024 * 1024; // of requests, over all connections
+        http::HeaderList refusalHeaders; // of answers to requests that didn't reach the handler
     };
     using Handler = std::function<void(std::shared_ptr<http::Exchange>)>;
     // ConnectionClosed is told the peer() of a connection that ended.
--- a/src/net/internal/HttpServerConnection.cpp
+++ b/src/net/internal/HttpServerConnection.cpp
@@ -215,6 +215,8 @@
         .bufferedBytes = 0,
         .exchange = {},
         .answer = http::makeAnswer(status, http::problemContentType, http::problemBody(status, reason)) };
+    for (const auto& header : m_state->options.refusalHeaders)
+        pending.answer->headers.add(header.name, header.value);
     m_pending.push_back(std::move(pending));
     ++m_state->openRequests;
     m_isRefused = true;
--- a/src/relay/EntryRequest.cpp
+++ b/src/relay/EntryRequest.cpp
@@ -36,13 +36,6 @@
     constexpr double slotWaitFraction = 0.5;
     constexpr std::string_view shutdownReason = "the daemon stops";
 
-    // The peer's server refuses a request that it has no memory for before it reads it to the end.
-    auto isRefusedUnread(const http::Answer& response) -> bool
-    {
-        return !response.headers.find(outcomeHeader)
-            && (response.status == http::statusContentTooLarge || response.status == http::statusUnavailable);
-    }
-
     auto secondsText(milliseconds time) -> std::string
     {
         std::array<char, 32> text {};
@@ -670,9 +663,8 @@
     }
     auto response = std::get<http::Answer>(std::move(result));
     applyLoadReport(response);
-    const auto outcome = isRefusedUnread(response)
-        ? RunOutcome::NotSent
-        : parseOutcome(response.headers.find(outcomeHeader).value_or("")).value_or(RunOutcome::MayHaveRun);
+    const auto outcome
+        = parseOutcome(response.headers.find(outcomeHeader).value_or("")).value_or(RunOutcome::MayHaveRun);
     const auto target = m_target->description.address;
     m_excludedTargets.push_back(target);
     if (outcome == RunOutcome::Answered) {
--- a/src/relay/EntryRequest_test.cpp
+++ b/src/relay/EntryRequest_test.cpp
@@ -39,7 +39,8 @@
                 .slots = 4 } });
         }
 
-        // Callers use the route "sheets"; targets use "notes", an open route, to call each other.
+        // Callers use the route "sheets"; targets use the open routes "notes" and "orders" to call each other. Only
+        // requests of "notes" may run more than once.
         static auto makeConfiguration() -> config::Configuration
         {
             config::Configuration configuration;
@@ -53,6 +54,13 @@
                 .targetLatency = 200ms,
                 .maximumAttempts = 2,
                 .priority = 3 });
+            configuration.routes.push_back({ .name = "orders",
+                .host = "shop.example",
+                .pathPrefix = "/orders/",
+                .service = "stock",
+                .isOpen = true,
+                .targetLatency = 200ms,
+                .priority = 3 });
             configuration.routes.push_back({ .name = "sheets",
                 .host = "shop.example",
                 .pathPrefix = "/sheets/",
@@ -73,22 +81,22 @@
             exchange->answer(http::makeAnswer(503, "text/plain", std::string(noSlotInTime)));
         }
 
-        // Adds a peer that grants every slot and reports `outcome` for every attempt. Such peers replace the one that
-        // refuses.
-        auto addPeer(RunOutcome outcome) -> void
+        // Adds a peer that grants every slot and reports `outcome` for every attempt, or nothing if it is null. Such
+        // peers replace the one that refuses.
+        auto addPeer(std::optional<RunOutcome> outcome, const net::HttpServer::Options& options = {}) -> void
         {
-            peers.push_back(
-                std::make_unique<net::HttpServer>(io, net::HttpServer::Options {}, [this, outcome](auto exchange) {
-                    const bool isRun = exchange->request().target == runPath;
-                    runRequests += isRun ? 1 : 0;
-                    if (isRun && onRun)
-                        onRun();
-                    const bool isSuccess = !isRun || outcome == RunOutcome::Answered;
-                    auto response = http::makeAnswer(isSuccess ? 200 : 503, "text/plain", "");
-                    response.headers.add(outcomeHeader, outcomeName(outcome));
-                    response.headers.add(loadHeader, encodeLoadReport({ .load = { .slots = 4 } }));
-                    exchange->answer(std::move(response));
-                }));
+            peers.push_back(std::make_unique<net::HttpServer>(io, options, [this, outcome](auto exchange) {
+                const bool isRun = exchange->request().target == runPath;
+                runRequests += isRun ? 1 : 0;
+                if (isRun && onRun)
+                    onRun();
+                const bool isSuccess = !isRun || outcome == RunOutcome::Answered;
+                auto response = http::makeAnswer(isSuccess ? 200 : 503, "text/plain", "");
+                if (outcome)
+                    response.headers.add(outcomeHeader, outcomeName(*outcome));
+                response.headers.add(loadHeader, encodeLoadReport({ .load = { .slots = 4 } }));
+                exchange->answer(std::move(response));
+            }));
             Error reason;
             REQUIRE(peers.back()->listen("127.0.0.1:0", reason));
             std::vector<dispatch::LoadBalancer::Description> targets;
@@ -232,6 +240,27 @@
     CHECK(entry.runRequests == (isOther ? 2 : 1));
 }
 
+// Guards against a request that runs twice, because something on the way to a peer refuses it after the peer got it.
+TEST_CASE("EntryRequest takes only a peer's statement for proof that a request was not sent to the target")
+{
+    Entry entry;
+    SECTION("a refusal without the statement")
+    {
+        entry.addPeer(std::nullopt);
+        entry.addPeer(std::nullopt);
+        CHECK(entry.request("/orders/1").status == 502);
+        CHECK(entry.runRequests == 1);
+    }
+    SECTION("the peer's server refuses a message that it has no room for")
+    {
+        constexpr std::size_t roomForReservation = 50;
+        entry.addPeer(
+            RunOutcome::Answered, { .maximumBodyBytes = roomForReservation, .refusalHeaders = unreadRequestHeaders() });
+        CHECK(entry.request("/orders/1").status == 503);
+        CHECK(entry.runRequests == 0);
+    }
+}
+
 // Guards against a request that crashes one target after another for as long as its callers repeat it.
 TEST_CASE("EntryRequest does not retry a request that has crashed several targets, until a target answers it")
 {
--- a/src/relay/PeerMessages.cpp
+++ b/src/relay/PeerMessages.cpp
@@ -199,6 +199,13 @@
     return std::nullopt;
 }
 
+auto unreadRequestHeaders() -> http::HeaderList
+{
+    http::HeaderList headers;
+    headers.add(outcomeHeader, outcomeName(RunOutcome::NotSent));
+    return headers;
+}
+
 auto encodeLoadReport(const TargetLoadReport& report) -> std::string
 {
     auto text = std::to_string(report.load.running) + "," + std::to_string(report.load.waiting) + ","
--- a/src/relay/PeerMessages.h
+++ b/src/relay/PeerMessages.h
@@ -133,6 +133,9 @@
 [[nodiscard]] auto outcomeName(RunOutcome outcome) -> std::string_view;
 [[nodiscard]] auto parseOutcome(std::string_view name) -> std::optional<RunOutcome>;
 
+// unreadRequestHeaders() are the headers of a response to a RunRequest that the peer's server didn't read to its end.
+[[nodiscard]] auto unreadRequestHeaders() -> http::HeaderList;
+
 // encodeLoadReport() returns the value of `loadHeader`; decodeLoadReport() returns nullopt when it is malformed.
 [[nodiscard]] auto encodeLoadReport(const TargetLoadReport& report) -> std::string;
 [[nodiscard]] auto decodeLoadReport(std::string_view text) -> std::optional<TargetLoadReport>;
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -265,7 +265,8 @@
           { .maximumBodyBytes = maximumRequestBytes(settings) + peerMessageOverhead,
               .idleTimeout = peerServerIdleTimeout,
               .maximumConnections = settings.fileDescriptorLimit / peerConnectionDivisor,
-              .maximumBufferedBytes = maximumRequestBytes(settings) + peerMessageOverhead },
+              .maximumBufferedBytes = maximumRequestBytes(settings) + peerMessageOverhead,
+              .refusalHeaders = relay::unreadRequestHeaders() },
           [this](std::shared_ptr<http::Exchange> exchange) { handlePeer(exchange); })
     , controlServer(io, {}, [this](std::shared_ptr<http::Exchange> exchange) { handleControl(exchange); })
     , readinessServer(io, {},
