State that a request was not sent only on the connection of its slot

Callers saw bookings run twice, where something between the daemons sends a request again on a new connection when the first one breaks.

Cause: the daemon beside the target answered a request that came on a connection without a granted slot with "not sent". That is true of this message alone: the entry got it as the answer to the first one, which the target may be executing, and sent the request to another target.

Change: without a granted slot the answer is "may have run", unless the slot was granted on this connection and released before the request arrived. An expiry that is due in the same turn as the request no longer releases another reservation of the connection.

--- a/src/relay/TargetRelay.cpp
+++ b/src/relay/TargetRelay.cpp
@@ -130,6 +130,7 @@
         return;
     }
     release(exchange->peer());
+    m_expired.erase(exchange->peer());
     const auto ticket = m_nextTicket++;
     const auto maximumWait = message->isPastTargetLatency
         ? message->maximumWait
@@ -165,11 +166,11 @@
 {
     reservation.isGranted = true;
     reservation.expiryTimer = std::make_unique<boost::asio::steady_timer>(m_io, m_options.reservationTimeout);
-    reservation.expiryTimer->async_wait(
-        [this, alive = m_isAlive, connection = reservation.connection](const boost::system::error_code& error) {
-            if (!error && *alive)
-                release(connection);
-        });
+    reservation.expiryTimer->async_wait([this, alive = m_isAlive, connection = reservation.connection,
+                                            ticket = reservation.ticket](const boost::system::error_code& error) {
+        if (!error && *alive)
+            expire(connection, ticket);
+    });
     http::Answer response;
     const auto now = monotonicNow();
     response.headers.add(loadHeader, encodeLoadReport(loadReport(now)));
@@ -209,7 +210,21 @@
     m_waiting.erase(reservation->ticket);
 }
 
-auto TargetRelay::onConnectionClosed(const std::string& connection) -> void { release(connection); }
+auto TargetRelay::expire(const std::string& connection, Ticket ticket) -> void
+{
+    // The request may have arrived in the same turn of the event loop.
+    const auto found = m_reservations.find(connection);
+    if (found == m_reservations.end() || found->second->ticket != ticket)
+        return;
+    release(connection);
+    m_expired.insert(connection);
+}
+
+auto TargetRelay::onConnectionClosed(const std::string& connection) -> void
+{
+    release(connection);
+    m_expired.erase(connection);
+}
 
 auto TargetRelay::grantWaiting() -> void
 {
@@ -284,8 +299,12 @@
     exchange->request().body = {};
     run->requestId = message ? message->requestId : "";
     const auto found = m_reservations.find(exchange->peer());
+    const bool isExpired = m_expired.erase(exchange->peer()) > 0;
     if (!message || found == m_reservations.end() || !found->second->isGranted) {
-        reply(*run, RunOutcome::NotSent, http::makeAnswer(http::statusUnavailable, "text/plain", ""),
+        // An entry sends a request only once a slot was granted. Without one, something on the way may have sent the
+        // request again, and the target may be executing it.
+        const auto outcome = !message || isExpired ? RunOutcome::NotSent : RunOutcome::MayHaveRun;
+        reply(*run, outcome, http::makeAnswer(http::statusUnavailable, "text/plain", ""),
             message ? "no slot was granted on this connection" : reason.reason);
         return;
     }
--- a/src/relay/TargetRelay.h
+++ b/src/relay/TargetRelay.h
@@ -20,6 +20,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace coriandergate::fleet {
@@ -93,6 +94,7 @@
     auto grantWaiting() -> void;
     auto armWaitTimer() -> void;
     auto release(const std::string& connection) -> void;
+    auto expire(const std::string& connection, Ticket ticket) -> void;
     auto handleRun(const std::shared_ptr<http::Exchange>& exchange) -> void;
     auto sendToTarget(const std::shared_ptr<Run>& run, RunRequest message) -> void;
     auto onUnresponsive(const std::shared_ptr<Run>& run) -> void;
@@ -116,6 +118,7 @@
     StoreClock m_storeClock;
     boost::asio::steady_timer m_waitTimer;
     std::map<std::string, std::shared_ptr<Reservation>> m_reservations; // by connection
+    std::set<std::string> m_expired; // connections whose granted slot was released before its request arrived
     std::map<Ticket, std::string> m_waiting; // connection of each waiting reservation
     Ticket m_nextTicket = 1;
     std::string m_knownIncarnation; // "id/start time"
--- a/src/relay/TargetRelay_test.cpp
+++ b/src/relay/TargetRelay_test.cpp
@@ -57,7 +57,7 @@
                 call = client.send("127.0.0.1:" + std::to_string(relayServer.port()), std::move(bytes),
                     { .timeout = 1s, .keepsConnection = true }, store);
             else
-                isSent = client.sendNext(call, std::move(bytes), { .timeout = 1s }, store);
+                isSent = client.sendNext(call, std::move(bytes), { .timeout = 1s, .keepsConnection = true }, store);
             REQUIRE(isSent);
             testing::runUntil(io, [&result] { return result.has_value(); });
             REQUIRE(result);
@@ -154,4 +154,26 @@
     }
 }
 
+// Guards against a request that runs twice: it comes again, on another connection, while the target executes it.
+TEST_CASE("TargetRelay states that a request was not sent only if its slot was granted on the same connection")
+{
+    RelayFixture fixture;
+    net::HttpClient::Call call = 0;
+    SECTION("no slot was granted") { CHECK(outcome(fixture.run(call, false)) == RunOutcome::MayHaveRun); }
+    SECTION("the slot was used")
+    {
+        REQUIRE(fixture.reserve(call, false).status == 200);
+        CHECK(outcome(fixture.run(call, false)) == RunOutcome::Answered);
+        CHECK(outcome(fixture.run(call, false)) == RunOutcome::MayHaveRun);
+        CHECK(fixture.runs == 1);
+    }
+    SECTION("the granted slot was released after a timeout")
+    {
+        REQUIRE(fixture.reserve(call, false).status == 200);
+        REQUIRE(testing::runUntil(fixture.io, [&fixture] { return fixture.relay->running() == 0; }));
+        CHECK(outcome(fixture.run(call, false)) == RunOutcome::NotSent);
+        CHECK(fixture.runs == 0);
+    }
+}
+
 } // namespace coriandergate::relay
