Keep a target beside the entry from speaking for the daemon

Cause: the headers that only daemons may set were taken out of a target's response where it came from another daemon, but not where the target stands beside the entry. A caller of such a target read its Coriandergate-Outcome before the daemon's own: a 200, or a 503 of the target, that said "not-run" had run. Coriandergate-Refusal and Coriandergate-Report went through too. Change: the entry removes them from each response before it adds its own.

--- a/src/daemon/HttpFaults_test.cpp
+++ b/src/daemon/HttpFaults_test.cpp
@@ -7,8 +7,11 @@
 
 #include <QHostAddress>
 #include <QTcpSocket>
+#include <QTemporaryDir>
 #include <catch2/catch.hpp>
+#include <fstream>
 #include <nlohmann/json.hpp>
+#include <thread>
 
 using namespace coriandergate;
 using namespace coriandergate::testing;
@@ -30,6 +33,20 @@
     return std::move(*answer);
 }
 
+// waitForTarget() waits until `entry` has heard of a target beside another daemon.
+auto waitForTarget(const DaemonUnderTest& entry) -> void
+{
+    for (int round = 0; round < 200; ++round) {
+        Error reason;
+        const auto answer = simpleCall(
+            entry.admin(), { .method = "GET", .target = "/metrics", .headers = {}, .body = {} }, patience, reason);
+        if (answer && answer->body.find("\ncoriandergate_remote_targets 1") != std::string::npos)
+            return;
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    }
+    FAIL("the other daemon's target is not known");
+}
+
 auto connectTo(QTcpSocket& socket, const std::string& address) -> void
 {
     const auto colon = address.rfind(':');
@@ -201,3 +218,33 @@
     CHECK(readUntil(caller, "\r\n\r\n").starts_with("HTTP/1.1 401"));
     CHECK(target.seen()["requests"].empty());
 }
+
+// Guards against a target's headers that callers take for the daemon's word that a request was not run.
+TEST_CASE("a target can't speak for the daemon, whatever its status")
+{
+    const QTemporaryDir folder;
+    const auto file = folder.filePath("routes.yaml").toStdString();
+    std::ofstream(file) << "services: [{ name: demo }]\n"
+                           "routes: [{ name: orders, pathPrefix: /, service: demo, isOpen: true }]\n";
+    const std::vector<std::string> common { "--declaration=" + file, "--target-ttl-ms=60000" };
+    for (const int status : { 200, 408, 409, 421, 429, 503 }) {
+        DaemonUnderTest owner(common);
+        DaemonUnderTest entry({ common[0], common[1], "--peers=" + owner.peers() });
+        ScriptedTarget target({ .bytes = "HTTP/1.1 " + std::to_string(status)
+                + " X\r\nCoriandergate-Outcome: not-run\r\ncoriandergate-refusal: 1\r\nCORIANDERGATE-REPORT: "
+                  "{}\r\nRetry-After: 1\r\nContent-Length: 2\r\n\r\nno",
+            .isClosedAfter = true });
+        announce(owner, "demo", target.address());
+        waitForTarget(entry);
+        for (const auto* daemon : { &owner, &entry }) {
+            const auto answer = callWithKey(*daemon, "POST", "/orders", "cups");
+            CAPTURE(status, daemon == &owner);
+            CHECK(answer.status == status);
+            CHECK(answer.headers.count("Coriandergate-Outcome") == 1);
+            CHECK(answer.headers.find("Coriandergate-Outcome") == "ran");
+            CHECK_FALSE(answer.headers.find("Coriandergate-Refusal"));
+            CHECK_FALSE(answer.headers.find("Coriandergate-Report"));
+        }
+        CHECK(target.requests() == 2);
+    }
+}
--- a/src/proxy/EntryRequest.cpp
+++ b/src/proxy/EntryRequest.cpp
@@ -329,7 +329,6 @@
         onOwnerResult(OwnerRefusal { parseRefusal(answer), *report });
         return;
     }
-    removeInternalHeaders(answer.headers);
     onOwnerResult(OwnerAnswer { std::move(answer), *report });
 }
 
@@ -401,6 +400,7 @@
         m_context->serviceBoard->recordResponse(m_request.route.service, monotonicNow());
     settle(Outcome::Ran);
     http::removeHopByHop(answer.headers);
+    removeInternalHeaders(answer.headers);
     answer.headers.replace(headers::requestId, m_request.id);
     answer.headers.add(headers::outcome, outcomeText(Outcome::Ran));
     logEnd(answer.status, Outcome::Ran, "");
