Drop a kept connection on which something has arrived unread

Cause: a connection kept by http/Client was dropped when bytes arrived on it unasked, but only once the event loop had read them. A second copy of a response that was in the socket already was taken for the response to the next request, which went to another caller; an end that was there already made the next request fail as "may have run". Change: before a connection is used again, its socket is looked at without taking anything from it; anything there, also its end, means another connection.

--- a/src/http/internal/ClientConnection.cpp
+++ b/src/http/internal/ClientConnection.cpp
@@ -1,6 +1,8 @@
 #include "http/internal/ClientConnection.h"
 
 #include <QHostAddress>
+#include <cerrno>
+#include <sys/socket.h>
 #include <utility>
 
 namespace coriandergate::http::internal {
@@ -45,7 +47,13 @@
 
 auto ClientConnection::isUsable() const -> bool
 {
-    return m_phase == Phase::Idle && m_socket.state() == QAbstractSocket::ConnectedState;
+    if (m_phase != Phase::Idle || m_socket.state() != QAbstractSocket::ConnectedState || m_socket.bytesAvailable() > 0)
+        return false;
+    // What the peer sent unasked, or its end, may have arrived without having been read yet.
+    char next = 0;
+    const auto received
+        = ::recv(static_cast<int>(m_socket.socketDescriptor()), &next, sizeof next, MSG_PEEK | MSG_DONTWAIT);
+    return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
 auto ClientConnection::start(
