Answer a resend of what ran also when no new attempt could be remembered

Cause: an attempt at a key was refused as not run as soon as too few daemons in different data centres were known, or one of them couldn't be reached, without waiting for what the holder of the key's seat knows. A caller that sent a request again with its key, after it had run, read 503 "not run", and went on reading it until another daemon of a further data centre was known. Change: the attempt waits for the holder's word. What ran, runs or is unknown is told; only a permit is given back as not used, at once, and refused as not run.

--- a/src/daemon/LedgerOnceGate.cpp
+++ b/src/daemon/LedgerOnceGate.cpp
@@ -93,6 +93,7 @@
     std::size_t worker = 0;
     unsigned asks = 0;
     std::set<std::string> awaited; // "permit", and the addresses of the witnesses
+    std::optional<proxy::Refusal> witnessFailure; // why too few will remember it
     std::function<void(proxy::OnceDecision)> decided; // empty once it was called
 
     auto decide(proxy::OnceDecision decision) -> void
@@ -160,7 +161,7 @@
     const auto witnesses
         = holder ? selectWitnesses(*holder, self, candidates, m_options.spread == Spread::DataCentre) : std::nullopt;
     if (!witnesses) {
-        refuse(ask, notRunNow("too few other daemons are known that could remember it"));
+        failWitness(ask, notRunNow("too few other daemons are known that could remember it"));
         return;
     }
     for (const auto& witness : *witnesses)
@@ -173,11 +174,20 @@
                 if (answer)
                     self->onAgreed(ask, address);
                 else
-                    self->refuse(ask, notRunNow("a daemon that was to remember it can't be reached"));
+                    self->failWitness(ask, notRunNow("a daemon that was to remember it can't be reached"));
             });
     }
 }
 
+// What the holder knows of the key is told even if a new attempt could not be remembered.
+auto LedgerOnceGate::failWitness(const std::shared_ptr<Ask>& ask, proxy::Refusal refusal) -> void
+{
+    if (!ask->awaited.contains("permit"))
+        refuse(ask, std::move(refusal));
+    else if (!ask->witnessFailure)
+        ask->witnessFailure = std::move(refusal);
+}
+
 auto LedgerOnceGate::askPermit(const std::shared_ptr<Ask>& ask) -> void
 {
     const auto askedAt = monotonicNow();
@@ -214,7 +224,12 @@
         return;
     if (const auto* permit = std::get_if<once::Permit>(&answer)) {
         books()->attempts.applyPermit(ask->label.attempt, *permit, askedAt);
-        onAgreed(ask, "permit");
+        if (!ask->witnessFailure) {
+            onAgreed(ask, "permit");
+            return;
+        }
+        ask->awaited.erase("permit");
+        refuse(ask, *ask->witnessFailure);
         return;
     }
     books()->attempts.close(ask->label.attempt, once::NotRun {});
@@ -261,6 +276,9 @@
     ++m_counts.refused;
     // A permit may be on its way: the holder is told that it won't be used.
     books()->attempts.close(ask->label.attempt, once::NotRun {});
+    if (!ask->awaited.contains("permit"))
+        report({ ask->label.key, ask->label.attempt, m_context->self, ask->label.fingerprint, 0, once::NotRun {},
+            ask->openedAt });
     ask->decide(std::move(refusal));
 }
 
--- a/src/daemon/LedgerOnceGate.h
+++ b/src/daemon/LedgerOnceGate.h
@@ -98,6 +98,7 @@
     [[nodiscard]] auto books() const -> Books* { return m_openBooks; }
     auto openBooks() -> void;
     auto askWitnesses(const std::shared_ptr<Ask>& ask, MonotonicTime now) -> void;
+    auto failWitness(const std::shared_ptr<Ask>& ask, proxy::Refusal refusal) -> void;
     auto askPermit(const std::shared_ptr<Ask>& ask) -> void;
     auto onPermitAnswer(const std::shared_ptr<Ask>& ask, const once::PermitResponse& answer, MonotonicTime askedAt)
         -> void;
--- a/src/daemon/LedgerOnceGate_test.cpp
+++ b/src/daemon/LedgerOnceGate_test.cpp
@@ -8,6 +8,7 @@
 #include "testing/Application.h"
 
 #include <QCoreApplication>
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <future>
 #include <thread>
@@ -273,3 +274,39 @@
     CHECK(keptAnswer(fleet, 4, "k1") == "k1");
     CHECK(std::holds_alternative<proxy::RunPermit>(fleet.begin(4, fleet.label("new"))));
 }
+
+// Guards against refusing the resend of a request that ran because no new one could be remembered.
+TEST_CASE("what is known of a key is told also when too few daemons are left to remember a new one")
+{
+    const auto isGone = GENERATE(true, false); // else the lost daemons are still believed to live
+    const auto holder = GENERATE(0U, 1U);
+    Fleet fleet(4, 4); // 1 owns
+    if (holder != 0)
+        fleet.hold(holder);
+    fleet.run(1, "k1");
+    const auto running = fleet.label("k2");
+    REQUIRE(std::holds_alternative<proxy::RunPermit>(fleet.begin(1, running)));
+    CHECK(keptAnswer(fleet, 1, "k1") == "k1");
+    std::vector<std::string> labels;
+    for (int i = 0; i < 200; ++i)
+        labels.push_back(fleet.label("k1"));
+    const auto resend = fleet.label("k2");
+    const std::vector<std::string> fresh { fleet.label("new"), fleet.label("new") };
+    const auto members = [&] {
+        const MutexLock lock(fleet.belief->mutex);
+        return fleet.belief->members;
+    }();
+    for (const auto lost : { 2U, 3U })
+        fleet.lose(lost);
+    if (!isGone) {
+        const MutexLock lock(fleet.belief->mutex);
+        fleet.belief->members = members;
+        fleet.belief->lost.clear();
+    }
+    CAPTURE(isGone, holder);
+    for (const auto& label : labels)
+        CHECK(std::holds_alternative<proxy::KeptAnswer>(fleet.begin(1, label)));
+    CHECK(outcomeOf(fleet.begin(1, resend)) == proxy::Outcome::MayHaveRun);
+    for (const auto& label : fresh)
+        CHECK(outcomeOf(fleet.begin(1, label)) == proxy::Outcome::NotRun);
+}
--- a/src/daemon/OncePlugin_test.cpp
+++ b/src/daemon/OncePlugin_test.cpp
@@ -149,3 +149,32 @@
     for (const auto& key : keys)
         CHECK(runsOf(target, key) == 1);
 }
+
+// Guards against refusing what ran, for as long as the lost daemon's data centre has no other.
+TEST_CASE("a key that ran is answered again after another daemon is known to be dead")
+{
+    const QTemporaryDir folder;
+    const auto file = folder.filePath("routes.yaml").toStdString();
+    std::ofstream(file) << "services: [{ name: demo }]\n"
+                           "routes: [{ name: orders, pathPrefix: /, service: demo, isOpen: true }]\n";
+    const std::vector<std::string> common { "--declaration=" + file, "--suspicion-timeout-ms=1000" };
+    DaemonUnderTest first({ common[0], common[1], "--data-centre=dc-1" });
+    DaemonUnderTest owner({ common[0], common[1], "--data-centre=dc-2", "--peers=" + first.peers() });
+    DaemonUnderTest other(
+        { common[0], common[1], "--data-centre=dc-3", "--peers=" + first.peers() + "," + owner.peers() });
+    TargetUnderTest target(owner, { "--service=demo" });
+    CHECK(orderUntilRun(first.callers(), "k1", "k1").status == 200);
+    CHECK(orderUntilRun(other.callers(), "k1", "k1").body == "k1");
+    first.process().kill();
+    REQUIRE(owner.process().waitForLine("CG1304", 30s));
+    const auto again = order(other.callers(), "k1", "k1");
+    REQUIRE(again);
+    CHECK(again->status == 200);
+    CHECK(again->headers.find("Idempotent-Replayed") == "true");
+    const auto fresh = order(other.callers(), "k2", "k2");
+    REQUIRE(fresh);
+    CHECK(fresh->status == 503);
+    CHECK(fresh->headers.find("Coriandergate-Outcome") == "not-run");
+    CHECK(runsOf(target, "k1") == 1);
+    CHECK(runsOf(target, "k2") == 0);
+}
