Tell a late copy of an earlier response from the response to the next request

Cause: http/Client matched responses to requests by their order alone. A second copy of a response that came when its kept connection was in use again was given to the caller of the next request. Once-only requests were not concerned: the daemon beside the target sends each on a fresh connection, with and without a key (read in OwnerService, the only sender to targets). Change: a request to a target names the header by which it is known (X-Request-Id). A response on a kept connection that bears the id of an earlier request of that connection (the newest 1024) fails as "may have run". Targets that don't repeat the id, or give ids of their own, are served as before; their late copies can't be told.

--- a/src/http/Client.cpp
+++ b/src/http/Client.cpp
@@ -1,6 +1,5 @@
 #include "http/Client.h"
 
-#include "http/Serialize.h"
 #include "http/internal/ClientConnection.h"
 
 #include <QPointer>
@@ -95,7 +94,7 @@
         state->calls.erase(call);
         callback(std::move(result));
     };
-    connection->start(serializeRequest(request), request.method == "HEAD", options, std::move(done));
+    connection->start(request, options, std::move(done));
     return call;
 }
 
--- a/src/http/Client.h
+++ b/src/http/Client.h
@@ -39,6 +39,9 @@
         std::size_t maximumAnswerBytes = 32 * 1024 * 1024;
         bool needsFreshConnection
             = false; // an idle connection may be closing unseen, which would leave the outcome unknown
+        // A header that names a request, which the peer may repeat in its answer. An answer that names an earlier
+        // request on its connection fails: it is a late copy.
+        std::string answerIdHeader;
     };
     using Callback = std::function<void(ExchangeResult)>;
     using Call = std::uint64_t;
--- a/src/http/Client_test.cpp
+++ b/src/http/Client_test.cpp
@@ -114,7 +114,8 @@
 {
     QEventLoop loop;
     std::optional<ExchangeResult> result;
-    client.send(peer.address(), request, { .timeout = 2s, .needsFreshConnection = needsFreshConnection },
+    client.send(peer.address(), request,
+        { .timeout = 2s, .needsFreshConnection = needsFreshConnection, .answerIdHeader = "X-Request-Id" },
         [&](ExchangeResult received) {
             result = std::move(received);
             loop.quit();
@@ -179,6 +180,29 @@
     }
 }
 
+// Guards against a late second copy of an answer that comes when its connection is in use again.
+TEST_CASE("a copy of an earlier answer that comes after the next request was sent doesn't answer it")
+{
+    testing::ensureApplication();
+    std::string earlier;
+    Peer peer([&](const Request& request) {
+        const auto id = idOf(request);
+        return Peer::Reply { (id == "late" ? answerTo(earlier) : "") + answerTo(id) };
+    });
+    for (const std::string& copied : { "a", "b", "c" }) {
+        earlier = copied;
+        Client client({});
+        for (const std::string& id : { "a", "b", "c" })
+            REQUIRE(bodyOf(send(client, peer, makeRequest(id))) == id);
+        const auto result = send(client, peer, makeRequest("late"));
+        CAPTURE(bodyOf(result));
+        const auto* const failure = std::get_if<ExchangeFailure>(&result);
+        REQUIRE(failure);
+        CHECK(failure->mayHaveRun);
+        CHECK(bodyOf(send(client, peer, makeRequest("d"))) == "d");
+    }
+}
+
 TEST_CASE("answers that bear ids of the peer's own, or none, are taken on a connection in use again")
 {
     testing::ensureApplication();
--- a/src/http/internal/ClientConnection.cpp
+++ b/src/http/internal/ClientConnection.cpp
@@ -1,6 +1,10 @@
 #include "http/internal/ClientConnection.h"
 
+#include "base/Hash.h"
+#include "http/Serialize.h"
+
 #include <QHostAddress>
+#include <algorithm>
 #include <cerrno>
 #include <sys/socket.h>
 #include <utility>
@@ -9,6 +13,8 @@
 
 namespace {
 
+    constexpr std::size_t maximumEarlierIds = 1024; // 8 KB a connection
+
     struct Endpoint {
         QHostAddress address;
         quint16 port = 0;
@@ -56,14 +62,17 @@
     return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
-auto ClientConnection::start(
-    std::string bytes, bool isHead, const Client::SendOptions& options, Client::Callback callback) -> void
+auto ClientConnection::start(const Request& request, const Client::SendOptions& options, Client::Callback callback)
+    -> void
 {
-    m_bytes = std::move(bytes);
+    m_bytes = serializeRequest(request);
+    m_answerIdHeader = options.answerIdHeader;
+    m_id = request.headers.find(m_answerIdHeader).value_or("");
     m_callback = std::move(callback);
     m_received.clear();
     m_hasSent = false;
-    m_parser.emplace(AnswerParser::Options { m_options.maximumHeaderBytes, options.maximumAnswerBytes, isHead });
+    m_parser.emplace(
+        AnswerParser::Options { m_options.maximumHeaderBytes, options.maximumAnswerBytes, request.method == "HEAD" });
     m_timer.start(options.timeout);
     if (m_phase == Phase::Idle) {
         m_isReused = true;
@@ -104,10 +113,23 @@
         return;
     }
     auto answer = m_parser->takeAnswer();
+    if (isCopy(answer)) {
+        finish(failure("the answer names an earlier request on its connection"), false);
+        return;
+    }
     const bool isReusable = answer.isKeepAlive && m_received.empty() && m_socket.bytesToWrite() == 0;
     finish(std::move(answer), isReusable);
 }
 
+auto ClientConnection::isCopy(const Answer& answer) const -> bool
+{
+    if (m_earlierIds.empty())
+        return false;
+    const auto named = answer.headers.find(m_answerIdHeader);
+    return named && *named != m_id
+        && std::find(m_earlierIds.begin(), m_earlierIds.end(), hashOf(*named)) != m_earlierIds.end();
+}
+
 auto ClientConnection::failure(std::string reason) const -> ExchangeFailure
 {
     ExchangeFailure result;
@@ -156,6 +178,10 @@
     m_timer.stop();
     auto callback = std::exchange(m_callback, nullptr);
     if (isReusable) {
+        if (!m_id.empty())
+            m_earlierIds.push_back(hashOf(m_id));
+        if (m_earlierIds.size() > maximumEarlierIds)
+            m_earlierIds.pop_front();
         m_phase = Phase::Idle;
         m_timer.start(m_options.idleTimeout);
         m_onIdle();
--- a/src/http/internal/ClientConnection.h
+++ b/src/http/internal/ClientConnection.h
@@ -8,6 +8,8 @@
 #include <QTcpSocket>
 #include <QTimer>
 #include <chrono>
+#include <cstdint>
+#include <deque>
 #include <functional>
 #include <optional>
 #include <string>
@@ -20,7 +22,7 @@
     ClientConnection(std::string peer, const Client::Options& options);
 
     // start() sends one request; the connection must be idle or new.
-    auto start(std::string bytes, bool isHead, const Client::SendOptions& options, Client::Callback callback) -> void;
+    auto start(const Request& request, const Client::SendOptions& options, Client::Callback callback) -> void;
 
     // abandon() drops the exchange under way without a callback and closes the connection.
     auto abandon() -> void;
@@ -47,6 +49,7 @@
     auto onTimeout() -> void;
     auto finish(ExchangeResult result, bool isReusable) -> void;
     auto failure(std::string reason) const -> ExchangeFailure;
+    [[nodiscard]] auto isCopy(const Answer& answer) const -> bool;
     auto close() -> void;
 
     std::string m_peer;
@@ -56,6 +59,9 @@
     QTimer m_timer;
     Phase m_phase = Phase::New;
     std::string m_bytes;
+    std::string m_answerIdHeader;
+    std::string m_id; // of the request under way; empty when it has none
+    std::deque<std::uint64_t> m_earlierIds; // hashes of the newest
     std::string m_received;
     std::optional<AnswerParser> m_parser;
     Client::Callback m_callback;
--- a/src/proxy/OwnerService.cpp
+++ b/src/proxy/OwnerService.cpp
@@ -207,7 +207,8 @@
     const auto timeLeft = std::chrono::floor<milliseconds>(m_request.deadline - now);
     auto& request = m_request.request;
     request.headers.replace(headers::deadline, std::to_string(timeLeft.count()));
-    const http::Client::SendOptions options { timeLeft, m_request.maximumAnswerBytes, m_request.isOnceOnly };
+    const http::Client::SendOptions options { timeLeft, m_request.maximumAnswerBytes, m_request.isOnceOnly,
+        std::string(headers::requestId) };
     m_call = m_context->client(m_request.worker)
                  .send(m_request.target, request, options, [self = shared_from_this()](http::ExchangeResult result) {
                      self->onTargetResult(std::move(result));
