Give an unused permit back before its caller is refused

Cause: since resends of what ran are answered, a new key that too few daemons can remember is granted by its holder first and then given back. The refusal reached the caller at the same time as the word reached the holder; a second attempt at once was told "running, may have run" although nothing had run.

--- a/src/daemon/LedgerOnceGate.cpp
+++ b/src/daemon/LedgerOnceGate.cpp
@@ -94,6 +94,7 @@
     unsigned asks = 0;
     std::set<std::string> awaited; // "permit", and the addresses of the witnesses
     std::optional<proxy::Refusal> witnessFailure; // why too few will remember it
+    bool isRefused = false; // the decision may wait for the holder to be told
     std::function<void(proxy::OnceDecision)> decided; // empty once it was called
 
     auto decide(proxy::OnceDecision decision) -> void
@@ -271,15 +272,19 @@
 
 auto LedgerOnceGate::refuse(const std::shared_ptr<Ask>& ask, proxy::Refusal refusal) -> void
 {
-    if (!ask->decided)
+    if (!ask->decided || std::exchange(ask->isRefused, true))
         return;
     ++m_counts.refused;
     // A permit may be on its way: the holder is told that it won't be used.
     books()->attempts.close(ask->label.attempt, once::NotRun {});
-    if (!ask->awaited.contains("permit"))
-        report({ ask->label.key, ask->label.attempt, m_context->self, ask->label.fingerprint, 0, once::NotRun {},
-            ask->openedAt });
-    ask->decide(std::move(refusal));
+    if (ask->awaited.contains("permit")) {
+        ask->decide(std::move(refusal));
+        return;
+    }
+    // The caller learns of it after the holder, which would call a resend one of a running request until then.
+    report({ ask->label.key, ask->label.attempt, m_context->self, ask->label.fingerprint, 0, once::NotRun {},
+               ask->openedAt },
+        [ask, refusal = std::move(refusal)] { ask->decide(refusal); });
 }
 
 auto LedgerOnceGate::check(const std::string& label, MonotonicTime now) -> std::optional<proxy::Refusal>
@@ -314,23 +319,27 @@
     report(record);
 }
 
-auto LedgerOnceGate::report(const once::AttemptRecord& record) -> void
+auto LedgerOnceGate::report(const once::AttemptRecord& record, const std::function<void()>& told) -> void
 {
     const auto holder = m_view->holderOf(seatOf(record.key, m_view->seatCount()));
-    if (!holder)
+    if (!holder) {
+        told();
         return;
+    }
     const auto now = monotonicNow();
     if (*holder == m_context->self) {
         if (takeOutcome(record, now))
             books()->attempts.acknowledge(record.attempt);
+        told();
         return;
     }
     const auto worker = anyWorker();
-    m_context->runOn(worker, [self = shared_from_this(), worker, record, now, address = holder->address] {
+    m_context->runOn(worker, [self = shared_from_this(), worker, record, now, told, address = holder->address] {
         self->call(worker, address, "/once/finish", once::encodeRecord(record, now),
-            [self, attempt = record.attempt](std::optional<std::string> answer) {
+            [self, told, attempt = record.attempt](std::optional<std::string> answer) {
                 if (answer)
                     self->books()->attempts.acknowledge(attempt);
+                told();
             });
     });
 }
--- a/src/daemon/LedgerOnceGate.h
+++ b/src/daemon/LedgerOnceGate.h
@@ -17,6 +17,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -106,7 +107,9 @@
     auto refuse(const std::shared_ptr<Ask>& ask, proxy::Refusal refusal) -> void;
     auto decidePermit(const once::PermitRequest& request, MonotonicTime now) -> once::PermitResponse;
     auto inquire(const once::IdempotencyKey& key, const once::InProgress& busy) -> void;
-    auto report(const once::AttemptRecord& record) -> void;
+    // report() calls `told` when the holder has the outcome, or couldn't be told now.
+    auto report(
+        const once::AttemptRecord& record, const std::function<void()>& told = [] {}) -> void;
     [[nodiscard]] auto takeOutcome(const once::AttemptRecord& record, MonotonicTime now) -> bool;
     [[nodiscard]] auto reportOf(unsigned seat, std::uint64_t epoch, MonotonicTime now) -> once::RebuildReport;
     [[nodiscard]] auto absorb(const once::RebuildReport& report, MonotonicTime now) -> bool;
