Hand over which daemons were lost at a planned stop

Cause: a daemon that stops as planned gives its records to another one of its data centre, which from then on claims to remember back to the first one's start. It was not told which daemons the first one knew to be lost. If owner and witness of a request had been lost, only the first daemon (and others as old) knew that; after its stop a new holder of the seat took the key for new, and the request ran a second time. Change: the losses go along, are kept for twice the retention, and are told in reports and handed on again. Shown with the real gates over loopback and a view of the fleet that the test sets; not seen in a whole fleet.

--- a/src/daemon/LedgerOnceGate.cpp
+++ b/src/daemon/LedgerOnceGate.cpp
@@ -456,7 +456,7 @@
     once::RebuildReport report;
     report.from = m_context->self;
     report.records = books()->attempts.fenceAndCollect(seat, epoch, now);
-    report.lost = m_view->lost();
+    report.lost = knownLosses(now);
     for (const auto& records :
         { books()->witness.recordsOf(seat, m_view->seatCount(), now), books()->ledger.recordsOf(seat, now) })
         report.records.insert(report.records.end(), records.begin(), records.end());
@@ -466,6 +466,16 @@
     return report;
 }
 
+auto LedgerOnceGate::knownLosses(MonotonicTime now) -> std::vector<once::LostDaemon>
+{
+    auto lost = m_view->lost();
+    const MutexLock lock(m_absorbedMutex);
+    std::erase_if(m_absorbedLosses,
+        [&](const once::LostDaemon& daemon) { return daemon.lostAt < now - 2 * m_options.ledger.rebuild.retention; });
+    lost.insert(lost.end(), m_absorbedLosses.begin(), m_absorbedLosses.end());
+    return lost;
+}
+
 auto LedgerOnceGate::successor() const -> std::optional<DaemonIdentity>
 {
     if (m_options.spread != Spread::DataCentre)
@@ -487,6 +497,7 @@
     report.records = books()->attempts.handOver(now);
     const auto noted = books()->witness.handOver(now);
     report.records.insert(report.records.end(), noted.begin(), noted.end());
+    report.lost = knownLosses(now);
     {
         const MutexLock lock(m_absorbedMutex);
         report.historyStart = m_remembersSince;
@@ -511,6 +522,8 @@
     const MutexLock lock(m_absorbedMutex);
     m_absorbed.push_back(report.from);
     m_absorbed.insert(m_absorbed.end(), report.takenOverFrom.begin(), report.takenOverFrom.end());
+    // Who claims the other's history must also know which daemons were lost in it.
+    m_absorbedLosses.insert(m_absorbedLosses.end(), report.lost.begin(), report.lost.end());
     m_remembersSince = std::min(m_remembersSince, report.historyStart);
     return true;
 }
--- a/src/daemon/LedgerOnceGate.h
+++ b/src/daemon/LedgerOnceGate.h
@@ -112,6 +112,7 @@
         const once::AttemptRecord& record, const std::function<void()>& told = [] {}) -> void;
     [[nodiscard]] auto takeOutcome(const once::AttemptRecord& record, MonotonicTime now) -> bool;
     [[nodiscard]] auto reportOf(unsigned seat, std::uint64_t epoch, MonotonicTime now) -> once::RebuildReport;
+    [[nodiscard]] auto knownLosses(MonotonicTime now) -> std::vector<once::LostDaemon>;
     [[nodiscard]] auto absorb(const once::RebuildReport& report, MonotonicTime now) -> bool;
     [[nodiscard]] auto successor() const -> std::optional<DaemonIdentity>;
     auto rebuild(unsigned seat, const once::SeatLease& tenure, MonotonicTime now) -> void;
@@ -130,6 +131,7 @@
     Counts m_counts;
     Mutex m_absorbedMutex;
     std::vector<DaemonIdentity> m_absorbed GUARDED_BY(m_absorbedMutex);
+    std::vector<once::LostDaemon> m_absorbedLosses GUARDED_BY(m_absorbedMutex); // told by those that it took over
     MonotonicTime m_remembersSince GUARDED_BY(m_absorbedMutex); // this daemon's start, or that of one it took over
     std::map<unsigned, std::uint64_t> m_openEpochs; // by seat
     std::map<unsigned, MonotonicTime> m_askedReportsAt;
--- a/src/daemon/LedgerOnceGate_test.cpp
+++ b/src/daemon/LedgerOnceGate_test.cpp
@@ -26,6 +26,7 @@
     mutable Mutex mutex;
     std::vector<once::SeatRebuild::Member> members GUARDED_BY(mutex);
     std::vector<once::LostDaemon> lost GUARDED_BY(mutex);
+    std::optional<DaemonIdentity> knowsLosses GUARDED_BY(mutex); // nobody else does; unset: all do
     DaemonIdentity holder GUARDED_BY(mutex);
     std::optional<DaemonIdentity> former GUARDED_BY(mutex);
     std::uint64_t epoch GUARDED_BY(mutex) = 1;
@@ -61,6 +62,8 @@
     auto lost() const -> std::vector<once::LostDaemon> override
     {
         const MutexLock lock(m_belief->mutex);
+        if (m_belief->knowsLosses.value_or(m_self) != m_self)
+            return {};
         return m_belief->lost;
     }
 
@@ -275,6 +278,31 @@
     CHECK(std::holds_alternative<proxy::RunPermit>(fleet.begin(4, fleet.label("new"))));
 }
 
+// Guards against a second run after two losses that only a daemon knew of that has stopped since.
+TEST_CASE("a planned stop hands over which daemons were lost")
+{
+    Fleet fleet(6, 3); // 0 holds at first; 0 and 3 stand together, as do 1 and 4, and 2 and 5
+    const std::vector<std::string> keys { "k1", "k2", "k3", "k4", "k5", "k6" };
+    for (const auto& key : keys) {
+        const auto attempt = fleet.label(key);
+        REQUIRE(std::holds_alternative<proxy::RunPermit>(fleet.begin(1, attempt)));
+        REQUIRE_FALSE(fleet.nodes[1]->gate->check(attempt, monotonicNow()));
+    }
+    const auto make = [&](const std::string& key) { return fleet.label(key); };
+    std::vector<std::string> resends;
+    std::transform(keys.begin(), keys.end(), std::back_inserter(resends), make);
+    {
+        const MutexLock lock(fleet.belief->mutex);
+        fleet.belief->knowsLosses = fleet.nodes[0]->context->self; // the others were started later
+    }
+    for (const auto lost : { 1U, 2U, 5U }) // the owner and whoever was the witness elsewhere
+        fleet.lose(lost);
+    fleet.stop(0);
+    fleet.hold(4);
+    for (const auto& resend : resends)
+        CHECK(outcomeOf(fleet.begin(3, resend)) == proxy::Outcome::MayHaveRun);
+}
+
 // Guards against refusing the resend of a request that ran because no new one could be remembered.
 TEST_CASE("what is known of a key is told also when too few daemons are left to remember a new one")
 {
