Show that a key can run twice in a fleet without a common store

Cause: daemons that were given peers but no store each plan a seat map of their own and hold every seat. Each grants permits beside its own targets, so a request that is sent again with its key runs a second time beside another daemon. The operations page says that such a fleet "does not hold limits together and is for a first try only", and nothing of keys. Not mended: refusing keys there changes what the start without a store promises, and an existing test runs keys in such a fleet.

--- a/src/daemon/OncePlugin_test.cpp
+++ b/src/daemon/OncePlugin_test.cpp
@@ -178,3 +178,23 @@
     CHECK(runsOf(target, "k1") == 1);
     CHECK(runsOf(target, "k2") == 0);
 }
+
+// Guards against a second run beside another daemon, when the daemons of a fleet were given no common store.
+TEST_CASE("a key runs once over targets of two daemons that have no common store")
+{
+    const QTemporaryDir folder;
+    const auto file = folder.filePath("routes.yaml").toStdString();
+    std::ofstream(file) << "services: [{ name: demo }]\n"
+                           "routes: [{ name: orders, pathPrefix: /, service: demo, isOpen: true }]\n";
+    const auto declaration = "--declaration=" + file;
+    DaemonUnderTest first({ declaration, "--data-centre=dc-1" });
+    DaemonUnderTest second({ declaration, "--data-centre=dc-2", "--peers=" + first.peers() });
+    DaemonUnderTest third({ declaration, "--data-centre=dc-3", "--peers=" + first.peers() + "," + second.peers() });
+    TargetUnderTest former(first, { "--service=demo" });
+    CHECK(orderUntilRun(first.callers(), "k1", "k1").status == 200);
+    former.setMode(R"({"drain": true})");
+    TargetUnderTest next(second, { "--service=demo" });
+    const auto again = orderUntilRun(second.callers(), "k1", "k1");
+    CAPTURE(again.body);
+    CHECK(runsOf(former, "k1") + runsOf(next, "k1") == 1);
+}
