Count a rejection for the target that was asked, not for the one that has its address by then

Callers could see 503 ("not run, and never will") for a request that ran, or a second run: not seen with real daemons, shown by the test.

Cause: the ids of a rejecting target were read when its rejection came. The list of hosts may have changed in between, and then the address stands for another host: that one's ids were kept, and the request went again to the target that rejected it, now at another address.

Change: the entry keeps the target as it was announced when the slot was reserved.

--- a/src/relay/EntryRequest.cpp
+++ b/src/relay/EntryRequest.cpp
@@ -321,9 +321,8 @@
 
 auto EntryRequest::recordRejection() -> void
 {
-    const auto& target = m_target->description;
-    m_rejectingAddresses.push_back(target.address);
-    for (const auto& id : { target.targetId, target.hostKey }) {
+    m_rejectingAddresses.push_back(m_askedTarget.address);
+    for (const auto& id : { m_askedTarget.targetId, m_askedTarget.hostKey }) {
         if (!id.empty())
             m_rejectingIds.push_back(id);
     }
@@ -397,6 +396,7 @@
 {
     const auto now = monotonicNow();
     m_context.loadBalancer.beginRequest(*m_target);
+    m_askedTarget = m_target->description;
     const auto wait = maximumSlotWait(now);
     const ReserveRequest message { .requestId = m_requestId,
         .service = m_service,
--- a/src/relay/EntryRequest.h
+++ b/src/relay/EntryRequest.h
@@ -137,6 +137,7 @@
     std::vector<std::string> m_rejectingAddresses;
     std::vector<std::string> m_rejectingIds; // of the targets, and the keys of their hosts
     dispatch::LoadBalancer::TargetPointer m_target;
+    dispatch::LoadBalancer::Description m_askedTarget; // m_target as it was announced when its slot was reserved
     net::HttpClient::Call m_call = 0;
     std::shared_ptr<RateLimitCheck> m_rateLimitCheck; // set once the owners of the rate limit are asked
     std::shared_ptr<RetryBorrower> m_retryBorrower; // set once other hosts are asked to lend a retry
--- a/src/relay/EntryRequest_test.cpp
+++ b/src/relay/EntryRequest_test.cpp
@@ -240,6 +240,21 @@
     CHECK(entry.runRequests == (isOther ? 2 : 1));
 }
 
+// Guards against the same, if the address belongs to another host by the time of the rejection.
+TEST_CASE("EntryRequest counts a rejection for the target that was asked, whoever has its address by then")
+{
+    Entry entry;
+    entry.addPeer(RunOutcome::Answered);
+    entry.addPeer(RunOutcome::NotRun);
+    entry.loadBalancer.setTargets({ Entry::describe(*entry.peers[1], "host-1", "i-1") });
+    entry.onRun = [&entry, moved = Entry::describe(*entry.peers[0], "host-1", "i-1"),
+                      other = Entry::describe(*entry.peers[1], "host-2", "i-2")] {
+        entry.loadBalancer.setTargets({ moved, other });
+    };
+    CHECK(entry.request("/orders/1").status == 503);
+    CHECK(entry.runRequests == 1);
+}
+
 // Guards against a request that runs twice, because something on the way to a peer refuses it after the peer got it.
 TEST_CASE("EntryRequest takes only a peer's statement for proof that a request was not sent to the target")
 {
