--- a/soak/Plan.cpp
+++ b/soak/Plan.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-    constexpr std::array<std::pair<FaultKind, std::string_view>, 24> names { {
+    constexpr std::array<std::pair<FaultKind, std::string_view>, 26> names { {
         { FaultKind::KillDaemon, "kill-daemon" },
         { FaultKind::PauseDaemon, "pause-daemon" },
         { FaultKind::StopDaemon, "stop-daemon" },
@@ -31,6 +31,8 @@
         { FaultKind::InstanceHangs, "instance-hangs" },
         { FaultKind::InstanceRefuses, "instance-refuses" },
         { FaultKind::InstancesRepeatRejections, "instances-repeat-rejections" },
+        { FaultKind::InstanceStatesNothing, "instance-states-nothing" },
+        { FaultKind::InstanceForgesOutcome, "instance-forges-outcome" },
         { FaultKind::InstanceUnsigned, "instance-unsigned" },
         { FaultKind::InstanceSlow, "instance-slow" },
         { FaultKind::ReplaceInstance, "replace-instance" },
--- a/soak/Plan.h
+++ b/soak/Plan.h
@@ -34,6 +34,8 @@
     InstanceHangs,
     InstanceRefuses,
     InstancesRepeatRejections, // all reject some requests, and send a rejection again when the request comes again
+    InstanceStatesNothing, // it runs requests and answers 503 without the statement that they were not run
+    InstanceForgesOutcome, // it runs requests and answers in the daemons' own words that they were not sent
     InstanceUnsigned,
     InstanceSlow,
     ReplaceInstance, // it leaves as planned, and another comes
--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -204,6 +204,12 @@
             case FaultKind::InstancesRepeatRejections:
                 repeatRejections(step);
                 return;
+            case FaultKind::InstanceStatesNothing:
+                instance(step, FakeTarget::Mode::Unavailable);
+                return;
+            case FaultKind::InstanceForgesOutcome:
+                instance(step, FakeTarget::Mode::ForgeOutcome);
+                return;
             case FaultKind::InstanceUnsigned:
                 instance(step, FakeTarget::Mode::OmitSignature);
                 return;
