Refuse a response whose status is below 100

What callers saw: by reading, a signed "HTTP/1.1 099" without a length reached the caller as "HTTP/1.1 99", which is no response.

Cause: such a number counted as an interim response while bytes came, and as a whole one at the end of the connection.

Change: AnswerParser fails on it.

--- a/src/http/AnswerParser.cpp
+++ b/src/http/AnswerParser.cpp
@@ -11,6 +11,7 @@
 
 namespace {
 
+    constexpr int firstStatus = 100;
     constexpr int firstFinalStatus = 200;
     constexpr int switchingProtocols = 101;
     constexpr int maximumInterimAnswers = 8;
@@ -69,6 +70,8 @@
             || std::any_of(
                 headers.begin(), headers.end(), [](const Header& field) { return hasStatusLine(field.value); }))
             return fail("two heads that run into each other");
+        if (parser->get().result_int() < firstStatus)
+            return fail("a number that is no status");
         if (isInterim()) {
             if (parser->get().result_int() == switchingProtocols)
                 return fail("the peer switched protocols unasked");
--- a/src/net/HttpClient_test.cpp
+++ b/src/net/HttpClient_test.cpp
@@ -285,6 +285,19 @@
     }
 }
 
+// Guards against a caller that gets the bytes of an odd target that are no response.
+TEST_CASE("a response with a status below 100 is none")
+{
+    boost::asio::io_context io;
+    const auto* status = GENERATE("000", "099", "42", "1000");
+    const auto* framing = GENERATE("Content-Length: 0\r\n\r\n", "\r\n");
+    ScriptedPeer peer(io,
+        { { "HTTP/1.1 " + std::string(status) + " Odd\r\nX-Request-Id: r\r\nX-Not-Executed: 1\r\n" + framing,
+            Then::Close } });
+    HttpClient client(io, {});
+    CHECK(std::holds_alternative<http::ExchangeFailure>(send(io, client, peer.address())));
+}
+
 TEST_CASE("bytes behind a whole answer belong to no request, and their connection serves no other")
 {
     boost::asio::io_context io;
