--- a/src/daemon/LedgerOnceGate.h
+++ b/src/daemon/LedgerOnceGate.h
@@ -17,6 +17,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -98,6 +99,7 @@
     [[nodiscard]] auto books() const -> Books* { return m_openBooks; }
     auto openBooks() -> void;
     auto askWitnesses(const std::shared_ptr<Ask>& ask, MonotonicTime now) -> void;
+    auto failWitness(const std::shared_ptr<Ask>& ask, proxy::Refusal refusal) -> void;
     auto askPermit(const std::shared_ptr<Ask>& ask) -> void;
     auto onPermitAnswer(const std::shared_ptr<Ask>& ask, const once::PermitResponse& answer, MonotonicTime askedAt)
         -> void;
@@ -105,9 +107,12 @@
     auto refuse(const std::shared_ptr<Ask>& ask, proxy::Refusal refusal) -> void;
     auto decidePermit(const once::PermitRequest& request, MonotonicTime now) -> once::PermitResponse;
     auto inquire(const once::IdempotencyKey& key, const once::InProgress& busy) -> void;
-    auto report(const once::AttemptRecord& record) -> void;
+    // report() calls `told` when the holder has the outcome, or couldn't be told now.
+    auto report(
+        const once::AttemptRecord& record, const std::function<void()>& told = [] {}) -> void;
     [[nodiscard]] auto takeOutcome(const once::AttemptRecord& record, MonotonicTime now) -> bool;
     [[nodiscard]] auto reportOf(unsigned seat, std::uint64_t epoch, MonotonicTime now) -> once::RebuildReport;
+    [[nodiscard]] auto knownLosses(MonotonicTime now) -> std::vector<once::LostDaemon>;
     [[nodiscard]] auto absorb(const once::RebuildReport& report, MonotonicTime now) -> bool;
     [[nodiscard]] auto successor() const -> std::optional<DaemonIdentity>;
     auto rebuild(unsigned seat, const once::SeatLease& tenure, MonotonicTime now) -> void;
@@ -126,6 +131,7 @@
     Counts m_counts;
     Mutex m_absorbedMutex;
     std::vector<DaemonIdentity> m_absorbed GUARDED_BY(m_absorbedMutex);
+    std::vector<once::LostDaemon> m_absorbedLosses GUARDED_BY(m_absorbedMutex); // told by those that it took over
     MonotonicTime m_remembersSince GUARDED_BY(m_absorbedMutex); // this daemon's start, or that of one it took over
     std::map<unsigned, std::uint64_t> m_openEpochs; // by seat
     std::map<unsigned, MonotonicTime> m_askedReportsAt;
--- a/src/relay/EntryRequest_test.cpp
+++ b/src/relay/EntryRequest_test.cpp
@@ -122,14 +122,14 @@
             return hashOf("", hashOf("GET shop.example" + path));
         }
 
-        auto startRequest(const std::string& path, net::HttpClient::Callback done) -> void
+        auto startRequest(const std::string& path, net::HttpClient::Callback done) -> net::HttpClient::Call
         {
             http::Request message;
             message.method = "GET";
             message.target = path;
             message.headers.add("Host", "shop.example");
             message.headers.add("Request-Id", "r-1");
-            peerClient.send("127.0.0.1:" + std::to_string(callerServer.port()), http::serializeRequest(message),
+            return peerClient.send("127.0.0.1:" + std::to_string(callerServer.port()), http::serializeRequest(message),
                 { .timeout = 3s }, std::move(done));
         }
 
@@ -240,6 +240,21 @@
     CHECK(entry.runRequests == (isOther ? 2 : 1));
 }
 
+// Guards against the same, if the address belongs to another host by the time of the rejection.
+TEST_CASE("EntryRequest counts a rejection for the target that was asked, whoever has its address by then")
+{
+    Entry entry;
+    entry.addPeer(RunOutcome::Answered);
+    entry.addPeer(RunOutcome::NotRun);
+    entry.loadBalancer.setTargets({ Entry::describe(*entry.peers[1], "host-1", "i-1") });
+    entry.onRun = [&entry, moved = Entry::describe(*entry.peers[0], "host-1", "i-1"),
+                      other = Entry::describe(*entry.peers[1], "host-2", "i-2")] {
+        entry.loadBalancer.setTargets({ moved, other });
+    };
+    CHECK(entry.request("/orders/1").status == 503);
+    CHECK(entry.runRequests == 1);
+}
+
 // Guards against a request that runs twice, because something on the way to a peer refuses it after the peer got it.
 TEST_CASE("EntryRequest takes only a peer's statement for proof that a request was not sent to the target")
 {
@@ -343,6 +358,31 @@
     CHECK(entry.reservations.empty());
 }
 
+// Guards against a request that runs twice, or after its caller has left, because two events end its wait for the
+// configuration.
+TEST_CASE("EntryRequest forwards a request that waited for the configuration once, and never after its caller left")
+{
+    Entry entry;
+    entry.addPeer(RunOutcome::Answered);
+    entry.context.isReady = false;
+    entry.context.options.startupWait = 100ms;
+    entry.context.startedAt = monotonicNow();
+    const auto call = entry.startRequest("/notes/1", [](const net::HttpClient::Result&) {});
+    testing::runUntil(entry.io, [&entry] { return !entry.context.pendingRequests.empty(); });
+    REQUIRE(entry.context.pendingRequests.size() == 1);
+    const bool callerLeaves = GENERATE(true, false);
+    if (callerLeaves) {
+        entry.peerClient.cancel(call);
+        testing::runUntil(
+            entry.io, [] { return false; }, 20ms);
+    }
+    entry.context.markReady();
+    entry.context.markReady();
+    testing::runUntil(
+        entry.io, [] { return false; }, 300ms);
+    CHECK(entry.runRequests == (callerLeaves ? 0 : 1));
+}
+
 // Guards against a configuration without client accounts that opens every route of a deployment that has some.
 TEST_CASE(
     "EntryRequest requires a key where the deployment has client accounts, also when the configuration lists none")
