Let the entry too take no bare status for the statement that a request was not run

Callers could see 408, 429 or 503 ("not run, and never will") for a once-only request that ran, for as long as daemons of two versions are in use: shown by the test with a peer that answers as the former version does, not seen with real daemons.

Cause: only the daemon beside the target judged such a status, and those of the former version pass it on with the outcome "answered".

Change: the entry counts it as "may have run" as well; both use the same list of statuses, which has 421 too: a peer reports a 421 as a rejection, and never as an answer.

--- a/src/relay/EntryRequest.cpp
+++ b/src/relay/EntryRequest.cpp
@@ -645,6 +645,14 @@
         --m_context.counters.retries;
 }
 
+auto EntryRequest::outcomeOf(const http::Answer& response) const -> RunOutcome
+{
+    const auto outcome = parseOutcome(response.headers.find(outcomeHeader).value_or(""));
+    // Peers of earlier versions pass such a status of their target on.
+    const bool isAmbiguous = outcome == RunOutcome::Answered && !isIdempotent() && isTakenForNotRun(response.status);
+    return isAmbiguous ? RunOutcome::MayHaveRun : outcome.value_or(RunOutcome::MayHaveRun);
+}
+
 auto EntryRequest::onRunResult(net::HttpClient::Result result) -> void
 {
     if (m_isDone)
@@ -663,8 +671,7 @@
     }
     auto response = std::get<http::Answer>(std::move(result));
     applyLoadReport(response);
-    const auto outcome
-        = parseOutcome(response.headers.find(outcomeHeader).value_or("")).value_or(RunOutcome::MayHaveRun);
+    const auto outcome = outcomeOf(response);
     const auto target = m_target->description.address;
     m_excludedTargets.push_back(target);
     if (outcome == RunOutcome::Answered) {
--- a/src/relay/EntryRequest.h
+++ b/src/relay/EntryRequest.h
@@ -98,6 +98,7 @@
     auto endAttempt() -> void;
     auto waitOrFinish() -> void;
     auto recordRejection() -> void;
+    [[nodiscard]] auto outcomeOf(const http::Answer& response) const -> RunOutcome;
     [[nodiscard]] auto isRejectedByAllTargets() const -> bool;
     auto onDeadline() -> void;
     auto onCallerDisconnected() -> void;
--- a/src/relay/EntryRequest_test.cpp
+++ b/src/relay/EntryRequest_test.cpp
@@ -91,7 +91,7 @@
                 if (isRun && onRun)
                     onRun();
                 const bool isSuccess = !isRun || outcome == RunOutcome::Answered;
-                auto response = http::makeAnswer(isSuccess ? 200 : 503, "text/plain", "");
+                auto response = http::makeAnswer(!isSuccess ? 503 : isRun ? answeredStatus : 200, "text/plain", "");
                 if (outcome)
                     response.headers.add(outcomeHeader, outcomeName(*outcome));
                 response.headers.add(loadHeader, encodeLoadReport({ .load = { .slots = 4 } }));
@@ -153,6 +153,7 @@
 
         std::vector<std::unique_ptr<net::HttpServer>> peers;
         int runRequests = 0;
+        int answeredStatus = 200; // of attempts that a target answered
         std::function<void()> onRun; // called before a peer responds to an attempt
         bool isSilent = false; // the refusing peer doesn't respond
         std::vector<std::shared_ptr<http::Exchange>> unanswered;
@@ -276,6 +277,17 @@
     }
 }
 
+// Guards against a caller that reads "not run" for a request that ran, while daemons of two versions are in use.
+TEST_CASE("EntryRequest takes no status that a peer passes on for a statement that a once-only request was not run")
+{
+    Entry entry;
+    entry.answeredStatus = GENERATE(408, 421, 429, 503);
+    entry.addPeer(RunOutcome::Answered);
+    CHECK(entry.request("/orders/1").status == 502);
+    CHECK(entry.runRequests == 1);
+    CHECK(entry.request("/notes/1").status == entry.answeredStatus); // may run more than once
+}
+
 // Guards against a request that crashes one target after another for as long as its callers repeat it.
 TEST_CASE("EntryRequest does not retry a request that has crashed several targets, until a target answers it")
 {
--- a/src/relay/PeerMessages.cpp
+++ b/src/relay/PeerMessages.cpp
@@ -2,6 +2,7 @@
 
 #include "base/Error.h"
 #include "http/CborMessage.h"
+#include "http/Status.h"
 
 #include <algorithm>
 #include <array>
@@ -181,6 +182,12 @@
 
 auto decodeCrashes(std::string_view text) -> std::optional<std::size_t> { return parseNumber<std::size_t>(text); }
 
+auto isTakenForNotRun(int status) -> bool
+{
+    return status == http::statusRequestTimeout || status == http::statusMisdirected
+        || status == http::statusTooManyRequests || status == http::statusUnavailable;
+}
+
 auto outcomeName(RunOutcome outcome) -> std::string_view
 {
     for (const auto& [value, name] : outcomeNames) {
--- a/src/relay/PeerMessages.h
+++ b/src/relay/PeerMessages.h
@@ -129,6 +129,10 @@
 [[nodiscard]] auto encodeCrashes(std::size_t crashes) -> std::string;
 [[nodiscard]] auto decodeCrashes(std::string_view text) -> std::optional<std::size_t>;
 
+// isTakenForNotRun() says that callers take `status` for the statement that a request was not executed and never will
+// be. A target states that only by its header, or by a 421.
+[[nodiscard]] auto isTakenForNotRun(int status) -> bool;
+
 // outcomeName() returns the value of `outcomeHeader`; parseOutcome() is its inverse, nullopt for an unknown name.
 [[nodiscard]] auto outcomeName(RunOutcome outcome) -> std::string_view;
 [[nodiscard]] auto parseOutcome(std::string_view name) -> std::optional<RunOutcome>;
--- a/src/relay/TargetRelay.cpp
+++ b/src/relay/TargetRelay.cpp
@@ -8,7 +8,6 @@
 #include "log/Event.h"
 
 #include <algorithm>
-#include <array>
 
 namespace coriandergate::relay {
 
@@ -34,11 +33,6 @@
     // Added to the priority of requests that can't meet their target latency, so that they queue behind all that can.
     constexpr int pastTargetLatencyPenalty = 100;
 
-    // Callers take these for the statement that a request was not executed and never will be. A target states that only
-    // by the header, or by a 421, which is the answer of another target than the one that was expected.
-    constexpr std::array ambiguousStatuses { http::statusRequestTimeout, http::statusTooManyRequests,
-        http::statusUnavailable };
-
     auto millisecondsSince(MonotonicTime start, MonotonicTime now) -> milliseconds
     {
         return std::chrono::duration_cast<milliseconds>(now - start);
@@ -514,9 +508,7 @@
             "the response did not come unaltered from the target");
         return;
     }
-    const bool isAmbiguous
-        = std::find(ambiguousStatuses.begin(), ambiguousStatuses.end(), response.status) != ambiguousStatuses.end();
-    if (isAmbiguous && !run.isIdempotent) {
+    if (isTakenForNotRun(response.status) && !run.isIdempotent) {
         reply(run, RunOutcome::MayHaveRun, http::makeAnswer(http::statusBadGateway, "text/plain", ""),
             "status " + std::to_string(response.status) + " without the statement that it was not executed");
         return;
