Take two statements of a peer for none

Callers could see 503 ("not run, and never will") for a once-only request that ran, or further runs, beside a daemon of the former version: shown by the test with a peer that answers as that version does, not seen with real daemons.

Cause: a daemon of the former version passes on the headers of its target before its own, and the entry reads the first one.

Change: an answer with more than one outcome counts as "may have run".

--- a/src/relay/EntryRequest.cpp
+++ b/src/relay/EntryRequest.cpp
@@ -647,8 +647,10 @@
 
 auto EntryRequest::outcomeOf(const http::Answer& response) const -> RunOutcome
 {
+    // Peers of earlier versions pass on such a status of their target, and its headers before their own.
+    if (response.headers.count(outcomeHeader) > 1)
+        return RunOutcome::MayHaveRun;
     const auto outcome = parseOutcome(response.headers.find(outcomeHeader).value_or(""));
-    // Peers of earlier versions pass such a status of their target on.
     const bool isAmbiguous = outcome == RunOutcome::Answered && !isIdempotent() && isTakenForNotRun(response.status);
     return isAmbiguous ? RunOutcome::MayHaveRun : outcome.value_or(RunOutcome::MayHaveRun);
 }
--- a/src/relay/EntryRequest_test.cpp
+++ b/src/relay/EntryRequest_test.cpp
@@ -92,6 +92,7 @@
                     onRun();
                 const bool isSuccess = !isRun || outcome == RunOutcome::Answered;
                 auto response = http::makeAnswer(!isSuccess ? 503 : isRun ? answeredStatus : 200, "text/plain", "");
+                response.headers = moreHeaders;
                 if (outcome)
                     response.headers.add(outcomeHeader, outcomeName(*outcome));
                 response.headers.add(loadHeader, encodeLoadReport({ .load = { .slots = 4 } }));
@@ -154,6 +155,7 @@
         std::vector<std::unique_ptr<net::HttpServer>> peers;
         int runRequests = 0;
         int answeredStatus = 200; // of attempts that a target answered
+        http::HeaderList moreHeaders; // of all responses of the peers, before their own
         std::function<void()> onRun; // called before a peer responds to an attempt
         bool isSilent = false; // the refusing peer doesn't respond
         std::vector<std::shared_ptr<http::Exchange>> unanswered;
@@ -267,6 +269,13 @@
         CHECK(entry.request("/orders/1").status == 502);
         CHECK(entry.runRequests == 1);
     }
+    SECTION("two statements, of which one may be the target's")
+    {
+        entry.addPeer(RunOutcome::Answered);
+        entry.moreHeaders.add(outcomeHeader, outcomeName(GENERATE(RunOutcome::NotSent, RunOutcome::NotRun)));
+        CHECK(entry.request("/orders/1").status == 502);
+        CHECK(entry.runRequests == 1);
+    }
     SECTION("the peer's server refuses a message that it has no room for")
     {
         constexpr std::size_t roomForReservation = 50;
