--- a/src/daemon/LedgerOnceGate.cpp
+++ b/src/daemon/LedgerOnceGate.cpp
@@ -93,6 +93,8 @@
     std::size_t worker = 0;
     unsigned asks = 0;
     std::set<std::string> awaited; // "permit", and the addresses of the witnesses
+    std::optional<proxy::Refusal> witnessFailure; // why too few will remember it
+    bool isRefused = false; // the decision may wait for the holder to be told
     std::function<void(proxy::OnceDecision)> decided; // empty once it was called
 
     auto decide(proxy::OnceDecision decision) -> void
@@ -160,7 +162,7 @@
     const auto witnesses
         = holder ? selectWitnesses(*holder, self, candidates, m_options.spread == Spread::DataCentre) : std::nullopt;
     if (!witnesses) {
-        refuse(ask, notRunNow("too few other daemons are known that could remember it"));
+        failWitness(ask, notRunNow("too few other daemons are known that could remember it"));
         return;
     }
     for (const auto& witness : *witnesses)
@@ -173,11 +175,20 @@
                 if (answer)
                     self->onAgreed(ask, address);
                 else
-                    self->refuse(ask, notRunNow("a daemon that was to remember it can't be reached"));
+                    self->failWitness(ask, notRunNow("a daemon that was to remember it can't be reached"));
             });
     }
 }
 
+// What the holder knows of the key is told even if a new attempt could not be remembered.
+auto LedgerOnceGate::failWitness(const std::shared_ptr<Ask>& ask, proxy::Refusal refusal) -> void
+{
+    if (!ask->awaited.contains("permit"))
+        refuse(ask, std::move(refusal));
+    else if (!ask->witnessFailure)
+        ask->witnessFailure = std::move(refusal);
+}
+
 auto LedgerOnceGate::askPermit(const std::shared_ptr<Ask>& ask) -> void
 {
     const auto askedAt = monotonicNow();
@@ -214,7 +225,12 @@
         return;
     if (const auto* permit = std::get_if<once::Permit>(&answer)) {
         books()->attempts.applyPermit(ask->label.attempt, *permit, askedAt);
-        onAgreed(ask, "permit");
+        if (!ask->witnessFailure) {
+            onAgreed(ask, "permit");
+            return;
+        }
+        ask->awaited.erase("permit");
+        refuse(ask, *ask->witnessFailure);
         return;
     }
     books()->attempts.close(ask->label.attempt, once::NotRun {});
@@ -256,12 +272,19 @@
 
 auto LedgerOnceGate::refuse(const std::shared_ptr<Ask>& ask, proxy::Refusal refusal) -> void
 {
-    if (!ask->decided)
+    if (!ask->decided || std::exchange(ask->isRefused, true))
         return;
     ++m_counts.refused;
     // A permit may be on its way: the holder is told that it won't be used.
     books()->attempts.close(ask->label.attempt, once::NotRun {});
-    ask->decide(std::move(refusal));
+    if (ask->awaited.contains("permit")) {
+        ask->decide(std::move(refusal));
+        return;
+    }
+    // The caller learns of it after the holder, which would call a resend one of a running request until then.
+    report({ ask->label.key, ask->label.attempt, m_context->self, ask->label.fingerprint, 0, once::NotRun {},
+               ask->openedAt },
+        [ask, refusal = std::move(refusal)] { ask->decide(refusal); });
 }
 
 auto LedgerOnceGate::check(const std::string& label, MonotonicTime now) -> std::optional<proxy::Refusal>
@@ -296,23 +319,27 @@
     report(record);
 }
 
-auto LedgerOnceGate::report(const once::AttemptRecord& record) -> void
+auto LedgerOnceGate::report(const once::AttemptRecord& record, const std::function<void()>& told) -> void
 {
     const auto holder = m_view->holderOf(seatOf(record.key, m_view->seatCount()));
-    if (!holder)
+    if (!holder) {
+        told();
         return;
+    }
     const auto now = monotonicNow();
     if (*holder == m_context->self) {
         if (takeOutcome(record, now))
             books()->attempts.acknowledge(record.attempt);
+        told();
         return;
     }
     const auto worker = anyWorker();
-    m_context->runOn(worker, [self = shared_from_this(), worker, record, now, address = holder->address] {
+    m_context->runOn(worker, [self = shared_from_this(), worker, record, now, told, address = holder->address] {
         self->call(worker, address, "/once/finish", once::encodeRecord(record, now),
-            [self, attempt = record.attempt](std::optional<std::string> answer) {
+            [self, told, attempt = record.attempt](std::optional<std::string> answer) {
                 if (answer)
                     self->books()->attempts.acknowledge(attempt);
+                told();
             });
     });
 }
@@ -429,7 +456,7 @@
     once::RebuildReport report;
     report.from = m_context->self;
     report.records = books()->attempts.fenceAndCollect(seat, epoch, now);
-    report.lost = m_view->lost();
+    report.lost = knownLosses(now);
     for (const auto& records :
         { books()->witness.recordsOf(seat, m_view->seatCount(), now), books()->ledger.recordsOf(seat, now) })
         report.records.insert(report.records.end(), records.begin(), records.end());
@@ -439,6 +466,16 @@
     return report;
 }
 
+auto LedgerOnceGate::knownLosses(MonotonicTime now) -> std::vector<once::LostDaemon>
+{
+    auto lost = m_view->lost();
+    const MutexLock lock(m_absorbedMutex);
+    std::erase_if(m_absorbedLosses,
+        [&](const once::LostDaemon& daemon) { return daemon.lostAt < now - 2 * m_options.ledger.rebuild.retention; });
+    lost.insert(lost.end(), m_absorbedLosses.begin(), m_absorbedLosses.end());
+    return lost;
+}
+
 auto LedgerOnceGate::successor() const -> std::optional<DaemonIdentity>
 {
     if (m_options.spread != Spread::DataCentre)
@@ -460,6 +497,7 @@
     report.records = books()->attempts.handOver(now);
     const auto noted = books()->witness.handOver(now);
     report.records.insert(report.records.end(), noted.begin(), noted.end());
+    report.lost = knownLosses(now);
     {
         const MutexLock lock(m_absorbedMutex);
         report.historyStart = m_remembersSince;
@@ -484,6 +522,8 @@
     const MutexLock lock(m_absorbedMutex);
     m_absorbed.push_back(report.from);
     m_absorbed.insert(m_absorbed.end(), report.takenOverFrom.begin(), report.takenOverFrom.end());
+    // Who claims the other's history must also know which daemons were lost in it.
+    m_absorbedLosses.insert(m_absorbedLosses.end(), report.lost.begin(), report.lost.end());
     m_remembersSince = std::min(m_remembersSince, report.historyStart);
     return true;
 }
