Ask the other candidates when this daemon wrongly takes itself for a seat's holder

Cause: a daemon that gets no answer from a seat's holder, or "not the holder", turns to the next candidate. When that was itself and it didn't hold the seat either, it refused the request as not run and stayed with itself: from then on it refused every keyed request of the seat, "the daemon asked doesn't hold the key's seat now", until the next seat map. Change: its own "not the holder" is treated like another daemon's: the next candidate is asked.

--- a/src/daemon/LedgerOnceGate.cpp
+++ b/src/daemon/LedgerOnceGate.cpp
@@ -56,6 +56,12 @@
         return proxy::KeptAnswer { std::move(answer) };
     }
 
+    auto isNotHolder(const once::PermitResponse& answer) -> bool
+    {
+        const auto* const refused = std::get_if<once::PermitRefused>(&answer);
+        return refused && refused->reason == once::PermitRefused::Reason::NotHolder;
+    }
+
     auto textOf(once::PermitRefused::Reason reason) -> std::string
     {
         switch (reason) {
@@ -200,16 +206,20 @@
     }
     const once::PermitRequest request { ask->label.key, ask->label.attempt, m_context->self, ask->label.fingerprint };
     if (*holder == m_context->self) {
-        onPermitAnswer(ask, decidePermit(request, askedAt), askedAt);
+        const auto answer = decidePermit(request, askedAt);
+        if (!isNotHolder(answer)) {
+            onPermitAnswer(ask, answer, askedAt);
+            return;
+        }
+        m_view->rejectHolder(seat, *holder);
+        askPermit(ask);
         return;
     }
     call(ask->worker, holder->address, "/once/permit", once::encodePermitRequest(request),
         [self = shared_from_this(), ask, askedAt, seat, holder = *holder](std::optional<std::string> answer) {
             Error reason;
             const auto decoded = answer ? once::decodePermitResponse(*answer, reason) : std::nullopt;
-            const auto* refused = decoded ? std::get_if<once::PermitRefused>(&*decoded) : nullptr;
-            const auto isElsewhere = refused && refused->reason == once::PermitRefused::Reason::NotHolder;
-            if (decoded && !isElsewhere) {
+            if (decoded && !isNotHolder(*decoded)) {
                 self->onPermitAnswer(ask, *decoded, askedAt);
             } else if (ask->decided) { // the same attempt may be asked for again
                 self->m_view->rejectHolder(seat, holder);
--- a/src/daemon/LedgerOnceGate_test.cpp
+++ b/src/daemon/LedgerOnceGate_test.cpp
@@ -28,6 +28,7 @@
     std::vector<once::LostDaemon> lost GUARDED_BY(mutex);
     std::optional<DaemonIdentity> knowsLosses GUARDED_BY(mutex); // nobody else does; unset: all do
     DaemonIdentity holder GUARDED_BY(mutex);
+    std::set<DaemonIdentity> takeThemselvesForHolder GUARDED_BY(mutex); // until they are told otherwise
     std::optional<DaemonIdentity> former GUARDED_BY(mutex);
     std::uint64_t epoch GUARDED_BY(mutex) = 1;
     MonotonicTime heldSince GUARDED_BY(mutex) = monotonicNow();
@@ -44,9 +45,14 @@
     auto holderOf(unsigned) const -> std::optional<DaemonIdentity> override
     {
         const MutexLock lock(m_belief->mutex);
-        return m_belief->holder;
+        return m_belief->takeThemselvesForHolder.contains(m_self) ? m_self : m_belief->holder;
+    }
+    auto rejectHolder(unsigned, const DaemonIdentity& daemon) const -> void override
+    {
+        const MutexLock lock(m_belief->mutex);
+        if (daemon == m_self)
+            m_belief->takeThemselvesForHolder.erase(m_self);
     }
-    auto rejectHolder(unsigned, const DaemonIdentity&) const -> void override { }
     auto tenureOf(unsigned seat, MonotonicTime now) const -> std::optional<once::SeatLease> override
     {
         const MutexLock lock(m_belief->mutex);
@@ -338,3 +344,15 @@
     for (const auto& label : fresh)
         CHECK(outcomeOf(fleet.begin(1, label)) == proxy::Outcome::NotRun);
 }
+
+// Guards against refusing every key of a seat for as long as a daemon takes itself for the seat's holder.
+TEST_CASE("a daemon that wrongly takes itself for the holder of a seat asks the others")
+{
+    Fleet fleet(4, 4); // 0 holds
+    {
+        const MutexLock lock(fleet.belief->mutex);
+        fleet.belief->takeThemselvesForHolder.insert(fleet.nodes[1]->context->self);
+    }
+    fleet.run(1, "k1");
+    CHECK(keptAnswer(fleet, 2, "k1") == "k1");
+}
