Let the check of a request that waits for the configuration find a second start

Cause: the test passed without the two guards against a second start, since the first one was over by then. Change: both events that end the wait are due at the same time.

--- a/src/relay/EntryRequest_test.cpp
+++ b/src/relay/EntryRequest_test.cpp
@@ -12,6 +12,7 @@
 #include <catch2/catch.hpp>
 #include <functional>
 #include <memory>
+#include <thread>
 #include <utility>
 
 namespace coriandergate::relay {
@@ -304,7 +305,7 @@
         testing::runUntil(
             entry.io, [] { return false; }, 20ms);
     }
-    entry.context.markReady();
+    std::this_thread::sleep_for(120ms); // the end of the wait is due when the configuration comes
     entry.context.markReady();
     testing::runUntil(
         entry.io, [] { return false; }, 300ms);
