Give a host no share of the fixed retries for one window after its start

Callers and targets saw more retries than the fleet's budget allows: 330 to 335 arrivals beyond the first in 10 s at one service, 292 to 296 allowed, while half of the daemons were restarted in turn and then all at once.

Cause: each host has an equal share of the fixed number of retries of a window. A daemon that starts again doesn't know what the one before it used, and began with the whole share: with 28 hosts and 44 restarts in the window the fixed number was there 2.6 times. Change: the share begins one window after the start; the ratio of the host's own requests holds from the first. The test failed before (356 retries for 344) and passes.

--- a/src/dispatch/RetryBudget.cpp
+++ b/src/dispatch/RetryBudget.cpp
@@ -42,7 +42,9 @@
     std::string_view service, double retries, double fraction, std::size_t hostCount, MonotonicTime now) -> bool
 {
     const auto& window = currentWindow(service, now);
-    const double fixedShare = m_options.retriesPerWindow / static_cast<double>(std::max<std::size_t>(1, hostCount));
+    const bool hasFixedShare = now >= m_startedAt + m_options.window;
+    const double fixedShare
+        = hasFixedShare ? m_options.retriesPerWindow / static_cast<double>(std::max<std::size_t>(1, hostCount)) : 0;
     const double budget = m_options.usableFraction
         * (m_options.retriesPerRequest * static_cast<double>(window.requests.size()) + fixedShare);
     double used = 0;
--- a/src/dispatch/RetryBudget.h
+++ b/src/dispatch/RetryBudget.h
@@ -9,10 +9,13 @@
 // Failures aren't spread evenly over the hosts, so a host that has used up its share borrows from others. A lent retry
 // counts against the lender, so all shares still add up to no more than the whole.
 //
+// A host that starts again has no fixed share for one window, since an earlier process may have used it up; else
+// restarts of many hosts would renew the fixed number.
+//
 // A request that calls other services repeats these calls when it is retried, so they count against the budgets of the
 // called services.
 //
-//   RetryBudget budget({ .retriesPerRequest = 0.2, .retriesPerWindow = 64, .window = 10s });
+//   RetryBudget budget({ .retriesPerRequest = 0.2, .retriesPerWindow = 64, .window = 10s }, monotonicNow());
 //   budget.recordRequest("orders", now);
 //   if (budget.tryAcquire("orders", { { "stock", 1.4 } }, RetryBudget::RetryClass::HighPriority, hostCount, now)) ...
 #pragma once
@@ -41,8 +44,10 @@
         double usableFraction = 0.85; // of the whole budget; a margin, since the hosts' windows aren't aligned
     };
 
-    explicit RetryBudget(const Options& options)
+    // `startedAt` is when this process began to make retries.
+    RetryBudget(const Options& options, MonotonicTime startedAt)
         : m_options(options)
+        , m_startedAt(startedAt)
     {
     }
 
@@ -83,6 +88,7 @@
     auto currentWindow(std::string_view service, MonotonicTime now) -> Window&;
 
     Options m_options;
+    MonotonicTime m_startedAt;
     std::map<std::string, Window, std::less<>> m_services;
 };
 
--- a/src/dispatch/RetryBudget_test.cpp
+++ b/src/dispatch/RetryBudget_test.cpp
@@ -16,12 +16,13 @@
     auto at(std::chrono::milliseconds time) -> MonotonicTime { return MonotonicTime(time); }
 
     const RetryBudget::Options options { .retriesPerRequest = 0.2, .retriesPerWindow = 64, .window = 10s };
+    const MonotonicTime longAgo = at(-1h);
 
 } // namespace
 
 TEST_CASE("retries stay within the ratio and this host's share of the fixed budget")
 {
-    RetryBudget budget(options);
+    RetryBudget budget(options, longAgo);
     for (int i = 0; i < 100; ++i)
         budget.recordRequest("orders", at(i * 10ms));
     int acquired = 0;
@@ -39,7 +40,7 @@
     int acquired = 0;
     int requests = 0;
     for (std::size_t host = 0; host < hostCount; ++host) {
-        RetryBudget budget(options);
+        RetryBudget budget(options, longAgo);
         for (int i = 0; i < 50; ++i) {
             budget.recordRequest("orders", at(i * 200ms));
             ++requests;
@@ -50,11 +51,39 @@
     CHECK(acquired <= 0.2 * requests + 64);
 }
 
+// Load pattern: targets fail while the hosts are restarted one after the other, and then all at once.
+TEST_CASE("hosts that are started again don't renew the fleet's fixed number of retries")
+{
+    constexpr std::size_t hostCount = 28;
+    constexpr int requestsPerHost = 50; // one each 200 ms
+    int acquired = 0;
+    for (std::size_t host = 0; host < hostCount; ++host) {
+        const int plannedRestart = 10 + static_cast<int>(host);
+        RetryBudget budget(options, longAgo);
+        for (int i = 0; i < requestsPerHost; ++i) {
+            const auto now = at(i * 200ms);
+            if (i == plannedRestart || i == 40)
+                budget = RetryBudget(options, now);
+            budget.recordRequest("orders", now);
+            while (budget.tryAcquire("orders", {}, RetryClass::HighPriority, hostCount, now))
+                ++acquired;
+        }
+    }
+    CHECK(acquired <= 0.2 * requestsPerHost * hostCount + 64);
+}
+
+TEST_CASE("a host has its share of the fixed number one window after its start")
+{
+    RetryBudget budget(options, at(0ms));
+    CHECK_FALSE(budget.tryAcquire("orders", {}, RetryClass::HighPriority, 32, at(9999ms)));
+    CHECK(budget.tryAcquire("orders", {}, RetryClass::HighPriority, 32, at(10s)));
+}
+
 // Regression test: retries of requests that call another service exceeded the retry budget of that service, since these
 // calls weren't counted.
 TEST_CASE("a retry counts its calls against the budget of the called service")
 {
-    RetryBudget budget(options);
+    RetryBudget budget(options, longAgo);
     const RetryBudget::CallsPerRequest calls { { "stock", 1.4 } };
     for (int i = 0; i < 1000; ++i)
         budget.recordRequest("orders", at(0ms));
@@ -74,7 +103,7 @@
 {
     constexpr std::size_t hostCount = 34;
     constexpr int neededRetries = 20; // retries at the one host that sees the failures
-    std::vector<RetryBudget> budgets(hostCount, RetryBudget(options));
+    std::vector<RetryBudget> budgets(hostCount, RetryBudget(options, longAgo));
     for (auto& budget : budgets) {
         for (int i = 0; i < 50; ++i)
             budget.recordRequest("orders", at(i * 20ms));
@@ -99,7 +128,7 @@
 
 TEST_CASE("a lender reserves a fraction of its budget for its own requests")
 {
-    RetryBudget budget(options);
+    RetryBudget budget(options, longAgo);
     for (int i = 0; i < 100; ++i)
         budget.recordRequest("orders", at(0ms));
     while (budget.tryAcquire("orders", {}, RetryClass::Lent, 34, at(1s))) { }
@@ -109,7 +138,7 @@
 // Load patterns: many targets failing at once, so that probes alone could exhaust the budget; a scarce retry budget.
 TEST_CASE("probes leave most of the budget to other retries, and low-priority requests leave some of it")
 {
-    RetryBudget budget(options);
+    RetryBudget budget(options, longAgo);
     for (int i = 0; i < 100; ++i)
         budget.recordRequest("orders", at(0ms));
     const auto acquireAll = [&budget](RetryClass retryClass) -> int {
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -232,8 +232,9 @@
                   .service = settings.service } })
     , loadBalancer({ .ownLocality = settings.locality })
     , retryBudget({ .retriesPerRequest = settings.retryBudgetRatio,
-          .retriesPerWindow = settings.retryBudgetAllowance,
-          .window = settings.retryBudgetWindow })
+                      .retriesPerWindow = settings.retryBudgetAllowance,
+                      .window = settings.retryBudgetWindow },
+          monotonicNow())
     , crashRegistry(
           storeView.directory(), storeView.client(), { .table = hostTable, .region = settings.locality.region })
     , entryContext { .io = io,
