Withhold the fixed retries only where an earlier process of the host may have used them

Cause: the share of the fixed number began one window after every start, also the first one of a host, which has no earlier process. Change: RetryBudget::onRestart() withholds it; the daemon calls it when its host already has a row as it starts.

--- a/src/dispatch/RetryBudget.cpp
+++ b/src/dispatch/RetryBudget.cpp
@@ -42,7 +42,7 @@
     std::string_view service, double retries, double fraction, std::size_t hostCount, MonotonicTime now) -> bool
 {
     const auto& window = currentWindow(service, now);
-    const bool hasFixedShare = now >= m_startedAt + m_options.window;
+    const bool hasFixedShare = now >= m_fixedShareFrom;
     const double fixedShare
         = hasFixedShare ? m_options.retriesPerWindow / static_cast<double>(std::max<std::size_t>(1, hostCount)) : 0;
     const double budget = m_options.usableFraction
--- a/src/dispatch/RetryBudget.h
+++ b/src/dispatch/RetryBudget.h
@@ -9,13 +9,13 @@
 // Failures aren't spread evenly over the hosts, so a host that has used up its share borrows from others. A lent retry
 // counts against the lender, so all shares still add up to no more than the whole.
 //
-// A host that starts again has no fixed share for one window, since an earlier process may have used it up; else
-// restarts of many hosts would renew the fixed number.
+// A host whose daemon was restarted has no fixed share for one window, since the earlier process may have used it up;
+// else restarts of many hosts would renew the fixed number.
 //
 // A request that calls other services repeats these calls when it is retried, so they count against the budgets of the
 // called services.
 //
-//   RetryBudget budget({ .retriesPerRequest = 0.2, .retriesPerWindow = 64, .window = 10s }, monotonicNow());
+//   RetryBudget budget({ .retriesPerRequest = 0.2, .retriesPerWindow = 64, .window = 10s });
 //   budget.recordRequest("orders", now);
 //   if (budget.tryAcquire("orders", { { "stock", 1.4 } }, RetryBudget::RetryClass::HighPriority, hostCount, now)) ...
 #pragma once
@@ -44,13 +44,14 @@
         double usableFraction = 0.85; // of the whole budget; a margin, since the hosts' windows aren't aligned
     };
 
-    // `startedAt` is when this process began to make retries.
-    RetryBudget(const Options& options, MonotonicTime startedAt)
+    explicit RetryBudget(const Options& options)
         : m_options(options)
-        , m_startedAt(startedAt)
     {
     }
 
+    // onRestart() says that an earlier process of this host may have used up its share of the fixed number.
+    auto onRestart(MonotonicTime now) -> void { m_fixedShareFrom = now + m_options.window; }
+
     // recordRequest() counts a request for `service`, which adds to its budget.
     auto recordRequest(std::string_view service, MonotonicTime now) -> void;
 
@@ -88,7 +89,7 @@
     auto currentWindow(std::string_view service, MonotonicTime now) -> Window&;
 
     Options m_options;
-    MonotonicTime m_startedAt;
+    MonotonicTime m_fixedShareFrom;
     std::map<std::string, Window, std::less<>> m_services;
 };
 
--- a/src/dispatch/RetryBudget_test.cpp
+++ b/src/dispatch/RetryBudget_test.cpp
@@ -16,13 +16,12 @@
     auto at(std::chrono::milliseconds time) -> MonotonicTime { return MonotonicTime(time); }
 
     const RetryBudget::Options options { .retriesPerRequest = 0.2, .retriesPerWindow = 64, .window = 10s };
-    const MonotonicTime longAgo = at(-1h);
 
 } // namespace
 
 TEST_CASE("retries stay within the ratio and this host's share of the fixed budget")
 {
-    RetryBudget budget(options, longAgo);
+    RetryBudget budget(options);
     for (int i = 0; i < 100; ++i)
         budget.recordRequest("orders", at(i * 10ms));
     int acquired = 0;
@@ -40,7 +39,7 @@
     int acquired = 0;
     int requests = 0;
     for (std::size_t host = 0; host < hostCount; ++host) {
-        RetryBudget budget(options, longAgo);
+        RetryBudget budget(options);
         for (int i = 0; i < 50; ++i) {
             budget.recordRequest("orders", at(i * 200ms));
             ++requests;
@@ -59,11 +58,13 @@
     int acquired = 0;
     for (std::size_t host = 0; host < hostCount; ++host) {
         const int plannedRestart = 10 + static_cast<int>(host);
-        RetryBudget budget(options, longAgo);
+        RetryBudget budget(options);
         for (int i = 0; i < requestsPerHost; ++i) {
             const auto now = at(i * 200ms);
-            if (i == plannedRestart || i == 40)
-                budget = RetryBudget(options, now);
+            if (i == plannedRestart || i == 40) {
+                budget = RetryBudget(options);
+                budget.onRestart(now);
+            }
             budget.recordRequest("orders", now);
             while (budget.tryAcquire("orders", {}, RetryClass::HighPriority, hostCount, now))
                 ++acquired;
@@ -72,18 +73,20 @@
     CHECK(acquired <= 0.2 * requestsPerHost * hostCount + 64);
 }
 
-TEST_CASE("a host has its share of the fixed number one window after its start")
+TEST_CASE("a host has its share of the fixed number at its first start, and one window after a restart")
 {
-    RetryBudget budget(options, at(0ms));
+    RetryBudget budget(options);
+    CHECK(budget.tryAcquire("orders", {}, RetryClass::HighPriority, 32, at(0ms)));
+    budget.onRestart(at(0ms));
     CHECK_FALSE(budget.tryAcquire("orders", {}, RetryClass::HighPriority, 32, at(9999ms)));
-    CHECK(budget.tryAcquire("orders", {}, RetryClass::HighPriority, 32, at(10s)));
+    CHECK(budget.tryAcquire("orders", {}, RetryClass::HighPriority, 32, at(10001ms)));
 }
 
 // Regression test: retries of requests that call another service exceeded the retry budget of that service, since these
 // calls weren't counted.
 TEST_CASE("a retry counts its calls against the budget of the called service")
 {
-    RetryBudget budget(options, longAgo);
+    RetryBudget budget(options);
     const RetryBudget::CallsPerRequest calls { { "stock", 1.4 } };
     for (int i = 0; i < 1000; ++i)
         budget.recordRequest("orders", at(0ms));
@@ -103,7 +106,7 @@
 {
     constexpr std::size_t hostCount = 34;
     constexpr int neededRetries = 20; // retries at the one host that sees the failures
-    std::vector<RetryBudget> budgets(hostCount, RetryBudget(options, longAgo));
+    std::vector<RetryBudget> budgets(hostCount, RetryBudget(options));
     for (auto& budget : budgets) {
         for (int i = 0; i < 50; ++i)
             budget.recordRequest("orders", at(i * 20ms));
@@ -128,7 +131,7 @@
 
 TEST_CASE("a lender reserves a fraction of its budget for its own requests")
 {
-    RetryBudget budget(options, longAgo);
+    RetryBudget budget(options);
     for (int i = 0; i < 100; ++i)
         budget.recordRequest("orders", at(0ms));
     while (budget.tryAcquire("orders", {}, RetryClass::Lent, 34, at(1s))) { }
@@ -138,7 +141,7 @@
 // Load patterns: many targets failing at once, so that probes alone could exhaust the budget; a scarce retry budget.
 TEST_CASE("probes leave most of the budget to other retries, and low-priority requests leave some of it")
 {
-    RetryBudget budget(options, longAgo);
+    RetryBudget budget(options);
     for (int i = 0; i < 100; ++i)
         budget.recordRequest("orders", at(0ms));
     const auto acquireAll = [&budget](RetryClass retryClass) -> int {
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -232,9 +232,8 @@
                   .service = settings.service } })
     , loadBalancer({ .ownLocality = settings.locality })
     , retryBudget({ .retriesPerRequest = settings.retryBudgetRatio,
-                      .retriesPerWindow = settings.retryBudgetAllowance,
-                      .window = settings.retryBudgetWindow },
-          monotonicNow())
+          .retriesPerWindow = settings.retryBudgetAllowance,
+          .window = settings.retryBudgetWindow })
     , crashRegistry(
           storeView.directory(), storeView.client(), { .table = hostTable, .region = settings.locality.region })
     , entryContext { .io = io,
@@ -411,6 +410,8 @@
         log::logEvent(hostRecordRejected, { { "reason", fault.toText() } });
     if (!areHostsLoaded) {
         areHostsLoaded = true;
+        if (directory.find(hostKey) || directory.findDeparted(hostKey))
+            retryBudget.onRestart(monotonicNow());
         registration.onHostsLoaded();
         targetRelay.startAccepting();
     }
--- a/src/testing/EntryFixture.cpp
+++ b/src/testing/EntryFixture.cpp
@@ -19,7 +19,7 @@
 EntryFixture::EntryFixture()
     : peerClient(io, {})
     , loadBalancer({ .ownLocality = s_locality })
-    , retryBudget({}, MonotonicTime {})
+    , retryBudget({})
     , freshness({ .maximumAge = 1s })
     , crashRegistry(directory, store, { .table = "hosts", .region = s_locality.region })
     , context { .io = io,
