--- a/soak/Checker_test.cpp
+++ b/soak/Checker_test.cpp
@@ -78,7 +78,7 @@
     {
         checker.sent(sent, at(0ms));
         checker.ran("i", runOf(sent), at(1ms));
-        checker.answered("r", GENERATE(429, 503), "", false, at(2ms));
+        checker.answered("r", GENERATE(408, 421, 429, 503), "", false, at(2ms));
         CHECK(violates(checker, "refused"));
     }
     SECTION("a run of what its caller may take for not read, before or later")
--- a/src/relay/TargetRelay_test.cpp
+++ b/src/relay/TargetRelay_test.cpp
@@ -467,6 +467,19 @@
     }
 }
 
+TEST_CASE("TargetRelay counts the responses that its target sends after the end of a request")
+{
+    RelayFixture fixture;
+    OddTarget target(fixture.io, { { Oddity::Reject, 0 }, { Oddity::ServeAfterCopy, 0 }, { Oddity::Serve, 0 } });
+    fixture.startRelay(target.address());
+    for (const auto* id : { "r-1", "r-2", "r-3" }) {
+        net::HttpClient::Call call = 0;
+        REQUIRE(fixture.reserve(call, false).status == 200);
+        fixture.run(call, false, id, 1s);
+    }
+    CHECK(fixture.relay->lateResponses() == 1);
+}
+
 // Guards against a request that runs twice: it comes again, on another connection, while the target executes it.
 TEST_CASE("TargetRelay states that a request was not sent only if its slot was granted on the same connection")
 {
