--- a/src/dispatch/LoadBalancer.cpp
+++ b/src/dispatch/LoadBalancer.cpp
@@ -118,6 +118,12 @@
     return static_cast<double>(failing) > m_options.panicThreshold * static_cast<double>(found->second.size());
 }
 
+auto LoadBalancer::isAmong(
+    const Description& target, std::span<const std::string> addresses, std::span<const std::string> ids) -> bool
+{
+    return contains(addresses, target.address) || contains(ids, target.targetId) || contains(ids, target.hostKey);
+}
+
 auto LoadBalancer::choose(const Criteria& criteria, MonotonicTime now, std::uint64_t random) const -> TargetPointer
 {
     const auto found = m_byService.find(criteria.service);
@@ -130,9 +136,7 @@
     std::uint64_t index = 0;
     for (const auto& target : found->second) {
         ++index;
-        const auto& description = target->description;
-        if (contains(criteria.excluded, description.address) || contains(criteria.excludedIds, description.targetId)
-            || contains(criteria.excludedIds, description.hostKey))
+        if (isAmong(target->description, criteria.excluded, criteria.excludedIds))
             continue;
         const auto tieBreak = static_cast<double>(mixBits(random + index) >> 40) / static_cast<double>(1ULL << 24);
         const double targetCost = cost(*target, criteria, mean, isPanicMode, now) + tieBreakWeight * tieBreak;
--- a/src/dispatch/LoadBalancer.h
+++ b/src/dispatch/LoadBalancer.h
@@ -87,6 +87,10 @@
         std::span<const std::string> excludedIds; // ids of targets and keys of hosts, at whatever address
     };
 
+    // isAmong() says that a target has one of `addresses`, or that its id or the key of its host is one of `ids`.
+    [[nodiscard]] static auto isAmong(
+        const Description& target, std::span<const std::string> addresses, std::span<const std::string> ids) -> bool;
+
     explicit LoadBalancer(const Options& options);
 
     // setTargets() replaces the announced targets; the state of those that remain is kept.
--- a/src/relay/EntryRequest.cpp
+++ b/src/relay/EntryRequest.cpp
@@ -330,14 +330,11 @@
 
 auto EntryRequest::isRejectedByAllTargets() const -> bool
 {
-    const auto contains = [](const std::vector<std::string>& texts, const std::string& text) {
-        return std::find(texts.begin(), texts.end(), text) != texts.end();
-    };
     const auto targets = m_context.loadBalancer.targets(m_service);
-    return !m_rejectingAddresses.empty() && std::all_of(targets.begin(), targets.end(), [&](const auto& target) {
+    return !m_rejectingAddresses.empty() && std::all_of(targets.begin(), targets.end(), [this](const auto& target) {
         const auto& description = target->description;
-        return description.isDraining || contains(m_rejectingAddresses, description.address)
-            || contains(m_rejectingIds, description.targetId) || contains(m_rejectingIds, description.hostKey);
+        return description.isDraining
+            || dispatch::LoadBalancer::isAmong(description, m_rejectingAddresses, m_rejectingIds);
     });
 }
 
