Split the sidecar by what it does: feed of configurations, cleaning of rows, division of resources

Change: ConfigurationFeed, RowCleaner and ResourceLimits are their own classes; the operators' rows now say whether they are all rows of the table, as the hosts' rows do. Behaviour is unchanged.

--- a/src/fleet/StoreView.cpp
+++ b/src/fleet/StoreView.cpp
@@ -55,9 +55,9 @@
         m_operatorFreshness.recordClock(response.sentAt, response.receivedAt, response.storeTime);
         m_hostListFreshness.recordClock(response.sentAt, response.receivedAt, response.storeTime);
     });
-    m_operatorWatcher.onRows([this](const std::vector<StoreRow>& rows, bool) {
+    m_operatorWatcher.onRows([this](const std::vector<StoreRow>& rows, bool isSnapshot) {
         m_areOperatorRowsLoaded = true;
-        m_operatorRowsCallback(rows);
+        m_operatorRowsCallback(rows, isSnapshot);
     });
     m_operatorWatcher.onResponse([this](const StoreResponse& response) { onOperatorResponse(response); });
     m_hostWatcher.onResponse([this](const StoreResponse& response) { onHostsResponse(response); });
--- a/src/fleet/StoreView.h
+++ b/src/fleet/StoreView.h
@@ -4,7 +4,7 @@
 // table unchanged.
 //
 //   StoreView view(scheduler, store, transport, { .hostKey = key, .locality = here, .operatorTable = "op" });
-//   view.onOperatorRows([&](const std::vector<StoreRow>& rows) { ... });
+//   view.onOperatorRows([&](const std::vector<StoreRow>& rows, bool isSnapshot) { ... });
 //   view.onHostsChanged([&](const std::vector<Error>& faults) { balancer.setTargets(view.directory().targets()); });
 //   view.start();
 #pragma once
@@ -35,7 +35,8 @@
         bool isFirstStart = false; // of the whole deployment
         std::uint32_t randomSeed = std::random_device {}();
     };
-    using OperatorRowsCallback = std::function<void(const std::vector<StoreRow>& rows)>;
+    // OperatorRowsCallback receives the changed rows, or, with `isSnapshot`, all rows of the table.
+    using OperatorRowsCallback = std::function<void(const std::vector<StoreRow>& rows, bool isSnapshot)>;
     // HostsCallback receives the rows that could not be decoded and were skipped.
     using HostsCallback = std::function<void(const std::vector<Error>& faults)>;
     using ResponseCallback = std::function<void()>;
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -15,7 +15,10 @@
 #include "relay/EntryRequest.h"
 #include "relay/RateLimitOwner.h"
 #include "relay/TargetRelay.h"
+#include "sidecar/ConfigurationFeed.h"
 #include "sidecar/MetricsPage.h"
+#include "sidecar/ResourceLimits.h"
+#include "sidecar/RowCleaner.h"
 
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
@@ -32,10 +35,6 @@
         "the daemon drains its open requests" };
     const log::Event stopEnded { 1922, log::Severity::Info, "planned stop ended",
         "if requests are still open, they were cancelled because the grace period was too short for them" };
-    const log::Event configurationApplied { 1923, log::Severity::Info, "configuration in force",
-        "the version of the configuration" };
-    const log::Event configurationRejected { 1924, log::Severity::Error, "configuration refused",
-        "the reason names the field; the last valid configuration stays in force" };
     const log::Event storeUnreachable { 1925, log::Severity::Warning, "store lost",
         "the store; requests with API keys are rejected once its last response is too old" };
     const log::Event storeReachableAgain { 1926, log::Severity::Info, "store regained", "nothing" };
@@ -46,13 +45,6 @@
     const log::Event hostRecordRejected { 1930, log::Severity::Warning, "host record refused",
         "the row is skipped; the reason names the malformed field" };
 
-    const log::Event limitsChanged { 1933, log::Severity::Info, "limits of a client account changed",
-        "the rate per second and the burst over all hosts; 0 for no limit" };
-
-    const log::Event unreachableHostRemoved { 1935, log::Severity::Warning, "host taken for gone",
-        "its daemon was unreachable for 15 s; its row is removed, or marked as departed if its target drains, and the "
-        "daemon writes it again if it is running" };
-
     constexpr const char* hostTable = "hosts";
     // Fraction of the revocation bound for which a response of the store counts as fresh. The rest covers the time that
     // a request takes to its target.
@@ -64,14 +56,6 @@
     // target's open requests complete before the callers' port closes. That shortens the unavailability of each host in
     // a rolling restart of the daemons, during which the targets keep running.
     constexpr milliseconds targetDrainDelay { 1200 };
-    // A daemon that is unreachable for this time despite attempts is considered dead. Restarts and pauses are
-    // shorter.
-    constexpr milliseconds unreachableHostTimeout { 15000 };
-    constexpr milliseconds unreachableHostCheckPeriod { 8000 }; // minimum; the maximum is twice that
-    // How long the row of a departed host is kept: far longer than a target runs on after its deregistration, and than
-    // its heartbeats may be delayed.
-    constexpr std::chrono::minutes departedRowLifetime { 10 };
-    constexpr std::size_t maximumRowRemovals = 64; // in one check, so that the store isn't flooded
     constexpr milliseconds stopPollPeriod { 40 };
     constexpr milliseconds responseDeliveryTime { 120 };
     // Open requests end this long before the process is killed, and the daemon after half of that time. A target that
@@ -82,16 +66,6 @@
     constexpr milliseconds peerConnectTimeout { 400 };
     constexpr milliseconds peerClientIdleTimeout { 30000 };
     constexpr std::size_t maximumIdleConnectionsPerPeer = 4;
-    constexpr milliseconds peerServerIdleTimeout { 60000 };
-    // Part of the memory that the requests of callers may take as received bytes, and as much again those of peers. On
-    // its way a body is held up to seven times by the entry and five times by the daemon beside the target, which may
-    // be one process, and responses take up to a third of the memory.
-    constexpr std::size_t requestBytesDivisor = 20;
-    // In addition to the body of the caller's request, a peer sends its headers and how to run it.
-    constexpr std::size_t peerMessageOverhead = 64 * 1024;
-    constexpr std::size_t peerConnectionDivisor = 3; // a third of the file descriptors may serve peers
-    constexpr std::size_t bytesPerMegabyte = 1024 * 1024;
-
     auto finalResponseMargin(const HostSettings& settings) -> milliseconds
     {
         return std::min(maximumFinalResponseMargin, settings.stopGracePeriod / finalResponseDivisor);
@@ -102,43 +76,6 @@
         return std::chrono::duration_cast<milliseconds>(settings.revocationBound * freshnessRatio);
     }
 
-    auto logChangedLimits(const relay::PolicySnapshot& before, const config::Configuration& after) -> void
-    {
-        for (const auto& account : after.clientAccounts) {
-            const auto* known = before.clientAccount(account.name);
-            if (known && known->ratePerSecond == account.ratePerSecond && known->burst == account.burst)
-                continue;
-            log::logEvent(limitsChanged,
-                { { "account", account.name }, { "rate", std::to_string(account.ratePerSecond) },
-                    { "burst", std::to_string(account.burst) }, { "version", std::to_string(after.version) } });
-        }
-    }
-
-    // Of the answers that the target is sending, and of those that peers are.
-    auto maximumAnswerBytes(const HostSettings& settings) -> std::size_t
-    {
-        constexpr std::size_t answerDivisor = 6; // beside the requests and a copy of each answer on its way out
-        return settings.memoryLimitMegabytes * bytesPerMegabyte / answerDivisor;
-    }
-
-    auto maximumRequestBytes(const HostSettings& settings) -> std::size_t
-    {
-        return settings.memoryLimitMegabytes * bytesPerMegabyte / requestBytesDivisor;
-    }
-
-    auto callerOptions(const HostSettings& settings, const config::CallerLimits& limits) -> net::HttpServer::Options
-    {
-        constexpr std::size_t connectionDivisor = 2; // half of the file descriptors may serve callers
-        net::HttpServer::Options options;
-        options.maximumHeaderBytes = limits.maximumHeaderBytes;
-        options.maximumBodyBytes = limits.maximumBodyBytes;
-        options.headerTimeout = limits.headerTimeout;
-        options.idleTimeout = limits.idleTimeout;
-        options.maximumBufferedBytes = maximumRequestBytes(settings);
-        options.maximumConnections = settings.fileDescriptorLimit / connectionDivisor;
-        return options;
-    }
-
 } // namespace
 
 struct Sidecar::State {
@@ -155,12 +92,7 @@
     auto receive(const fleet::Deregistration& deregistration, const std::shared_ptr<http::Exchange>& exchange) -> void;
     [[nodiscard]] static auto makeAcknowledge(const std::shared_ptr<http::Exchange>& exchange)
         -> fleet::HostRegistration::Acknowledge;
-    [[nodiscard]] auto remainingRow(const fleet::HostRecord& record) const -> std::optional<std::string>;
-    auto replaceRow(const std::string& key, const std::optional<std::string>& value) -> void;
-    auto scheduleUnreachableHostCheck() -> void;
-    auto removeUnreachableHosts() -> void;
-    auto removeExpiredRows() -> void;
-    auto onConfigurationRows(const std::vector<fleet::StoreRow>& rows) -> void;
+    auto onOperatorRows(const std::vector<fleet::StoreRow>& rows, bool isSnapshot) -> void;
     auto onHostsChanged(const std::vector<Error>& faults) -> void;
     auto startPendingRequestsIfReady() -> void;
     auto onStoreResponse() -> void;
@@ -185,6 +117,8 @@
     dispatch::CallRatio callRatio;
     relay::CrashRegistry crashRegistry;
     relay::EntryContext entryContext;
+    ConfigurationFeed configurationFeed;
+    RowCleaner rowCleaner;
     relay::RateLimitOwner rateLimitOwner;
     relay::TargetRelay targetRelay;
     net::HttpServer callerServer;
@@ -193,7 +127,6 @@
     net::HttpServer readinessServer;
     net::HttpServer metricsServer;
     boost::asio::steady_timer stopTimer;
-    boost::asio::steady_timer unreachableHostsTimer;
     MonotonicTime stopStartedAt;
     MonotonicTime lastOpenRequestAt; // last time that a request was open
     bool isStopping = false;
@@ -251,6 +184,8 @@
         .directory = storeView.directory(),
         .crashRegistry = crashRegistry,
         .snapshot = nullptr }
+    , configurationFeed(adapter, entryContext)
+    , rowCleaner(io, storeView, loadBalancer, { .table = hostTable, .hostKey = hostKey, .locality = settings.locality })
     , rateLimitOwner(entryContext,
           { .limits = rateLimits(),
               .fraction = 1 / static_cast<double>(settings.regionCount * dispatch::rateLimitOwnersPerRegion) },
@@ -261,13 +196,7 @@
           [this](std::shared_ptr<http::Exchange> exchange) {
               relay::EntryRequest::start(entryContext, std::move(exchange));
           })
-    , peerServer(io,
-          { .maximumBodyBytes = maximumRequestBytes(settings) + peerMessageOverhead,
-              .idleTimeout = peerServerIdleTimeout,
-              .maximumConnections = settings.fileDescriptorLimit / peerConnectionDivisor,
-              .maximumBufferedBytes = maximumRequestBytes(settings) + peerMessageOverhead,
-              .refusalHeaders = relay::unreadRequestHeaders() },
-          [this](std::shared_ptr<http::Exchange> exchange) { handlePeer(exchange); })
+    , peerServer(io, peerOptions(settings), [this](std::shared_ptr<http::Exchange> exchange) { handlePeer(exchange); })
     , controlServer(io, {}, [this](std::shared_ptr<http::Exchange> exchange) { handleControl(exchange); })
     , readinessServer(io, {},
           [this](std::shared_ptr<http::Exchange> exchange) {
@@ -282,7 +211,6 @@
               exchange->answer(http::makeAnswer(http::statusOk, "text/plain; version=0.0.4", metricsPage()));
           })
     , stopTimer(io)
-    , unreachableHostsTimer(io)
 {
 }
 
@@ -301,12 +229,13 @@
         return false;
     if (!settings.metricsListenAddress.empty() && !metricsServer.listen(settings.metricsListenAddress, reason))
         return false;
-    storeView.onOperatorRows([this](const std::vector<fleet::StoreRow>& rows) { onConfigurationRows(rows); });
+    storeView.onOperatorRows(
+        [this](const std::vector<fleet::StoreRow>& rows, bool isSnapshot) { onOperatorRows(rows, isSnapshot); });
     storeView.onHostsChanged([this](const std::vector<Error>& faults) { onHostsChanged(faults); });
     storeView.onResponse([this] { onStoreResponse(); });
     storeView.onFailure([this](const Error& error) { onStoreFailure(error); });
     storeView.start();
-    scheduleUnreachableHostCheck();
+    rowCleaner.start();
     log::logEvent(started,
         { { "host", settings.hostName }, { "callers", settings.callerListenAddress },
             { "peers", settings.peerListenAddress }, { "control", settings.controlListenAddress },
@@ -370,30 +299,10 @@
         http::makeAnswer(isGranted ? http::statusOk : http::statusTooManyRequests, "text/plain", reason.reason));
 }
 
-auto Sidecar::State::onConfigurationRows(const std::vector<fleet::StoreRow>& rows) -> void
+auto Sidecar::State::onOperatorRows(const std::vector<fleet::StoreRow>& rows, bool isSnapshot) -> void
 {
-    for (const auto& row : rows) {
-        if (row.key != adapter.configurationKey || row.isRemoved)
-            continue;
-        Error reason;
-        auto configuration = adapter.decodeConfiguration(row.value, reason);
-        if (!configuration) {
-            log::logEvent(configurationRejected, { { "reason", reason.toText() } });
-            continue;
-        }
-        // A response that arrives out of order must not restore an older version.
-        if (entryContext.snapshot && configuration->version <= entryContext.snapshot->configuration().version)
-            continue;
-        if (entryContext.snapshot)
-            logChangedLimits(*entryContext.snapshot, *configuration);
-        entryContext.snapshot = std::make_shared<const relay::PolicySnapshot>(std::move(*configuration));
-        const auto& applied = entryContext.snapshot->configuration();
-        callerServer.setOptions(callerOptions(settings, applied.callerLimits));
-        log::logEvent(configurationApplied,
-            { { "version", std::to_string(applied.version) }, { "routes", std::to_string(applied.routes.size()) },
-                { "accounts", std::to_string(applied.clientAccounts.size()) },
-                { "row-version", std::to_string(row.version) }, { "bytes", std::to_string(row.value.size()) } });
-    }
+    if (configurationFeed.apply(rows, isSnapshot))
+        callerServer.setOptions(callerOptions(settings, entryContext.snapshot->configuration().callerLimits));
     startPendingRequestsIfReady();
 }
 
@@ -426,73 +335,6 @@
     startPendingRequestsIfReady();
 }
 
-auto Sidecar::State::scheduleUnreachableHostCheck() -> void
-{
-    // The period is random, so that usually a single host removes the row of a dead host.
-    std::uniform_int_distribution<milliseconds::rep> period(
-        unreachableHostCheckPeriod.count(), 2 * unreachableHostCheckPeriod.count());
-    unreachableHostsTimer.expires_after(milliseconds(period(entryContext.random)));
-    unreachableHostsTimer.async_wait([this](const boost::system::error_code& error) {
-        if (error || isStopping)
-            return;
-        removeUnreachableHosts();
-        removeExpiredRows();
-        scheduleUnreachableHostCheck();
-    });
-}
-
-// As long as the row of a dead host remains, the host keeps its share of the limits that are divided among all hosts.
-// If a host is running after all, it writes its row again.
-auto Sidecar::State::removeUnreachableHosts() -> void
-{
-    const auto now = monotonicNow();
-    const auto& directory = storeView.directory();
-    for (const auto& host : directory.hostsInDataCentre(settings.locality)) {
-        const bool isUnreachable
-            = loadBalancer.isUnreachableFor(directory.find(host)->peerAddress, unreachableHostTimeout, now);
-        if (!isUnreachable || host == hostKey)
-            continue;
-        log::logEvent(
-            unreachableHostRemoved, { { "host", host }, { "row-version", std::to_string(directory.version(host)) } });
-        replaceRow(host, remainingRow(*directory.find(host)));
-    }
-}
-
-// The row of a host whose target drains outlives the host for a while, because its daemon may come back while the
-// target still runs. Any other row is removed.
-auto Sidecar::State::remainingRow(const fleet::HostRecord& record) const -> std::optional<std::string>
-{
-    const auto storeTime = storeView.hostListFreshness().storeTime(SuspendAwareClock::now());
-    if (record.state != fleet::HostRecord::State::Draining || !storeTime)
-        return std::nullopt;
-    return fleet::encodeHostRecord(fleet::makeDeparted(record, *storeTime));
-}
-
-auto Sidecar::State::replaceRow(const std::string& key, const std::optional<std::string>& value) -> void
-{
-    storeView.client().write(
-        { hostTable, key, storeView.directory().version(key), value }, [](const fleet::StoreClient::Result&) {
-            // If the row has changed or the store is unavailable, the row stays and the next check decides again.
-        });
-}
-
-// One host of each region removes what has expired.
-auto Sidecar::State::removeExpiredRows() -> void
-{
-    const auto& directory = storeView.directory();
-    const auto hosts = directory.hostsInRegion(settings.locality.region);
-    const auto storeTime = storeView.hostListFreshness().storeTime(SuspendAwareClock::now());
-    if (!storeTime || hosts.empty() || hosts.front() != hostKey)
-        return;
-    auto expired = directory.hostsDepartedBefore(settings.locality.region, *storeTime - departedRowLifetime);
-    const auto marks
-        = directory.crashRowsBefore(settings.locality.region, *storeTime - relay::CrashRegistry::s_markLifetime);
-    expired.insert(expired.end(), marks.begin(), marks.end());
-    expired.resize(std::min(expired.size(), maximumRowRemovals));
-    for (const auto& key : expired)
-        replaceRow(key, std::nullopt);
-}
-
 auto Sidecar::State::handleControl(const std::shared_ptr<http::Exchange>& exchange) -> void
 {
     Error reason;
@@ -535,6 +377,7 @@
     if (isStopping)
         return;
     isStopping = true;
+    rowCleaner.stop();
     stopStartedAt = monotonicNow();
     log::logEvent(stopStarted,
         { { "open", std::to_string(callerServer.openRequests()) },
--- a/src/testing/FleetSimulation.cpp
+++ b/src/testing/FleetSimulation.cpp
@@ -215,7 +215,7 @@
             .hostTable = hostTable,
             .isFirstStart = m_options.isFirstStart,
             .randomSeed = static_cast<std::uint32_t>(m_random()) });
-    host.view->onOperatorRows([&host](const std::vector<fleet::StoreRow>& rows) {
+    host.view->onOperatorRows([&host](const std::vector<fleet::StoreRow>& rows, bool) {
         for (const auto& row : rows)
             host.configurationVersion = std::max(host.configurationVersion, row.version);
     });
