Split EntryRequest by the steps of a request

Change: admission (RequestAdmission), choice (dispatch::TargetSearch, without I/O), reservation and run (TargetAttempt), crashes (CrashGuard), response (CallerResponse) and the mean sizes of responses (dispatch::ResponseSizes) are classes of their own with their own tests; EntryRequest joins them. An attempt gives up its slot when it is destroyed, instead of by a call before each end. Behaviour is unchanged.

--- a/src/relay/EntryContext.h
+++ b/src/relay/EntryContext.h
@@ -10,8 +10,10 @@
 
 #include "dispatch/CallRatio.h"
 #include "dispatch/LoadBalancer.h"
+#include "dispatch/ResponseSizes.h"
 #include "dispatch/RetryBudget.h"
 #include "dispatch/StalenessTracker.h"
+#include "dispatch/TargetSearch.h"
 #include "net/HttpClient.h"
 #include "relay/EntryCounters.h"
 #include "relay/HeaderNames.h"
@@ -23,6 +25,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace coriandergate::fleet {
@@ -31,6 +34,9 @@
 
 namespace coriandergate::relay {
 
+// The reason of responses to requests that a daemon can't serve because it stops.
+inline constexpr std::string_view shutdownReason = "the daemon stops";
+
 class CrashRegistry;
 class EntryRequest;
 
@@ -67,11 +73,7 @@
         std::chrono::milliseconds rateLimitOwnerBackoff { 1000 }; // an owner that gave no decision is skipped this long
         std::chrono::milliseconds minimumRetryAfter { 200 };
         std::chrono::milliseconds maximumRetryAfter { 3000 };
-        double distanceDoublingBytes = 60000; // mean response size at which a target's distance counts twice
-        double maximumDistanceFactor = 3;
-        std::size_t noWaitTries = 3; // targets asked for a free slot without waiting
-        std::size_t targetLatencyTries = 2; // targets asked for a slot in time for the target latency
-        std::size_t deadlineTries = 2; // targets asked for a slot before the deadline
+        dispatch::TargetSearch::Options search;
     };
 
     boost::asio::io_context& io;
@@ -97,7 +99,7 @@
     std::map<std::string, MonotonicTime> rateExhaustedUntil; // by "account@host"; the owner had no request left
     std::map<std::string, dispatch::RetryBudget::CallsPerRequest> callsPerRequest; // by service, as last reported
     std::map<std::string, std::uint64_t> splitPositions; // by route name
-    std::map<std::string, double> meanResponseBytes; // moving average, by route name
+    dispatch::ResponseSizes responseSizes { {} };
     std::shared_ptr<OpenRequests> openRequests = std::make_shared<OpenRequests>();
     std::optional<MonotonicTime> shutdownDeadline; // set at shutdown; every request gets its response by then
     std::optional<MonotonicTime> callerPortClosesAt; // set at shutdown; requests that arrive later are refused
--- /dev/null
+++ b/src/relay/RequestAdmission.h
@@ -0,0 +1,61 @@
+// The first step of a caller's request: finds its route, its client account and its deadline, or refuses it.
+//
+//   AdmittedRequest admitted;
+//   if (const auto refusal = admitRequest(context, request, receivedAt, SuspendAwareClock::now(), admitted))
+//       respond(makeRefusal(context, *refusal));
+#pragma once
+
+#include "base/Clock.h"
+#include "config/ClientAccount.h"
+#include "config/Route.h"
+#include "relay/RequestRefusal.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace coriandergate::http {
+class HeaderList;
+struct Request;
+}
+
+namespace coriandergate::relay {
+
+struct EntryContext;
+struct HeaderNames;
+class PolicySnapshot;
+
+// AdmittedRequest is what the configuration says of one request.
+struct AdmittedRequest {
+    std::shared_ptr<const PolicySnapshot> snapshot; // owns route and clientAccount
+    const config::Route* route = nullptr;
+    const config::ClientAccount* clientAccount = nullptr; // null when no key was checked
+    std::string key;
+    int priority = 0;
+    MonotonicTime deadline;
+
+    [[nodiscard]] auto isIdempotent() const -> bool { return route->repeatPolicy == config::RepeatPolicy::Idempotent; }
+
+    // isCallFromTarget() takes a request without a client account for a call that a target makes while it executes
+    // another request: if the call fails, the calling request fails too and its work is lost.
+    [[nodiscard]] auto isCallFromTarget() const -> bool { return !clientAccount; }
+
+    // isKeyRevokedBy() returns whether the key, which was valid on admission, is none of the `current` configuration.
+    [[nodiscard]] auto isKeyRevokedBy(const std::shared_ptr<const PolicySnapshot>& current) const -> bool;
+
+    [[nodiscard]] auto timeLeft(MonotonicTime now) const -> std::chrono::milliseconds
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(deadline - now);
+    }
+};
+
+// admitRequest() fills `admitted`, or returns why the request is refused; `admitted` then holds what was found until
+// then. `now` is compared with the age of the configuration and of the list of hosts.
+[[nodiscard]] auto admitRequest(const EntryContext& context, const http::Request& request, MonotonicTime receivedAt,
+    SuspendAwareTime now, AdmittedRequest& admitted) -> std::optional<RequestRefusal>;
+
+// removeUnforwardedHeaders() removes the headers that concern only the caller's connection, and those that daemons set
+// themselves.
+auto removeUnforwardedHeaders(const HeaderNames& names, http::HeaderList& headers) -> void;
+
+} // namespace coriandergate::relay
