Skip hosts that left the directory while crash reports are sent

Cause: CrashReporter keeps the keys of up to four hosts and tells the next one when an earlier one doesn't respond. It took that host's record from the directory without looking whether it is still there, so a host that left in the meantime ended the daemon with a segmentation fault. Change: hosts that left are passed over; the next one is told.

--- a/src/relay/CrashRegistry_test.cpp
+++ b/src/relay/CrashRegistry_test.cpp
@@ -167,4 +167,27 @@
     CHECK(fleet.reports.size() == 2);
 }
 
+TEST_CASE("CrashReporter skips hosts that left the directory while earlier ones were told")
+{
+    Fleet fleet;
+    fleet.addHosts(4, false);
+    const bool isReplaced = GENERATE(false, true);
+    bool isDone = false;
+    std::optional<std::size_t> result;
+    CrashReporter::start(fleet.context, crashAt("t"), [&](std::optional<std::size_t> crashes) {
+        isDone = true;
+        result = crashes;
+    });
+    fleet.directory.apply({}, true);
+    if (isReplaced)
+        fleet.directory.apply({ testing::makeHostRow("b0", fleet.server.port(), testing::EntryFixture::s_locality),
+                                  testing::makeHostRow("b1", fleet.server.port(), testing::EntryFixture::s_locality),
+                                  testing::makeHostRow("b2", fleet.server.port(), testing::EntryFixture::s_locality) },
+            false);
+    REQUIRE(testing::runUntil(fleet.io, [&isDone] { return isDone; }));
+    // Two of the four hosts were tried before the change, so at least one of those that are back is among the others.
+    CHECK(result.has_value() == isReplaced);
+    CHECK(fleet.reports.empty() != isReplaced);
+}
+
 } // namespace coriandergate::relay
--- a/src/relay/CrashReporter.cpp
+++ b/src/relay/CrashReporter.cpp
@@ -47,18 +47,26 @@
 
 auto CrashReporter::tellNext() -> void
 {
-    if (m_candidates.empty())
-        return;
-    const auto host = std::move(m_candidates.back());
-    m_candidates.pop_back();
-    if (host == m_context.hostKey) {
-        ++m_told;
-        m_crashes = std::max(m_crashes, m_context.crashRegistry.recordAndMark(m_report, monotonicNow()));
-        return;
+    while (!m_candidates.empty()) {
+        const auto host = std::move(m_candidates.back());
+        m_candidates.pop_back();
+        if (host == m_context.hostKey) {
+            ++m_told;
+            m_crashes = std::max(m_crashes, m_context.crashRegistry.recordAndMark(m_report, monotonicNow()));
+            return;
+        }
+        // The host may have left the directory while an earlier one did not respond.
+        if (const auto* record = m_context.directory.find(host)) {
+            tell(record->peerAddress);
+            return;
+        }
     }
+}
+
+auto CrashReporter::tell(const std::string& address) -> void
+{
     ++m_pending;
-    m_context.peerClient.send(m_context.directory.find(host)->peerAddress, encodeCrashReport(m_report),
-        { .timeout = m_context.options.crashReportTimeout },
+    m_context.peerClient.send(address, encodeCrashReport(m_report), { .timeout = m_context.options.crashReportTimeout },
         [self = shared_from_this()](const net::HttpClient::Result& result) { self->onResponse(result); });
 }
 
--- a/src/relay/CrashReporter.h
+++ b/src/relay/CrashReporter.h
@@ -43,13 +43,14 @@
 
     auto chooseCandidates() -> void;
     auto tellNext() -> void;
+    auto tell(const std::string& address) -> void;
     auto onResponse(const net::HttpClient::Result& result) -> void;
     auto finishIfDone() -> void;
 
     EntryContext& m_context;
     CrashReport m_report;
     Callback m_callback;
-    std::vector<std::string> m_candidates; // keys of hosts not tried yet, the first ones at the back
+    std::vector<std::string> m_candidates; // keys of hosts not tried yet, the first ones at the back; any may have left
     std::size_t m_pending = 0;
     std::size_t m_told = 0;
     std::size_t m_crashes = 0;
