Take the calls out before a client that is destroyed closes them

Cause: the destructor of HttpClient went over its calls while closing them, which destroys their callbacks; what a callback owns may cancel its own call and so erase it from the table in use. Change: the table is taken out first. The daemon's order of destruction doesn't reach this. Measured: the new test "a client may be destroyed while its callbacks own what cancels their calls" ended with SIGSEGV on the code before and passes now.

--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace coriandergate::net {
@@ -116,10 +117,11 @@
 
 HttpClient::~HttpClient()
 {
-    for (auto& [call, held] : m_state->calls)
+    // close() destroys callbacks, and what they own may cancel calls.
+    const auto calls = std::exchange(m_state->calls, {});
+    for (const auto& [call, held] : calls)
         held.connection->close();
-    const auto idle = std::move(m_state->idle);
-    m_state->idle.clear();
+    const auto idle = std::exchange(m_state->idle, {});
     for (const auto& [peer, connections] : idle) {
         for (const auto& connection : connections)
             connection->close();
--- a/src/net/HttpClient_test.cpp
+++ b/src/net/HttpClient_test.cpp
@@ -354,6 +354,31 @@
     CHECK(peer.connections == 1);
 }
 
+// Guards against a crash at the end of a process: a call's callback owns what gives the call up when it is destroyed.
+TEST_CASE("a client may be destroyed while its callbacks own what cancels their calls")
+{
+    struct Owner {
+        explicit Owner(HttpClient& owned)
+            : client(owned)
+        {
+        }
+        ~Owner() { client.cancel(call); }
+        HttpClient& client;
+        HttpClient::Call call = 0;
+    };
+    boost::asio::io_context io;
+    const ScriptedPeer peer(io, { { good("body") } });
+    auto client = std::make_unique<HttpClient>(io, HttpClient::Options {});
+    std::vector<std::weak_ptr<Owner>> owners;
+    for (int i = 0; i < 8; ++i) {
+        const auto owner = std::make_shared<Owner>(*client);
+        owner->call = client->send(peer.address(), requestBytes(), {}, [owner](const HttpClient::Result&) {});
+        owners.push_back(owner);
+    }
+    client = nullptr;
+    CHECK(std::all_of(owners.begin(), owners.end(), [](const auto& owner) { return owner.expired(); }));
+}
+
 TEST_CASE("a connection that can't be made carried nothing")
 {
     boost::asio::io_context io;
