Cancel requests that wait for the first configuration with their context

Cause: EntryContext cancelled only the requests that had begun; those that wait for configuration and hosts used it after its end once their wait was over. The daemon's event loop has stopped by then. Change: they are cancelled too. Measured: the new test "EntryRequest that waits for the first configuration does nothing after its context is destroyed" failed on the code before (the request was answered from the destroyed context) and passes now.

--- a/src/relay/EntryContext.cpp
+++ b/src/relay/EntryContext.cpp
@@ -8,6 +8,10 @@
 
 EntryContext::~EntryContext()
 {
+    for (const auto& pending : std::exchange(pendingRequests, {})) {
+        if (const auto request = pending.lock())
+            request->cancel();
+    }
     const auto requests = *openRequests;
     for (const auto& [raw, weak] : requests) {
         if (const auto request = weak.lock())
--- a/src/relay/EntryRequest_test.cpp
+++ b/src/relay/EntryRequest_test.cpp
@@ -445,6 +445,22 @@
     CHECK(openRequests.expired());
 }
 
+TEST_CASE("EntryRequest that waits for the first configuration does nothing after its context is destroyed")
+{
+    auto entry = std::make_unique<testing::EntryFixture>();
+    const auto io = entry->ownedIo;
+    entry->context.isReady = false;
+    entry->context.options.startupWait = 20ms;
+    bool isAnswered = false;
+    auto exchange = std::make_shared<http::Exchange>(
+        http::Request {}, "caller", 0, [&isAnswered](const http::Answer&) { isAnswered = true; });
+    EntryRequest::start(entry->context, exchange);
+    entry.reset();
+    io->run_for(100ms);
+    CHECK_FALSE(isAnswered);
+    exchange->abandon();
+}
+
 TEST_CASE("EntryRequest refuses a request that needs a key while the configuration is not known to be fresh")
 {
     Entry entry;
