Check each look-up of what may have gone, and own what is kept

Cause: the search for others of the kind of the crash report to a host that left. No case could be shown in these places. Change: RateLimitCheck shares the configuration that holds its account instead of referring to it, HostRegistration copies the record of its host, RowCleaner and RetryBorrower look at whether a host is there, and TargetRelay takes waiting reservations out by a checked look-up and looks anew after each response. RateLimitCheck_test passes its account as the shared pointer that the check now takes; its checks are unchanged.

--- a/src/fleet/HostRegistration.cpp
+++ b/src/fleet/HostRegistration.cpp
@@ -98,7 +98,8 @@
 auto HostRegistration::onHostsLoaded() -> void
 {
     m_areHostsLoaded = true;
-    const auto* stored = storedRecord();
+    // A copy, since the directory may change in the calls below.
+    const auto stored = storedRecord();
     m_rowWriter.setStoredVersion(m_directory.version(m_options.key));
     if (stored)
         m_target.restoreFromStore(stored->targetId, stored->targetStartedAt, isDrainStored(*stored));
@@ -120,12 +121,14 @@
     });
 }
 
-auto HostRegistration::storedRecord() const -> const HostRecord*
+auto HostRegistration::storedRecord() const -> std::optional<HostRecord>
 {
     const auto* stored = m_directory.find(m_options.key);
     if (!stored)
         stored = m_directory.findDeparted(m_options.key);
-    return stored || m_options.formerKey.empty() ? stored : m_directory.find(m_options.formerKey);
+    if (!stored && !m_options.formerKey.empty())
+        stored = m_directory.find(m_options.formerKey);
+    return stored ? std::optional(*stored) : std::nullopt;
 }
 
 auto HostRegistration::removeFormerRow() -> void
@@ -137,7 +140,7 @@
 }
 
 // The row needs no update if it belongs to a later target than the one that deregistered.
-auto HostRegistration::isDeregistrationStored(const HostRecord* stored) const -> bool
+auto HostRegistration::isDeregistrationStored(const std::optional<HostRecord>& stored) const -> bool
 {
     const auto& deregistered = m_target.deregistered();
     if (!deregistered || !stored)
@@ -165,7 +168,7 @@
     auto record = m_options.host;
     // The join time stays the same across daemon restarts and removals of the row. A host that departed joins anew,
     // since the other hosts have passed its share of the rate limits on.
-    if (const auto* stored = storedRecord(); stored && stored->state != HostRecord::State::Departed && !m_joinedAt)
+    if (const auto stored = storedRecord(); stored && stored->state != HostRecord::State::Departed && !m_joinedAt)
         m_joinedAt = stored->joinedAt;
     if (!m_joinedAt)
         m_joinedAt = m_storeClock();
--- a/src/fleet/HostRegistration.h
+++ b/src/fleet/HostRegistration.h
@@ -73,12 +73,12 @@
     auto stop() -> void;
 
 private:
-    [[nodiscard]] auto storedRecord() const -> const HostRecord*;
+    [[nodiscard]] auto storedRecord() const -> std::optional<HostRecord>;
     auto removeFormerRow() -> void;
     [[nodiscard]] auto makeRecord() -> HostRecord;
     auto writeRow(HostRowWriter::StoredCallback stored) -> void;
     auto acknowledgeWhenStored(const Acknowledge& acknowledge) -> void;
-    [[nodiscard]] auto isDeregistrationStored(const HostRecord* stored) const -> bool;
+    [[nodiscard]] auto isDeregistrationStored(const std::optional<HostRecord>& stored) const -> bool;
     auto logTargetChange() const -> void;
 
     boost::asio::io_context& m_io;
--- a/src/relay/EntryRequest.cpp
+++ b/src/relay/EntryRequest.cpp
@@ -114,7 +114,9 @@
         return;
     }
     m_rateLimitCheck = RateLimitCheck::start(m_context,
-        { .account = *account, .requestId = m_requestId, .timeLeft = m_admitted.timeLeft(monotonicNow()) },
+        { .account = { m_admitted.snapshot, account },
+            .requestId = m_requestId,
+            .timeLeft = m_admitted.timeLeft(monotonicNow()) },
         [weak = weak_from_this()](const dispatch::AccountRateLimiter::Decision& decision) {
             const auto self = weak.lock();
             if (self && !self->m_isDone)
@@ -500,7 +502,7 @@
     m_deadlineTimer.cancel();
     m_waitTimer.cancel();
     if (m_rateLimitCheck)
-        std::exchange(m_rateLimitCheck, nullptr)->cancel(); // refers to the account in this request's snapshot
+        std::exchange(m_rateLimitCheck, nullptr)->cancel();
     recordEnd(m_context,
         { .admitted = m_admitted,
             .requestId = m_requestId,
--- a/src/relay/RateLimitCheck.cpp
+++ b/src/relay/RateLimitCheck.cpp
@@ -39,7 +39,7 @@
         = m_context.configurationFreshness.storeTime(SuspendAwareClock::now()).value_or(milliseconds { 0 });
     std::vector<std::string> localOwners;
     for (const auto& [region, hosts] : m_context.directory.rateLimitHosts()) {
-        for (const auto& owner : dispatch::rateLimitOwners(m_request.account.name, hosts, storeTime)) {
+        for (const auto& owner : dispatch::rateLimitOwners(m_request.account->name, hosts, storeTime)) {
             if (!isExhausted(owner, now) && !isAvoided(owner, now))
                 (region == m_context.locality.region ? localOwners : m_owners).push_back(owner);
         }
@@ -53,7 +53,7 @@
 
 auto RateLimitCheck::isExhausted(const std::string& owner, MonotonicTime now) -> bool
 {
-    const auto exhausted = m_context.rateExhaustedUntil.find(m_request.account.name + '@' + owner);
+    const auto exhausted = m_context.rateExhaustedUntil.find(m_request.account->name + '@' + owner);
     if (exhausted == m_context.rateExhaustedUntil.end() || now >= exhausted->second)
         return false;
     recordRetryAfter(std::chrono::ceil<milliseconds>(exhausted->second - now));
@@ -88,7 +88,7 @@
     const auto timeout
         = isOtherRegion ? m_context.options.crossRegionRateLimitTimeout : m_context.options.rateLimitTimeout;
     const auto timeLeft = std::chrono::duration_cast<milliseconds>(m_deadline - monotonicNow());
-    m_call = m_context.peerClient.send(record->peerAddress, encodeRateLimitRequest({ m_request.account.name }),
+    m_call = m_context.peerClient.send(record->peerAddress, encodeRateLimitRequest({ m_request.account->name }),
         { .timeout = std::min(timeout, std::max(timeLeft, milliseconds { 1 })) },
         [self = shared_from_this(), owner](const net::HttpClient::Result& result) { self->onResponse(owner, result); });
 }
@@ -109,10 +109,10 @@
     if (retryAfter) {
         log::logEvent(attemptEnded,
             { { "request", m_request.requestId }, { "peer", owner }, { "step", "ask for rate" },
-                { "outcome", "not-run" }, { "why", "over the rate" }, { "account", m_request.account.name },
-                { "rate", std::to_string(m_request.account.ratePerSecond) },
+                { "outcome", "not-run" }, { "why", "over the rate" }, { "account", m_request.account->name },
+                { "rate", std::to_string(m_request.account->ratePerSecond) },
                 { "turn-in-ms", std::to_string(retryAfter->count()) } });
-        m_context.rateExhaustedUntil[m_request.account.name + '@' + owner] = now + *retryAfter;
+        m_context.rateExhaustedUntil[m_request.account->name + '@' + owner] = now + *retryAfter;
         recordRetryAfter(*retryAfter);
     } else {
         m_context.rateLimitOwnerAvoidedUntil[owner] = now + m_context.options.rateLimitOwnerBackoff;
--- a/src/relay/RateLimitCheck.h
+++ b/src/relay/RateLimitCheck.h
@@ -31,7 +31,7 @@
     using Callback = std::function<void(const dispatch::AccountRateLimiter::Decision& decision)>;
 
     struct Request {
-        const config::ClientAccount& account; // must outlive the check
+        std::shared_ptr<const config::ClientAccount> account; // not null
         std::string requestId; // for log events
         std::chrono::milliseconds timeLeft; // until the request's deadline
     };
--- a/src/relay/RateLimitCheck_test.cpp
+++ b/src/relay/RateLimitCheck_test.cpp
@@ -15,7 +15,8 @@
 
 namespace {
 
-    const config::ClientAccount account { .name = "shop", .ratePerSecond = 10, .burst = 5 };
+    const auto account = std::make_shared<const config::ClientAccount>(
+        config::ClientAccount { .name = "shop", .ratePerSecond = 10, .burst = 5 });
 
     // Owner responds with `status` and `body`, and counts the checks it received.
     struct Owner {
--- a/src/relay/RetryBorrower.cpp
+++ b/src/relay/RetryBorrower.cpp
@@ -28,8 +28,9 @@
 {
     std::vector<std::string> candidates;
     for (const auto& host : m_context.directory.hostsInDataCentre(m_context.locality)) {
-        if (host != m_context.hostKey)
-            candidates.push_back(m_context.directory.find(host)->peerAddress);
+        const auto* record = m_context.directory.find(host);
+        if (record && host != m_context.hostKey)
+            candidates.push_back(record->peerAddress);
     }
     std::sample(candidates.begin(), candidates.end(), std::back_inserter(m_lenders), m_context.options.maximumLenders,
         m_context.random);
--- a/src/relay/TargetRelay.cpp
+++ b/src/relay/TargetRelay.cpp
@@ -233,33 +233,38 @@
     m_expired.erase(connection);
 }
 
+// Each response may lead to the next message of its connection, and with it to changes of all tables.
 auto TargetRelay::grantWaiting() -> void
 {
     const auto now = monotonicNow();
     for (const auto ticket : m_slots.removeExpired(now)) {
-        const auto waiting = m_waiting.find(ticket);
-        if (waiting == m_waiting.end())
+        const auto reservation = takeWaiting(ticket);
+        if (!reservation)
             continue;
-        const auto reservation = m_reservations[waiting->second];
-        m_reservations.erase(waiting->second);
-        m_waiting.erase(waiting);
+        m_reservations.erase(reservation->connection);
         if (reservation->isProbe)
             m_health.endProbe();
         refuse(reservation->exchange, reservation->requestId, noSlotInTime);
     }
     while (const auto ticket = m_slots.grantNext(now)) {
-        const auto waiting = m_waiting.find(*ticket);
-        if (waiting == m_waiting.end()) {
+        if (const auto reservation = takeWaiting(*ticket))
+            grant(*reservation);
+        else
             m_slots.release(std::nullopt);
-            continue;
-        }
-        const auto reservation = m_reservations[waiting->second];
-        m_waiting.erase(waiting);
-        grant(*reservation);
     }
     armWaitTimer();
 }
 
+auto TargetRelay::takeWaiting(Ticket ticket) -> std::shared_ptr<Reservation>
+{
+    const auto waiting = m_waiting.find(ticket);
+    if (waiting == m_waiting.end())
+        return nullptr;
+    const auto found = m_reservations.find(waiting->second);
+    m_waiting.erase(waiting);
+    return found == m_reservations.end() || found->second->ticket != ticket ? nullptr : found->second;
+}
+
 // Arms the timer that refuses waiting requests which can no longer begin in time, and grants slots that were withheld
 // after rejections by a full target.
 auto TargetRelay::armWaitTimer() -> void
@@ -287,13 +292,16 @@
     if (!current->isDraining)
         return;
     // A draining target accepts no new requests, so everything that waits is refused.
-    std::vector<std::shared_ptr<Reservation>> waiting;
-    for (const auto& [ticket, connection] : m_waiting)
-        waiting.push_back(m_reservations[connection]);
-    for (const auto& reservation : waiting) {
-        const auto exchange = reservation->exchange;
-        release(reservation->connection);
-        refuse(exchange, reservation->requestId, "target leaves");
+    while (!m_waiting.empty()) {
+        const auto ticket = m_waiting.begin()->first;
+        m_slots.cancel(ticket);
+        const auto reservation = takeWaiting(ticket);
+        if (!reservation)
+            continue;
+        m_reservations.erase(reservation->connection);
+        if (reservation->isProbe)
+            m_health.endProbe();
+        refuse(reservation->exchange, reservation->requestId, "target leaves");
     }
 }
 
--- a/src/relay/TargetRelay.h
+++ b/src/relay/TargetRelay.h
@@ -94,6 +94,8 @@
     auto refuse(const std::shared_ptr<http::Exchange>& exchange, const std::string& requestId, std::string_view why)
         -> void;
     auto grantWaiting() -> void;
+    // takeWaiting() returns the reservation that waits with `ticket`, which from then on no longer waits; null if none.
+    auto takeWaiting(Ticket ticket) -> std::shared_ptr<Reservation>;
     auto armWaitTimer() -> void;
     auto release(const std::string& connection) -> void;
     auto expire(const std::string& connection, Ticket ticket) -> void;
--- a/src/sidecar/RowCleaner.cpp
+++ b/src/sidecar/RowCleaner.cpp
@@ -65,13 +65,14 @@
     const auto now = monotonicNow();
     const auto& directory = m_view.directory();
     for (const auto& host : directory.hostsInDataCentre(m_options.locality)) {
-        const bool isUnreachable
-            = m_balancer.isUnreachableFor(directory.find(host)->peerAddress, unreachableHostTimeout, now);
-        if (!isUnreachable || host == m_options.hostKey)
+        // The writes below may change the directory.
+        const auto* record = directory.find(host);
+        if (!record || host == m_options.hostKey
+            || !m_balancer.isUnreachableFor(record->peerAddress, unreachableHostTimeout, now))
             continue;
         log::logEvent(
             unreachableHostRemoved, { { "host", host }, { "row-version", std::to_string(directory.version(host)) } });
-        replaceRow(host, remainingRow(*directory.find(host)));
+        replaceRow(host, remainingRow(*record));
     }
 }
 
