Send a slow repeatable request to a second target, within a limit that operators set

Cause: a few slow responses make most of what callers of repeatable requests wait for, and nothing shortens them once a target runs the request. The histogram of service times moved to dispatch/ and serves both daemons.

--- a/src/admission/HedgePolicy.cpp
+++ b/src/admission/HedgePolicy.cpp
@@ -1,7 +1,7 @@
 #include "admission/HedgePolicy.h"
 
-#include "admission/ServiceTimeHistogram.h"
 #include "base/Hash.h"
+#include "dispatch/ServiceTimeHistogram.h"
 
 #include <algorithm>
 #include <map>
@@ -11,7 +11,7 @@
 
 struct HedgePolicy::Shard {
     Mutex mutex;
-    std::map<std::string, ServiceTimeHistogram, std::less<>> services GUARDED_BY(mutex);
+    std::map<std::string, dispatch::ServiceTimeHistogram, std::less<>> services GUARDED_BY(mutex);
 };
 
 HedgePolicy::HedgePolicy(Options options)
@@ -29,7 +29,7 @@
     const MutexLock lock(shard.mutex);
     auto found = shard.services.find(service);
     if (found == shard.services.end())
-        found = shard.services.emplace(std::string(service), ServiceTimeHistogram {}).first;
+        found = shard.services.emplace(std::string(service), dispatch::ServiceTimeHistogram {}).first;
     found->second.record(serviceTime);
 }
 
--- a/src/admission/internal/SlotGroup.h
+++ b/src/admission/internal/SlotGroup.h
@@ -2,9 +2,9 @@
 #pragma once
 
 #include "admission/FairQueue.h"
-#include "admission/ServiceTimeHistogram.h"
 #include "admission/SlotDecision.h"
 #include "admission/SlotTable.h"
+#include "dispatch/ServiceTimeHistogram.h"
 
 #include <string>
 #include <string_view>
@@ -76,7 +76,7 @@
     const SlotTable::Options& m_options;
     std::vector<Target> m_targets;
     FairQueue m_queue;
-    ServiceTimeHistogram m_serviceTimes;
+    dispatch::ServiceTimeHistogram m_serviceTimes;
     std::unordered_map<std::uint64_t, RunningRequest> m_running;
 };
 
--- a/src/admission/ServiceTimeHistogram.cpp
+++ b/src/dispatch/ServiceTimeHistogram.cpp
@@ -1,9 +1,9 @@
-#include "admission/ServiceTimeHistogram.h"
+#include "dispatch/ServiceTimeHistogram.h"
 
 #include <algorithm>
 #include <cmath>
 
-namespace coriandergate::admission {
+namespace coriandergate::dispatch {
 
 namespace {
 
@@ -67,4 +67,4 @@
     }
 }
 
-} // namespace coriandergate::admission
+} // namespace coriandergate::dispatch
--- a/src/admission/ServiceTimeHistogram.h
+++ b/src/dispatch/ServiceTimeHistogram.h
@@ -14,7 +14,7 @@
 #include <cstddef>
 #include <cstdint>
 
-namespace coriandergate::admission {
+namespace coriandergate::dispatch {
 
 // ServiceTimeHistogram holds bucket counts, a moving average and a cached 95th percentile.
 class ServiceTimeHistogram {
@@ -46,4 +46,4 @@
     MonotonicDuration m_p95 = MonotonicDuration::zero();
 };
 
-} // namespace coriandergate::admission
+} // namespace coriandergate::dispatch
--- a/src/health/ServiceTimeHistogram.h
+++ b/src/health/ServiceTimeHistogram.h
@@ -2,7 +2,7 @@
 //
 // Bucket numbers are proportional to the logarithm of the time, two buckets for each doubling. So a target that is k
 // times slower than its peers has the same histogram, shifted by 2*log2(k) buckets. Used to compare the times of
-// targets and of network paths; admission::ServiceTimeHistogram estimates the times of coming requests.
+// targets and of network paths; dispatch::ServiceTimeHistogram estimates the times of coming requests.
 //
 //   ServiceTimeHistogram histogram;
 //   histogram.add(std::chrono::milliseconds(4));
--- a/src/relay/EntryContext.h
+++ b/src/relay/EntryContext.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include "dispatch/CallRatio.h"
+#include "dispatch/Hedging.h"
 #include "dispatch/LoadBalancer.h"
 #include "dispatch/ResponseSizes.h"
 #include "dispatch/RetryBudget.h"
@@ -100,6 +101,7 @@
     std::map<std::string, dispatch::RetryBudget::CallsPerRequest> callsPerRequest; // by service, as last reported
     std::map<std::string, std::uint64_t> splitPositions; // by route name
     dispatch::ResponseSizes responseSizes { {} };
+    dispatch::Hedging hedging { {} };
     std::shared_ptr<OpenRequests> openRequests = std::make_shared<OpenRequests>();
     std::optional<MonotonicTime> shutdownDeadline; // set at shutdown; every request gets its response by then
     std::optional<MonotonicTime> callerPortClosesAt; // set at shutdown; requests that arrive later are refused
--- a/src/relay/EntryCounters.h
+++ b/src/relay/EntryCounters.h
@@ -23,6 +23,8 @@
         latencyBuckets {}; // of answered requests; the last bucket is unbounded
     double latencySumMs = 0;
     std::uint64_t retries = 0; // attempts sent beyond the first of a request
+    std::uint64_t hedges = 0; // second attempts beside a first one that was still running
+    std::uint64_t hedgesWon = 0; // those whose response the caller got
     std::uint64_t pathFailures = 0; // attempts to reserve a slot to which the peer did not respond
 
     auto recordLatency(std::chrono::milliseconds requestLatency) -> void
--- a/src/relay/EntryRequest.cpp
+++ b/src/relay/EntryRequest.cpp
@@ -2,6 +2,7 @@
 
 #include "http/Exchange.h"
 #include "http/Status.h"
+#include "log/Event.h"
 #include "relay/AttemptEvent.h"
 #include "relay/CallerResponse.h"
 #include "relay/CrashReporter.h"
@@ -15,6 +16,21 @@
 
 using std::chrono::milliseconds;
 
+namespace {
+
+    const log::Event hedgeStarted {
+        1985, log::Severity::Info, "second attempt started",
+        "a repeatable request whose first attempt runs for long also runs at another target; its first response counts"
+    };
+
+    auto isSuccess(const TargetAttempt::RunResult& result) -> bool
+    {
+        const auto* ended = std::get_if<TargetAttempt::Ended>(&result);
+        return ended && ended->outcome == RunOutcome::Answered && ended->response.status < http::firstServerError;
+    }
+
+} // namespace
+
 auto EntryRequest::start(EntryContext& context, std::shared_ptr<http::Exchange> exchange) -> void
 {
     const auto request = std::make_shared<EntryRequest>(context, std::move(exchange));
@@ -147,6 +163,7 @@
         m_priority = std::min(m_priority, m_admitted.snapshot->highestPriority(m_service));
     const auto now = monotonicNow();
     m_context.retryBudget.recordRequest(m_service, now);
+    m_context.hedging.recordRequest(m_service);
     if (m_admitted.isCallFromTarget() && m_service != m_context.service)
         m_context.callRatio.recordCall(m_service, now);
     removeUnforwardedHeaders(m_context.headers, m_exchange->request().headers);
@@ -159,13 +176,17 @@
     const bool mayProbe = m_admitted.isIdempotent() && m_attempts == 0 && m_admitted.route->maximumAttempts > 1
         && m_context.retryBudget.canAcquire(m_service, m_context.callsPerRequest[m_service],
             dispatch::RetryBudget::RetryClass::Probe, m_context.hostCount, now);
-    return m_context.loadBalancer.choose(
-        { .service = m_service,
-            .mayProbe = mayProbe,
-            .distanceFactor = m_context.responseSizes.distanceFactor(m_admitted.route->name),
-            .excluded = m_search.excluded(),
-            .excludedIds = m_search.excludedIds() },
-        now, m_context.random());
+    auto criteria = targetCriteria();
+    criteria.mayProbe = mayProbe;
+    return m_context.loadBalancer.choose(criteria, now, m_context.random());
+}
+
+auto EntryRequest::targetCriteria() const -> dispatch::LoadBalancer::Criteria
+{
+    return { .service = m_service,
+        .distanceFactor = m_context.responseSizes.distanceFactor(m_admitted.route->name),
+        .excluded = m_search.excluded(),
+        .excludedIds = m_search.excludedIds() };
 }
 
 auto EntryRequest::tryNextTarget() -> void
@@ -229,6 +250,9 @@
         std::exchange(m_retryBorrower, nullptr)->cancel();
     if (m_crashReporter)
         std::exchange(m_crashReporter, nullptr)->detach();
+    m_waitTimer.cancel();
+    m_hedge = nullptr;
+    m_firstResult.reset();
     m_attempt = nullptr;
 }
 
@@ -352,9 +376,8 @@
     retryOrFinish(http::makeAnswer(http::statusBadGateway, "text/plain", std::string(why)), why);
 }
 
-auto EntryRequest::sendRequest() -> void
+auto EntryRequest::makeRunRequest(MonotonicTime now) const -> RunRequest
 {
-    const auto now = monotonicNow();
     RunRequest message { .request = m_exchange->request(),
         .requestId = m_requestId,
         .callerService = m_context.service,
@@ -365,7 +388,13 @@
         .expiresAt = {} };
     if (const auto storeTime = m_context.configurationFreshness.storeTime(SuspendAwareClock::now()))
         message.expiresAt = *storeTime + message.timeLeft;
-    const bool isSent = m_attempt->run(message,
+    return message;
+}
+
+auto EntryRequest::sendRequest() -> void
+{
+    m_attemptStartedAt = monotonicNow();
+    const bool isSent = m_attempt->run(makeRunRequest(m_attemptStartedAt),
         [self = shared_from_this()](TargetAttempt::RunResult result) { self->onRunResult(std::move(result)); });
     if (!isSent) {
         m_search.exclude(m_attempt->target().address);
@@ -375,6 +404,119 @@
     }
     if (m_attempts++ > 0)
         ++m_context.counters.retries;
+    else
+        armHedgeTimer();
+}
+
+auto EntryRequest::armHedgeTimer() -> void
+{
+    if (!m_admitted.isIdempotent())
+        return;
+    const auto delay = m_context.hedging.delay({ .route = m_admitted.route->name,
+        .targetLatencyLeft = targetLatencyLeft(m_attemptStartedAt),
+        .timeLeft = m_admitted.timeLeft(m_attemptStartedAt) });
+    if (!delay)
+        return;
+    m_waitTimer.expires_after(*delay);
+    m_waitTimer.async_wait([weak = weak_from_this()](const boost::system::error_code& error) {
+        const auto self = weak.lock();
+        if (!error && self && !self->m_isDone)
+            self->startHedge();
+    });
+}
+
+auto EntryRequest::mayHedge(MonotonicTime now) const -> bool
+{
+    auto& context = m_context;
+    return m_attempt && m_attempts == 1 && m_admitted.route->maximumAttempts > 1 && !isTooLateBeforeShutdown(now)
+        && !m_admitted.isKeyRevokedBy(context.snapshot) && !m_crashGuard.isKnownToCrash()
+        && context.hedging.canAcquire(m_service, context.loadBalancer.meanUtilization(m_service, now))
+        && context.retryBudget.canAcquire(m_service, context.callsPerRequest[m_service],
+            dispatch::RetryBudget::RetryClass::Probe, context.hostCount, now);
+}
+
+// Starts a second attempt at another target that is sound and has a free slot, if there is one.
+auto EntryRequest::startHedge() -> void
+{
+    const auto now = monotonicNow();
+    if (!mayHedge(now))
+        return;
+    auto excluded = m_search.excluded();
+    std::vector<std::string> tried(excluded.begin(), excluded.end());
+    tried.push_back(m_attempt->target().address);
+    auto criteria = targetCriteria();
+    criteria.excluded = tried;
+    auto target = m_context.loadBalancer.choose(criteria, now, m_context.random());
+    if (!target || target->isFailing || m_context.loadBalancer.estimatedUtilization(*target, 0, now) >= 1)
+        return;
+    m_hedge = std::make_unique<HedgedAttempt>(m_context, std::move(target), m_requestId);
+    m_hedge->start({ .requestId = m_requestId,
+                       .service = m_service,
+                       .priority = m_priority,
+                       .isIdempotent = true,
+                       .targetLatencyLeft = targetLatencyLeft(now) },
+        { .makeRun = [this] { return makeHedgeRequest(); },
+            .onGivenUp = [self = shared_from_this()] { self->m_hedge = nullptr; },
+            .onEnded = [self = shared_from_this()](
+                           TargetAttempt::RunResult result) { self->onHedgeEnded(std::move(result)); } });
+}
+
+auto EntryRequest::makeHedgeRequest() -> std::optional<RunRequest>
+{
+    const auto now = monotonicNow();
+    const auto utilization = m_context.loadBalancer.meanUtilization(m_service, now);
+    const bool isAllowed = !m_firstResult && mayHedge(now)
+        && m_context.retryBudget.tryAcquire(m_service, m_context.callsPerRequest[m_service],
+            dispatch::RetryBudget::RetryClass::Probe, m_context.hostCount, now)
+        && m_context.hedging.tryAcquire(m_service, utilization);
+    if (!isAllowed)
+        return std::nullopt;
+    ++m_attempts;
+    ++m_context.counters.hedges;
+    log::logEvent(hedgeStarted,
+        { { "request", m_requestId }, { "route", m_admitted.route->name }, { "peer", m_hedge->target().address },
+            { "first-peer", m_attempt->target().address },
+            { "after-ms",
+                std::to_string(std::chrono::duration_cast<milliseconds>(now - m_attemptStartedAt).count()) } });
+    return makeRunRequest(now);
+}
+
+auto EntryRequest::onHedgeEnded(TargetAttempt::RunResult result) -> void
+{
+    const auto target = m_hedge->target();
+    m_hedge = nullptr;
+    if (m_isDone)
+        return;
+    m_search.exclude(target.address);
+    if (isSuccess(result)) {
+        ++m_context.counters.hedgesWon;
+        endAttempt();
+        onTargetResponse(std::get<TargetAttempt::Ended>(std::move(result)).response);
+        return;
+    }
+    recordHedgeFailure(std::move(result), target);
+    if (auto first = std::exchange(m_firstResult, std::nullopt))
+        onRunResult(std::move(*first));
+}
+
+auto EntryRequest::recordHedgeFailure(
+    TargetAttempt::RunResult result, const dispatch::LoadBalancer::Description& target) -> void
+{
+    auto* ended = std::get_if<TargetAttempt::Ended>(&result);
+    const auto outcome = ended ? ended->outcome : RunOutcome::MayHaveRun;
+    if (outcome == RunOutcome::NotRun)
+        m_search.recordRejection(target);
+    if (outcome == RunOutcome::NotSent) {
+        --m_attempts;
+        m_hasUnusedRetry = true;
+    }
+    if (outcome == RunOutcome::NotRun || outcome == RunOutcome::NotSent)
+        return;
+    m_mayHaveRun = true;
+    if (outcome == RunOutcome::ConnectionLost)
+        m_crashGuard.reportCrash(target.address, nullptr);
+    if (outcome == RunOutcome::Answered)
+        m_lastErrorResponse = std::move(ended->response);
 }
 
 // Takes back an attempt that did not reach the target. Its charge on the retry budget covers the next attempt.
@@ -390,6 +532,10 @@
 {
     if (m_isDone)
         return;
+    if (!isSuccess(result) && m_hedge && m_hedge->isRunning()) {
+        m_firstResult = std::move(result); // decides once the second attempt has failed too
+        return;
+    }
     m_search.exclude(m_attempt->target().address);
     if (auto* ended = std::get_if<TargetAttempt::Ended>(&result))
         onRunEnded(std::move(*ended));
@@ -436,7 +582,10 @@
 auto EntryRequest::onTargetResponse(http::Answer response) -> void
 {
     if (response.status < http::firstServerError) {
-        m_context.responseSizes.record(m_admitted.route->name, response.body.size());
+        const auto& route = m_admitted.route->name;
+        m_context.responseSizes.record(route, response.body.size());
+        m_context.hedging.recordResponse(
+            route, std::chrono::duration_cast<milliseconds>(monotonicNow() - m_attemptStartedAt));
         m_crashGuard.recordSuccess();
         finish(std::move(response), answeredReason);
         return;
--- a/src/relay/EntryRequest.h
+++ b/src/relay/EntryRequest.h
@@ -10,6 +10,7 @@
 #include "dispatch/TargetSearch.h"
 #include "relay/CrashGuard.h"
 #include "relay/EntryContext.h"
+#include "relay/HedgedAttempt.h"
 #include "relay/RequestAdmission.h"
 #include "relay/TargetAttempt.h"
 
@@ -60,6 +61,7 @@
     auto prepareForwarding() -> void;
     auto tryNextTarget() -> void;
     [[nodiscard]] auto chooseTarget() -> dispatch::LoadBalancer::TargetPointer;
+    [[nodiscard]] auto targetCriteria() const -> dispatch::LoadBalancer::Criteria;
     auto reserveSlot(dispatch::LoadBalancer::TargetPointer target) -> void;
     auto onSlotResult(const TargetAttempt::SlotResult& result) -> void;
     auto onSlotRefused(const TargetAttempt::SlotRefused& refusal) -> void;
@@ -71,7 +73,15 @@
     auto onCrash(const std::string& target) -> void;
     auto onCrashesCounted(std::optional<std::size_t> crashes) -> void;
     auto stopTrying(std::string_view why) -> void;
+    [[nodiscard]] auto makeRunRequest(MonotonicTime now) const -> RunRequest;
     auto sendRequest() -> void;
+    auto armHedgeTimer() -> void;
+    [[nodiscard]] auto mayHedge(MonotonicTime now) const -> bool;
+    auto startHedge() -> void;
+    // makeHedgeRequest() charges the second attempt to its budgets; nothing if it must not be sent any more.
+    [[nodiscard]] auto makeHedgeRequest() -> std::optional<RunRequest>;
+    auto onHedgeEnded(TargetAttempt::RunResult result) -> void;
+    auto recordHedgeFailure(TargetAttempt::RunResult result, const dispatch::LoadBalancer::Description& target) -> void;
     auto undoAttempt() -> void;
     auto onRunResult(TargetAttempt::RunResult result) -> void;
     auto onRunEnded(TargetAttempt::Ended ended) -> void;
@@ -99,10 +109,13 @@
     int m_priority = 0;
     MonotonicTime m_receivedAt;
     boost::asio::steady_timer m_deadlineTimer;
-    boost::asio::steady_timer m_waitTimer;
+    boost::asio::steady_timer m_waitTimer; // for the configuration, between searches, and before a second attempt
     dispatch::TargetSearch m_search;
     CrashGuard m_crashGuard;
     std::unique_ptr<TargetAttempt> m_attempt; // under way
+    MonotonicTime m_attemptStartedAt; // when the request was sent to the target of m_attempt
+    std::unique_ptr<HedgedAttempt> m_hedge; // second attempt beside m_attempt
+    std::optional<TargetAttempt::RunResult> m_firstResult; // failure of m_attempt while m_hedge runs
     std::shared_ptr<RateLimitCheck> m_rateLimitCheck; // set once the owners of the rate limit are asked
     std::shared_ptr<RetryBorrower> m_retryBorrower; // set once other hosts are asked to lend a retry
     std::size_t m_attempts = 0; // sent, except those that certainly did not reach a target
--- a/src/sidecar/HostSettings.h
+++ b/src/sidecar/HostSettings.h
@@ -12,6 +12,9 @@
 
 namespace coriandergate::sidecar {
 
+// More second attempts than this would take the retry budget from requests that failed.
+inline constexpr double maximumHedgingLimit = 0.2;
+
 // HostSettings is a value; each field has its unit in its type or comment.
 struct HostSettings {
     std::string hostName;
@@ -40,6 +43,7 @@
     std::chrono::milliseconds retryBudgetWindow { 10000 };
     double retryBudgetRatio = 0.2; // retries allowed per request
     double retryBudgetAllowance = 64; // additional retries per window, over all hosts
+    double hedgingLimit = 0; // second attempts per request to a service, 0 to maximumHedgingLimit; 0 for none
 
     friend auto operator==(const HostSettings&, const HostSettings&) -> bool = default;
 };
--- a/src/sidecar/RunSidecar.cpp
+++ b/src/sidecar/RunSidecar.cpp
@@ -9,6 +9,7 @@
 
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <charconv>
 #include <csignal>
 #include <cstdlib>
 #include <docopt/docopt.h>
@@ -32,6 +33,7 @@
 
 Usage:
   coriandergate-sidecar [--settings=FILE] [--log-level=LEVEL] [--peer-address=ADDRESS]
+                        [--hedging=SHARE]
   coriandergate-sidecar --check-settings [--settings=FILE]
   coriandergate-sidecar --event-catalogue
   coriandergate-sidecar (-h | --help)
@@ -41,6 +43,8 @@
   --settings=FILE     the settings file; by default the path in CORIANDERGATE_BOOT
   --log-level=LEVEL   minimum severity of log lines: 0 info, 1 warning, 2 error [default: 0]
   --peer-address=ADDRESS  IP address and port that other daemons connect to, if not the listening address
+  --hedging=SHARE     second attempts of slow repeatable requests that the daemon may send to a service, as a share of
+                      its requests there: 0 (none) to 0.2 [default: 0]
   --check-settings    check the settings, print the errors, and exit
   --event-catalogue   print all log events, and exit
 )";
@@ -55,6 +59,17 @@
         return path ? path : "";
     }
 
+    auto parseHedgingLimit(const std::string& text, Error& reason) -> std::optional<double>
+    {
+        double limit = 0;
+        const auto end = text.data() + text.size();
+        const auto parsed = std::from_chars(text.data(), end, limit);
+        if (parsed.ec == std::errc {} && parsed.ptr == end && limit >= 0 && limit <= maximumHedgingLimit)
+            return limit;
+        reason = { "read arguments", "--hedging", "'" + text + "' must be a number from 0 to 0.2" };
+        return std::nullopt;
+    }
+
     // Period of the check for changes of the file without a signal, which aren't urgent.
     constexpr std::chrono::seconds settingsCheckPeriod { 5 };
 
@@ -112,11 +127,12 @@
             m_lastRead = settings;
         }
 
-        // The address comes from the command line, and later starts don't concern a running daemon.
+        // The address and the limit come from the command line, and later starts don't concern a running daemon.
         auto keepStartSettings(HostSettings& settings) const -> void
         {
             settings.peerAddress = m_activeSettings.peerAddress;
             settings.isFirstStart = m_activeSettings.isFirstStart;
+            settings.hedgingLimit = m_activeSettings.hedgingLimit;
         }
 
         boost::asio::signal_set m_signals;
@@ -178,6 +194,16 @@
             settings.reset();
         }
     }
+    if (settings) {
+        Error reason;
+        const auto limit = parseHedgingLimit(arguments.at("--hedging").asString(), reason);
+        if (limit) {
+            settings->hedgingLimit = *limit;
+        } else {
+            faults.push_back(reason);
+            settings.reset();
+        }
+    }
     for (const auto& fault : faults)
         std::cerr << fault.toText() << '\n';
     const auto level = arguments.at("--log-level").asString();
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -183,7 +183,8 @@
         .hostListFreshness = storeView.hostListFreshness(),
         .directory = storeView.directory(),
         .crashRegistry = crashRegistry,
-        .snapshot = nullptr }
+        .snapshot = nullptr,
+        .hedging = dispatch::Hedging({ .limit = settings.hedgingLimit }) }
     , configurationFeed(adapter, entryContext)
     , rowCleaner(io, storeView, loadBalancer, { .table = hostTable, .hostKey = hostKey, .locality = settings.locality })
     , rateLimitOwner(entryContext,
