Keep requests in the home regions of their route and account

Cause: home_regions of routes and tenants was ignored, so a request ran in any region that had room.

Change: routes and client accounts carry home regions; both bind (dispatch/HomeRegions). A target elsewhere is no candidate in any search, retry, probe or panic mode, and is checked again when the slot is granted, before the body leaves the entry, by the configuration in force then (relay/TargetChoice). A request to run carries the version of the entry's configuration; the daemon beside the target refuses it as not sent if it knows a newer one that keeps the request elsewhere (relay/LocalPlacement). Without a target at home a request is refused at once with Retry-After. A region that the settings don't name makes the configuration invalid, and the error names route or tenant and field.

Tests changed: LoadBalancer_test calls isInPanicMode() and meanUtilization() with criteria instead of a service's name; what they check is the same.

--- a/src/config/ClientAccount.h
+++ b/src/config/ClientAccount.h
@@ -15,6 +15,7 @@
     double burst = 1; // requests
     bool isUnlimited = false; // then neither rate nor burst holds
     std::optional<int> priority; // goes before the route's
+    std::vector<std::string> homeRegions; // the only regions in which its requests may be executed; empty: all
 
     friend auto operator==(const ClientAccount&, const ClientAccount&) -> bool = default;
 };
--- a/src/config/Route.h
+++ b/src/config/Route.h
@@ -39,6 +39,7 @@
     std::size_t maximumAttempts = 3; // targets that may run one request, when it is idempotent
     int priority = 0; // 0 is the most urgent
     std::vector<TrafficPart> split; // empty: all requests go to `service`
+    std::vector<std::string> homeRegions; // the only regions in which requests may be executed; empty: all
 
     friend auto operator==(const Route&, const Route&) -> bool = default;
 };
--- a/src/dispatch/LoadBalancer.cpp
+++ b/src/dispatch/LoadBalancer.cpp
@@ -53,9 +53,24 @@
     m_byAddress = std::move(byAddress);
 }
 
-auto LoadBalancer::meanUtilization(std::string_view service, MonotonicTime now) const -> double
+auto LoadBalancer::isEligible(const Description& target, const Criteria& criteria) -> bool
 {
-    const auto found = m_byService.find(service);
+    return !criteria.homes || criteria.homes->allows(target.locality.region);
+}
+
+auto LoadBalancer::earliestUse(const Criteria& criteria) const -> std::optional<MonotonicTime>
+{
+    std::optional<MonotonicTime> earliest;
+    for (const auto& target : eligibleTargets(criteria)) {
+        if (!target->description.isDraining)
+            earliest = std::min(earliest.value_or(target->unavailableUntil), target->unavailableUntil);
+    }
+    return earliest;
+}
+
+auto LoadBalancer::meanUtilization(const Criteria& criteria, MonotonicTime now) const -> double
+{
+    const auto found = m_byService.find(criteria.service);
     if (found == m_byService.end())
         return 0;
     double sum = 0;
@@ -63,6 +78,8 @@
     for (const auto& target : found->second) {
         if (target->loadReportedAt == MonotonicTime {} || now > target->loadReportedAt + 2 * m_options.loadHalfLife)
             continue;
+        if (!isEligible(target->description, criteria))
+            continue;
         const auto slots = static_cast<double>(std::max<std::size_t>(1, target->load.slots));
         sum += static_cast<double>(target->load.running + target->load.waiting) / slots;
         ++count;
@@ -108,14 +125,20 @@
     return target.isFailing && now < target.nextProbeAt + m_options.failureExpiry;
 }
 
-auto LoadBalancer::isInPanicMode(std::string_view service, MonotonicTime now) const -> bool
+auto LoadBalancer::isInPanicMode(const Criteria& criteria, MonotonicTime now) const -> bool
 {
-    const auto found = m_byService.find(service);
+    const auto found = m_byService.find(criteria.service);
     if (found == m_byService.end())
         return false;
-    const auto failing = std::count_if(found->second.begin(), found->second.end(),
-        [this, now](const TargetPointer& target) { return isKnownToFail(*target, now); });
-    return static_cast<double>(failing) > m_options.panicThreshold * static_cast<double>(found->second.size());
+    std::size_t eligible = 0;
+    std::size_t failing = 0;
+    for (const auto& target : found->second) {
+        if (!isEligible(target->description, criteria))
+            continue;
+        ++eligible;
+        failing += isKnownToFail(*target, now) ? 1 : 0;
+    }
+    return static_cast<double>(failing) > m_options.panicThreshold * static_cast<double>(eligible);
 }
 
 auto LoadBalancer::isAmong(
@@ -129,14 +152,15 @@
     const auto found = m_byService.find(criteria.service);
     if (found == m_byService.end())
         return nullptr;
-    const bool isPanicMode = isInPanicMode(criteria.service, now);
-    const double mean = meanUtilization(criteria.service, now);
+    const bool isPanicMode = isInPanicMode(criteria, now);
+    const double mean = meanUtilization(criteria, now);
     TargetPointer best;
     double lowestCost = unusableCost;
     std::uint64_t index = 0;
     for (const auto& target : found->second) {
         ++index;
-        if (isAmong(target->description, criteria.excluded, criteria.excludedIds))
+        if (!isEligible(target->description, criteria)
+            || isAmong(target->description, criteria.excluded, criteria.excludedIds))
             continue;
         const auto tieBreak = static_cast<double>(mixBits(random + index) >> 40) / static_cast<double>(1ULL << 24);
         const double targetCost = cost(*target, criteria, mean, isPanicMode, now) + tieBreakWeight * tieBreak;
@@ -217,4 +241,11 @@
     return found == m_byService.end() ? std::vector<TargetPointer> {} : found->second;
 }
 
+auto LoadBalancer::eligibleTargets(const Criteria& criteria) const -> std::vector<TargetPointer>
+{
+    auto eligible = targets(criteria.service);
+    std::erase_if(eligible, [&](const TargetPointer& target) { return !isEligible(target->description, criteria); });
+    return eligible;
+}
+
 } // namespace coriandergate::dispatch
--- a/src/dispatch/LoadBalancer.h
+++ b/src/dispatch/LoadBalancer.h
@@ -19,6 +19,7 @@
 
 #include "base/Clock.h"
 #include "base/Locality.h"
+#include "dispatch/HomeRegions.h"
 #include "dispatch/TargetLoad.h"
 
 #include <chrono>
@@ -85,8 +86,13 @@
         double distanceFactor = 1; // scales the distance penalties, for responses that are costly to transfer
         std::span<const std::string> excluded; // addresses that were tried already
         std::span<const std::string> excludedIds; // ids of targets and keys of hosts, at whatever address
+        const HomeRegions* homes = nullptr; // null: anywhere
     };
 
+    // isEligible() returns whether a request may go to `target`, whatever the state and the load of the target are.
+    // What is said of the targets of a service for a request is said of the eligible ones.
+    [[nodiscard]] static auto isEligible(const Description& target, const Criteria& criteria) -> bool;
+
     // isAmong() says that a target has one of `addresses`, or that its id or the key of its host is one of `ids`.
     [[nodiscard]] static auto isAmong(
         const Description& target, std::span<const std::string> addresses, std::span<const std::string> ids) -> bool;
@@ -96,8 +102,12 @@
     // setTargets() replaces the announced targets; the state of those that remain is kept.
     auto setTargets(const std::vector<Description>& descriptions) -> void;
 
-    // isInPanicMode() returns whether so many targets of `service` fail that failing ones are used too.
-    [[nodiscard]] auto isInPanicMode(std::string_view service, MonotonicTime now) const -> bool;
+    // isInPanicMode() returns whether so many targets fail that failing ones are used too.
+    [[nodiscard]] auto isInPanicMode(const Criteria& criteria, MonotonicTime now) const -> bool;
+
+    // earliestUse() is when the first target that isn't draining may be tried, which may have passed; nothing if there
+    // is none.
+    [[nodiscard]] auto earliestUse(const Criteria& criteria) const -> std::optional<MonotonicTime>;
 
     // choose() returns the target with the lowest cost, or null. `random` breaks ties.
     [[nodiscard]] auto choose(const Criteria& criteria, MonotonicTime now, std::uint64_t random) const -> TargetPointer;
@@ -129,10 +139,11 @@
     [[nodiscard]] auto estimatedUtilization(const Target& target, double meanUtilization, MonotonicTime now) const
         -> double;
 
-    // meanUtilization() is the mean of the recent load reports of the targets of `service`; 0 if there are none.
-    [[nodiscard]] auto meanUtilization(std::string_view service, MonotonicTime now) const -> double;
+    // meanUtilization() is the mean of the recent load reports of the targets; 0 if there are none.
+    [[nodiscard]] auto meanUtilization(const Criteria& criteria, MonotonicTime now) const -> double;
 
     [[nodiscard]] auto targets(std::string_view service) const -> std::vector<TargetPointer>;
+    [[nodiscard]] auto eligibleTargets(const Criteria& criteria) const -> std::vector<TargetPointer>;
 
 private:
     [[nodiscard]] auto isKnownToFail(const Target& target, MonotonicTime now) const -> bool;
--- a/src/dispatch/LoadBalancer_test.cpp
+++ b/src/dispatch/LoadBalancer_test.cpp
@@ -90,8 +90,8 @@
     CHECK(chosen(balancer, at(0ms)) != "a");
     reportLoad(balancer, "b", 4, at(10000ms));
     reportLoad(balancer, "c", 1, at(10000ms));
-    CHECK(balancer.estimatedUtilization(
-              *balancer.targets("ledger")[0], balancer.meanUtilization("ledger", at(10000ms)), at(10000ms))
+    CHECK(balancer.estimatedUtilization(*balancer.targets("ledger")[0],
+              balancer.meanUtilization({ .service = "ledger" }, at(10000ms)), at(10000ms))
         == Approx(0.5).epsilon(0.01));
 }
 
@@ -154,8 +154,8 @@
 {
     auto balancer = makeBalancer({ describe("a", local) });
     balancer.recordFailing(*balancer.targets("ledger").front(), 500ms, at(0ms));
-    CHECK(balancer.isInPanicMode("ledger", at(1499ms)));
-    CHECK_FALSE(balancer.isInPanicMode("ledger", at(1500ms)));
+    CHECK(balancer.isInPanicMode({ .service = "ledger" }, at(1499ms)));
+    CHECK_FALSE(balancer.isInPanicMode({ .service = "ledger" }, at(1500ms)));
     CHECK(chosen(balancer, at(1500ms)) == "a");
 }
 
@@ -164,9 +164,9 @@
     auto balancer = makeBalancer({ describe("a", local), describe("b", local), describe("c", local) });
     const auto targets = balancer.targets("ledger");
     balancer.recordFailing(*targets[0], 500ms, at(0ms));
-    CHECK_FALSE(balancer.isInPanicMode("ledger", at(0ms)));
+    CHECK_FALSE(balancer.isInPanicMode({ .service = "ledger" }, at(0ms)));
     balancer.recordFailing(*targets[1], 500ms, at(0ms));
-    CHECK(balancer.isInPanicMode("ledger", at(0ms)));
+    CHECK(balancer.isInPanicMode({ .service = "ledger" }, at(0ms)));
     balancer.recordFailing(*targets[2], 500ms, at(0ms));
     CHECK_FALSE(chosen(balancer, at(0ms)).empty());
 }
@@ -196,4 +196,56 @@
     CHECK_FALSE(balancer.choose({ .service = "ledger", .excluded = excluded }, at(700ms), 1));
 }
 
+TEST_CASE("with the home region full, slow or failing, its requests still go nowhere else")
+{
+    const HomeRegions homes({ "west" });
+    const HomeRegions nowhere = homes.intersection(HomeRegions({ "north" }));
+    auto balancer = makeBalancer({ describe("a", local), describe("b", near), describe("c", far), describe("d", far) });
+    const LoadBalancer::Criteria criteria { .service = "ledger", .homes = &homes };
+    const auto countFar = [&](MonotonicTime now) -> int {
+        int count = 0;
+        for (std::uint64_t random = 0; random < 200; ++random) {
+            const auto target = balancer.choose(criteria, now, random);
+            count += target && target->description.locality.region != "west" ? 1 : 0;
+        }
+        return count;
+    };
+    for (const std::size_t running : { 0U, 5U, 50U }) {
+        const auto now = at(std::chrono::milliseconds(1000 * (running + 1)));
+        reportLoad(balancer, "a", running, now);
+        reportLoad(balancer, "b", running, now);
+        reportLoad(balancer, "c", 0, now);
+        CHECK(balancer.choose(criteria, now, 7));
+        CHECK(countFar(now) == 0);
+        CHECK(balancer.meanUtilization(criteria, now) == Approx(static_cast<double>(running) / slots));
+    }
+    const auto now = at(60s);
+    const auto targets = balancer.targets("ledger");
+    balancer.recordFailing(*targets[0], 5s, now);
+    balancer.recordFailing(*targets[1], 5s, now);
+    // Half of all targets fail, and all at home: the failing ones there are used.
+    CHECK_FALSE(balancer.isInPanicMode({ .service = "ledger" }, now));
+    CHECK(balancer.isInPanicMode(criteria, now));
+    CHECK(balancer.choose(criteria, now, 7));
+    CHECK(countFar(now) == 0);
+    balancer.recordPathFailure(*targets[0], now);
+    balancer.recordPathFailure(*targets[1], now);
+    CHECK_FALSE(balancer.choose(criteria, now, 7));
+    CHECK(balancer.earliestUse(criteria) == now + 700ms);
+    CHECK(balancer.earliestUse({ .service = "ledger" }) == MonotonicTime {});
+    CHECK(balancer.choose({ .service = "ledger" }, now, 7)->description.locality.region == "east");
+    CHECK_FALSE(balancer.choose({ .service = "ledger", .homes = &nowhere }, now, 7));
+    CHECK_FALSE(balancer.earliestUse({ .service = "ledger", .homes = &nowhere }));
+}
+
+TEST_CASE("a caller in another region than its homes is served from its homes")
+{
+    const HomeRegions homes({ "east" });
+    auto balancer = makeBalancer({ describe("a", local), describe("c", far), describe("odd", {}) });
+    CHECK(balancer.choose({ .service = "ledger", .homes = &homes }, at(0ms), 7)->description.address == "c");
+    LoadBalancer withoutLocality({});
+    withoutLocality.setTargets({ describe("a", local), describe("odd", {}) });
+    CHECK_FALSE(withoutLocality.choose({ .service = "ledger", .homes = &homes }, at(0ms), 7));
+}
+
 } // namespace coriandergate::dispatch
--- a/src/relay/CallerResponse.cpp
+++ b/src/relay/CallerResponse.cpp
@@ -4,6 +4,7 @@
 #include "log/Event.h"
 #include "relay/EntryContext.h"
 #include "relay/RequestAdmission.h"
+#include "relay/TargetChoice.h"
 
 #include <algorithm>
 #include <array>
@@ -47,6 +48,8 @@
 auto recordEnd(EntryContext& context, const EndOfRequest& end, SuspendAwareTime now) -> void
 {
     ++context.counters.endedByReason[std::to_string(end.status) + " " + std::string(end.reason)];
+    if (end.reason == noHomeTargetReason)
+        ++context.counters.refusedForHomes;
     if (end.reason == answeredReason)
         context.counters.recordLatency(end.latency);
     const auto& admitted = end.admitted;
--- a/src/relay/EntryContext.h
+++ b/src/relay/EntryContext.h
@@ -55,6 +55,12 @@
     // numbers of a route are a Weyl sequence: any run of them is spread evenly, more so than random numbers.
     [[nodiscard]] auto nextSplitPosition(const std::string& route) -> std::uint64_t;
 
+    // stopsBefore() returns whether the daemon stops, and its requests get their responses before `time`.
+    [[nodiscard]] auto stopsBefore(MonotonicTime time) const -> bool
+    {
+        return shutdownDeadline && time > *shutdownDeadline;
+    }
+
     struct Options {
         // The deployment has client accounts, so routes that aren't open need an API key whatever the configuration
         // says.
--- a/src/relay/EntryRequest.cpp
+++ b/src/relay/EntryRequest.cpp
@@ -48,18 +48,11 @@
     , m_deadlineTimer(context.io)
     , m_waitTimer(context.io)
     , m_search(context.options.search)
+    , m_choice(context, m_admitted, m_service)
     , m_crashGuard(context, m_exchange)
 {
 }
 
-auto EntryRequest::retryClass() const -> dispatch::RetryBudget::RetryClass
-{
-    using RetryClass = dispatch::RetryBudget::RetryClass;
-    const bool isUrgent = m_admitted.isCallFromTarget()
-        || m_admitted.route->priority <= m_admitted.snapshot->highestPriority(m_service);
-    return isUrgent ? RetryClass::HighPriority : RetryClass::LowPriority;
-}
-
 auto EntryRequest::targetLatencyLeft(MonotonicTime now) const -> milliseconds
 {
     return std::chrono::duration_cast<milliseconds>(m_receivedAt + m_admitted.route->targetLatency - now);
@@ -150,25 +143,9 @@
     removeUnforwardedHeaders(m_context.headers, m_exchange->request().headers);
 }
 
-auto EntryRequest::chooseTarget() -> dispatch::LoadBalancer::TargetPointer
-{
-    const auto now = monotonicNow();
-    // A failing target gets the request as a probe only if the request can be retried after the probe fails.
-    const bool mayProbe = m_admitted.isIdempotent() && m_attempts == 0 && m_admitted.route->maximumAttempts > 1
-        && m_context.retryBudget.canAcquire(m_service, m_context.callsPerRequest[m_service],
-            dispatch::RetryBudget::RetryClass::Probe, m_context.hostCount, now);
-    return m_context.loadBalancer.choose(
-        { .service = m_service,
-            .mayProbe = mayProbe,
-            .distanceFactor = m_context.responseSizes.distanceFactor(m_admitted.route->name),
-            .excluded = m_search.excluded(),
-            .excludedIds = m_search.excludedIds() },
-        now, m_context.random());
-}
-
 auto EntryRequest::tryNextTarget() -> void
 {
-    if (auto target = m_search.next([this] { return chooseTarget(); }))
+    if (auto target = m_search.next([this] { return m_choice.choose(m_search, m_attempts == 0, monotonicNow()); }))
         reserveSlot(std::move(target));
     else
         waitOrFinish();
@@ -177,7 +154,10 @@
 // No target is usable now. Searches again after a pause or ends the request.
 auto EntryRequest::waitOrFinish() -> void
 {
-    if (m_search.shouldPause(m_context.loadBalancer.targets(m_service), targetLatencyLeft(monotonicNow()))) {
+    const auto now = monotonicNow();
+    const auto latencyLeft = targetLatencyLeft(now);
+    const auto refusal = m_choice.refusal(latencyLeft, now);
+    if (!refusal && m_search.shouldPause(m_choice.targets(), latencyLeft)) {
         m_search.restartAfterPause();
         m_waitTimer.expires_after(dispatch::TargetSearch::s_pause);
         m_waitTimer.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
@@ -191,15 +171,11 @@
         finish(std::move(*m_lastErrorResponse), "the target's failure");
     else if (m_mayHaveRun)
         fail(http::statusBadGateway, "no target left after one may have run it");
+    else if (refusal && stopReason.empty())
+        refuse(*refusal);
     else
-        refuse({ http::statusUnavailable, stopReason.empty() ? "no slot in time" : stopReason, retryAfterOverload() });
-}
-
-auto EntryRequest::retryAfterOverload() -> milliseconds
-{
-    std::uniform_real_distribution<double> spread(0.5, 1.5);
-    return overloadRetryAfter(m_context, m_admitted.route->targetLatency,
-        m_context.loadBalancer.meanUtilization(m_service, monotonicNow()), spread(m_context.random));
+        refuse({ http::statusUnavailable, stopReason.empty() ? "no slot in time" : stopReason,
+            m_choice.retryAfterOverload(monotonicNow()) });
 }
 
 auto EntryRequest::reserveSlot(dispatch::LoadBalancer::TargetPointer target) -> void
@@ -213,7 +189,7 @@
         .isIdempotent = m_admitted.isIdempotent(),
         .targetLatencyLeft = latencyLeft,
         .maximumWait = m_search.maximumWait({ .toTargetLatency = latencyLeft, .toDeadline = m_admitted.timeLeft(now) }),
-        .acceptsFailingTarget = m_context.loadBalancer.isInPanicMode(m_service, now),
+        .acceptsFailingTarget = m_choice.isInPanicMode(now),
         .isPastTargetLatency = m_search.isPastTargetLatency() };
     m_attempt->reserve(
         message, [self = shared_from_this()](const TargetAttempt::SlotResult& result) { self->onSlotResult(result); });
@@ -254,6 +230,12 @@
 {
     if (refusal.reason == noSlotInTime)
         m_search.recordNoSlot();
+    tryElsewhere();
+}
+
+// Gives up the attempt, which sent nothing to its target.
+auto EntryRequest::tryElsewhere() -> void
+{
     m_search.exclude(m_attempt->target().address);
     endAttempt();
     tryNextTarget();
@@ -269,7 +251,8 @@
             refuse({ http::statusUnauthorized, "the key was withdrawn", std::nullopt });
         return;
     }
-    if (isTooLateBeforeShutdown(monotonicNow())) {
+    // A target that is still at work when the daemon ends is cut off, and its work is lost.
+    if (m_context.stopsBefore(monotonicNow() + m_admitted.route->targetLatency)) {
         stopTrying(shutdownReason);
         return;
     }
@@ -278,20 +261,14 @@
         return;
     }
     const bool isWithinBudget = m_attempts == 0 || std::exchange(m_hasUnusedRetry, false)
-        || m_context.retryBudget.tryAcquire(
-            m_service, m_context.callsPerRequest[m_service], retryClass(), m_context.hostCount, monotonicNow());
+        || m_context.retryBudget.tryAcquire(m_service, m_context.callsPerRequest[m_service],
+            m_admitted.retryClass(m_service), m_context.hostCount, monotonicNow());
     if (isWithinBudget)
         sendRequest();
     else
         borrowRetry();
 }
 
-// A target that is still at work when the daemon ends is cut off, and its work is lost.
-auto EntryRequest::isTooLateBeforeShutdown(MonotonicTime now) const -> bool
-{
-    return m_context.shutdownDeadline && now + m_admitted.route->targetLatency > *m_context.shutdownDeadline;
-}
-
 auto EntryRequest::borrowRetry() -> void
 {
     m_retryBorrower
@@ -352,6 +329,11 @@
 
 auto EntryRequest::sendRequest() -> void
 {
+    if (!m_choice.admits(m_attempt->target())) { // since the slot was reserved, the configuration has changed
+        m_hasUnusedRetry = m_attempts > 0;
+        tryElsewhere();
+        return;
+    }
     const auto now = monotonicNow();
     RunRequest message { .request = m_exchange->request(),
         .requestId = m_requestId,
@@ -360,15 +342,14 @@
         .isIdempotent = m_admitted.isIdempotent(),
         .timeLeft = m_admitted.timeLeft(now),
         .targetLatencyLeft = targetLatencyLeft(now),
-        .expiresAt = {} };
+        .expiresAt = {},
+        .configurationVersion = m_context.snapshot->configuration().version };
     if (const auto storeTime = m_context.configurationFreshness.storeTime(SuspendAwareClock::now()))
         message.expiresAt = *storeTime + message.timeLeft;
     const bool isSent = m_attempt->run(message,
         [self = shared_from_this()](TargetAttempt::RunResult result) { self->onRunResult(std::move(result)); });
     if (!isSent) {
-        m_search.exclude(m_attempt->target().address);
-        endAttempt();
-        tryNextTarget();
+        tryElsewhere();
         return;
     }
     if (m_attempts++ > 0)
@@ -465,7 +446,7 @@
     if (m_attempts > 0)
         fail(http::statusGatewayTimeout, "no answer in time");
     else
-        refuse({ http::statusUnavailable, "no slot before the deadline", retryAfterOverload() });
+        refuse({ http::statusUnavailable, "no slot before the deadline", m_choice.retryAfterOverload(monotonicNow()) });
 }
 
 auto EntryRequest::cancel() -> void
--- a/src/relay/EntryRequest.h
+++ b/src/relay/EntryRequest.h
@@ -12,6 +12,7 @@
 #include "relay/EntryContext.h"
 #include "relay/RequestAdmission.h"
 #include "relay/TargetAttempt.h"
+#include "relay/TargetChoice.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
@@ -59,13 +60,12 @@
     auto armDeadlineTimer() -> void;
     auto prepareForwarding() -> void;
     auto tryNextTarget() -> void;
-    [[nodiscard]] auto chooseTarget() -> dispatch::LoadBalancer::TargetPointer;
     auto reserveSlot(dispatch::LoadBalancer::TargetPointer target) -> void;
     auto onSlotResult(const TargetAttempt::SlotResult& result) -> void;
     auto onSlotRefused(const TargetAttempt::SlotRefused& refusal) -> void;
     auto onSlotUnreachable(const TargetAttempt::PathFailed& failed) -> void;
+    auto tryElsewhere() -> void;
     auto startAttempt() -> void;
-    [[nodiscard]] auto isTooLateBeforeShutdown(MonotonicTime now) const -> bool;
     auto borrowRetry() -> void;
     auto onRetryBudgetExhausted() -> void;
     auto onCrash(const std::string& target) -> void;
@@ -87,8 +87,6 @@
     auto finish(http::Answer response, std::string_view why) -> void;
     [[nodiscard]] auto targetLatencyLeft(MonotonicTime now) const -> std::chrono::milliseconds;
     [[nodiscard]] auto latency(MonotonicTime now) const -> std::chrono::milliseconds;
-    [[nodiscard]] auto retryClass() const -> dispatch::RetryBudget::RetryClass;
-    [[nodiscard]] auto retryAfterOverload() -> std::chrono::milliseconds;
 
     EntryContext& m_context;
     std::shared_ptr<EntryContext::OpenRequests> m_openRequests; // may outlive m_context
@@ -101,6 +99,7 @@
     boost::asio::steady_timer m_deadlineTimer;
     boost::asio::steady_timer m_waitTimer;
     dispatch::TargetSearch m_search;
+    TargetChoice m_choice;
     CrashGuard m_crashGuard;
     std::unique_ptr<TargetAttempt> m_attempt; // under way
     std::shared_ptr<RateLimitCheck> m_rateLimitCheck; // set once the owners of the rate limit are asked
--- a/src/relay/PeerMessages.cpp
+++ b/src/relay/PeerMessages.cpp
@@ -42,7 +42,8 @@
         RunIdempotent,
         RunTimeLeft,
         RunTargetLatencyLeft,
-        RunExpiresAt
+        RunExpiresAt,
+        RunConfigurationVersion // not sent by earlier releases
     };
 
     constexpr double percentPerUnit = 100;
@@ -100,7 +101,8 @@
     return http::makeCborRequest(runPath,
         json::array({ message.requestId, message.request.method, message.request.target, headers, body,
             message.callerService, message.clientAccount, message.isIdempotent, message.timeLeft.count(),
-            message.targetLatencyLeft.count(), message.expiresAt ? json(message.expiresAt->count()) : json() }));
+            message.targetLatencyLeft.count(), message.expiresAt ? json(message.expiresAt->count()) : json(),
+            message.configurationVersion }));
 }
 
 auto decodeRunRequest(const std::string& body, Error& reason) -> std::optional<RunRequest>
@@ -122,6 +124,8 @@
         message.targetLatencyLeft = milliseconds(value.at(RunTargetLatencyLeft).get<milliseconds::rep>());
         if (!value.at(RunExpiresAt).is_null())
             message.expiresAt = milliseconds(value.at(RunExpiresAt).get<milliseconds::rep>());
+        if (value.size() > RunConfigurationVersion)
+            message.configurationVersion = value.at(RunConfigurationVersion).get<std::uint64_t>();
     });
     return isDecoded ? std::optional(std::move(message)) : std::nullopt;
 }
--- a/src/relay/PeerMessages.h
+++ b/src/relay/PeerMessages.h
@@ -73,6 +73,7 @@
     std::chrono::milliseconds timeLeft { 0 }; // until the deadline
     std::chrono::milliseconds targetLatencyLeft { 0 };
     std::optional<std::chrono::milliseconds> expiresAt; // deadline on the store's clock, which both daemons know
+    std::uint64_t configurationVersion = 0; // by which the entry chose the target; 0 if it is of an earlier release
 };
 
 // RateLimitRequest asks an owner of the account's rate limit to grant one request.
--- a/src/relay/PolicySnapshot.cpp
+++ b/src/relay/PolicySnapshot.cpp
@@ -26,6 +26,7 @@
     };
     for (const auto& route : m_configuration->routes) {
         m_routesByHost[normalizeHost(route.host)].push_back(&route);
+        m_routes.emplace(route.name, &route);
         recordPriority(route.service, route.priority);
         for (const auto& part : route.split)
             recordPriority(part.service, route.priority);
@@ -54,6 +55,12 @@
     return m_configuration->requiresApiKeys || !m_configuration->clientAccounts.empty();
 }
 
+auto PolicySnapshot::route(std::string_view name) const -> const config::Route*
+{
+    const auto found = m_routes.find(name);
+    return found == m_routes.end() ? nullptr : found->second;
+}
+
 auto PolicySnapshot::clientAccount(std::string_view name) const -> const config::ClientAccount*
 {
     const auto found = m_clientAccounts.find(name);
--- a/src/relay/PolicySnapshot.h
+++ b/src/relay/PolicySnapshot.h
@@ -31,6 +31,9 @@
     // valid, so such routes are closed.
     [[nodiscard]] auto requiresApiKeys() const -> bool;
 
+    // route() returns the route called `name`, or null.
+    [[nodiscard]] auto route(std::string_view name) const -> const config::Route*;
+
     // clientAccount() returns the account called `name`, or null.
     [[nodiscard]] auto clientAccount(std::string_view name) const -> const config::ClientAccount*;
 
@@ -47,6 +50,7 @@
     config::KeyIndex m_keys;
     std::map<std::string, int, std::less<>> m_highestPriority; // by service
     std::map<std::string, const config::ClientAccount*, std::less<>> m_clientAccounts; // by name
+    std::map<std::string, const config::Route*, std::less<>> m_routes; // by name
     std::map<std::string, std::vector<const config::Route*>, std::less<>> m_routesByHost; // longest path prefix first
 };
 
--- a/src/relay/RequestAdmission.cpp
+++ b/src/relay/RequestAdmission.cpp
@@ -52,11 +52,30 @@
 
 } // namespace
 
+auto AdmittedRequest::retryClass(std::string_view service) const -> dispatch::RetryBudget::RetryClass
+{
+    using RetryClass = dispatch::RetryBudget::RetryClass;
+    const bool isUrgent = isCallFromTarget() || route->priority <= snapshot->highestPriority(service);
+    return isUrgent ? RetryClass::HighPriority : RetryClass::LowPriority;
+}
+
 auto AdmittedRequest::isKeyRevokedBy(const std::shared_ptr<const PolicySnapshot>& current) const -> bool
 {
     return clientAccount && current != snapshot && !current->keys().accountForKey(key);
 }
 
+auto AdmittedRequest::homes(const std::shared_ptr<const PolicySnapshot>& current) const -> dispatch::HomeRegions
+{
+    const bool hasChanged = current && current != snapshot;
+    const auto* currentRoute = hasChanged ? current->route(route->name) : route;
+    const auto* currentAccount
+        = hasChanged && clientAccount ? current->clientAccount(clientAccount->name) : clientAccount;
+    dispatch::HomeRegions homes((currentRoute ? currentRoute : route)->homeRegions);
+    if (!clientAccount)
+        return homes;
+    return homes.intersection(dispatch::HomeRegions((currentAccount ? currentAccount : clientAccount)->homeRegions));
+}
+
 auto removeUnforwardedHeaders(const HeaderNames& names, http::HeaderList& headers) -> void
 {
     http::removeHopByHop(headers);
--- a/src/relay/RequestAdmission.h
+++ b/src/relay/RequestAdmission.h
@@ -8,11 +8,14 @@
 #include "base/Clock.h"
 #include "config/ClientAccount.h"
 #include "config/Route.h"
+#include "dispatch/HomeRegions.h"
+#include "dispatch/RetryBudget.h"
 #include "relay/RequestRefusal.h"
 
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace coriandergate::http {
 class HeaderList;
@@ -40,9 +43,16 @@
     // another request: if the call fails, the calling request fails too and its work is lost.
     [[nodiscard]] auto isCallFromTarget() const -> bool { return !clientAccount; }
 
+    // retryClass() is the class of its retries at a target of `service`.
+    [[nodiscard]] auto retryClass(std::string_view service) const -> dispatch::RetryBudget::RetryClass;
+
     // isKeyRevokedBy() returns whether the key, which was valid on admission, is none of the `current` configuration.
     [[nodiscard]] auto isKeyRevokedBy(const std::shared_ptr<const PolicySnapshot>& current) const -> bool;
 
+    // homes() is where the request may be executed by the `current` configuration, or by that of its admission as far
+    // as the current one has the route or the account no longer.
+    [[nodiscard]] auto homes(const std::shared_ptr<const PolicySnapshot>& current) const -> dispatch::HomeRegions;
+
     [[nodiscard]] auto timeLeft(MonotonicTime now) const -> std::chrono::milliseconds
     {
         return std::chrono::duration_cast<std::chrono::milliseconds>(deadline - now);
--- a/src/relay/TargetRelay.cpp
+++ b/src/relay/TargetRelay.cpp
@@ -6,6 +6,7 @@
 #include "http/Serialize.h"
 #include "http/Status.h"
 #include "log/Event.h"
+#include "relay/LocalPlacement.h"
 
 #include <algorithm>
 
@@ -327,6 +328,11 @@
             "the target is leaving");
         return;
     }
+    if (const auto why = m_placement ? m_placement->objection(*message) : std::string_view {}; !why.empty()) {
+        finishRun(*run, std::nullopt);
+        reply(*run, RunOutcome::NotSent, http::makeAnswer(http::statusUnavailable, "text/plain", ""), why);
+        return;
+    }
     // The target may have started to fail after the slot was granted.
     if (m_health.isFailing() && !acceptsFailingTarget) {
         finishRun(*run, std::nullopt);
--- a/src/relay/TargetRelay.h
+++ b/src/relay/TargetRelay.h
@@ -33,6 +33,8 @@
 
 namespace coriandergate::relay {
 
+class LocalPlacement;
+
 // TargetRelay runs on the thread of its io_context.
 class TargetRelay {
 public:
@@ -76,6 +78,9 @@
     // deducted from the time left until its deadline.
     auto setStoreClock(StoreClock storeClock) -> void { m_storeClock = std::move(storeClock); }
 
+    // setPlacement() sets what decides by its place whether the target gets a request; it outlives the relay.
+    auto setPlacement(const LocalPlacement& placement) -> void { m_placement = &placement; }
+
     // running() is the number of occupied slots.
     [[nodiscard]] auto running() const -> std::size_t { return m_slots.load().running; }
     // loadReport() is the state of the target that entries receive with every response.
@@ -120,6 +125,7 @@
     dispatch::SlotQueue m_slots;
     dispatch::TargetHealth m_health;
     StoreClock m_storeClock;
+    const LocalPlacement* m_placement = nullptr; // null: every request
     boost::asio::steady_timer m_waitTimer;
     std::map<std::string, std::shared_ptr<Reservation>> m_reservations; // by connection
     std::set<std::string> m_expired; // connections whose granted slot was released before its request arrived
--- a/src/sidecar/Adapter.h
+++ b/src/sidecar/Adapter.h
@@ -11,6 +11,7 @@
 
 #include <functional>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 
@@ -34,7 +35,10 @@
     std::string readinessPath;
     std::string operatorTable; // the table of the store that operators write
     std::string configurationKey; // the key of the configuration's row in that table
-    std::function<std::optional<config::Configuration>(const std::string& text, Error& reason)> decodeConfiguration;
+    // Home regions that aren't among `knownRegions` are a fault; if it is empty, none is.
+    std::function<std::optional<config::Configuration>(
+        const std::string& text, Error& reason, const std::set<std::string>& knownRegions)>
+        decodeConfiguration;
     std::function<std::optional<ControlCall>(const http::Request& request, Error& reason)> decodeControlCall;
 };
 
--- a/src/sidecar/ConfigurationFeed.cpp
+++ b/src/sidecar/ConfigurationFeed.cpp
@@ -1,6 +1,7 @@
 #include "sidecar/ConfigurationFeed.h"
 
 #include "base/Error.h"
+#include "dispatch/HomeRegions.h"
 #include "log/Event.h"
 #include "relay/EntryContext.h"
 #include "sidecar/Adapter.h"
@@ -18,6 +19,28 @@
     const log::Event limitsChanged { 1933, log::Severity::Info, "limits of a client account changed",
         "the rate per second and the burst over all hosts; 0 for no limit" };
 
+    const log::Event homesChanged { 1965, log::Severity::Info, "home regions changed",
+        "the regions in which requests of the route or the client account are executed from now on; none for all" };
+
+    auto logHomes(std::string_view kind, const std::string& name, const std::vector<std::string>& regions) -> void
+    {
+        log::logEvent(homesChanged, { { kind, name }, { "regions", dispatch::HomeRegions(regions).toText() } });
+    }
+
+    auto logChangedHomes(const relay::PolicySnapshot* before, const config::Configuration& after) -> void
+    {
+        for (const auto& route : after.routes) {
+            const auto* known = before ? before->route(route.name) : nullptr;
+            if (route.homeRegions != (known ? known->homeRegions : std::vector<std::string> {}))
+                logHomes("route", route.name, route.homeRegions);
+        }
+        for (const auto& account : after.clientAccounts) {
+            const auto* known = before ? before->clientAccount(account.name) : nullptr;
+            if (account.homeRegions != (known ? known->homeRegions : std::vector<std::string> {}))
+                logHomes("account", account.name, account.homeRegions);
+        }
+    }
+
     auto logChangedLimits(const relay::PolicySnapshot& before, const config::Configuration& after) -> void
     {
         for (const auto& account : after.clientAccounts) {
@@ -45,7 +68,7 @@
 auto ConfigurationFeed::applyConfiguration(const fleet::StoreRow& row) -> bool
 {
     Error reason;
-    auto configuration = m_adapter.decodeConfiguration(row.value, reason);
+    auto configuration = m_adapter.decodeConfiguration(row.value, reason, m_knownRegions);
     if (!configuration) {
         log::logEvent(configurationRejected, { { "reason", reason.toText() } });
         return false;
@@ -56,6 +79,7 @@
         return false;
     if (snapshot)
         logChangedLimits(*snapshot, *configuration);
+    logChangedHomes(snapshot.get(), *configuration);
     snapshot = std::make_shared<const relay::PolicySnapshot>(std::move(*configuration));
     const auto& applied = snapshot->configuration();
     log::logEvent(configurationApplied,
--- a/src/sidecar/ConfigurationFeed.h
+++ b/src/sidecar/ConfigurationFeed.h
@@ -1,11 +1,14 @@
 // Puts the operators' rows of the store in force.
 //
-//   ConfigurationFeed feed(adapter, entryContext);
+//   ConfigurationFeed feed(adapter, settings.knownRegions(), entryContext);
 //   if (feed.apply(rows, isSnapshot)) ... // entryContext.snapshot is a new one
 #pragma once
 
 #include "fleet/StoreClient.h"
 
+#include <set>
+#include <string>
+#include <utility>
 #include <vector>
 
 namespace coriandergate::relay {
@@ -19,8 +22,10 @@
 // ConfigurationFeed is used on the thread of its context; the adapter and the context outlive it.
 class ConfigurationFeed {
 public:
-    ConfigurationFeed(const Adapter& adapter, relay::EntryContext& context)
+    // Home regions in a configuration must be among `knownRegions`, if there are any.
+    ConfigurationFeed(const Adapter& adapter, std::set<std::string> knownRegions, relay::EntryContext& context)
         : m_adapter(adapter)
+        , m_knownRegions(std::move(knownRegions))
         , m_context(context)
     {
     }
@@ -33,6 +38,7 @@
     auto applyConfiguration(const fleet::StoreRow& row) -> bool;
 
     const Adapter& m_adapter;
+    std::set<std::string> m_knownRegions;
     relay::EntryContext& m_context;
 };
 
--- a/src/sidecar/HostSettings.h
+++ b/src/sidecar/HostSettings.h
@@ -8,6 +8,8 @@
 
 #include <chrono>
 #include <cstddef>
+#include <map>
+#include <set>
 #include <string>
 
 namespace coriandergate::sidecar {
@@ -19,6 +21,7 @@
     Locality locality;
     bool isFirstStart = false; // of the whole deployment: no host has a row in the store yet
     std::size_t regionCount = 1; // of the whole deployment
+    std::map<std::string, std::string> regionByDataCentre; // of the whole deployment; empty if it isn't known
     std::string callerListenAddress; // for requests of callers on this host
     std::string peerListenAddress; // for requests of other daemons
     std::string peerAddress; // address that other daemons connect to; empty if it equals peerListenAddress
@@ -41,6 +44,15 @@
     double retryBudgetRatio = 0.2; // retries allowed per request
     double retryBudgetAllowance = 64; // additional retries per window, over all hosts
 
+    // knownRegions() are the regions of the whole deployment; empty if they aren't known.
+    [[nodiscard]] auto knownRegions() const -> std::set<std::string>
+    {
+        std::set<std::string> regions;
+        for (const auto& [dataCentre, region] : regionByDataCentre)
+            regions.insert(region);
+        return regions;
+    }
+
     friend auto operator==(const HostSettings&, const HostSettings&) -> bool = default;
 };
 
--- a/src/sidecar/MetricsPage.cpp
+++ b/src/sidecar/MetricsPage.cpp
@@ -90,6 +90,8 @@
         makeCounter("coriandergate_repeats_total", "runs beyond the first of a request", metrics.counters.retries),
         makeCounter("coriandergate_path_failures_total", "daemons beside targets that were not reached",
             metrics.counters.pathFailures),
+        makeCounter("coriandergate_refused_for_homes_total", "requests without a target in their home regions",
+            metrics.counters.refusedForHomes),
         makeCounter("coriandergate_target_connections_total", "connections opened to the target of this host",
             metrics.targetConnectionsOpened),
         makeCounter("coriandergate_hop_connections_total", "connections opened to other daemons",
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -13,6 +13,7 @@
 #include "net/HttpServer.h"
 #include "relay/CrashRegistry.h"
 #include "relay/EntryRequest.h"
+#include "relay/LocalPlacement.h"
 #include "relay/RateLimitOwner.h"
 #include "relay/TargetRelay.h"
 #include "sidecar/ConfigurationFeed.h"
@@ -120,6 +121,7 @@
     ConfigurationFeed configurationFeed;
     RowCleaner rowCleaner;
     relay::RateLimitOwner rateLimitOwner;
+    relay::LocalPlacement localPlacement;
     relay::TargetRelay targetRelay;
     net::HttpServer callerServer;
     net::HttpServer peerServer;
@@ -184,12 +186,13 @@
         .directory = storeView.directory(),
         .crashRegistry = crashRegistry,
         .snapshot = nullptr }
-    , configurationFeed(adapter, entryContext)
+    , configurationFeed(adapter, settings.knownRegions(), entryContext)
     , rowCleaner(io, storeView, loadBalancer, { .table = hostTable, .hostKey = hostKey, .locality = settings.locality })
     , rateLimitOwner(entryContext,
           { .limits = rateLimits(),
               .fraction = 1 / static_cast<double>(settings.regionCount * dispatch::rateLimitOwnersPerRegion) },
           monotonicNow())
+    , localPlacement(entryContext)
     , targetRelay(io, target, callRatio,
           { .headers = adapter.headers, .maximumBufferedAnswerBytes = maximumAnswerBytes(settings) })
     , callerServer(io, callerOptions(settings, {}),
@@ -222,6 +225,7 @@
     registration.setStoreClock([this] { return storeView.hostListFreshness().storeTime(SuspendAwareClock::now()); });
     crashRegistry.setStoreClock([this] { return storeView.hostListFreshness().storeTime(SuspendAwareClock::now()); });
     registration.onTargetChanged([this] { targetRelay.onTargetChanged(); });
+    targetRelay.setPlacement(localPlacement);
     if (!callerServer.listen(settings.callerListenAddress, reason)
         || !peerServer.listen(settings.peerListenAddress, reason)
         || !controlServer.listen(settings.controlListenAddress, reason)
