--- a/src/relay/EntryRequest.cpp
+++ b/src/relay/EntryRequest.cpp
@@ -64,18 +64,11 @@
     , m_deadlineTimer(context.io)
     , m_waitTimer(context.io)
     , m_search(context.options.search)
+    , m_choice(context, m_admitted, m_service)
     , m_crashGuard(context, m_exchange)
 {
 }
 
-auto EntryRequest::retryClass() const -> dispatch::RetryBudget::RetryClass
-{
-    using RetryClass = dispatch::RetryBudget::RetryClass;
-    const bool isUrgent = m_admitted.isCallFromTarget()
-        || m_admitted.route->priority <= m_admitted.snapshot->highestPriority(m_service);
-    return isUrgent ? RetryClass::HighPriority : RetryClass::LowPriority;
-}
-
 auto EntryRequest::targetLatencyLeft(MonotonicTime now) const -> milliseconds
 {
     return std::chrono::duration_cast<milliseconds>(m_receivedAt + m_admitted.route->targetLatency - now);
@@ -169,29 +162,9 @@
     removeUnforwardedHeaders(m_context.headers, m_exchange->request().headers);
 }
 
-auto EntryRequest::chooseTarget() -> dispatch::LoadBalancer::TargetPointer
-{
-    const auto now = monotonicNow();
-    // A failing target gets the request as a probe only if the request can be retried after the probe fails.
-    const bool mayProbe = m_admitted.isIdempotent() && m_attempts == 0 && m_admitted.route->maximumAttempts > 1
-        && m_context.retryBudget.canAcquire(m_service, m_context.callsPerRequest[m_service],
-            dispatch::RetryBudget::RetryClass::Probe, m_context.hostCount, now);
-    auto criteria = targetCriteria();
-    criteria.mayProbe = mayProbe;
-    return m_context.loadBalancer.choose(criteria, now, m_context.random());
-}
-
-auto EntryRequest::targetCriteria() const -> dispatch::LoadBalancer::Criteria
-{
-    return { .service = m_service,
-        .distanceFactor = m_context.responseSizes.distanceFactor(m_admitted.route->name),
-        .excluded = m_search.excluded(),
-        .excludedIds = m_search.excludedIds() };
-}
-
 auto EntryRequest::tryNextTarget() -> void
 {
-    if (auto target = m_search.next([this] { return chooseTarget(); }))
+    if (auto target = m_search.next([this] { return m_choice.choose(m_search, m_attempts == 0, monotonicNow()); }))
         reserveSlot(std::move(target));
     else
         waitOrFinish();
@@ -200,7 +173,10 @@
 // No target is usable now. Searches again after a pause or ends the request.
 auto EntryRequest::waitOrFinish() -> void
 {
-    if (m_search.shouldPause(m_context.loadBalancer.targets(m_service), targetLatencyLeft(monotonicNow()))) {
+    const auto now = monotonicNow();
+    const auto latencyLeft = targetLatencyLeft(now);
+    const auto refusal = m_choice.refusal(latencyLeft, now);
+    if (!refusal && m_search.shouldPause(m_choice.targets(), latencyLeft)) {
         m_search.restartAfterPause();
         m_waitTimer.expires_after(dispatch::TargetSearch::s_pause);
         m_waitTimer.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
@@ -214,15 +190,11 @@
         finish(std::move(*m_lastErrorResponse), "the target's failure");
     else if (m_mayHaveRun)
         fail(http::statusBadGateway, "no target left after one may have run it");
+    else if (refusal && stopReason.empty())
+        refuse(*refusal);
     else
-        refuse({ http::statusUnavailable, stopReason.empty() ? "no slot in time" : stopReason, retryAfterOverload() });
-}
-
-auto EntryRequest::retryAfterOverload() -> milliseconds
-{
-    std::uniform_real_distribution<double> spread(0.5, 1.5);
-    return overloadRetryAfter(m_context, m_admitted.route->targetLatency,
-        m_context.loadBalancer.meanUtilization(m_service, monotonicNow()), spread(m_context.random));
+        refuse({ http::statusUnavailable, stopReason.empty() ? "no slot in time" : stopReason,
+            m_choice.retryAfterOverload(monotonicNow()) });
 }
 
 auto EntryRequest::reserveSlot(dispatch::LoadBalancer::TargetPointer target) -> void
@@ -236,7 +208,7 @@
         .isIdempotent = m_admitted.isIdempotent(),
         .targetLatencyLeft = latencyLeft,
         .maximumWait = m_search.maximumWait({ .toTargetLatency = latencyLeft, .toDeadline = m_admitted.timeLeft(now) }),
-        .acceptsFailingTarget = m_context.loadBalancer.isInPanicMode(m_service, now),
+        .acceptsFailingTarget = m_choice.isInPanicMode(now),
         .isPastTargetLatency = m_search.isPastTargetLatency() };
     m_attempt->reserve(
         message, [self = shared_from_this()](const TargetAttempt::SlotResult& result) { self->onSlotResult(result); });
@@ -280,6 +252,12 @@
 {
     if (refusal.reason == noSlotInTime)
         m_search.recordNoSlot();
+    tryElsewhere();
+}
+
+// Gives up the attempt, which sent nothing to its target.
+auto EntryRequest::tryElsewhere() -> void
+{
     m_search.exclude(m_attempt->target().address);
     endAttempt();
     tryNextTarget();
@@ -295,7 +273,8 @@
             refuse({ http::statusUnauthorized, "the key was withdrawn", std::nullopt });
         return;
     }
-    if (isTooLateBeforeShutdown(monotonicNow())) {
+    // A target that is still at work when the daemon ends is cut off, and its work is lost.
+    if (m_context.stopsBefore(monotonicNow() + m_admitted.route->targetLatency)) {
         stopTrying(shutdownReason);
         return;
     }
@@ -304,20 +283,14 @@
         return;
     }
     const bool isWithinBudget = m_attempts == 0 || std::exchange(m_hasUnusedRetry, false)
-        || m_context.retryBudget.tryAcquire(
-            m_service, m_context.callsPerRequest[m_service], retryClass(), m_context.hostCount, monotonicNow());
+        || m_context.retryBudget.tryAcquire(m_service, m_context.callsPerRequest[m_service],
+            m_admitted.retryClass(m_service), m_context.hostCount, monotonicNow());
     if (isWithinBudget)
         sendRequest();
     else
         borrowRetry();
 }
 
-// A target that is still at work when the daemon ends is cut off, and its work is lost.
-auto EntryRequest::isTooLateBeforeShutdown(MonotonicTime now) const -> bool
-{
-    return m_context.shutdownDeadline && now + m_admitted.route->targetLatency > *m_context.shutdownDeadline;
-}
-
 auto EntryRequest::borrowRetry() -> void
 {
     m_retryBorrower
@@ -385,7 +358,8 @@
         .isIdempotent = m_admitted.isIdempotent(),
         .timeLeft = m_admitted.timeLeft(now),
         .targetLatencyLeft = targetLatencyLeft(now),
-        .expiresAt = {} };
+        .expiresAt = {},
+        .configurationVersion = m_context.snapshot->configuration().version };
     if (const auto storeTime = m_context.configurationFreshness.storeTime(SuspendAwareClock::now()))
         message.expiresAt = *storeTime + message.timeLeft;
     return message;
@@ -393,13 +367,16 @@
 
 auto EntryRequest::sendRequest() -> void
 {
+    if (!m_choice.admits(m_attempt->target())) { // since the slot was reserved, the configuration has changed
+        m_hasUnusedRetry = m_attempts > 0;
+        tryElsewhere();
+        return;
+    }
     m_attemptStartedAt = monotonicNow();
     const bool isSent = m_attempt->run(makeRunRequest(m_attemptStartedAt),
         [self = shared_from_this()](TargetAttempt::RunResult result) { self->onRunResult(std::move(result)); });
     if (!isSent) {
-        m_search.exclude(m_attempt->target().address);
-        endAttempt();
-        tryNextTarget();
+        tryElsewhere();
         return;
     }
     if (m_attempts++ > 0)
@@ -427,27 +404,19 @@
 
 auto EntryRequest::mayHedge(MonotonicTime now) const -> bool
 {
-    auto& context = m_context;
-    return m_attempt && m_attempts == 1 && m_admitted.route->maximumAttempts > 1 && !isTooLateBeforeShutdown(now)
-        && !m_admitted.isKeyRevokedBy(context.snapshot) && !m_crashGuard.isKnownToCrash()
-        && context.hedging.canAcquire(m_service, context.loadBalancer.meanUtilization(m_service, now))
-        && context.retryBudget.canAcquire(m_service, context.callsPerRequest[m_service],
-            dispatch::RetryBudget::RetryClass::Probe, context.hostCount, now);
+    return m_attempt && !m_firstResult && m_attempts == 1 && m_admitted.route->maximumAttempts > 1
+        && !m_context.nextSplitPosition(now + m_admitted.route->targetLatency)
+        && !m_admitted.isKeyRevokedBy(m_context.snapshot) && !m_crashGuard.isKnownToCrash();
 }
 
 // Starts a second attempt at another target that is sound and has a free slot, if there is one.
 auto EntryRequest::startHedge() -> void
 {
     const auto now = monotonicNow();
-    if (!mayHedge(now))
+    if (!mayHedge(now) || !m_choice.hasBudgetForSecond(now))
         return;
-    auto excluded = m_search.excluded();
-    std::vector<std::string> tried(excluded.begin(), excluded.end());
-    tried.push_back(m_attempt->target().address);
-    auto criteria = targetCriteria();
-    criteria.excluded = tried;
-    auto target = m_context.loadBalancer.choose(criteria, now, m_context.random());
-    if (!target || target->isFailing || m_context.loadBalancer.estimatedUtilization(*target, 0, now) >= 1)
+    auto target = m_choice.chooseSecond(m_search, m_attempt->target().address, now);
+    if (!target)
         return;
     m_hedge = std::make_unique<HedgedAttempt>(m_context, std::move(target), m_requestId);
     m_hedge->start({ .requestId = m_requestId,
@@ -464,12 +433,7 @@
 auto EntryRequest::makeHedgeRequest() -> std::optional<RunRequest>
 {
     const auto now = monotonicNow();
-    const auto utilization = m_context.loadBalancer.meanUtilization(m_service, now);
-    const bool isAllowed = !m_firstResult && mayHedge(now)
-        && m_context.retryBudget.tryAcquire(m_service, m_context.callsPerRequest[m_service],
-            dispatch::RetryBudget::RetryClass::Probe, m_context.hostCount, now)
-        && m_context.hedging.tryAcquire(m_service, utilization);
-    if (!isAllowed)
+    if (!mayHedge(now) || !m_choice.admits(m_hedge->target()) || !m_choice.chargeSecond(now))
         return std::nullopt;
     ++m_attempts;
     ++m_context.counters.hedges;
@@ -616,7 +580,7 @@
     if (m_attempts > 0)
         fail(http::statusGatewayTimeout, "no answer in time");
     else
-        refuse({ http::statusUnavailable, "no slot before the deadline", retryAfterOverload() });
+        refuse({ http::statusUnavailable, "no slot before the deadline", m_choice.retryAfterOverload(monotonicNow()) });
 }
 
 auto EntryRequest::cancel() -> void
--- a/src/relay/EntryRequest.h
+++ b/src/relay/EntryRequest.h
@@ -13,6 +13,7 @@
 #include "relay/HedgedAttempt.h"
 #include "relay/RequestAdmission.h"
 #include "relay/TargetAttempt.h"
+#include "relay/TargetChoice.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
@@ -60,14 +61,12 @@
     auto armDeadlineTimer() -> void;
     auto prepareForwarding() -> void;
     auto tryNextTarget() -> void;
-    [[nodiscard]] auto chooseTarget() -> dispatch::LoadBalancer::TargetPointer;
-    [[nodiscard]] auto targetCriteria() const -> dispatch::LoadBalancer::Criteria;
     auto reserveSlot(dispatch::LoadBalancer::TargetPointer target) -> void;
     auto onSlotResult(const TargetAttempt::SlotResult& result) -> void;
     auto onSlotRefused(const TargetAttempt::SlotRefused& refusal) -> void;
     auto onSlotUnreachable(const TargetAttempt::PathFailed& failed) -> void;
+    auto tryElsewhere() -> void;
     auto startAttempt() -> void;
-    [[nodiscard]] auto isTooLateBeforeShutdown(MonotonicTime now) const -> bool;
     auto borrowRetry() -> void;
     auto onRetryBudgetExhausted() -> void;
     auto onCrash(const std::string& target) -> void;
@@ -97,8 +96,6 @@
     auto finish(http::Answer response, std::string_view why) -> void;
     [[nodiscard]] auto targetLatencyLeft(MonotonicTime now) const -> std::chrono::milliseconds;
     [[nodiscard]] auto latency(MonotonicTime now) const -> std::chrono::milliseconds;
-    [[nodiscard]] auto retryClass() const -> dispatch::RetryBudget::RetryClass;
-    [[nodiscard]] auto retryAfterOverload() -> std::chrono::milliseconds;
 
     EntryContext& m_context;
     std::shared_ptr<EntryContext::OpenRequests> m_openRequests; // may outlive m_context
@@ -111,6 +108,7 @@
     boost::asio::steady_timer m_deadlineTimer;
     boost::asio::steady_timer m_waitTimer; // for the configuration, between searches, and before a second attempt
     dispatch::TargetSearch m_search;
+    TargetChoice m_choice;
     CrashGuard m_crashGuard;
     std::unique_ptr<TargetAttempt> m_attempt; // under way
     MonotonicTime m_attemptStartedAt; // when the request was sent to the target of m_attempt
--- a/src/sidecar/HostSettings.h
+++ b/src/sidecar/HostSettings.h
@@ -8,6 +8,8 @@
 
 #include <chrono>
 #include <cstddef>
+#include <map>
+#include <set>
 #include <string>
 
 namespace coriandergate::sidecar {
@@ -22,6 +24,7 @@
     Locality locality;
     bool isFirstStart = false; // of the whole deployment: no host has a row in the store yet
     std::size_t regionCount = 1; // of the whole deployment
+    std::map<std::string, std::string> regionByDataCentre; // of the whole deployment; empty if it isn't known
     std::string callerListenAddress; // for requests of callers on this host
     std::string peerListenAddress; // for requests of other daemons
     std::string peerAddress; // address that other daemons connect to; empty if it equals peerListenAddress
@@ -45,6 +48,15 @@
     double retryBudgetAllowance = 64; // additional retries per window, over all hosts
     double hedgingLimit = 0; // second attempts per request to a service, 0 to maximumHedgingLimit; 0 for none
 
+    // knownRegions() are the regions of the whole deployment; empty if they aren't known.
+    [[nodiscard]] auto knownRegions() const -> std::set<std::string>
+    {
+        std::set<std::string> regions;
+        for (const auto& [dataCentre, region] : regionByDataCentre)
+            regions.insert(region);
+        return regions;
+    }
+
     friend auto operator==(const HostSettings&, const HostSettings&) -> bool = default;
 };
 
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -13,6 +13,7 @@
 #include "net/HttpServer.h"
 #include "relay/CrashRegistry.h"
 #include "relay/EntryRequest.h"
+#include "relay/LocalPlacement.h"
 #include "relay/RateLimitOwner.h"
 #include "relay/TargetRelay.h"
 #include "sidecar/ConfigurationFeed.h"
@@ -120,6 +121,7 @@
     ConfigurationFeed configurationFeed;
     RowCleaner rowCleaner;
     relay::RateLimitOwner rateLimitOwner;
+    relay::LocalPlacement localPlacement;
     relay::TargetRelay targetRelay;
     net::HttpServer callerServer;
     net::HttpServer peerServer;
@@ -185,12 +187,13 @@
         .crashRegistry = crashRegistry,
         .snapshot = nullptr,
         .hedging = dispatch::Hedging({ .limit = settings.hedgingLimit }) }
-    , configurationFeed(adapter, entryContext)
+    , configurationFeed(adapter, settings.knownRegions(), entryContext)
     , rowCleaner(io, storeView, loadBalancer, { .table = hostTable, .hostKey = hostKey, .locality = settings.locality })
     , rateLimitOwner(entryContext,
           { .limits = rateLimits(),
               .fraction = 1 / static_cast<double>(settings.regionCount * dispatch::rateLimitOwnersPerRegion) },
           monotonicNow())
+    , localPlacement(entryContext)
     , targetRelay(io, target, callRatio,
           { .headers = adapter.headers, .maximumBufferedAnswerBytes = maximumAnswerBytes(settings) })
     , callerServer(io, callerOptions(settings, {}),
@@ -223,6 +226,7 @@
     registration.setStoreClock([this] { return storeView.hostListFreshness().storeTime(SuspendAwareClock::now()); });
     crashRegistry.setStoreClock([this] { return storeView.hostListFreshness().storeTime(SuspendAwareClock::now()); });
     registration.onTargetChanged([this] { targetRelay.onTargetChanged(); });
+    targetRelay.setPlacement(localPlacement);
     if (!callerServer.listen(settings.callerListenAddress, reason)
         || !peerServer.listen(settings.peerListenAddress, reason)
         || !controlServer.listen(settings.controlListenAddress, reason)
