--- a/src/relay/EntryRequest.cpp
+++ b/src/relay/EntryRequest.cpp
@@ -405,7 +405,7 @@
 auto EntryRequest::mayHedge(MonotonicTime now) const -> bool
 {
     return m_attempt && !m_firstResult && m_attempts == 1 && m_admitted.route->maximumAttempts > 1
-        && !m_context.nextSplitPosition(now + m_admitted.route->targetLatency)
+        && !m_context.stopsBefore(now + m_admitted.route->targetLatency)
         && !m_admitted.isKeyRevokedBy(m_context.snapshot) && !m_crashGuard.isKnownToCrash();
 }
 
