--- a/src/fleet/LocalTarget.h
+++ b/src/fleet/LocalTarget.h
@@ -6,6 +6,7 @@
 //   switch (target.receive(heartbeat, reason)) { ... }
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -26,6 +27,7 @@
     std::uint64_t sequence = 0; // increases within an incarnation
     std::size_t slots = 1;
     bool isDraining = false;
+    std::optional<std::chrono::milliseconds> coldRemaining; // 0 for a warm target; nothing if it doesn't tell
 };
 
 // LocalTarget is a value; not thread-safe.
--- a/src/relay/HeaderNames.h
+++ b/src/relay/HeaderNames.h
@@ -19,6 +19,7 @@
     std::string retryAfter; // seconds, with a fraction
     std::string callerService; // service of the host whose daemon accepted the request
     std::string apiKey; // the client account's API key
+    std::string coldTime; // on a response: milliseconds for which the target stays cold
 };
 
 } // namespace coriandergate::relay
--- a/src/sidecar/HostSettings.h
+++ b/src/sidecar/HostSettings.h
@@ -40,6 +40,10 @@
     std::chrono::milliseconds retryBudgetWindow { 10000 };
     double retryBudgetRatio = 0.2; // retries allowed per request
     double retryBudgetAllowance = 64; // additional retries per window, over all hosts
+    // Factor by which a second may exceed the requests per second that a cold target tolerates; 0: the deployment has
+    // no bound for cold targets.
+    double coldOverage = 0;
+    double coldSlack = 0; // requests by which a second may exceed it in addition
 
     friend auto operator==(const HostSettings&, const HostSettings&) -> bool = default;
 };
