Decide how many requests a cold target gets, and count it as small

SlotQueue takes a wait for another reason than the slots. Entries count a target by the greater use of slots and meter, and take a new incarnation for cold until its daemon reports.

--- a/src/dispatch/LoadBalancer.cpp
+++ b/src/dispatch/LoadBalancer.cpp
@@ -36,7 +36,7 @@
 {
 }
 
-auto LoadBalancer::setTargets(const std::vector<Description>& descriptions) -> void
+auto LoadBalancer::setTargets(const std::vector<Description>& descriptions, MonotonicTime now) -> void
 {
     std::map<std::string, TargetPointer, std::less<>> byAddress;
     m_byService.clear();
@@ -46,6 +46,14 @@
         auto target = isSame ? known->second : std::make_shared<Target>();
         if (!isSame)
             target->load.slots = description.slots;
+        // Before the first list nothing tells which targets are new.
+        const bool isSameIncarnation = isSame && target->description.targetId == description.targetId
+            && target->description.targetStartedAt == description.targetStartedAt;
+        const auto coldService = m_coldServices.find(description.service);
+        if (!m_byAddress.empty() && !isSameIncarnation && coldService != m_coldServices.end()) {
+            target->assumedColdUntil = now + coldService->second.coldTime;
+            target->arrivals.reset();
+        }
         target->description = description;
         byAddress[description.address] = target;
         m_byService[description.service].push_back(std::move(target));
@@ -82,6 +90,18 @@
     return std::max(estimate + startedSinceReport, static_cast<double>(target.inFlight)) / slots;
 }
 
+// Requests that the report counts leave the sliding second as the report ages. Those that this daemon has sent since
+// may have ended already, but still count.
+auto LoadBalancer::arrivalUtilization(const Target& target, MonotonicTime now) const -> double
+{
+    if (!target.arrivals)
+        return 0;
+    const std::chrono::duration<double> age = now - target.loadReportedAt;
+    const auto used = static_cast<double>(target.arrivals->used) * std::clamp(1 - age.count(), 0.0, 1.0);
+    return (used + static_cast<double>(target.startedSinceReport))
+        / static_cast<double>(std::max<std::size_t>(1, target.arrivals->limit));
+}
+
 auto LoadBalancer::cost(const Target& target, const Criteria& criteria, double meanUtilization, bool isPanicMode,
     MonotonicTime now) const -> double
 {
@@ -91,8 +111,12 @@
     const bool isProbe = isFailing && now >= target.nextProbeAt && criteria.mayProbe;
     if (isFailing && !isProbe && !isPanicMode)
         return unusableCost;
+    double utilization = estimatedUtilization(target, meanUtilization, now);
+    const auto coldService = m_coldServices.find(criteria.service);
+    if (now < target.assumedColdUntil && coldService != m_coldServices.end())
+        utilization /= coldService->second.fraction;
     double cost
-        = estimatedUtilization(target, meanUtilization, now) + m_options.rejectionPenalty * target.rejectionRate;
+        = std::max(utilization, arrivalUtilization(target, now)) + m_options.rejectionPenalty * target.rejectionRate;
     const auto& locality = target.description.locality;
     if (locality.region != m_options.ownLocality.region)
         cost += m_options.otherRegionPenalty * criteria.distanceFactor;
@@ -168,6 +192,12 @@
     target.load = load;
     target.loadReportedAt = now;
     target.startedSinceReport = 0;
+    target.assumedColdUntil = {};
+}
+
+auto LoadBalancer::recordArrivals(Target& target, const std::optional<TargetArrivals>& arrivals) -> void
+{
+    target.arrivals = arrivals;
 }
 
 auto LoadBalancer::recordFailing(Target& target, std::chrono::milliseconds nextProbeIn, MonotonicTime now) -> void
--- a/src/dispatch/LoadBalancer.h
+++ b/src/dispatch/LoadBalancer.h
@@ -19,6 +19,8 @@
 
 #include "base/Clock.h"
 #include "base/Locality.h"
+#include "dispatch/ColdService.h"
+#include "dispatch/TargetArrivals.h"
 #include "dispatch/TargetLoad.h"
 
 #include <chrono>
@@ -56,6 +58,7 @@
         std::string address; // of the daemon on its host
         std::string hostKey; // of its host; empty if it isn't known
         std::string targetId; // empty if it isn't known
+        std::uint64_t targetStartedAt = 0; // with the id, tells the incarnations apart
         std::string service;
         Locality locality;
         std::size_t slots = 1;
@@ -73,6 +76,8 @@
         MonotonicTime nextProbeAt; // from then on a failing target may get a probe
         bool isFailing = false;
         double rejectionRate = 0; // fraction of the requests that it recently rejected
+        std::optional<TargetArrivals> arrivals; // as last reported; nothing where arrivals aren't limited
+        MonotonicTime assumedColdUntil; // set for a new incarnation that hasn't reported yet
         std::chrono::milliseconds pathBackoff { 0 };
         std::optional<MonotonicTime> unreachableSince; // every attempt since then failed to reach its host's daemon
     };
@@ -93,8 +98,15 @@
 
     explicit LoadBalancer(const Options& options);
 
-    // setTargets() replaces the announced targets; the state of those that remain is kept.
-    auto setTargets(const std::vector<Description>& descriptions) -> void;
+    // setTargets() replaces the announced targets; the state of those that remain is kept. A new incarnation of a
+    // service with cold targets is taken for cold from `now` on.
+    auto setTargets(const std::vector<Description>& descriptions, MonotonicTime now = {}) -> void;
+
+    // setColdServices() sets, by name, the services whose cold targets take fewer requests.
+    auto setColdServices(std::map<std::string, ColdService, std::less<>> services) -> void
+    {
+        m_coldServices = std::move(services);
+    }
 
     // isInPanicMode() returns whether so many targets of `service` fail that failing ones are used too.
     [[nodiscard]] auto isInPanicMode(std::string_view service, MonotonicTime now) const -> bool;
@@ -108,6 +120,9 @@
     // recordLoad() records the load and the rejection rate that the daemon on the target's host reported in a response.
     auto recordLoad(Target& target, const TargetLoad& load, double rejectionRate, MonotonicTime now) -> void;
 
+    // recordArrivals() records how many requests the target may still get, as reported together with its load.
+    auto recordArrivals(Target& target, const std::optional<TargetArrivals>& arrivals) -> void;
+
     // recordFailing() records that the target fails and when it may be probed; recordHealthy() that it works.
     auto recordFailing(Target& target, std::chrono::milliseconds nextProbeIn, MonotonicTime now) -> void;
     auto recordHealthy(Target& target) -> void;
@@ -129,6 +144,9 @@
     [[nodiscard]] auto estimatedUtilization(const Target& target, double meanUtilization, MonotonicTime now) const
         -> double;
 
+    // arrivalUtilization() is the estimated fraction of the requests that the target may get in a second in use.
+    [[nodiscard]] auto arrivalUtilization(const Target& target, MonotonicTime now) const -> double;
+
     // meanUtilization() is the mean of the recent load reports of the targets of `service`; 0 if there are none.
     [[nodiscard]] auto meanUtilization(std::string_view service, MonotonicTime now) const -> double;
 
@@ -140,6 +158,7 @@
         MonotonicTime now) const -> double;
 
     Options m_options;
+    std::map<std::string, ColdService, std::less<>> m_coldServices;
     std::map<std::string, TargetPointer, std::less<>> m_byAddress;
     std::map<std::string, std::vector<TargetPointer>, std::less<>> m_byService;
 };
--- a/src/dispatch/LoadBalancer_test.cpp
+++ b/src/dispatch/LoadBalancer_test.cpp
@@ -43,6 +43,43 @@
 
 } // namespace
 
+TEST_CASE("a cold target counts by the requests that it may still get, and a new incarnation as cold until it reports")
+{
+    auto balancer = makeBalancer({ describe("cold", local), describe("warm", local) });
+    auto now = at(1000ms);
+    reportLoad(balancer, "cold", 1, now);
+    reportLoad(balancer, "warm", 3, now);
+    CHECK(chosen(balancer, now) == "cold");
+    const auto targets = balancer.targets("ledger");
+    balancer.recordArrivals(*targets[0], TargetArrivals { 15, 12 });
+    balancer.recordArrivals(*targets[1], TargetArrivals { 28, 12 });
+    CHECK(balancer.arrivalUtilization(*targets[0], now) == Approx(0.8));
+    CHECK(chosen(balancer, now) == "warm");
+    CHECK(balancer.arrivalUtilization(*targets[0], at(1500ms)) == Approx(0.4));
+    CHECK(balancer.arrivalUtilization(*targets[0], at(2500ms)) == 0);
+    balancer.beginRequest(*targets[0]);
+    CHECK(balancer.arrivalUtilization(*targets[0], at(2500ms)) == Approx(1 / 15.0));
+    balancer.endRequest(*targets[0]);
+
+    balancer.setColdServices({ { "ledger", { .fraction = 0.5, .coldTime = 3s } } });
+    now = at(5000ms);
+    reportLoad(balancer, "cold", 2, now);
+    reportLoad(balancer, "warm", 3, now);
+    for (const auto& target : targets)
+        balancer.recordArrivals(*target, std::nullopt);
+    CHECK(chosen(balancer, now) == "cold");
+    auto restarted = describe("cold", local);
+    restarted.targetStartedAt = 7;
+    balancer.setTargets({ restarted, describe("warm", local) }, now);
+    CHECK(chosen(balancer, now) == "warm");
+    CHECK(targets[0]->assumedColdUntil == at(8000ms));
+    reportLoad(balancer, "cold", 2, now);
+    CHECK(chosen(balancer, now) == "cold");
+    // The same incarnation announced again is no news.
+    balancer.setTargets({ restarted, describe("warm", local) }, now);
+    CHECK(chosen(balancer, now) == "cold");
+}
+
 TEST_CASE("local targets serve until their utilization exceeds that of the next data centre by the penalty")
 {
     auto balancer = makeBalancer({ describe("own", local), describe("next", near), describe("far", far) });
--- a/src/dispatch/SlotQueue.cpp
+++ b/src/dispatch/SlotQueue.cpp
@@ -35,24 +35,30 @@
     return m_running < slots;
 }
 
+auto SlotQueue::queuedBefore(int priority) const -> std::size_t
+{
+    return static_cast<std::size_t>(std::count_if(
+        m_queue.begin(), m_queue.end(), [priority](const Request& queued) { return queued.priority <= priority; }));
+}
+
 auto SlotQueue::expectedWait(int priority) const -> milliseconds
 {
     if (m_running < m_options.slots && m_queue.empty())
         return milliseconds { 0 };
-    const auto ahead = std::count_if(
-        m_queue.begin(), m_queue.end(), [priority](const Request& queued) { return queued.priority <= priority; });
+    const auto ahead = queuedBefore(priority);
     // Assumes that the slots are released at even intervals over a mean service time.
     const double serviceTimes = (static_cast<double>(ahead) + 1) / static_cast<double>(m_options.slots);
     return milliseconds(std::llround(serviceTimes * m_meanServiceMs));
 }
 
-auto SlotQueue::reserve(const Request& request, MonotonicTime now) -> Decision
+auto SlotQueue::reserve(const Request& request, MonotonicTime now, milliseconds minimumWait) -> Decision
 {
-    if (hasFreeSlot(now) && m_queue.empty()) {
+    if (minimumWait.count() == 0 && hasFreeSlot(now) && m_queue.empty()) {
         ++m_running;
         return Decision::Granted;
     }
-    if (m_queue.size() >= m_options.maximumQueueLength || now + expectedWait(request.priority) > request.startDeadline)
+    const auto wait = std::max(expectedWait(request.priority), minimumWait);
+    if (m_queue.size() >= m_options.maximumQueueLength || wait > request.startDeadline - now)
         return Decision::Refused;
     m_queue.insert(std::upper_bound(m_queue.begin(), m_queue.end(), request, hasPrecedence), request);
     return Decision::Queued;
--- a/src/dispatch/SlotQueue.h
+++ b/src/dispatch/SlotQueue.h
@@ -53,8 +53,10 @@
     // setSlots() sets the number of slots that the target announces.
     auto setSlots(std::size_t slots) -> void;
 
-    // reserve() grants a free slot to the request, queues it, or refuses it when it can't start in time.
-    [[nodiscard]] auto reserve(const Request& request, MonotonicTime now) -> Decision;
+    // reserve() grants a free slot to the request, queues it, or refuses it when it can't start in time. It starts
+    // after `minimumWait` at the earliest, for a reason other than the slots.
+    [[nodiscard]] auto reserve(const Request& request, MonotonicTime now,
+        std::chrono::milliseconds minimumWait = std::chrono::milliseconds { 0 }) -> Decision;
 
     // release() frees a slot; `serviceTime` is how long the target took, nothing if the request wasn't completed.
     auto release(std::optional<std::chrono::milliseconds> serviceTime) -> void;
@@ -72,6 +74,9 @@
     // request, which shows that it has less capacity than it announced.
     auto limitConcurrency(MonotonicTime until) -> void;
 
+    // queuedBefore() is the number of queued requests that a new one of `priority` would wait for.
+    [[nodiscard]] auto queuedBefore(int priority) const -> std::size_t;
+
     // expectedWait() estimates how long a request of `priority` would wait for a slot.
     [[nodiscard]] auto expectedWait(int priority) const -> std::chrono::milliseconds;
 
--- a/src/dispatch/SlotQueue_test.cpp
+++ b/src/dispatch/SlotQueue_test.cpp
@@ -70,6 +70,17 @@
 
 } // namespace
 
+TEST_CASE("a request that must wait for another reason than the slots is queued, or refused if it can't start in time")
+{
+    SlotQueue queue({ .slots = 2 });
+    CHECK(queue.reserve({ .ticket = 1, .startDeadline = at(500ms) }, at(0ms), 400ms) == Decision::Queued);
+    CHECK(queue.load().running == 0);
+    CHECK(queue.queuedBefore(0) == 1);
+    CHECK(queue.reserve({ .ticket = 2, .startDeadline = at(500ms) }, at(0ms), 600ms) == Decision::Refused);
+    CHECK(queue.grantNext(at(400ms)) == 1);
+    CHECK(queue.reserve({ .ticket = 3, .startDeadline = at(500ms) }, at(400ms)) == Decision::Granted);
+}
+
 TEST_CASE("slots are granted while free, then requests are queued or refused")
 {
     SlotQueue queue({ .slots = 2, .initialServiceTime = 100ms });
--- a/src/fleet/HostDirectory.cpp
+++ b/src/fleet/HostDirectory.cpp
@@ -145,6 +145,7 @@
         targets.push_back({ .address = record.peerAddress,
             .hostKey = key,
             .targetId = record.targetId,
+            .targetStartedAt = record.targetStartedAt,
             .service = record.service,
             .locality = record.locality,
             .slots = record.slots,
