Meter what a target gets where slots are granted and requests go out

The slots that entries reserve become a class of their own, SlotReservations; a slot is granted only together with a permit of the meter, and a request counts from its first byte on, which HttpClient now tells (onSending). TargetRelay takes its target for cold after refused or reset connections, with a new incarnation and after its own start, until a heartbeat or an answer tells otherwise; before the bound is known nothing is sent where the settings bound cold targets. The daemon tells entries limit and use in a header of its own, as older daemons would misread a longer load header. Metrics: coriandergate_target_cold, coriandergate_arrivals_held_back_total; events CG1970 and CG1971.

Real processes (platform/WarmUp_test, 3 cases): under six callers without pause no second of a target has more than 30 requests, with a daemon killed and restarted and a target replaced under load, too; the same load without a bound has more. ColdTarget_test 3 cases, PeerMessages_test one. 112 cases of the touched parts and the 33 of Fleet_test pass.

--- a/src/fleet/HostRegistration.cpp
+++ b/src/fleet/HostRegistration.cpp
@@ -49,6 +49,8 @@
         logTargetChange();
         m_targetChangedCallback();
     }
+    if (result != LocalTarget::HeartbeatResult::Stale)
+        m_heartbeatCallback();
     if (!m_target.isServing()) {
         acknowledgeWhenStored(acknowledge);
         return true;
--- a/src/fleet/HostRegistration.h
+++ b/src/fleet/HostRegistration.h
@@ -54,6 +54,9 @@
     auto setStoreClock(StoreClock storeClock) -> void { m_storeClock = std::move(storeClock); }
     // onTargetChanged() sets the callback for a change of the target or its state.
     auto onTargetChanged(std::function<void()> changed) -> void { m_targetChangedCallback = std::move(changed); }
+    // onHeartbeat() sets the callback for each heartbeat that is newer than those before; for a change of the target it
+    // is called after the other callback.
+    auto onHeartbeat(std::function<void()> received) -> void { m_heartbeatCallback = std::move(received); }
 
     // receive() processes a message of the target. It returns false with a reason, and doesn't call `acknowledge`, for
     // a heartbeat that isn't from the target of this host.
@@ -89,6 +92,7 @@
     HostRowWriter m_rowWriter;
     StoreClock m_storeClock;
     std::function<void()> m_targetChangedCallback;
+    std::function<void()> m_heartbeatCallback = [] {};
     boost::asio::steady_timer m_firstHeartbeatTimer;
     std::optional<std::chrono::milliseconds> m_joinedAt; // when this host first wrote its row, by the store's clock
     std::optional<std::chrono::milliseconds> m_departedAt; // when the row was first marked as departed
--- a/src/net/HttpClient.h
+++ b/src/net/HttpClient.h
@@ -55,6 +55,7 @@
         bool mayEndWithConnection = false;
         bool keepsConnection = false;
         std::chrono::milliseconds maximumIdleAge { 600000 }; // a connection idle for longer is not taken
+        std::function<void()> onSending; // called when the first byte goes out, once connected; may be empty
         std::string answerIdHeader; // answers that bear another value in this header belong to earlier requests
         std::string answerId;
     };
--- a/src/net/internal/HttpClientConnection.cpp
+++ b/src/net/internal/HttpClientConnection.cpp
@@ -112,6 +112,8 @@
 {
     m_phase = Phase::Exchanging;
     armTimer(m_deadline);
+    if (const auto onSending = std::exchange(m_sendOptions.onSending, nullptr))
+        onSending();
     boost::asio::async_write(m_socket, boost::asio::buffer(m_outgoing),
         [self = shared_from_this()](const boost::system::error_code& error, std::size_t) -> void {
             // A failed write shows at the read too, after what the peer may have answered before.
--- a/src/relay/PeerMessages.cpp
+++ b/src/relay/PeerMessages.cpp
@@ -237,7 +237,7 @@
     }
     if (numbers.size() < 3)
         return std::nullopt;
-    TargetLoadReport report { { numbers[0], numbers[1], numbers[2] }, 0, std::nullopt };
+    TargetLoadReport report { .load = { numbers[0], numbers[1], numbers[2] } };
     if (numbers.size() > 3)
         report.rejectionRate = static_cast<double>(numbers[3]) / percentPerUnit;
     if (numbers.size() > 4)
@@ -245,6 +245,21 @@
     return report;
 }
 
+auto encodeArrivals(const dispatch::TargetArrivals& arrivals) -> std::string
+{
+    return std::to_string(arrivals.limit) + "," + std::to_string(arrivals.used);
+}
+
+auto decodeArrivals(std::string_view text) -> std::optional<dispatch::TargetArrivals>
+{
+    const auto comma = text.find(',');
+    if (comma == std::string_view::npos)
+        return std::nullopt;
+    const auto limit = parseNumber<std::size_t>(text.substr(0, comma));
+    const auto used = parseNumber<std::size_t>(text.substr(comma + 1));
+    return limit && used ? std::optional(dispatch::TargetArrivals { *limit, *used }) : std::nullopt;
+}
+
 auto encodeCallsPerRequest(const dispatch::RetryBudget::CallsPerRequest& calls) -> std::string
 {
     std::string text;
--- a/src/relay/PeerMessages.h
+++ b/src/relay/PeerMessages.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include "dispatch/RetryBudget.h"
+#include "dispatch/TargetArrivals.h"
 #include "dispatch/TargetLoad.h"
 #include "http/Request.h"
 
@@ -34,6 +35,9 @@
 // On every response: running requests, waiting requests, slots, percentage of requests rejected and, for a failing
 // target, the milliseconds until its next probe.
 inline constexpr std::string_view loadHeader = "Coriandergate-Load";
+// On every response where the arrivals at the target are limited: "limit,used". It is a header of its own because
+// daemons that don't know it would take a further number in loadHeader for the time of a probe.
+inline constexpr std::string_view arrivalsHeader = "Coriandergate-Arrivals";
 // On a granted slot for an idempotent request: the mean number of calls to other services that a request makes, as
 // "service=number,...".
 inline constexpr std::string_view callsHeader = "Coriandergate-Calls";
@@ -103,6 +107,7 @@
     dispatch::TargetLoad load;
     double rejectionRate = 0; // moving average of the fraction of requests that the target rejected
     std::optional<std::chrono::milliseconds> nextProbeIn; // set while the target is failing
+    std::optional<dispatch::TargetArrivals> arrivals; // set where arrivals are limited; travels in arrivalsHeader
 };
 
 // The encoders return complete HTTP requests. Thread-safe.
@@ -144,6 +149,10 @@
 [[nodiscard]] auto encodeLoadReport(const TargetLoadReport& report) -> std::string;
 [[nodiscard]] auto decodeLoadReport(std::string_view text) -> std::optional<TargetLoadReport>;
 
+// encodeArrivals() returns the value of `arrivalsHeader`; decodeArrivals() returns nullopt when it is malformed.
+[[nodiscard]] auto encodeArrivals(const dispatch::TargetArrivals& arrivals) -> std::string;
+[[nodiscard]] auto decodeArrivals(std::string_view text) -> std::optional<dispatch::TargetArrivals>;
+
 // encodeCallsPerRequest() returns the value of `callsHeader`; decodeCallsPerRequest() skips malformed entries.
 [[nodiscard]] auto encodeCallsPerRequest(const dispatch::RetryBudget::CallsPerRequest& calls) -> std::string;
 [[nodiscard]] auto decodeCallsPerRequest(std::string_view text) -> dispatch::RetryBudget::CallsPerRequest;
--- a/src/relay/TargetAttempt.cpp
+++ b/src/relay/TargetAttempt.cpp
@@ -119,6 +119,7 @@
                 { "outcome", std::string(outcomeName(outcome)) }, { "status", std::to_string(response.status) } });
     response.headers.removeAll(outcomeHeader);
     response.headers.removeAll(loadHeader);
+    response.headers.removeAll(arrivalsHeader);
     return Ended { outcome, std::move(response) };
 }
 
@@ -132,6 +133,8 @@
     auto& balancer = m_context.loadBalancer;
     balancer.recordPathSuccess(*m_target);
     balancer.recordLoad(*m_target, report->load, report->rejectionRate, now);
+    const auto arrivals = response.headers.find(arrivalsHeader);
+    balancer.recordArrivals(*m_target, arrivals ? decodeArrivals(*arrivals) : std::nullopt);
     if (report->nextProbeIn)
         balancer.recordFailing(*m_target, *report->nextProbeIn, now);
     else
--- a/src/relay/TargetRelay.cpp
+++ b/src/relay/TargetRelay.cpp
@@ -17,8 +17,6 @@
 
 namespace {
 
-    const log::Event slotRefused { 1910, log::Severity::Info, "slot refused",
-        "why this host's daemon refused to reserve a slot; the entry tries another target" };
     const log::Event runEnded { 1911, log::Severity::Info, "run ended",
         "outcome of one attempt at the target on this host" };
     const log::Event targetStartedFailing { 1912, log::Severity::Warning, "target fails",
@@ -28,10 +26,14 @@
         "the target responded once more to a request that had ended; the request, the status, and whether it was a "
         "rejection" };
 
+    const log::Event targetTurnedCold { 1970, log::Severity::Info, "target is cold",
+        "it told so, or may have started anew; it gets few requests until it is warm, and entries use others" };
+    const log::Event targetTurnedWarm { 1971, log::Severity::Info, "target is warm", "nothing" };
+
+    // Why a request with a slot isn't sent.
+    constexpr std::string_view arrivalsAtLimit = "the target may get no more requests in this second";
     // Weight of the newest request in the moving average of rejections; it spans about the last eight requests.
     constexpr double rejectionWeight = 0.12;
-    // Added to the priority of requests that can't meet their target latency, so that they queue behind all that can.
-    constexpr int pastTargetLatencyPenalty = 100;
 
     auto millisecondsSince(MonotonicTime start, MonotonicTime now) -> milliseconds
     {
@@ -40,25 +42,13 @@
 
 } // namespace
 
-// Reservation is a slot that was granted to an entry, or that it waits for.
-struct TargetRelay::Reservation {
-    Ticket ticket = 0;
-    std::string connection;
-    std::string requestId;
-    std::shared_ptr<http::Exchange> exchange; // null once granted
-    bool isGranted = false;
-    bool isProbe = false;
-    bool isIdempotent = false;
-    bool acceptsFailingTarget = false;
-    std::unique_ptr<boost::asio::steady_timer> expiryTimer; // releases a granted slot whose request does not arrive
-};
-
 // Run is one execution of a request by the target. It holds the slot until it is done.
 struct TargetRelay::Run {
     std::shared_ptr<http::Exchange> exchange;
     std::string requestId;
     std::string target; // "id/start time"; empty if it was never sent
     bool isProbe = false;
+    bool holdsPermit = false; // of the meter of arrivals; ends when the request is sent or given up
     bool isIdempotent = false;
     bool isOnNewConnection = false;
     bool isRecordedAsUnresponsive = false;
@@ -80,17 +70,25 @@
               .onSkippedAnswer = [this](const http::Answer& response) { recordLateResponse(response); } })
     , m_slots({})
     , m_health(options.health)
-    , m_waitTimer(io)
+    , m_warmUp(monotonicNow())
+    , m_reservations(io, m_slots, m_health, m_warmUp,
+          { .timeout = options.reservationTimeout,
+              .addReport = [this](http::HeaderList& headers, MonotonicTime now) { addReport(headers, now); },
+              .callsPerRequest
+              = [&callRatio](MonotonicTime now) { return encodeCallsPerRequest(callRatio.callsPerRequest(now)); } })
 {
+    if (!options.isArrivalBoundExpected)
+        m_warmUp.setBound({});
 }
 
 TargetRelay::~TargetRelay() { *m_isAlive = false; }
 
 auto TargetRelay::loadReport(MonotonicTime now) const -> TargetLoadReport
 {
-    TargetLoadReport report { m_slots.load(), m_rejectionRate, std::nullopt };
+    TargetLoadReport report { .load = m_slots.load(), .rejectionRate = m_rejectionRate };
     if (m_health.isFailing())
         report.nextProbeIn = m_health.nextProbeIn(now);
+    report.arrivals = m_warmUp.arrivals(now);
     return report;
 }
 
@@ -123,178 +121,68 @@
     const auto now = monotonicNow();
     Error reason;
     const auto message = decodeReserveRequest(exchange->request().body, reason);
-    if (!message) {
-        refuse(exchange, "", reason.reason);
-        return;
-    }
-    if (const auto why = refusalReason(*message); !why.empty()) {
-        refuse(exchange, message->requestId, why);
-        return;
-    }
-    const auto admission = m_health.admit(message->isIdempotent || message->acceptsFailingTarget, now);
-    if (admission == TargetHealth::Admission::Refused && !message->acceptsFailingTarget) {
-        refuse(exchange, message->requestId, targetIsFailing);
-        return;
-    }
-    release(exchange->peer());
-    m_expired.erase(exchange->peer());
-    const auto ticket = m_nextTicket++;
-    const auto maximumWait = message->isPastTargetLatency
-        ? message->maximumWait
-        : std::min(message->maximumWait, message->targetLatencyLeft - m_slots.meanServiceTime());
-    const SlotQueue::Request request { .ticket = ticket,
-        .priority = message->priority + (message->isPastTargetLatency ? pastTargetLatencyPenalty : 0),
-        .startDeadline = now + maximumWait };
-    const auto decision = m_slots.reserve(request, now);
-    if (decision == SlotQueue::Decision::Refused) {
-        if (admission == TargetHealth::Admission::Probe)
-            m_health.endProbe();
-        refuse(exchange, message->requestId, noSlotInTime);
-        return;
-    }
-    const auto reservation = std::make_shared<Reservation>();
-    reservation->ticket = ticket;
-    reservation->connection = exchange->peer();
-    reservation->requestId = message->requestId;
-    reservation->exchange = exchange;
-    reservation->isIdempotent = message->isIdempotent;
-    reservation->acceptsFailingTarget = message->acceptsFailingTarget;
-    reservation->isProbe = admission == TargetHealth::Admission::Probe;
-    m_reservations[exchange->peer()] = reservation;
-    if (decision == SlotQueue::Decision::Granted) {
-        grant(*reservation);
-        return;
-    }
-    m_waiting[ticket] = exchange->peer();
-    armWaitTimer();
-}
-
-auto TargetRelay::grant(Reservation& reservation) -> void
-{
-    reservation.isGranted = true;
-    reservation.expiryTimer = std::make_unique<boost::asio::steady_timer>(m_io, m_options.reservationTimeout);
-    reservation.expiryTimer->async_wait([this, alive = m_isAlive, connection = reservation.connection,
-                                            ticket = reservation.ticket](const boost::system::error_code& error) {
-        if (!error && *alive)
-            expire(connection, ticket);
-    });
-    http::Answer response;
-    const auto now = monotonicNow();
-    response.headers.add(loadHeader, encodeLoadReport(loadReport(now)));
-    if (reservation.isIdempotent) {
-        if (const auto calls = encodeCallsPerRequest(m_callRatio.callsPerRequest(now)); !calls.empty())
-            response.headers.add(callsHeader, calls);
-    }
-    std::exchange(reservation.exchange, nullptr)->answer(std::move(response));
+    if (!message)
+        m_reservations.refuse(exchange, "", reason.reason, now);
+    else if (const auto why = refusalReason(*message); !why.empty())
+        m_reservations.refuse(exchange, message->requestId, why, now);
+    else
+        m_reservations.reserve(exchange, *message, now);
 }
 
-auto TargetRelay::refuse(
-    const std::shared_ptr<http::Exchange>& exchange, const std::string& requestId, std::string_view why) -> void
+auto TargetRelay::addReport(http::HeaderList& headers, MonotonicTime now) const -> void
 {
-    const auto load = encodeLoadReport(loadReport(monotonicNow()));
-    log::logEvent(slotRefused, { { "request", requestId }, { "why", std::string(why) }, { "load", load } });
-    auto response = http::makeAnswer(http::statusUnavailable, "text/plain", std::string(why));
-    response.headers.add(outcomeHeader, outcomeName(RunOutcome::NotSent));
-    response.headers.add(loadHeader, load);
-    exchange->answer(std::move(response));
+    const auto report = loadReport(now);
+    headers.replace(loadHeader, encodeLoadReport(report));
+    headers.removeAll(arrivalsHeader); // the target may have sent one too
+    if (report.arrivals)
+        headers.add(arrivalsHeader, encodeArrivals(*report.arrivals));
 }
 
-auto TargetRelay::release(const std::string& connection) -> void
+auto TargetRelay::onTargetChanged() -> void
 {
-    const auto found = m_reservations.find(connection);
-    if (found == m_reservations.end())
-        return;
-    const auto reservation = found->second;
-    m_reservations.erase(found);
-    if (reservation->isProbe)
-        m_health.endProbe();
-    if (reservation->isGranted) {
-        m_slots.release(std::nullopt);
-        grantWaiting();
+    const auto& current = m_target.current();
+    if (!current)
         return;
+    m_slots.setSlots(current->slots);
+    const auto incarnation = current->id + "/" + std::to_string(current->startedAt);
+    const auto now = monotonicNow();
+    if (incarnation != m_knownIncarnation) {
+        m_health.reset();
+        m_warmUp.assumeCold(now);
     }
-    m_slots.cancel(reservation->ticket);
-    m_waiting.erase(reservation->ticket);
-}
-
-auto TargetRelay::expire(const std::string& connection, Ticket ticket) -> void
-{
-    // The request may have arrived in the same turn of the event loop.
-    const auto found = m_reservations.find(connection);
-    if (found == m_reservations.end() || found->second->ticket != ticket)
-        return;
-    release(connection);
-    m_expired.insert(connection);
-}
-
-auto TargetRelay::onConnectionClosed(const std::string& connection) -> void
-{
-    release(connection);
-    m_expired.erase(connection);
+    m_knownIncarnation = incarnation;
+    // A draining target accepts no new requests, so everything that waits is refused.
+    if (current->isDraining)
+        m_reservations.refuseWaiting("target leaves", now);
+    logWarmth(now);
 }
 
-auto TargetRelay::grantWaiting() -> void
+auto TargetRelay::onHeartbeat() -> void
 {
     const auto now = monotonicNow();
-    for (const auto ticket : m_slots.removeExpired(now)) {
-        const auto waiting = m_waiting.find(ticket);
-        if (waiting == m_waiting.end())
-            continue;
-        const auto reservation = m_reservations[waiting->second];
-        m_reservations.erase(waiting->second);
-        m_waiting.erase(waiting);
-        if (reservation->isProbe)
-            m_health.endProbe();
-        refuse(reservation->exchange, reservation->requestId, noSlotInTime);
-    }
-    while (const auto ticket = m_slots.grantNext(now)) {
-        const auto waiting = m_waiting.find(*ticket);
-        if (waiting == m_waiting.end()) {
-            m_slots.release(std::nullopt);
-            continue;
-        }
-        const auto reservation = m_reservations[waiting->second];
-        m_waiting.erase(waiting);
-        grant(*reservation);
-    }
-    armWaitTimer();
+    if (const auto& current = m_target.current(); current && current->coldRemaining)
+        m_warmUp.onHeartbeat(*current->coldRemaining, now);
+    logWarmth(now);
+    m_reservations.grantWaiting(now);
 }
 
-// Arms the timer that refuses waiting requests which can no longer begin in time, and grants slots that were withheld
-// after rejections by a full target.
-auto TargetRelay::armWaitTimer() -> void
+auto TargetRelay::setArrivalBound(const dispatch::WarmUp::Bound& bound) -> void
 {
-    constexpr milliseconds period { 50 };
-    if (m_waiting.empty())
+    if (m_warmUp.bound() == bound)
         return;
-    m_waitTimer.expires_after(period);
-    m_waitTimer.async_wait([this, alive = m_isAlive](const boost::system::error_code& error) {
-        if (!error && *alive)
-            grantWaiting();
-    });
+    m_warmUp.setBound(bound);
+    const auto now = monotonicNow();
+    logWarmth(now);
+    m_reservations.grantWaiting(now);
 }
 
-auto TargetRelay::onTargetChanged() -> void
+auto TargetRelay::logWarmth(MonotonicTime now) -> void
 {
-    const auto& current = m_target.current();
-    if (!current)
+    const bool isCold = m_warmUp.isCold(now);
+    if (std::exchange(m_wasCold, isCold) == isCold)
         return;
-    m_slots.setSlots(current->slots);
-    const auto incarnation = current->id + "/" + std::to_string(current->startedAt);
-    if (incarnation != m_knownIncarnation)
-        m_health.reset();
-    m_knownIncarnation = incarnation;
-    if (!current->isDraining)
-        return;
-    // A draining target accepts no new requests, so everything that waits is refused.
-    std::vector<std::shared_ptr<Reservation>> waiting;
-    for (const auto& [ticket, connection] : m_waiting)
-        waiting.push_back(m_reservations[connection]);
-    for (const auto& reservation : waiting) {
-        const auto exchange = reservation->exchange;
-        release(reservation->connection);
-        refuse(exchange, reservation->requestId, "target leaves");
-    }
+    log::logEvent(isCold ? targetTurnedCold : targetTurnedWarm,
+        { { "target", m_knownIncarnation }, { "arrivals-limit", std::to_string(m_warmUp.limit(now).value_or(0)) } });
 }
 
 auto TargetRelay::handleRun(const std::shared_ptr<http::Exchange>& exchange) -> void
@@ -305,9 +193,9 @@
     auto message = decodeRunRequest(exchange->request().body, reason);
     exchange->request().body = {};
     run->requestId = message ? message->requestId : "";
-    const auto found = m_reservations.find(exchange->peer());
-    const bool isExpired = m_expired.erase(exchange->peer()) > 0;
-    if (!message || found == m_reservations.end() || !found->second->isGranted) {
+    const bool isExpired = m_reservations.forgetExpired(exchange->peer());
+    const auto slot = message ? m_reservations.take(exchange->peer()) : std::nullopt;
+    if (!slot) {
         // An entry sends a request only once a slot was granted. Without one, something on the way may have sent the
         // request again, and the target may be executing it.
         const auto outcome = !message || isExpired ? RunOutcome::NotSent : RunOutcome::MayHaveRun;
@@ -316,11 +204,9 @@
         return;
     }
     run->isIdempotent = message->isIdempotent;
-    run->isProbe = found->second->isProbe;
-    const bool acceptsFailingTarget = run->isProbe || found->second->acceptsFailingTarget;
-    found->second->isProbe = false;
-    // The run takes over the slot, so the reservation is dropped without releasing it.
-    m_reservations.erase(found);
+    run->isProbe = slot->isProbe;
+    run->holdsPermit = true;
+    const bool acceptsFailingTarget = run->isProbe || slot->acceptsFailingTarget;
     if (!m_target.isServing()) {
         finishRun(*run, std::nullopt);
         reply(*run, RunOutcome::NotSent, http::makeAnswer(http::statusUnavailable, "text/plain", ""),
@@ -333,6 +219,13 @@
         reply(*run, RunOutcome::NotSent, http::makeAnswer(http::statusUnavailable, "text/plain", ""), targetIsFailing);
         return;
     }
+    // The bound, or what is known of the target, may have changed after the slot was granted.
+    if (!m_warmUp.maySend(monotonicNow())) {
+        m_reservations.countHeldBack();
+        finishRun(*run, std::nullopt);
+        reply(*run, RunOutcome::NotSent, http::makeAnswer(http::statusUnavailable, "text/plain", ""), arrivalsAtLimit);
+        return;
+    }
     const auto storeTime = m_storeClock ? m_storeClock() : std::nullopt;
     if (message->expiresAt && storeTime)
         message->timeLeft = std::min(message->timeLeft, *message->expiresAt - *storeTime);
@@ -369,6 +262,11 @@
         .isHead = request.method == "HEAD",
         .mayEndWithConnection = true,
         .maximumIdleAge = message.isIdempotent ? milliseconds::max() : m_options.nonIdempotentMaximumIdleAge,
+        .onSending =
+            [this, alive = m_isAlive, run] {
+                if (*alive && std::exchange(run->holdsPermit, false))
+                    m_warmUp.recordSent(monotonicNow());
+            },
         .answerIdHeader = m_options.headers.requestId,
         .answerId = message.requestId };
     run->target = m_knownIncarnation;
@@ -423,8 +321,10 @@
     run.unresponsiveTimer.reset();
     if (run.isProbe)
         m_health.endProbe();
+    if (std::exchange(run.holdsPermit, false))
+        m_warmUp.giveBack();
     m_slots.release(serviceTime);
-    grantWaiting();
+    m_reservations.grantWaiting(monotonicNow());
 }
 
 auto TargetRelay::reply(Run& run, RunOutcome outcome, http::Answer response, std::string_view why) -> void
@@ -440,7 +340,7 @@
                     run.startedAt == MonotonicTime {} ? 0 : millisecondsSince(run.startedAt, now).count()) } });
     // The target may have sent these headers too, and they speak for the daemon.
     response.headers.replace(outcomeHeader, outcomeName(outcome));
-    response.headers.replace(loadHeader, load);
+    addReport(response.headers, now);
     response.headers.removeAll(callsHeader);
     run.exchange->answer(std::move(response));
 }
@@ -458,6 +358,12 @@
     // onUnresponsive() detects an unresponsive target.
     if (!failure.wasTimeout || !failure.mayHaveRun)
         recordOutcome(TargetHealth::Outcome::Failed, failure.error.toText());
+    // The target may have ended, and be cold once it is back.
+    if (failure.wasReset || !failure.mayHaveRun) {
+        const auto now = monotonicNow();
+        m_warmUp.assumeCold(now);
+        logWarmth(now);
+    }
     // A target that accepts no connections fails every request, so the failure counts a second time.
     if (!failure.mayHaveRun)
         recordOutcome(TargetHealth::Outcome::Failed, failure.error.toText());
@@ -483,6 +389,18 @@
         || response.status == http::statusMisdirected;
 }
 
+auto TargetRelay::recordColdTime(const http::Answer& response, MonotonicTime now) -> void
+{
+    if (m_options.headers.coldTime.empty() || response.status == http::statusMisdirected)
+        return;
+    const auto header = response.headers.find(m_options.headers.coldTime);
+    const auto remaining = header ? decodeRetryAfter(*header) : std::nullopt;
+    if (!remaining || remaining->count() < 0)
+        return;
+    m_warmUp.onHeartbeat(*remaining, now);
+    logWarmth(now);
+}
+
 // A target that rejects requests while all its slots are taken has less capacity than it announced, so fewer requests
 // are admitted for a while. Other rejections show only in the rejection rate, which is reported to the entries.
 auto TargetRelay::recordRejection(const http::Answer& response, MonotonicTime now) -> void
@@ -500,6 +418,7 @@
     const auto now = monotonicNow();
     const auto serviceTime = millisecondsSince(run.startedAt, now);
     m_lastResponseAt = now;
+    recordColdTime(response, now);
     if (isRejection(response)) {
         recordRejection(response, now);
         finishRun(run, std::nullopt);
--- a/src/relay/TargetRelay.h
+++ b/src/relay/TargetRelay.h
@@ -12,15 +12,15 @@
 #include "dispatch/CallRatio.h"
 #include "dispatch/SlotQueue.h"
 #include "dispatch/TargetHealth.h"
+#include "dispatch/WarmUp.h"
 #include "net/HttpClient.h"
 #include "relay/HeaderNames.h"
 #include "relay/PeerMessages.h"
+#include "relay/SlotReservations.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
-#include <map>
 #include <memory>
-#include <set>
 #include <string>
 
 namespace coriandergate::fleet {
@@ -40,6 +40,8 @@
         HeaderNames headers;
         dispatch::TargetHealth::Options health;
         std::chrono::milliseconds reservationTimeout { 1000 }; // frees a granted slot whose request does not arrive
+        // The deployment bounds the arrivals at cold targets: nothing is sent before setArrivalBound().
+        bool isArrivalBoundExpected = false;
         std::chrono::milliseconds targetConnectTimeout { 400 }; // the target is on this host
         // How long fewer requests are admitted after the target rejected one because it was full.
         std::chrono::milliseconds concurrencyLimitTime { 300 };
@@ -60,11 +62,18 @@
     auto handle(std::shared_ptr<http::Exchange> exchange) -> void;
 
     // onConnectionClosed() releases the slot that an entry reserved, or waits for, on `connection`.
-    auto onConnectionClosed(const std::string& connection) -> void;
+    auto onConnectionClosed(const std::string& connection) -> void { m_reservations.onConnectionClosed(connection); }
 
     // onTargetChanged() applies a change of the target's incarnation, number of slots or draining state.
     auto onTargetChanged() -> void;
 
+    // onHeartbeat() applies what the newest heartbeat says of how long the target stays cold.
+    auto onHeartbeat() -> void;
+
+    // setArrivalBound() sets how many requests the target may get in a second, as the configuration in force says.
+    auto setArrivalBound(const dispatch::WarmUp::Bound& bound) -> void;
+    [[nodiscard]] auto isArrivalBoundKnown() const -> bool { return m_warmUp.bound().has_value(); }
+
     // startAccepting() accepts reservations from now on. It is called once the host list has arrived, which tells
     // whether an earlier daemon of this host already announced that the target is draining.
     auto startAccepting() -> void { m_isAccepting = true; }
@@ -82,21 +91,18 @@
     [[nodiscard]] auto loadReport(MonotonicTime now) const -> TargetLoadReport;
     [[nodiscard]] auto targetConnectionsOpened() const -> std::uint64_t { return m_client.connectionsOpened(); }
     // lateResponses() counts responses of the target to requests that had ended before.
+    // heldBack() counts requests that waited or were refused because the target may get no more in a second.
+    [[nodiscard]] auto heldBack() const -> std::uint64_t { return m_reservations.heldBack(); }
+    [[nodiscard]] auto isTargetCold(MonotonicTime now) const -> bool { return m_warmUp.isCold(now); }
     [[nodiscard]] auto lateResponses() const -> std::uint64_t { return m_lateResponses; }
 
 private:
-    struct Reservation;
     struct Run;
-    using Ticket = dispatch::SlotQueue::Ticket;
 
     auto handleReserve(const std::shared_ptr<http::Exchange>& exchange) -> void;
-    auto grant(Reservation& reservation) -> void;
-    auto refuse(const std::shared_ptr<http::Exchange>& exchange, const std::string& requestId, std::string_view why)
-        -> void;
-    auto grantWaiting() -> void;
-    auto armWaitTimer() -> void;
-    auto release(const std::string& connection) -> void;
-    auto expire(const std::string& connection, Ticket ticket) -> void;
+    auto addReport(http::HeaderList& headers, MonotonicTime now) const -> void;
+    auto logWarmth(MonotonicTime now) -> void;
+    auto recordColdTime(const http::Answer& response, MonotonicTime now) -> void;
     auto handleRun(const std::shared_ptr<http::Exchange>& exchange) -> void;
     auto sendToTarget(const std::shared_ptr<Run>& run, RunRequest message) -> void;
     auto onUnresponsive(const std::shared_ptr<Run>& run) -> void;
@@ -119,12 +125,10 @@
     net::HttpClient m_client;
     dispatch::SlotQueue m_slots;
     dispatch::TargetHealth m_health;
+    dispatch::WarmUp m_warmUp;
+    SlotReservations m_reservations;
     StoreClock m_storeClock;
-    boost::asio::steady_timer m_waitTimer;
-    std::map<std::string, std::shared_ptr<Reservation>> m_reservations; // by connection
-    std::set<std::string> m_expired; // connections whose granted slot was released before its request arrived
-    std::map<Ticket, std::string> m_waiting; // connection of each waiting reservation
-    Ticket m_nextTicket = 1;
+    bool m_wasCold = false; // when that was logged last
     std::string m_knownIncarnation; // "id/start time"
     double m_rejectionRate = 0; // moving average of the fraction of requests that the target rejected
     MonotonicTime m_lastResponseAt;
--- a/src/sidecar/MetricsPage.h
+++ b/src/sidecar/MetricsPage.h
@@ -25,6 +25,8 @@
     std::uint64_t targetConnectionsOpened = 0; // since the start
     std::uint64_t peerConnectionsOpened = 0; // since the start
     std::uint64_t lateResponses = 0; // of the target of this host, since the start
+    bool isTargetCold = false; // the target of this host, or taken for it
+    std::uint64_t heldBack = 0; // requests to it that waited or were refused for that reason, since the start
 };
 
 // renderMetricsPage() returns the page. Thread-safe.
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -15,6 +15,7 @@
 #include "relay/EntryRequest.h"
 #include "relay/RateLimitOwner.h"
 #include "relay/TargetRelay.h"
+#include "sidecar/ColdBounds.h"
 #include "sidecar/ConfigurationFeed.h"
 #include "sidecar/MetricsPage.h"
 #include "sidecar/ResourceLimits.h"
@@ -191,7 +192,9 @@
               .fraction = 1 / static_cast<double>(settings.regionCount * dispatch::rateLimitOwnersPerRegion) },
           monotonicNow())
     , targetRelay(io, target, callRatio,
-          { .headers = adapter.headers, .maximumBufferedAnswerBytes = maximumAnswerBytes(settings) })
+          { .headers = adapter.headers,
+              .isArrivalBoundExpected = settings.coldOverage > 0,
+              .maximumBufferedAnswerBytes = maximumAnswerBytes(settings) })
     , callerServer(io, callerOptions(settings, {}),
           [this](std::shared_ptr<http::Exchange> exchange) {
               relay::EntryRequest::start(entryContext, std::move(exchange));
@@ -222,6 +225,7 @@
     registration.setStoreClock([this] { return storeView.hostListFreshness().storeTime(SuspendAwareClock::now()); });
     crashRegistry.setStoreClock([this] { return storeView.hostListFreshness().storeTime(SuspendAwareClock::now()); });
     registration.onTargetChanged([this] { targetRelay.onTargetChanged(); });
+    registration.onHeartbeat([this] { targetRelay.onHeartbeat(); });
     if (!callerServer.listen(settings.callerListenAddress, reason)
         || !peerServer.listen(settings.peerListenAddress, reason)
         || !controlServer.listen(settings.controlListenAddress, reason)
@@ -301,8 +305,16 @@
 
 auto Sidecar::State::onOperatorRows(const std::vector<fleet::StoreRow>& rows, bool isSnapshot) -> void
 {
-    if (configurationFeed.apply(rows, isSnapshot))
-        callerServer.setOptions(callerOptions(settings, entryContext.snapshot->configuration().callerLimits));
+    if (configurationFeed.apply(rows, isSnapshot)) {
+        const auto& configuration = entryContext.snapshot->configuration();
+        callerServer.setOptions(callerOptions(settings, configuration.callerLimits));
+        loadBalancer.setColdServices(coldServices(settings, configuration));
+        // The target of a service that leaves the configuration may still be cold, so its bound stays.
+        if (const auto bound = arrivalBound(settings, configuration, settings.service))
+            targetRelay.setArrivalBound(*bound);
+        else if (!targetRelay.isArrivalBoundKnown())
+            targetRelay.setArrivalBound({});
+    }
     startPendingRequestsIfReady();
 }
 
@@ -324,7 +336,7 @@
         registration.onHostsLoaded();
         targetRelay.startAccepting();
     }
-    loadBalancer.setTargets(directory.targets());
+    loadBalancer.setTargets(directory.targets(), monotonicNow());
     if (!isStopping)
         registration.onHostsChanged();
     rateLimitOwner.setHosts(directory.rateLimitHostsInRegion(settings.locality.region), monotonicNow());
@@ -443,7 +455,9 @@
         .openRequests = callerServer.openRequests(),
         .targetConnectionsOpened = targetRelay.targetConnectionsOpened(),
         .peerConnectionsOpened = peerClient.connectionsOpened(),
-        .lateResponses = targetRelay.lateResponses() });
+        .lateResponses = targetRelay.lateResponses(),
+        .isTargetCold = targetRelay.isTargetCold(monotonicNow()),
+        .heldBack = targetRelay.heldBack() });
 }
 
 Sidecar::Sidecar(boost::asio::io_context& io, const HostSettings& settings, Adapter adapter, fleet::StoreClient& store)
