--- a/src/sidecar/HostSettings.h
+++ b/src/sidecar/HostSettings.h
@@ -47,6 +47,10 @@
     double retryBudgetRatio = 0.2; // retries allowed per request
     double retryBudgetAllowance = 64; // additional retries per window, over all hosts
     double hedgingLimit = 0; // second attempts per request to a service, 0 to maximumHedgingLimit; 0 for none
+    // Factor by which a second may exceed the requests per second that a cold target tolerates; 0: the deployment has
+    // no bound for cold targets.
+    double coldOverage = 0;
+    double coldSlack = 0; // requests by which a second may exceed it in addition
 
     // knownRegions() are the regions of the whole deployment; empty if they aren't known.
     [[nodiscard]] auto knownRegions() const -> std::set<std::string>
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -16,6 +16,7 @@
 #include "relay/LocalPlacement.h"
 #include "relay/RateLimitOwner.h"
 #include "relay/TargetRelay.h"
+#include "sidecar/ColdBounds.h"
 #include "sidecar/ConfigurationFeed.h"
 #include "sidecar/MetricsPage.h"
 #include "sidecar/ResourceLimits.h"
@@ -195,7 +196,9 @@
           monotonicNow())
     , localPlacement(entryContext)
     , targetRelay(io, target, callRatio,
-          { .headers = adapter.headers, .maximumBufferedAnswerBytes = maximumAnswerBytes(settings) })
+          { .headers = adapter.headers,
+              .isArrivalBoundExpected = settings.coldOverage > 0,
+              .maximumBufferedAnswerBytes = maximumAnswerBytes(settings) })
     , callerServer(io, callerOptions(settings, {}),
           [this](std::shared_ptr<http::Exchange> exchange) {
               relay::EntryRequest::start(entryContext, std::move(exchange));
@@ -227,6 +230,7 @@
     crashRegistry.setStoreClock([this] { return storeView.hostListFreshness().storeTime(SuspendAwareClock::now()); });
     registration.onTargetChanged([this] { targetRelay.onTargetChanged(); });
     targetRelay.setPlacement(localPlacement);
+    registration.onHeartbeat([this] { targetRelay.onHeartbeat(); });
     if (!callerServer.listen(settings.callerListenAddress, reason)
         || !peerServer.listen(settings.peerListenAddress, reason)
         || !controlServer.listen(settings.controlListenAddress, reason)
@@ -306,8 +310,16 @@
 
 auto Sidecar::State::onOperatorRows(const std::vector<fleet::StoreRow>& rows, bool isSnapshot) -> void
 {
-    if (configurationFeed.apply(rows, isSnapshot))
-        callerServer.setOptions(callerOptions(settings, entryContext.snapshot->configuration().callerLimits));
+    if (configurationFeed.apply(rows, isSnapshot)) {
+        const auto& configuration = entryContext.snapshot->configuration();
+        callerServer.setOptions(callerOptions(settings, configuration.callerLimits));
+        loadBalancer.setColdServices(coldServices(settings, configuration));
+        // The target of a service that leaves the configuration may still be cold, so its bound stays.
+        if (const auto bound = arrivalBound(settings, configuration, settings.service))
+            targetRelay.setArrivalBound(*bound);
+        else if (!targetRelay.isArrivalBoundKnown())
+            targetRelay.setArrivalBound({});
+    }
     startPendingRequestsIfReady();
 }
 
@@ -329,7 +341,7 @@
         registration.onHostsLoaded();
         targetRelay.startAccepting();
     }
-    loadBalancer.setTargets(directory.targets());
+    loadBalancer.setTargets(directory.targets(), monotonicNow());
     if (!isStopping)
         registration.onHostsChanged();
     rateLimitOwner.setHosts(directory.rateLimitHostsInRegion(settings.locality.region), monotonicNow());
@@ -448,7 +460,9 @@
         .openRequests = callerServer.openRequests(),
         .targetConnectionsOpened = targetRelay.targetConnectionsOpened(),
         .peerConnectionsOpened = peerClient.connectionsOpened(),
-        .lateResponses = targetRelay.lateResponses() });
+        .lateResponses = targetRelay.lateResponses(),
+        .isTargetCold = targetRelay.isTargetCold(monotonicNow()),
+        .heldBack = targetRelay.heldBack() });
 }
 
 Sidecar::Sidecar(boost::asio::io_context& io, const HostSettings& settings, Adapter adapter, fleet::StoreClient& store)
