Use the bound for cold targets to within one request

The bound counts what is both sent and arrived within a second, so that 1.02 s and one request keep it. A reset alone no longer makes a target count as cold: targets forget idle connections and lose answers; refused connections do.

WarmUp_test 12 cases, ColdTarget_test 3 pass.

--- a/src/dispatch/WarmUp.h
+++ b/src/dispatch/WarmUp.h
@@ -32,8 +32,8 @@
     struct Options {
         // The bound counts what is sent and arrives within one second; the rest covers a stall between the reading of
         // the clock and the sending.
-        std::chrono::milliseconds window { 1100 };
-        std::size_t margin = 2; // requests below the bound, for the same reason
+        std::chrono::milliseconds window { 1020 };
+        std::size_t margin = 1; // requests below the bound, for the same reason
     };
 
     // Bound is what the configuration and the deployment say of a service's cold targets.
@@ -59,7 +59,7 @@
     [[nodiscard]] auto bound() const -> const std::optional<Bound>& { return m_bound; }
 
     // assumeCold() takes the target for cold until it says otherwise, or for the bound's time: it is a new incarnation,
-    // or its connections were refused or reset, so that it may have started anew.
+    // or refused connections, so that it may have started anew.
     auto assumeCold(MonotonicTime now) -> void;
 
     // onHeartbeat() records for how long the target says that it stays cold; 0 for a warm one.
--- a/src/relay/TargetRelay.cpp
+++ b/src/relay/TargetRelay.cpp
@@ -358,8 +358,9 @@
     // onUnresponsive() detects an unresponsive target.
     if (!failure.wasTimeout || !failure.mayHaveRun)
         recordOutcome(TargetHealth::Outcome::Failed, failure.error.toText());
-    // The target may have ended, and be cold once it is back.
-    if (failure.wasReset || !failure.mayHaveRun) {
+    // A target that accepts no connection has ended, and is cold once it is back. A reset alone tells little: targets
+    // also forget idle connections and lose answers.
+    if (!failure.mayHaveRun) {
         const auto now = monotonicNow();
         m_warmUp.assumeCold(now);
         logWarmth(now);
