--- a/src/relay/EntryCounters.h
+++ b/src/relay/EntryCounters.h
@@ -26,6 +26,7 @@
     std::uint64_t hedges = 0; // second attempts beside a first one that was still running
     std::uint64_t hedgesWon = 0; // those whose response the caller got
     std::uint64_t refusedForHomes = 0; // requests without a target in their home regions
+    std::uint64_t refusedForEvacuations = 0; // requests whose targets are all in evacuated data centres
     std::uint64_t pathFailures = 0; // attempts to reserve a slot to which the peer did not respond
 
     auto recordLatency(std::chrono::milliseconds requestLatency) -> void
--- a/src/relay/TargetRelay.cpp
+++ b/src/relay/TargetRelay.cpp
@@ -114,6 +114,8 @@
         return "target leaves";
     if (m_target.service() != message.service)
         return "another service";
+    if (m_placement && m_placement->isEvacuated())
+        return LocalPlacement::s_evacuatedReason;
     return {};
 }
 
@@ -158,6 +160,18 @@
     logWarmth(now);
 }
 
+auto TargetRelay::onEvacuationsChanged() -> void
+{
+    const auto now = monotonicNow();
+    const bool isEvacuated = m_placement && m_placement->isEvacuated();
+    if (isEvacuated)
+        m_reservations.refuseWaiting(LocalPlacement::s_evacuatedReason, now);
+    else if (m_isEvacuated)
+        m_warmUp.assumeCold(now); // an idle target may be cold again
+    m_isEvacuated = isEvacuated;
+    logWarmth(now);
+}
+
 auto TargetRelay::onHeartbeat() -> void
 {
     const auto now = monotonicNow();
--- a/src/relay/TargetRelay.h
+++ b/src/relay/TargetRelay.h
@@ -76,8 +76,13 @@
     auto setArrivalBound(const dispatch::WarmUp::Bound& bound) -> void;
     [[nodiscard]] auto isArrivalBoundKnown() const -> bool { return m_warmUp.bound().has_value(); }
 
+    // onEvacuationsChanged() refuses the reservations that wait if the data centre of this host is evacuated now,
+    // and takes the target for cold if it is no longer.
+    auto onEvacuationsChanged() -> void;
+
     // startAccepting() accepts reservations from now on. It is called once the host list has arrived, which tells
-    // whether an earlier daemon of this host already announced that the target is draining.
+    // whether an earlier daemon of this host already announced that the target is draining, and the operators' rows,
+    // which tell whether the data centre is evacuated.
     auto startAccepting() -> void { m_isAccepting = true; }
 
     // stopAccepting() refuses every new reservation; granted ones continue.
@@ -134,6 +139,7 @@
     SlotReservations m_reservations;
     StoreClock m_storeClock;
     const LocalPlacement* m_placement = nullptr; // null: every request
+    bool m_isEvacuated = false;
     bool m_wasCold = false; // when that was logged last
     std::string m_knownIncarnation; // "id/start time"
     double m_rejectionRate = 0; // moving average of the fraction of requests that the target rejected
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -96,6 +96,7 @@
         -> fleet::HostRegistration::Acknowledge;
     auto onOperatorRows(const std::vector<fleet::StoreRow>& rows, bool isSnapshot) -> void;
     auto onHostsChanged(const std::vector<Error>& faults) -> void;
+    auto startAcceptingIfLoaded() -> void;
     auto startPendingRequestsIfReady() -> void;
     auto onStoreResponse() -> void;
     auto onStoreFailure(const Error& error) -> void;
@@ -134,7 +135,8 @@
     MonotonicTime lastOpenRequestAt; // last time that a request was open
     bool isStopping = false;
     bool isCallerPortClosed = false;
-    bool areHostsLoaded = false; // and the target of this host accepts requests
+    bool areHostsLoaded = false;
+    bool areOperatorRowsLoaded = false; // with the hosts, the target of this host accepts requests
     bool isStoreReachable = false;
 };
 
@@ -188,7 +190,7 @@
         .crashRegistry = crashRegistry,
         .snapshot = nullptr,
         .hedging = dispatch::Hedging({ .limit = settings.hedgingLimit }) }
-    , configurationFeed(adapter, settings.knownRegions(), entryContext)
+    , configurationFeed(adapter, settings, entryContext)
     , rowCleaner(io, storeView, loadBalancer, { .table = hostTable, .hostKey = hostKey, .locality = settings.locality })
     , rateLimitOwner(entryContext,
           { .limits = rateLimits(),
@@ -310,7 +312,7 @@
 
 auto Sidecar::State::onOperatorRows(const std::vector<fleet::StoreRow>& rows, bool isSnapshot) -> void
 {
-    if (configurationFeed.apply(rows, isSnapshot)) {
+    if (configurationFeed.apply(rows, isSnapshot, monotonicNow())) {
         const auto& configuration = entryContext.snapshot->configuration();
         callerServer.setOptions(callerOptions(settings, configuration.callerLimits));
         loadBalancer.setColdServices(coldServices(settings, configuration));
@@ -320,9 +322,19 @@
         else if (!targetRelay.isArrivalBoundKnown())
             targetRelay.setArrivalBound({});
     }
+    targetRelay.onEvacuationsChanged();
+    areOperatorRowsLoaded = true;
+    startAcceptingIfLoaded();
     startPendingRequestsIfReady();
 }
 
+// Until then the target may have left, or its data centre may be evacuated.
+auto Sidecar::State::startAcceptingIfLoaded() -> void
+{
+    if (areHostsLoaded && areOperatorRowsLoaded)
+        targetRelay.startAccepting();
+}
+
 auto Sidecar::State::startPendingRequestsIfReady() -> void
 {
     if (!entryContext.isReady && entryContext.snapshot && areHostsLoaded)
@@ -339,7 +351,7 @@
         if (directory.find(hostKey) || directory.findDeparted(hostKey))
             retryBudget.onRestart(monotonicNow());
         registration.onHostsLoaded();
-        targetRelay.startAccepting();
+        startAcceptingIfLoaded();
     }
     loadBalancer.setTargets(directory.targets(), monotonicNow());
     if (!isStopping)
@@ -455,6 +467,8 @@
         .loadReport = targetRelay.loadReport(monotonicNow()),
         .configurationAge = storeView.operatorFreshness().age(SuspendAwareClock::now()),
         .configurationVersion = entryContext.snapshot ? entryContext.snapshot->configuration().version : 0,
+        .evacuatedDataCentres = entryContext.evacuations.evacuated().size(),
+        .evacuationAge = entryContext.evacuations.oldestAge(monotonicNow()),
         .hostCount = entryContext.hostCount,
         .callerConnections = callerServer.connections(),
         .openRequests = callerServer.openRequests(),
