--- a/src/testing/ProcessUnderTest.cpp
+++ b/src/testing/ProcessUnderTest.cpp
@@ -9,6 +9,7 @@
 #include <QTemporaryFile>
 #include <csignal>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
 
 namespace coriandergate::testing {
@@ -141,6 +142,14 @@
     return 0;
 }
 
+auto ProcessUnderTest::openDescriptors() const -> std::size_t
+{
+    std::error_code error;
+    const std::filesystem::directory_iterator entries(
+        "/proc/" + std::to_string(m_state->process.processId()) + "/fd", error);
+    return error ? 0 : static_cast<std::size_t>(std::distance(begin(entries), end(entries)));
+}
+
 auto ProcessUnderTest::sendSignal(int number) -> void
 {
     // The number belongs to this object's own child until QProcess has reaped it, so it can't name another process.
--- a/src/testing/ProcessUnderTest.h
+++ b/src/testing/ProcessUnderTest.h
@@ -68,6 +68,9 @@
     // peakMemoryBytes() is the most memory that the process has held so far; 0 when it doesn't run.
     [[nodiscard]] auto peakMemoryBytes() const -> std::size_t;
 
+    // openDescriptors() is the number of file descriptors that the process holds; 0 when it doesn't run.
+    [[nodiscard]] auto openDescriptors() const -> std::size_t;
+
     // output() is all that the process has printed, both channels merged.
     [[nodiscard]] auto output() const -> std::string;
 
