Let clients that hold most for longest give way, within each port's memory and connections

Cause: memory was bounded a request, not a process. Bytes that the parser had not used yet (trailers, the line before a chunk, pipelines) were counted nowhere and read without end; a head that came line by line had no bound; responses that nobody read piled up; the control, readiness and metrics ports had 64 MB and 2048 connections each whatever the process had; and when all connections were taken, new ones were refused while silent ones stayed.

Change: dispatch/ConnectionBudget (no I/O) is told what each connection holds and selects who gives way: most bytes times time without progress; an idle connection for a new one. net/HttpServer and http/Server apply it and bound heads, trailers, unparsed requests and unread responses of one connection. sidecar/ResourceLimits divides memory and sockets among all five ports; the product's daemon gives half of maximum-buffered-bytes to callers, a quarter each to peers and operators.

--- a/src/daemon/ListenPlugin.cpp
+++ b/src/daemon/ListenPlugin.cpp
@@ -3,6 +3,7 @@
 #include "daemon/AdminRouter.h"
 #include "daemon/DrainState.h"
 #include "daemon/PeerRouter.h"
+#include "daemon/ReleaseMetrics.h"
 #include "daemon/StatusPage.h"
 #include "http/Exchange.h"
 #include "http/Server.h"
@@ -18,6 +19,8 @@
 
 #include <QCoreApplication>
 #include <QThread>
+#include <QTimer>
+#include <prometheus/registry.h>
 
 namespace coriandergate::daemon {
 
@@ -38,7 +41,9 @@
     const SettingRegistration maximumBodyBytes { { "maximum-body-bytes", IntegerKind { 0, 1 << 30 }, "8388608",
         "of one request; a route may allow less" } };
     const SettingRegistration maximumBufferedBytes { { "maximum-buffered-bytes", IntegerKind { 1 << 20, 1LL << 40 },
-        "268435456", "request bytes held over all connections" } };
+        "268435456",
+        "bytes of requests and unread responses over all connections: half of them for callers, a quarter "
+        "for peers, a quarter for operators" } };
     const SettingRegistration headerTimeout { { "header-timeout-ms", DurationKind { 10, 600000 }, "10000",
         "for a caller to send its header block" } };
     const SettingRegistration bodyTimeout { { "body-timeout-ms", DurationKind { 10, 600000 }, "30000",
@@ -59,8 +64,15 @@
         "requests were cut; raise drain-timeout-ms above the longest deadline" };
 
     constexpr milliseconds drainPollPeriod { 10 };
+    constexpr milliseconds metricsPeriod { 1000 };
 
-    auto toOptions(const std::string& address, const settings::Settings& settings) -> http::Server::Options
+    // Parts of maximum-buffered-bytes. None of the three ports can take what the others need.
+    constexpr std::size_t callerBytesDivisor = 2;
+    constexpr std::size_t peerBytesDivisor = 4;
+    constexpr std::size_t operatorBytesDivisor = 4;
+
+    auto toOptions(const std::string& address, const settings::Settings& settings, std::size_t bytesDivisor)
+        -> http::Server::Options
     {
         http::Server::Options options;
         const auto colon = address.rfind(':');
@@ -68,7 +80,8 @@
         options.port = static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)));
         options.maximumConnections = static_cast<std::size_t>(settings.integer("maximum-connections"));
         options.maximumBodyBytes = static_cast<std::size_t>(settings.integer("maximum-body-bytes"));
-        options.maximumBufferedBytes = static_cast<std::size_t>(settings.integer("maximum-buffered-bytes"));
+        options.maximumBufferedBytes
+            = static_cast<std::size_t>(settings.integer("maximum-buffered-bytes")) / bytesDivisor;
         options.headerTimeout = settings.duration("header-timeout-ms");
         options.bodyTimeout = settings.duration("body-timeout-ms");
         options.idleTimeout = settings.duration("idle-timeout-ms");
@@ -89,14 +102,15 @@
     const auto peerRouter = std::shared_ptr<const PeerRouter>(kernel.find<PeerRouter>());
 
     const auto statusPage = std::shared_ptr<const StatusPage>(kernel.find<StatusPage>());
-    m_callers = std::make_unique<http::Server>(*context->workers, toOptions(m_settings->text("listen"), *m_settings),
+    m_callers = std::make_unique<http::Server>(*context->workers,
+        toOptions(m_settings->text("listen"), *m_settings, callerBytesDivisor),
         [context, statusPage](std::shared_ptr<http::Exchange> exchange) {
             if (statusPage->takes(exchange->request()))
                 exchange->answer(statusPage->makePage(monotonicNow()));
             else
                 proxy::EntryRequest::start(context, std::move(exchange));
         });
-    auto peerOptions = toOptions(m_settings->text("peer-listen"), *m_settings);
+    auto peerOptions = toOptions(m_settings->text("peer-listen"), *m_settings, peerBytesDivisor);
     // A forwarded request carries the forward header beside the caller's own.
     peerOptions.maximumHeaderBytes *= 2;
     m_peers = std::make_unique<http::Server>(
@@ -106,9 +120,13 @@
             else
                 peerRouter->handle(std::move(exchange));
         });
-    m_admin
-        = std::make_unique<http::Server>(*context->workers, toOptions(m_settings->text("admin-listen"), *m_settings),
-            [router](std::shared_ptr<http::Exchange> exchange) { router->handle(std::move(exchange)); });
+    m_admin = std::make_unique<http::Server>(*context->workers,
+        toOptions(m_settings->text("admin-listen"), *m_settings, operatorBytesDivisor),
+        [router](std::shared_ptr<http::Exchange> exchange) { router->handle(std::move(exchange)); });
+    m_metrics = std::make_unique<ReleaseMetrics>(*kernel.find<prometheus::Registry>());
+    m_metricsTimer = std::make_unique<QTimer>();
+    QObject::connect(m_metricsTimer.get(), &QTimer::timeout, m_metricsTimer.get(), [this] { updateMetrics(); });
+    m_metricsTimer->start(metricsPeriod);
     if (!m_callers->listen(reason) || !m_peers->listen(reason) || !m_admin->listen(reason))
         return false;
     log::logEvent(listening,
@@ -119,6 +137,13 @@
 
 auto ListenPlugin::isBusy() const -> bool { return m_callers->busyConnections() > 0 || m_peers->busyConnections() > 0; }
 
+auto ListenPlugin::updateMetrics() -> void
+{
+    m_metrics->update("callers", m_callers->released());
+    m_metrics->update("peers", m_peers->released());
+    m_metrics->update("operators", m_admin->released());
+}
+
 auto ListenPlugin::spinFor(milliseconds duration) -> void
 {
     const auto end = monotonicNow() + duration;
@@ -141,6 +166,7 @@
     log::logEvent(isBusy() ? drainCut : drained, {});
     m_peers->finishDrain();
     spinFor(drainPollPeriod);
+    m_metricsTimer.reset();
     m_callers.reset();
     m_peers.reset();
     m_admin.reset();
--- a/src/daemon/ListenPlugin.h
+++ b/src/daemon/ListenPlugin.h
@@ -7,6 +7,8 @@
 #include <chrono>
 #include <memory>
 
+class QTimer;
+
 namespace coriandergate::http {
 class Server;
 }
@@ -17,6 +19,7 @@
 namespace coriandergate::daemon {
 
 class DrainState;
+class ReleaseMetrics;
 
 class ListenPlugin : public kernel::Plugin {
 public:
@@ -31,12 +34,15 @@
 private:
     [[nodiscard]] auto isBusy() const -> bool;
     auto spinFor(std::chrono::milliseconds duration) -> void;
+    auto updateMetrics() -> void;
 
     std::shared_ptr<settings::Settings> m_settings;
     std::shared_ptr<DrainState> m_drainState;
     std::unique_ptr<http::Server> m_callers;
     std::unique_ptr<http::Server> m_peers;
     std::unique_ptr<http::Server> m_admin;
+    std::unique_ptr<ReleaseMetrics> m_metrics;
+    std::unique_ptr<QTimer> m_metricsTimer;
 };
 
 } // namespace coriandergate::daemon
--- a/src/http/AnswerParser.cpp
+++ b/src/http/AnswerParser.cpp
@@ -107,7 +107,7 @@
         state.hasStarted = true;
         boost::beast::error_code error;
         used += internal::feedParser(
-            *state.parser, bytes.substr(used), error, [&state]() -> bool { return state.takeHeaders(); });
+            *state.parser, bytes.substr(used), error, [&state](std::size_t) -> bool { return state.takeHeaders(); });
         if (state.progress == ParseProgress::Failed)
             break;
         if (error) {
--- a/src/http/RequestParser.cpp
+++ b/src/http/RequestParser.cpp
@@ -8,10 +8,31 @@
 
 namespace beast = boost::beast::http;
 
+namespace {
+
+    // A header field takes two lists' nodes and allocations beside its text, which both hold.
+    constexpr std::size_t fieldOverhead = 2 * 96;
+    // The shortest line is "a:" and its end. So much memory may stand behind each byte of an unfinished header block.
+    constexpr std::size_t shortestLine = 4;
+    // Method, version, blanks and end of the request line, in which the target stands.
+    constexpr std::size_t requestLineOverhead = 48;
+
+    auto headersMemory(const HeaderList& headers) -> std::size_t
+    {
+        std::size_t bytes = 0;
+        for (const auto& header : headers)
+            bytes += 2 * (header.name.size() + header.value.size()) + fieldOverhead;
+        return bytes;
+    }
+
+} // namespace
+
 struct RequestParser::State {
     beast::request_parser<beast::string_body> parser;
     Options options;
     HeaderList headers;
+    std::size_t headBytes = 0; // read of the header block
+    std::size_t headMemory = 0; // once the header block is complete
     ParseProgress progress = ParseProgress::NeedsMore;
     bool hasStarted = false;
     bool awaitsContinue = false;
@@ -26,7 +47,8 @@
         return false;
     }
 
-    auto takeHeaders() -> bool;
+    auto takeHeaders(std::size_t used) -> bool;
+    auto checkHeadSize(std::size_t unread) -> bool;
     auto checkTarget(std::string_view target) -> bool;
     auto failFrom(const boost::beast::error_code& error) -> void;
 };
@@ -42,10 +64,23 @@
     return true;
 }
 
-auto RequestParser::State::takeHeaders() -> bool
+// Beast bounds what it is given at once, not a header block that comes line by line.
+auto RequestParser::State::checkHeadSize(std::size_t unread) -> bool
+{
+    const auto limit = options.maximumHeaderBytes;
+    if (headBytes + unread <= limit + parser.get().target().size() + requestLineOverhead)
+        return true;
+    return fail(431, "the headers are larger than " + std::to_string(limit) + " bytes");
+}
+
+auto RequestParser::State::takeHeaders(std::size_t used) -> bool
 {
     const auto& message = parser.get();
     headers = internal::copyHeaders(message);
+    headMemory = headersMemory(headers);
+    headBytes += used;
+    if (!checkHeadSize(0))
+        return false;
     if (message.version() != 11 && message.version() != 10)
         return fail(505, "only HTTP/1.0 and HTTP/1.1 are served");
     if (!internal::hasPlainLength(headers))
@@ -99,19 +134,28 @@
         return 0;
     state.hasStarted = true;
     boost::beast::error_code error;
-    const auto used
-        = internal::feedParser(state.parser, bytes, error, [&state]() -> bool { return state.takeHeaders(); });
+    const auto used = internal::feedParser(
+        state.parser, bytes, error, [&state](std::size_t head) -> bool { return state.takeHeaders(head); });
     if (state.progress == ParseProgress::Failed)
         return used;
     if (error) {
         state.failFrom(error);
         return used;
     }
-    // A parser that needs more keeps nothing of an unfinished header line, so the limit is held here too.
-    if (!state.parser.is_header_done() && bytes.size() - used > state.options.maximumHeaderBytes)
-        state.fail(431, "the headers are larger than " + std::to_string(state.options.maximumHeaderBytes) + " bytes");
-    if (state.parser.is_done())
+    const auto unread = bytes.size() - used;
+    if (state.parser.is_done()) {
         state.progress = ParseProgress::Complete;
+    } else if (!state.parser.is_header_done()) {
+        state.headBytes += used;
+        // A parser that needs more keeps nothing of an unfinished header line.
+        if (unread > state.options.maximumHeaderBytes || !state.checkHeadSize(unread))
+            state.fail(
+                431, "the headers are larger than " + std::to_string(state.options.maximumHeaderBytes) + " bytes");
+    } else if (unread > state.options.maximumHeaderBytes) {
+        state.fail(431,
+            "a trailer or the line before a chunk is larger than " + std::to_string(state.options.maximumHeaderBytes)
+                + " bytes");
+    }
     return used;
 }
 
@@ -129,6 +173,18 @@
 
 auto RequestParser::bodyBytes() const -> std::size_t { return m_state->parser.get().body().size(); }
 
+auto RequestParser::heldBytes() const -> std::size_t
+{
+    if (!m_state->hasStarted)
+        return 0;
+    const auto& message = m_state->parser.get();
+    // The buffer of a body of declared length is reserved at once, and its pages are used as the body comes.
+    const auto body = message.has_content_length() ? message.body().size() : message.body().capacity();
+    if (m_state->parser.is_header_done())
+        return body + m_state->headMemory;
+    return m_state->headBytes * (1 + fieldOverhead / shortestLine);
+}
+
 auto RequestParser::failureStatus() const -> int { return m_state->failureStatus; }
 
 auto RequestParser::failureReason() const -> std::string_view { return m_state->failureReason; }
--- a/src/http/RequestParser.h
+++ b/src/http/RequestParser.h
@@ -3,7 +3,8 @@
 //
 // Beyond Beast's own checks these are refused: more than one Content-Length, Content-Length beside Transfer-Encoding, a
 // Transfer-Encoding other than "chunked", no or several Host headers in HTTP/1.1, a request target that is not a path.
-// Fields in a chunked trailer are dropped, so that none can pass for a header.
+// Fields in a chunked trailer are dropped, so that none can pass for a header. A trailer and the line before a chunk
+// may each be as long as a header block.
 //
 //   RequestParser parser({});
 //   const auto used = parser.feed(bytes);
@@ -50,6 +51,10 @@
     // bodyBytes() is how much of the body is held so far.
     [[nodiscard]] auto bodyBytes() const -> std::size_t;
 
+    // heldBytes() is the memory that the request takes so far: its body with what the string keeps in reserve, and its
+    // headers with the nodes that hold them.
+    [[nodiscard]] auto heldBytes() const -> std::size_t;
+
     // failureStatus() is the HTTP status (400, 413, 431, 501) for a failed request, and failureReason() says why.
     [[nodiscard]] auto failureStatus() const -> int;
     [[nodiscard]] auto failureReason() const -> std::string_view;
--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -37,7 +37,7 @@
 
 struct Server::State {
     WorkerPool& workers;
-    std::shared_ptr<internal::ServerState> shared = std::make_shared<internal::ServerState>();
+    std::shared_ptr<internal::ServerState> shared;
     std::unique_ptr<Listener> listener;
     // One list a worker, touched by that worker only.
     std::vector<std::vector<QPointer<internal::ServerConnection>>> open;
@@ -48,7 +48,7 @@
 
 auto Server::State::accept(qintptr descriptor) -> void
 {
-    if (shared->connections >= shared->options.maximumConnections) {
+    if (!shared->makeRoom(monotonicNow())) {
         QTcpSocket refused;
         refused.setSocketDescriptor(descriptor);
         refused.abort();
@@ -66,10 +66,9 @@
 }
 
 Server::Server(WorkerPool& workers, const Options& options, Handler handler)
-    : m_state(std::make_shared<State>(State { .workers = workers }))
+    : m_state(std::make_shared<State>(
+        State { .workers = workers, .shared = std::make_shared<internal::ServerState>(options, std::move(handler)) }))
 {
-    m_state->shared->options = options;
-    m_state->shared->handler = std::move(handler);
     m_state->open.resize(workers.size());
 }
 
@@ -124,4 +123,6 @@
 
 auto Server::busyConnections() const -> std::size_t { return m_state->shared->busyConnections; }
 
+auto Server::released() const -> ReleaseCounters { return m_state->shared->released(); }
+
 } // namespace coriandergate::http
--- a/src/http/Server.h
+++ b/src/http/Server.h
@@ -1,7 +1,8 @@
 // An HTTP/1.1 server on Qt's sockets and Boost.Beast's parser.
 //
 // Connections are spread over the workers; each answers its requests one by one in the order in which they came, also
-// when they were pipelined. A caller that leaves costs nothing but its own request. Slow senders are timed out.
+// when they were pipelined. A caller that leaves costs nothing but its own request. Slow senders are timed out. Clients
+// that hold much without progress give way when all together hold more than the options allow.
 //
 //   Server server(workers, { .address = "127.0.0.1", .port = 7100 }, [](std::shared_ptr<Exchange> exchange) {
 //       exchange->answer(makeAnswer(200, "text/plain", "hello\n"));
@@ -32,12 +33,20 @@
         std::size_t maximumConnections = 8192;
         std::size_t maximumHeaderBytes = 16 * 1024;
         std::size_t maximumBodyBytes = 8 * 1024 * 1024;
-        std::size_t maximumBufferedBytes = 256 * 1024 * 1024; // request bodies over all connections
+        // Of requests and of responses that clients don't take, over all connections; small requests may take a quarter
+        // more (dispatch/ConnectionBudget.h).
+        std::size_t maximumBufferedBytes = 256 * 1024 * 1024;
         std::chrono::milliseconds idleTimeout { 60000 };
         std::chrono::milliseconds headerTimeout { 10000 }; // from the first byte to the end of the header block
         std::chrono::milliseconds bodyTimeout { 30000 }; // from the end of the header block to the end of the body
         std::chrono::milliseconds writeTimeout { 30000 }; // for a caller to take its answer
     };
+    // ReleaseCounters count what was ended to stay within the options, since the start.
+    struct ReleaseCounters {
+        std::uint64_t requests = 0; // refused before they had arrived whole
+        std::uint64_t unreadResponses = 0; // connections closed whose clients didn't read
+        std::uint64_t idleConnections = 0; // closed for newer ones
+    };
     using Handler = std::function<void(std::shared_ptr<Exchange>)>;
 
     // Server() keeps a reference to `workers`, which must live longer. `handler` runs on the workers.
@@ -68,6 +77,9 @@
     [[nodiscard]] auto connections() const -> std::size_t;
     [[nodiscard]] auto busyConnections() const -> std::size_t;
 
+    // released() is safe from any thread.
+    [[nodiscard]] auto released() const -> ReleaseCounters;
+
 private:
     struct State;
     std::shared_ptr<State> m_state;
--- a/src/http/internal/BeastBuffer.h
+++ b/src/http/internal/BeastBuffer.h
@@ -36,7 +36,8 @@
 }
 
 // feedParser() gives `bytes` to a Beast parser until it needs more, is done or fails. After the header block is parsed,
-// `onHeaders` is called once, before any body byte is read; it returns false to stop there.
+// `onHeaders` is called once with the number of bytes used so far, before any body byte is read; it returns false to
+// stop there.
 template <typename Parser, typename OnHeaders>
 auto feedParser(Parser& parser, std::string_view bytes, boost::beast::error_code& error, const OnHeaders& onHeaders)
     -> std::size_t
@@ -52,7 +53,7 @@
         }
         if (error)
             break;
-        if (!hadHeaders && parser.is_header_done() && !onHeaders())
+        if (!hadHeaders && parser.is_header_done() && !onHeaders(used))
             break;
     }
     return used;
--- a/src/http/internal/ServerConnection.cpp
+++ b/src/http/internal/ServerConnection.cpp
@@ -14,7 +14,14 @@
 
 namespace {
 
-    constexpr qint64 readBufferBytes = 256 * 1024;
+    // Of each connection, also of one whose client sends while its request is handled.
+    constexpr qint64 readBufferBytes = 32 * 1024;
+    // No further request is taken while the client has so many bytes of responses to take.
+    constexpr qint64 maximumUnwrittenBytes = 64 * 1024;
+    // A refusal takes less, and must not be the reason to cut the connection on which it is sent.
+    constexpr qint64 uncountedUnreadBytes = 1024;
+    // What the handling of a request takes beside its headers and body: its state, timers and messages.
+    constexpr std::size_t requestOverhead = 2 * 1024;
 
     auto parserOptions(const Server::Options& options) -> RequestParser::Options
     {
@@ -30,10 +37,11 @@
     , m_timer(this)
     , m_parser(parserOptions(m_state->options))
 {
+    m_id = m_state->open(*this, monotonicNow());
     m_timer.setSingleShot(true);
     connect(&m_timer, &QTimer::timeout, this, [this] { onTimeout(); });
     connect(&m_socket, &QTcpSocket::readyRead, this, [this] { readMore(); });
-    connect(&m_socket, &QTcpSocket::bytesWritten, this, [this] { shutDownWhenWritten(); });
+    connect(&m_socket, &QTcpSocket::bytesWritten, this, [this] { onBytesWritten(); });
     connect(&m_socket, &QTcpSocket::disconnected, this, [this] { onDisconnected(); });
     if (!m_socket.setSocketDescriptor(descriptor)) {
         onDisconnected();
@@ -48,8 +56,8 @@
 ServerConnection::~ServerConnection()
 {
     m_socket.disconnect(this);
+    m_state->close(m_id);
     setBusy(false);
-    m_state->bufferedBytes -= m_accountedBytes;
     --m_state->connections;
 }
 
@@ -106,8 +114,10 @@
         return;
     }
     // While a request is handled, what the caller pipelines behind it waits in the socket, whose buffer is bounded.
-    if (m_phase == Phase::Handling)
+    if (m_phase == Phase::Handling || m_socket.bytesToWrite() >= maximumUnwrittenBytes) {
+        updateBudget();
         return;
+    }
     const auto bytes = m_socket.readAll();
     m_buffer.append(bytes.constData(), static_cast<std::size_t>(bytes.size()));
     parseBuffered();
@@ -115,7 +125,7 @@
 
 auto ServerConnection::parseBuffered() -> void
 {
-    if (m_buffer.empty())
+    if (m_buffer.empty() || m_socket.bytesToWrite() >= maximumUnwrittenBytes)
         return;
     const auto used = m_parser.feed(m_buffer);
     m_buffer.erase(0, used);
@@ -123,12 +133,11 @@
         refuse(m_parser.failureStatus(), m_parser.failureReason());
         return;
     }
-    if (!accountBuffered()) {
-        refuse(503, "the daemon holds as many request bytes as it may");
-        return;
-    }
     if (m_parser.progress() == ParseProgress::Complete) {
-        handleRequest();
+        // Once it is handled, it can't give way any more.
+        updateBudget();
+        if (m_phase != Phase::Closing && m_socket.state() == QAbstractSocket::ConnectedState)
+            handleRequest();
         return;
     }
     if (m_parser.awaitsContinue() && !m_hasSentContinue) {
@@ -139,20 +148,67 @@
         enter(Phase::Headers);
     if (m_phase == Phase::Headers && m_parser.hasHeaders())
         enter(Phase::Body);
+    updateBudget();
 }
 
-auto ServerConnection::accountBuffered() -> bool
+// What waits behind a request under way can't be refused before it, so it counts with it.
+auto ServerConnection::updateBudget() -> void
 {
-    const auto bytes = m_buffer.size() + m_parser.bodyBytes();
-    m_state->bufferedBytes += bytes - m_accountedBytes;
-    m_accountedBytes = bytes;
-    return m_state->bufferedBytes <= m_state->options.maximumBufferedBytes;
+    const auto waiting = m_buffer.size() + static_cast<std::size_t>(m_socket.bytesAvailable());
+    const auto unread = m_socket.bytesToWrite();
+    const bool isHandling = m_phase == Phase::Handling;
+    const bool mustGiveWay = m_state->set(m_id,
+        { .arriving = isHandling ? 0 : waiting + m_parser.heldBytes(),
+            .handled = isHandling ? m_handledBytes + waiting : 0,
+            .unread = unread > uncountedUnreadBytes ? static_cast<std::size_t>(unread) : 0 },
+        monotonicNow());
+    if (mustGiveWay)
+        release();
+}
+
+auto ServerConnection::postRelease() -> void
+{
+    QMetaObject::invokeMethod(
+        this, [this] { release(); }, Qt::QueuedConnection);
+}
+
+auto ServerConnection::postCloseForRoom() -> void
+{
+    QMetaObject::invokeMethod(
+        this, [this] { closeForRoom(); }, Qt::QueuedConnection);
+}
+
+auto ServerConnection::release() -> void
+{
+    const bool isArriving = m_phase != Phase::Handling && m_phase != Phase::Closing
+        && (m_parser.hasStarted() || !m_buffer.empty() || m_socket.bytesAvailable() > 0);
+    if (isArriving && m_socket.bytesToWrite() < maximumUnwrittenBytes) {
+        m_state->countRefused();
+        refuse(503, "other requests hold the memory of the daemon");
+        updateBudget();
+    } else if (m_socket.bytesToWrite() > 0) {
+        m_state->countUnread();
+        m_socket.abort();
+    } else {
+        updateBudget();
+    }
+}
+
+auto ServerConnection::closeForRoom() -> void
+{
+    if (m_phase != Phase::Handling && m_socket.bytesAvailable() == 0)
+        m_socket.abort();
+    else
+        updateBudget();
 }
 
 auto ServerConnection::handleRequest() -> void
 {
     enter(Phase::Handling);
+    m_handledBytes = m_parser.heldBytes() + requestOverhead;
     auto request = m_parser.takeRequest();
+    m_state->recordRequest(m_id, monotonicNow());
+    updateBudget();
     const bool isHead = request.method == "HEAD";
     const bool isKeepAlive = request.isKeepAlive;
     QPointer<ServerConnection> self(this);
@@ -176,25 +232,34 @@
     }
     startParser();
     enter(Phase::Idle);
+    updateBudget();
     // Not from here: a long pipeline would nest one call deeper for each of its requests.
     QMetaObject::invokeMethod(
-        this,
-        [this] {
-            if (m_phase != Phase::Idle)
-                return;
-            parseBuffered();
-            if (m_phase != Phase::Handling && m_socket.bytesAvailable() > 0)
-                readMore();
-        },
-        Qt::QueuedConnection);
+        this, [this] { continueReading(); }, Qt::QueuedConnection);
+}
+
+auto ServerConnection::continueReading() -> void
+{
+    if (m_phase != Phase::Idle)
+        return;
+    parseBuffered();
+    if (m_phase != Phase::Handling && m_socket.bytesAvailable() > 0)
+        readMore();
+}
+
+auto ServerConnection::onBytesWritten() -> void
+{
+    m_state->recordTaken(m_id, monotonicNow());
+    shutDownWhenWritten();
+    updateBudget();
+    if (m_socket.bytesToWrite() < maximumUnwrittenBytes)
+        continueReading();
 }
 
 auto ServerConnection::startParser() -> void
 {
     m_parser = RequestParser(parserOptions(m_state->options));
     m_hasSentContinue = false;
-    m_state->bufferedBytes -= m_accountedBytes;
-    m_accountedBytes = 0;
 }
 
 auto ServerConnection::refuse(int status, std::string_view reason) -> void
@@ -212,7 +277,8 @@
 auto ServerConnection::closeAfterWrite() -> void
 {
     enter(Phase::Closing);
-    m_buffer.clear();
+    m_buffer = {};
+    startParser();
     m_socket.readAll();
     shutDownWhenWritten();
 }
--- a/src/http/internal/ServerConnection.h
+++ b/src/http/internal/ServerConnection.h
@@ -7,6 +7,7 @@
 #include <QTcpSocket>
 #include <QTimer>
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -17,7 +18,7 @@
 
 namespace coriandergate::http::internal {
 
-struct ServerState;
+class ServerState;
 
 // ServerConnection deletes itself when its socket closes.
 class ServerConnection : public QObject {
@@ -28,6 +29,11 @@
     // closeWhenIdle() closes the connection now if no request is under way, else after its answer.
     auto closeWhenIdle() -> void;
 
+    // postRelease() and postCloseForRoom() make the connection give way, on its own worker: it refuses the request that
+    // is arriving, or closes if its client doesn't read; or it closes unless it is in use. Safe from any thread.
+    auto postRelease() -> void;
+    auto postCloseForRoom() -> void;
+
 private:
     enum class Phase {
         Idle,
@@ -39,7 +45,11 @@
 
     auto readMore() -> void;
     auto parseBuffered() -> void;
-    auto accountBuffered() -> bool;
+    auto release() -> void;
+    auto closeForRoom() -> void;
+    auto updateBudget() -> void;
+    auto onBytesWritten() -> void;
+    auto continueReading() -> void;
     auto enter(Phase phase) -> void;
     auto handleRequest() -> void;
     auto sendAnswer(Answer&& answer, bool isHead, bool isKeepAlive) -> void;
@@ -60,7 +70,8 @@
     std::string m_peer;
     std::weak_ptr<Exchange> m_exchange;
     Phase m_phase = Phase::Idle;
-    std::size_t m_accountedBytes = 0;
+    std::uint64_t m_id = 0; // of the connection in the server's state
+    std::size_t m_handledBytes = 0; // of the request under way
     bool m_isBusy = false;
     bool m_hasSentContinue = false;
     bool m_isShutDown = false;
--- a/src/net/HttpServer.h
+++ b/src/net/HttpServer.h
@@ -4,6 +4,10 @@
 // noticed while its request is handled (http::Exchange::onAbandoned). The exchange's peer() names the connection for as
 // long as it is open.
 //
+// Clients that hold much without progress give way when their connections take more than the options allow: a request
+// that has not arrived whole is refused with 503, a client that doesn't read its responses is disconnected, and an idle
+// connection is closed for a new one.
+//
 //   net::HttpServer server(io, {}, [](std::shared_ptr<http::Exchange> exchange) { exchange->answer(...); });
 //   if (!server.listen("127.0.0.1:7100", reason)) ...
 //   io.run();
@@ -39,9 +43,18 @@
         std::chrono::milliseconds idleTimeout { 60000 };
         std::size_t maximumConnections = 2048;
         std::size_t maximumPipelined = 16; // requests of one connection that are handled at the same time
-        std::size_t maximumBufferedBytes = 64 * 1024 * 1024; // of requests, over all connections
+        // Of requests and of responses that clients don't take, over all connections; small requests may take a quarter
+        // more (dispatch/ConnectionBudget.h).
+        std::size_t maximumBufferedBytes = 64 * 1024 * 1024;
+        std::size_t receiveBufferBytes = 0; // of the kernel for each connection; 0 for its default
         http::HeaderList refusalHeaders; // of answers to requests that didn't reach the handler
     };
+    // ReleaseCounters count what was ended to stay within the options, since the start.
+    struct ReleaseCounters {
+        std::uint64_t requests = 0; // refused before they had arrived whole
+        std::uint64_t unreadResponses = 0; // connections closed whose clients didn't read
+        std::uint64_t idleConnections = 0; // closed for newer ones
+    };
     using Handler = std::function<void(std::shared_ptr<http::Exchange>)>;
     // ConnectionClosed is told the peer() of a connection that ended.
     using ConnectionClosed = std::function<void(const std::string& peer)>;
@@ -76,6 +89,11 @@
 
     [[nodiscard]] auto connections() const -> std::size_t;
 
+    // bufferedBytes() is what all connections hold of requests and responses.
+    [[nodiscard]] auto bufferedBytes() const -> std::size_t;
+
+    [[nodiscard]] auto released() const -> const ReleaseCounters&;
+
 private:
     struct State;
     std::shared_ptr<State> m_state;
--- a/src/net/internal/HttpServerConnection.cpp
+++ b/src/net/internal/HttpServerConnection.cpp
@@ -19,8 +19,23 @@
 
     // A peer that was answered for the last time gets so long to read the answer and close.
     constexpr std::chrono::milliseconds lingerTimeout { 2000 };
-    // Bytes of requests that may wait unparsed behind those being handled.
-    constexpr std::size_t maximumUnparsedBytes = 256 * 1024;
+    // Bytes of requests that may wait unparsed behind those being handled, and of responses that the client has yet to
+    // take before a further request is handled: as many as a kernel's buffer takes at first.
+    constexpr std::size_t maximumUnparsedBytes = 64 * 1024;
+    constexpr std::size_t maximumUnwrittenBytes = 64 * 1024;
+    // A refusal takes less, and must not be the reason to cut the connection on which it is sent.
+    constexpr std::size_t uncountedUnreadBytes = 1024;
+    // Room that the strings of a connection keep between requests; it fits most of them.
+    constexpr std::size_t keptCapacity = 4 * 1024;
+    // What the handling of a request takes beside its headers and body: its state, timers and messages.
+    constexpr std::size_t requestOverhead = 2 * 1024;
+    constexpr std::size_t responseOverhead = 512; // status line and headers
+
+    auto dropCapacity(std::string& text) -> void
+    {
+        if (text.empty() && text.capacity() > keptCapacity)
+            text = {};
+    }
 
     auto parserOptions(const HttpServer::Options& options) -> http::RequestParser::Options
     {
@@ -29,10 +44,12 @@
 
 } // namespace
 
-HttpServerConnection::HttpServerConnection(HttpServerState& state, tcp::socket socket)
+HttpServerConnection::HttpServerConnection(HttpServerState& state, tcp::socket socket, std::uint64_t number)
     : m_state(&state)
     , m_socket(std::move(socket))
     , m_timer(m_socket.get_executor())
+    , m_connectionNumber(number)
+    , m_peer(std::to_string(number))
     , m_parser(parserOptions(state.options))
     , m_lastActivity(steady_clock::now())
 {
@@ -44,7 +61,6 @@
     m_socket.set_option(tcp::no_delay(true), ignored);
     m_socket.non_blocking(true, ignored);
     ::fcntl(m_socket.native_handle(), F_SETFD, FD_CLOEXEC);
-    m_peer = std::to_string(m_state->nextConnection++);
     armTimer();
     read();
 }
@@ -65,12 +81,10 @@
     m_socket.close(ignored);
     m_state->openRequests -= m_pending.size() + m_unwrittenAnswers;
     m_unwrittenAnswers = 0;
-    m_state->bufferedBytes -= m_unfinishedBytes;
-    for (const auto& pending : m_pending)
-        m_state->bufferedBytes -= pending.bufferedBytes;
+    m_state->budget.close(m_connectionNumber);
     const auto pending = std::move(m_pending);
     m_pending.clear();
-    m_state->connections.erase(self);
+    m_state->connections.erase(m_connectionNumber);
     for (const auto& request : pending) {
         if (const auto exchange = request.exchange.lock())
             exchange->abandon();
@@ -86,35 +100,78 @@
         close();
 }
 
+auto HttpServerConnection::release(steady_clock::time_point now) -> void
+{
+    const auto unread = m_outgoing.size() + m_writing.size() + m_waitingBytes;
+    const bool isArriving = m_parser.hasStarted() || !m_unparsed.empty();
+    if (!isArriving || m_isEnding || m_isLast || unread > m_parser.heldBytes() + m_unparsed.size()) {
+        ++m_state->released.unreadResponses;
+        close();
+        return;
+    }
+    ++m_state->released.requests;
+    refuse(503, "other requests hold the memory of the daemon");
+    updateBudget(now);
+}
+
+auto HttpServerConnection::closeForRoom() -> bool
+{
+    boost::system::error_code error;
+    if (m_socket.available(error) > 0 && !error)
+        return false;
+    close();
+    return true;
+}
+
+auto HttpServerConnection::mayParse() const -> bool
+{
+    return !m_isClosed && !m_isLast && !m_isEnding && m_pending.size() < m_state->options.maximumPipelined
+        && m_outgoing.size() + m_writing.size() < maximumUnwrittenBytes;
+}
+
 auto HttpServerConnection::read() -> void
 {
     if (m_isReading || m_isClosed)
         return;
     m_isReading = true;
-    m_socket.async_read_some(boost::asio::buffer(m_readBuffer),
-        [self = shared_from_this()](
-            const boost::system::error_code& error, std::size_t bytes) { self->onRead(error, bytes); });
+    // Without a buffer: a connection that says nothing takes none.
+    m_socket.async_wait(tcp::socket::wait_read,
+        [self = shared_from_this()](const boost::system::error_code& error) -> void { self->onReadable(error); });
 }
 
-auto HttpServerConnection::onRead(const boost::system::error_code& error, std::size_t bytes) -> void
+auto HttpServerConnection::onReadable(const boost::system::error_code& error) -> void
 {
     m_isReading = false;
     if (m_isClosed)
         return;
-    if (error) {
+    auto readError = error;
+    std::size_t bytes = 0;
+    if (!readError)
+        bytes = m_socket.read_some(boost::asio::buffer(m_state->readBuffer), readError);
+    if (readError == boost::asio::error::would_block) {
+        read();
+        return;
+    }
+    if (readError) {
         close();
         return;
     }
+    receive({ m_state->readBuffer.data(), bytes });
+}
+
+auto HttpServerConnection::receive(std::string_view bytes) -> void
+{
     m_lastActivity = steady_clock::now();
     if (!m_isLast && !m_isShutDown && !m_isEnding) {
         if (m_unparsed.empty() && !m_parser.hasStarted())
             m_requestStart = m_lastActivity;
-        m_unparsed.append(m_readBuffer.data(), bytes);
+        m_unparsed.append(bytes);
         parse();
         if (!m_isClosed && !m_isShutDown && m_parser.hasStarted())
             armTimer();
+        m_state->releaseBytes(m_lastActivity);
     }
-    if (!m_isClosed && m_unparsed.size() < maximumUnparsedBytes)
+    if (m_unparsed.size() < maximumUnparsedBytes)
         read();
 }
 
@@ -124,26 +181,32 @@
     if (m_isParsing)
         return;
     m_isParsing = true;
-    while (!m_isClosed && !m_isLast && !m_isEnding && !m_unparsed.empty()
-        && m_pending.size() < m_state->options.maximumPipelined) {
+    while (mayParse() && !m_unparsed.empty()) {
         const auto used = m_parser.feed(m_unparsed);
         m_unparsed.erase(0, used);
         if (m_parser.progress() == ParseProgress::Failed) {
             refuse(m_parser.failureStatus(), m_parser.failureReason());
             break;
         }
-        if (!accountUnfinished()) {
-            refuse(503, "the daemon holds as many request bytes as it may");
-            break;
-        }
         if (m_parser.progress() != ParseProgress::Complete) {
             sendContinue();
             break;
         }
+        // Once it is handled, it can't give way any more.
+        const auto now = steady_clock::now();
+        updateBudget(now);
+        m_state->releaseBytes(now);
+        if (m_isClosed || m_isEnding)
+            break;
         handleRequest();
     }
     m_isParsing = false;
-    if (!m_isClosed)
+    if (m_isClosed)
+        return;
+    dropCapacity(m_unparsed);
+    updateBudget(steady_clock::now());
+    // A parser that needs more than the bound bounds itself.
+    if (m_unparsed.size() < maximumUnparsedBytes || mayParse())
         read();
 }
 
@@ -157,40 +220,40 @@
     write();
 }
 
-auto HttpServerConnection::accountUnfinished() -> bool
+auto HttpServerConnection::updateBudget(steady_clock::time_point now) -> void
 {
-    const auto bytes = m_parser.bodyBytes();
-    m_state->bufferedBytes += bytes - m_unfinishedBytes;
-    m_unfinishedBytes = bytes;
-    // Beyond the limit only requests above the average size are refused, so that a few large ones don't shut out the
-    // small ones of other callers.
-    return m_state->bufferedBytes <= m_state->options.maximumBufferedBytes
-        || bytes * (m_state->openRequests + 1) < m_state->bufferedBytes;
+    if (m_isClosed)
+        return;
+    const auto unread = m_outgoing.size() + m_writing.size() + m_waitingBytes;
+    m_state->budget.set(m_connectionNumber,
+        { .arriving = m_parser.heldBytes() + m_unparsed.size(),
+            .handled = m_handledBytes,
+            .unread = unread > uncountedUnreadBytes ? unread : 0 },
+        now);
 }
 
 auto HttpServerConnection::endReading() -> void
 {
     m_isEnding = true;
-    m_state->bufferedBytes -= m_unfinishedBytes;
-    m_unfinishedBytes = 0;
     m_parser = http::RequestParser(parserOptions(m_state->options));
-    m_unparsed.clear();
+    m_unparsed = {};
 }
 
 auto HttpServerConnection::handleRequest() -> void
 {
+    const auto bytes = m_parser.heldBytes() + requestOverhead;
     auto request = m_parser.takeRequest();
     m_parser = http::RequestParser(parserOptions(m_state->options));
     m_hasSentContinue = false;
     m_requestStart = steady_clock::now();
+    m_state->budget.recordRequest(m_connectionNumber, m_requestStart);
     const auto number = m_nextNumber++;
     Pending pending { .number = number,
         .isHead = request.method == "HEAD",
         .isKeepAlive = request.isKeepAlive,
-        .bufferedBytes = m_unfinishedBytes,
+        .bytes = bytes,
         .exchange = {},
         .answer = {} };
-    m_unfinishedBytes = 0;
     if (!pending.isKeepAlive)
         endReading();
     const auto exchange = std::make_shared<http::Exchange>(
@@ -200,11 +263,17 @@
         });
     pending.exchange = exchange;
     m_pending.push_back(std::move(pending));
+    m_handledBytes += bytes;
     ++m_state->openRequests;
     if (m_state->handler)
         m_state->handler(exchange);
 }
 
+auto HttpServerConnection::waitingBytes(const Pending& pending) -> std::size_t
+{
+    return pending.answer->body.size() + responseOverhead;
+}
+
 auto HttpServerConnection::setAnswer(std::uint64_t number, http::Answer&& answer) -> void
 {
     if (m_isClosed)
@@ -214,7 +283,11 @@
     if (found == m_pending.end())
         return;
     found->answer = std::move(answer);
+    m_waitingBytes += waitingBytes(*found);
     flush();
+    const auto now = steady_clock::now();
+    updateBudget(now);
+    m_state->releaseBytes(now);
 }
 
 auto HttpServerConnection::refuse(int status, std::string_view reason) -> void
@@ -223,11 +296,12 @@
     Pending pending { .number = m_nextNumber++,
         .isHead = false,
         .isKeepAlive = false,
-        .bufferedBytes = 0,
+        .bytes = 0,
         .exchange = {},
         .answer = http::makeAnswer(status, http::problemContentType, http::problemBody(status, reason)) };
     for (const auto& header : m_state->options.refusalHeaders)
         pending.answer->headers.add(header.name, header.value);
+    m_waitingBytes += waitingBytes(pending);
     m_pending.push_back(std::move(pending));
     ++m_state->openRequests;
     endReading();
@@ -242,8 +316,9 @@
         // While others wait behind it, the connection is kept: they were read.
         const bool isLast = !front.isKeepAlive || (m_state->isDraining && m_pending.size() == 1 && m_unparsed.empty());
         answer.isKeepAlive = !isLast;
+        m_waitingBytes -= waitingBytes(front);
+        m_handledBytes -= front.bytes;
         m_outgoing += http::serializeAnswer(answer, front.isHead);
-        m_state->bufferedBytes -= front.bufferedBytes;
         m_pending.pop_front();
         ++m_unwrittenAnswers;
         m_isLast = isLast;
@@ -260,7 +335,12 @@
     m_isWriting = true;
     m_writing.swap(m_outgoing);
     m_outgoing.clear();
-    boost::asio::async_write(m_socket, boost::asio::buffer(m_writing),
+    const auto recordTaken = [self = shared_from_this()](const boost::system::error_code& error, std::size_t taken) {
+        if (taken > 0 && !self->m_isClosed)
+            self->m_state->budget.recordTaken(self->m_connectionNumber, steady_clock::now());
+        return boost::asio::transfer_all()(error, taken);
+    };
+    boost::asio::async_write(m_socket, boost::asio::buffer(m_writing), recordTaken,
         [self = shared_from_this()](
             const boost::system::error_code& error, std::size_t) -> void { self->onWritten(error); });
 }
@@ -275,18 +355,34 @@
         return;
     }
     m_lastActivity = steady_clock::now();
-    if (m_writing.capacity() > maximumUnparsedBytes)
-        m_writing = {};
+    m_writing.clear();
+    dropCapacity(m_writing);
     if (!m_outgoing.empty()) {
         write();
+    } else {
+        dropCapacity(m_outgoing);
+        m_state->openRequests -= m_unwrittenAnswers;
+        m_unwrittenAnswers = 0;
+        if (m_isLast)
+            finishWriting();
+        else
+            sendContinue();
+    }
+    resumeParsing();
+}
+
+// Requests that came while the client had too many responses to take wait in m_unparsed.
+auto HttpServerConnection::resumeParsing() -> void
+{
+    if (m_unparsed.empty() || !mayParse()) {
+        updateBudget(m_lastActivity);
         return;
     }
-    m_state->openRequests -= m_unwrittenAnswers;
-    m_unwrittenAnswers = 0;
-    if (m_isLast)
-        finishWriting();
-    else
-        sendContinue();
+    if (!m_parser.hasStarted())
+        m_requestStart = m_lastActivity;
+    parse();
+    if (!m_isClosed && !m_isShutDown && m_parser.hasStarted())
+        armTimer();
 }
 
 // Closing a socket that holds unread bytes resets the connection, and the reset can overtake the answer. So only the
--- a/src/sidecar/MetricsPage.cpp
+++ b/src/sidecar/MetricsPage.cpp
@@ -96,6 +96,14 @@
             metrics.peerConnectionsOpened),
         makeCounter("coriandergate_late_responses_total",
             "responses of the target of this host to requests that had ended", metrics.lateResponses),
+        makeCounter("coriandergate_released_requests_total",
+            "requests refused before they had arrived whole, for want of memory", metrics.released.requests),
+        makeCounter("coriandergate_released_unread_total", "connections closed whose clients read no responses",
+            metrics.released.unreadResponses),
+        makeCounter("coriandergate_released_idle_total", "idle connections closed for newer ones",
+            metrics.released.idleConnections),
+        makeGauge("coriandergate_buffered_bytes", "of requests and unread responses",
+            static_cast<double>(metrics.bufferedBytes)),
         makeGauge(
             "coriandergate_target_running", "requests at the target of this host", static_cast<double>(load.running)),
         makeGauge(
--- a/src/sidecar/MetricsPage.h
+++ b/src/sidecar/MetricsPage.h
@@ -3,6 +3,7 @@
 //   exchange->answer(http::makeAnswer(200, "text/plain", renderMetricsPage(metrics)));
 #pragma once
 
+#include "net/HttpServer.h"
 #include "relay/EntryCounters.h"
 #include "relay/PeerMessages.h"
 
@@ -24,6 +25,8 @@
     std::size_t openRequests = 0;
     std::uint64_t targetConnectionsOpened = 0; // since the start
     std::uint64_t peerConnectionsOpened = 0; // since the start
+    net::HttpServer::ReleaseCounters released; // over all servers
+    std::size_t bufferedBytes = 0; // over all servers
     std::uint64_t lateResponses = 0; // of the target of this host, since the start
 };
 
--- a/src/sidecar/ResourceLimits.cpp
+++ b/src/sidecar/ResourceLimits.cpp
@@ -4,6 +4,8 @@
 #include "relay/PeerMessages.h"
 #include "sidecar/HostSettings.h"
 
+#include <algorithm>
+
 namespace coriandergate::sidecar {
 
 using std::chrono::milliseconds;
@@ -17,8 +19,20 @@
     constexpr std::size_t answerBytesDivisor = 6; // beside the requests and a copy of each answer on its way out
     // In addition to the body of the caller's request, a peer sends its headers and how to run it.
     constexpr std::size_t peerMessageOverhead = 64 * 1024;
-    constexpr std::size_t callerConnectionDivisor = 2; // half of the file descriptors may serve callers
-    constexpr std::size_t peerConnectionDivisor = 3; // a third of the file descriptors may serve peers
+    // Of the file descriptors; the platform keeps so many for files, and the rest for sockets.
+    constexpr std::size_t descriptorsForFiles = 200;
+    // Half of the sockets may serve callers and a third peers. Three further ports take a forty-eighth each, and what
+    // remains is for connections to the target, to peers and to the store.
+    constexpr std::size_t callerConnectionDivisor = 2;
+    constexpr std::size_t peerConnectionDivisor = 3;
+    constexpr std::size_t controlConnectionDivisor = 48;
+    constexpr std::size_t minimumControlConnections = 4; // a target, a prober, a reader of metrics, and one that leaves
+    // Of control calls, probes and scrapes. Heartbeats take a few hundred bytes.
+    constexpr std::size_t maximumControlBodyBytes = 64 * 1024;
+    constexpr std::size_t controlBytesDivisor = 200;
+    // Received bytes that wait in the kernel count as memory of the process. A caller is on the same host, so that a
+    // small window doesn't slow it down.
+    constexpr std::size_t localReceiveBufferBytes = 64 * 1024;
     constexpr std::size_t bytesPerMegabyte = 1024 * 1024;
     constexpr milliseconds peerServerIdleTimeout { 60000 };
 
@@ -27,6 +41,12 @@
         return settings.memoryLimitMegabytes * bytesPerMegabyte / divisor;
     }
 
+    auto socketLimit(const HostSettings& settings) -> std::size_t
+    {
+        const auto limit = settings.fileDescriptorLimit;
+        return limit - std::min(descriptorsForFiles, limit / 2);
+    }
+
 } // namespace
 
 auto maximumAnswerBytes(const HostSettings& settings) -> std::size_t
@@ -42,7 +62,8 @@
     options.headerTimeout = limits.headerTimeout;
     options.idleTimeout = limits.idleTimeout;
     options.maximumBufferedBytes = memoryPart(settings, requestBytesDivisor);
-    options.maximumConnections = settings.fileDescriptorLimit / callerConnectionDivisor;
+    options.maximumConnections = socketLimit(settings) / callerConnectionDivisor;
+    options.receiveBufferBytes = localReceiveBufferBytes;
     return options;
 }
 
@@ -51,9 +72,17 @@
     const auto requestBytes = memoryPart(settings, requestBytesDivisor) + peerMessageOverhead;
     return { .maximumBodyBytes = requestBytes,
         .idleTimeout = peerServerIdleTimeout,
-        .maximumConnections = settings.fileDescriptorLimit / peerConnectionDivisor,
+        .maximumConnections = socketLimit(settings) / peerConnectionDivisor,
         .maximumBufferedBytes = requestBytes,
         .refusalHeaders = relay::unreadRequestHeaders() };
 }
 
+auto controlOptions(const HostSettings& settings) -> net::HttpServer::Options
+{
+    return { .maximumBodyBytes = maximumControlBodyBytes,
+        .maximumConnections = std::max(socketLimit(settings) / controlConnectionDivisor, minimumControlConnections),
+        .maximumBufferedBytes = memoryPart(settings, controlBytesDivisor),
+        .receiveBufferBytes = localReceiveBufferBytes };
+}
+
 } // namespace coriandergate::sidecar
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -197,8 +197,9 @@
               relay::EntryRequest::start(entryContext, std::move(exchange));
           })
     , peerServer(io, peerOptions(settings), [this](std::shared_ptr<http::Exchange> exchange) { handlePeer(exchange); })
-    , controlServer(io, {}, [this](std::shared_ptr<http::Exchange> exchange) { handleControl(exchange); })
-    , readinessServer(io, {},
+    , controlServer(
+          io, controlOptions(settings), [this](std::shared_ptr<http::Exchange> exchange) { handleControl(exchange); })
+    , readinessServer(io, controlOptions(settings),
           [this](std::shared_ptr<http::Exchange> exchange) {
               const bool isProbe = exchange->request().target == adapter.readinessPath;
               exchange->answer(http::makeAnswer(!isProbe ? http::statusNotFound
@@ -206,7 +207,7 @@
                                                          : http::statusUnavailable,
                   "text/plain", ""));
           })
-    , metricsServer(io, {},
+    , metricsServer(io, controlOptions(settings),
           [this](std::shared_ptr<http::Exchange> exchange) {
               exchange->answer(http::makeAnswer(http::statusOk, "text/plain; version=0.0.4", metricsPage()));
           })
@@ -434,6 +435,14 @@
 
 auto Sidecar::State::metricsPage() const -> std::string
 {
+    net::HttpServer::ReleaseCounters released;
+    std::size_t bufferedBytes = 0;
+    for (const auto* server : { &callerServer, &peerServer, &controlServer, &readinessServer, &metricsServer }) {
+        released.requests += server->released().requests;
+        released.unreadResponses += server->released().unreadResponses;
+        released.idleConnections += server->released().idleConnections;
+        bufferedBytes += server->bufferedBytes();
+    }
     return renderMetricsPage({ .counters = entryContext.counters,
         .loadReport = targetRelay.loadReport(monotonicNow()),
         .configurationAge = storeView.operatorFreshness().age(SuspendAwareClock::now()),
@@ -443,6 +452,8 @@
         .openRequests = callerServer.openRequests(),
         .targetConnectionsOpened = targetRelay.targetConnectionsOpened(),
         .peerConnectionsOpened = peerClient.connectionsOpened(),
+        .released = released,
+        .bufferedBytes = bufferedBytes,
         .lateResponses = targetRelay.lateResponses() });
 }
 
