--- a/src/fleet/BootstrapReader.cpp
+++ b/src/fleet/BootstrapReader.cpp
@@ -1,7 +1,9 @@
 #include "fleet/BootstrapReader.h"
 
+#include "fleet/EraCheckedStore.h"
 #include "fleet/HostRecord.h"
 #include "fleet/RelayTransport.h"
+#include "fleet/StoreVersion.h"
 #include "log/Event.h"
 
 #include <algorithm>
@@ -19,7 +21,7 @@
 } // namespace
 
 BootstrapReader::BootstrapReader(
-    Scheduler& scheduler, StoreClient& store, RelayTransport& transport, const Options& options)
+    Scheduler& scheduler, EraCheckedStore& store, RelayTransport& transport, const Options& options)
     : m_scheduler(scheduler)
     , m_store(store)
     , m_transport(transport)
@@ -32,12 +34,12 @@
 
 auto BootstrapReader::read(const std::string& table, StoreClient::Callback done) -> void
 {
-    if (m_peers) {
+    if (m_peers && m_openConsultations == 0) {
         copyOrRead(table, *m_peers, done);
         return;
     }
     m_pendingReads.push_back({ table, std::move(done) });
-    if (!m_isRequestingFirstHosts)
+    if (!m_peers && !m_isRequestingFirstHosts)
         readFirstHosts();
 }
 
@@ -91,10 +93,46 @@
     if (m_peers)
         return;
     m_peers.emplace(m_options.hostKey, firstHosts, m_options.peers);
+    for (const auto& peer : firstHosts) {
+        if (peer.key != m_options.hostKey)
+            m_consultedAddresses.push_back(peer.address);
+    }
+    std::shuffle(m_consultedAddresses.begin(), m_consultedAddresses.end(), m_random);
+    m_consultedAddresses.resize(std::min(m_consultedAddresses.size(), m_options.consultedPeers));
+    if (m_store.era() > 0 && !m_consultedAddresses.empty())
+        consultPeers();
+    else
+        startPendingReads();
+}
+
+auto BootstrapReader::startPendingReads() -> void
+{
     for (const auto& read : std::exchange(m_pendingReads, {}))
         copyOrRead(read.table, *m_peers, read.done);
 }
 
+auto BootstrapReader::consultPeers() -> void
+{
+    m_openConsultations = m_consultedAddresses.size();
+    for (const auto& address : m_consultedAddresses) {
+        m_transport.watch(address, { .table = m_options.operatorTable, .isSnapshot = true, .acceptsAnyAge = true },
+            m_options.consultTimeout, [this, alive = m_isAlive](RelayTransport::Result result) {
+                if (!*alive)
+                    return;
+                auto* rows = std::get_if<StoreResponse>(&result);
+                if (rows && m_knownRowsCallback)
+                    m_knownRowsCallback(m_options.operatorTable, std::move(*rows));
+                onConsulted();
+            });
+    }
+}
+
+auto BootstrapReader::onConsulted() -> void
+{
+    if (--m_openConsultations == 0)
+        startPendingReads();
+}
+
 // The reads of other tables remain pending.
 auto BootstrapReader::giveEmptyHostList(const StoreResponse& response) -> void
 {
@@ -127,6 +165,7 @@
             if (!*alive)
                 return;
             if (auto* copy = std::get_if<StoreResponse>(&result); copy && isRecent(table, *copy)) {
+                m_store.recordEra(eraOf(copy->newestVersion));
                 copy->sentAt = sentAt;
                 copy->receivedAt = m_scheduler.suspendAwareNow();
                 copy->isRelayed = true;
@@ -191,7 +230,7 @@
 {
     const auto storeNow = m_storeClock ? m_storeClock() : std::nullopt;
     const auto maximumAge = table == m_options.hostTable ? m_options.maximumHostListAge : m_options.maximumAge;
-    return storeNow && *storeNow - copy.storeTime <= maximumAge;
+    return storeNow && *storeNow - copy.storeTime <= maximumAge && eraOf(copy.newestVersion) >= m_store.era();
 }
 
 } // namespace coriandergate::fleet
--- a/src/fleet/HostDirectory.cpp
+++ b/src/fleet/HostDirectory.cpp
@@ -10,6 +10,7 @@
     if (isSnapshot) {
         m_hosts.clear();
         m_departedHosts.clear();
+        m_hostsWithLostDrain.clear();
         m_crashingRequests.clear();
         m_versions.clear();
     }
@@ -44,13 +45,31 @@
         return false;
     m_hosts.erase(row.key);
     m_departedHosts.erase(row.key);
+    m_hostsWithLostDrain.erase(row.key);
     if (record) {
+        keepDrain(row.key, *record);
         auto& hosts = record->state == HostRecord::State::Departed ? m_departedHosts : m_hosts;
         hosts.emplace(row.key, std::move(*record));
     }
     return true;
 }
 
+auto HostDirectory::keepDrain(const std::string& key, HostRecord& record) -> void
+{
+    if (record.targetId.empty())
+        return;
+    const Incarnation target { record.targetId, record.targetStartedAt };
+    if (record.state != HostRecord::State::Serving) {
+        m_drainedTargets[key] = target;
+        return;
+    }
+    const auto drained = m_drainedTargets.find(key);
+    if (drained == m_drainedTargets.end() || drained->second != target)
+        return;
+    record.state = HostRecord::State::Draining;
+    m_hostsWithLostDrain.insert(key);
+}
+
 auto HostDirectory::find(const std::string& key) const -> const HostRecord*
 {
     const auto found = m_hosts.find(key);
--- a/src/fleet/HostDirectory.h
+++ b/src/fleet/HostDirectory.h
@@ -1,6 +1,9 @@
 // Index of all hosts of the fleet, built from their rows in the store, and of the requests that are known to crash
 // targets, whose rows are in the same table.
 //
+// A target that has started draining never serves again. If the store comes back from an older copy in which it still
+// serves, the index keeps it as draining.
+//
 //   HostDirectory directory;
 //   for (const auto& fault : directory.apply(rows, isSnapshot)) log(fault);
 //   board.setTargets(directory.targets());
@@ -15,6 +18,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -41,6 +45,9 @@
     // findDeparted() returns the record of the departed host with that key, or null.
     [[nodiscard]] auto findDeparted(const std::string& key) const -> const HostRecord*;
 
+    // hostsWithLostDrain() returns the keys of the hosts whose rows say that a target serves which is known to drain.
+    [[nodiscard]] auto hostsWithLostDrain() const -> const std::set<std::string>& { return m_hostsWithLostDrain; }
+
     // hostsDepartedBefore() returns the keys of the hosts of `region` that departed before `time` on the store's clock.
     [[nodiscard]] auto hostsDepartedBefore(const std::string& region, std::chrono::milliseconds time) const
         -> std::vector<std::string>;
@@ -81,10 +88,21 @@
 private:
     // applyRow() updates the index from one row; false with a reason if the row can't be decoded.
     auto applyRow(const StoreRow& row, Error& reason) -> bool;
+    auto keepDrain(const std::string& key, HostRecord& record) -> void;
     auto rebuildRateLimitHosts() -> void;
 
+    // Incarnation identifies one run of a target.
+    struct Incarnation {
+        std::string id;
+        std::uint64_t startedAt = 0;
+
+        friend auto operator==(const Incarnation&, const Incarnation&) -> bool = default;
+    };
+
     std::map<std::string, HostRecord> m_hosts;
     std::map<std::string, HostRecord> m_departedHosts;
+    std::map<std::string, Incarnation> m_drainedTargets; // the last one known to drain of each host
+    std::set<std::string> m_hostsWithLostDrain;
     std::unordered_map<std::uint64_t, CrashRows> m_crashingRequests; // by fingerprint
     // Computed when rows change, because every request with an API key reads it.
     RateLimitHostsByRegion m_rateLimitHosts;
--- a/src/fleet/HostDirectory_test.cpp
+++ b/src/fleet/HostDirectory_test.cpp
@@ -1,5 +1,7 @@
 #include "fleet/HostDirectory.h"
 
+#include "fleet/StoreVersion.h"
+
 #include <catch2/catch.hpp>
 
 namespace coriandergate::fleet {
@@ -57,4 +59,40 @@
     }
 }
 
+// Guards against a target that is in use again: the store came back from a copy that is older than the row with the
+// drain.
+TEST_CASE("a target known to drain stays draining when a restored store says that it serves")
+{
+    HostDirectory directory;
+    const auto known = GENERATE(HostRecord::State::Draining, HostRecord::State::Departed);
+    directory.apply(
+        { { "west/a", encodeHostRecord(makeRecord(known)), makeVersion(0, 40), false },
+            { "west/b", encodeHostRecord(makeRecord(HostRecord::State::Serving)), makeVersion(0, 39), false } },
+        true);
+    CHECK(directory.hostsWithLostDrain().empty());
+    const auto serving = encodeHostRecord(makeRecord(HostRecord::State::Serving));
+    directory.apply(
+        { { "west/a", serving, makeVersion(1, 7), false }, { "west/b", serving, makeVersion(1, 8), false } }, true);
+    CHECK(directory.hostsWithLostDrain() == std::set<std::string> { "west/a" });
+    CHECK(directory.find("west/a")->state == HostRecord::State::Draining);
+    CHECK(directory.find("west/b")->state == HostRecord::State::Serving);
+    CHECK(directory.version("west/a") == makeVersion(1, 7));
+
+    SECTION("the drain is written again")
+    {
+        const auto draining = encodeHostRecord(makeRecord(HostRecord::State::Draining));
+        directory.apply({ { "west/a", draining, makeVersion(1, 9), false } }, false);
+        CHECK(directory.hostsWithLostDrain().empty());
+        CHECK(directory.find("west/a")->state == HostRecord::State::Draining);
+    }
+    SECTION("the host's next target serves")
+    {
+        auto next = makeRecord(HostRecord::State::Serving);
+        next.targetStartedAt = 200;
+        directory.apply({ { "west/a", encodeHostRecord(next), makeVersion(1, 9), false } }, false);
+        CHECK(directory.hostsWithLostDrain().empty());
+        CHECK(directory.find("west/a")->state == HostRecord::State::Serving);
+    }
+}
+
 } // namespace coriandergate::fleet
--- a/src/fleet/HostRegistration.cpp
+++ b/src/fleet/HostRegistration.cpp
@@ -20,6 +20,9 @@
     const log::Event drainNotStored { 1936, log::Severity::Warning, "leaving not confirmed",
         "the store hasn't responded; the target gets no new requests here and is asked to repeat its message" };
 
+    const log::Event rowWrittenAgain { 1976, log::Severity::Info, "host row written again",
+        "the store came back from an older copy without it or with an older one" };
+
     auto isDrainStored(const HostRecord& record) -> bool
     {
         return record.state == HostRecord::State::Draining || record.state == HostRecord::State::Departed;
@@ -149,8 +152,56 @@
 
 auto HostRegistration::onHostsChanged() -> void
 {
-    if (!m_directory.find(m_options.key))
+    if (m_mustCompareRow)
+        compareWithRestoredRow();
+    else if (!m_directory.find(m_options.key))
         m_rowWriter.onRowRemoved();
+    takeOverDrain();
+}
+
+auto HostRegistration::onStoreRestored() -> void
+{
+    if (!m_areHostsLoaded)
+        return;
+    m_rowWriter.onStoreRestored();
+    m_mustCompareRow = true;
+    if (m_target.current() ? !m_target.isServing() : m_target.deregistered().has_value())
+        writeRowAgain();
+}
+
+auto HostRegistration::compareWithRestoredRow() -> void
+{
+    m_mustCompareRow = false;
+    const auto* stored = storedRecord();
+    const auto version = m_directory.version(m_options.key);
+    const bool isKnown = stored && version > 0 && !m_directory.hostsWithLostDrain().contains(m_options.key);
+    m_rowWriter.setStoredRow(version, isKnown ? std::optional(encodeHostRecord(*stored)) : std::nullopt);
+    // Without a target and a record, the row is written with the target's first heartbeat.
+    const bool isDue = m_target.current() || m_target.deregistered() || m_rowWriter.hasRecord();
+    if (isDue && !m_rowWriter.isWriting() && !m_rowWriter.isStored(makeRecord()))
+        writeRowAgain();
+}
+
+auto HostRegistration::writeRowAgain() -> void
+{
+    ++m_rowsWrittenAgain;
+    log::logEvent(
+        rowWrittenAgain, { { "host", m_options.key }, { "state", m_target.isServing() ? "serving" : "not serving" } });
+    writeRow(nullptr);
+}
+
+// After the store lost the drain, a daemon of this host may have been started that doesn't know of it.
+auto HostRegistration::takeOverDrain() -> void
+{
+    const auto* stored = m_directory.find(m_options.key);
+    const auto& current = m_target.current();
+    if (!stored || !m_target.isServing() || !isDrainStored(*stored) || stored->targetId != current->id
+        || stored->targetStartedAt != current->startedAt)
+        return;
+    m_target.restoreFromStore(stored->targetId, stored->targetStartedAt, true);
+    logTargetChange();
+    m_targetChangedCallback();
+    writeRow(nullptr);
 }
 
 auto HostRegistration::beginStop() -> void
--- a/src/fleet/HostRegistration.h
+++ b/src/fleet/HostRegistration.h
@@ -63,9 +63,17 @@
     // onHostsLoaded() takes over the row that an earlier daemon of this host wrote. It is called once the directory has
     // been loaded.
     auto onHostsLoaded() -> void;
-    // onHostsChanged() writes the row again if another host removed it.
+    // onHostsChanged() writes the row again if another host removed it, or if the restored store lacks it or has an
+    // older one. It takes over a drain of the target that another daemon wrote again.
     auto onHostsChanged() -> void;
 
+    // onStoreRestored() writes an acknowledged drain again at once, after the store came back from an older copy. Any
+    // other row is compared first, at the next change of the hosts, which tells the row that the store has.
+    auto onStoreRestored() -> void;
+
+    // rowsWrittenAgain() is the number of writes for the last reason.
+    [[nodiscard]] auto rowsWrittenAgain() const -> std::uint64_t { return m_rowsWrittenAgain; }
+
     // beginStop() marks the host as departed if its target is draining or deregistered, or as soon as it is, because
     // then the host is probably being shut down. The row stays, since the daemon may also be restarted alone.
     auto beginStop() -> void;
@@ -77,6 +85,9 @@
     auto removeFormerRow() -> void;
     [[nodiscard]] auto makeRecord() -> HostRecord;
     auto writeRow(HostRowWriter::StoredCallback stored) -> void;
+    auto writeRowAgain() -> void;
+    auto compareWithRestoredRow() -> void;
+    auto takeOverDrain() -> void;
     auto acknowledgeWhenStored(const Acknowledge& acknowledge) -> void;
     [[nodiscard]] auto isDeregistrationStored(const HostRecord* stored) const -> bool;
     auto logTargetChange() const -> void;
@@ -92,7 +103,9 @@
     boost::asio::steady_timer m_firstHeartbeatTimer;
     std::optional<std::chrono::milliseconds> m_joinedAt; // when this host first wrote its row, by the store's clock
     std::optional<std::chrono::milliseconds> m_departedAt; // when the row was first marked as departed
+    std::uint64_t m_rowsWrittenAgain = 0;
     bool m_areHostsLoaded = false;
+    bool m_mustCompareRow = false; // with that of the restored store
     bool m_isStopping = false;
 };
 
--- a/src/fleet/HostRegistration_test.cpp
+++ b/src/fleet/HostRegistration_test.cpp
@@ -4,6 +4,7 @@
 #include "fleet/Deregistration.h"
 #include "fleet/HostDirectory.h"
 #include "fleet/LocalTarget.h"
+#include "fleet/StoreVersion.h"
 #include "testing/OneRowStore.h"
 
 #include <boost/asio/io_context.hpp>
@@ -219,6 +220,93 @@
     CHECK(fixture.storedRecord().departedAt == 7s);
 }
 
+// Guards against a drain that is lost for good: the store confirmed it and came back from an older copy.
+TEST_CASE("after the store was restored an acknowledged drain is written again at once, at the restored version")
+{
+    RegistrationFixture fixture;
+    fixture.registration.onHostsLoaded();
+    fixture.sendHeartbeat(1, false);
+    const auto copy = fixture.store.row;
+    fixture.sendHeartbeat(2, true);
+    fixture.store.row = { host, copy.value, makeVersion(1, numberOf(copy.version)), false };
+    fixture.store.newest = fixture.store.row.version;
+    fixture.store.writes = 0;
+    fixture.registration.onStoreRestored();
+    CHECK(fixture.storedRecord().state == HostRecord::State::Draining);
+    CHECK(fixture.store.writes == 2); // the first one is rejected and tells the version
+    CHECK(fixture.registration.rowsWrittenAgain() == 1);
+    fixture.directory.apply({ { host, copy.value, makeVersion(1, 40), false } }, true);
+    fixture.registration.onHostsChanged();
+    CHECK(fixture.store.writes == 2);
+}
+
+TEST_CASE("after the store was restored the row of a serving target is written only if the store has another one")
+{
+    RegistrationFixture fixture;
+    fixture.registration.onHostsLoaded();
+    fixture.sendHeartbeat(1, false);
+    const auto confirmed = fixture.store.row;
+    fixture.registration.onStoreRestored();
+    CHECK(fixture.store.writes == 1);
+    const auto restoredVersion = makeVersion(1, numberOf(confirmed.version));
+    SECTION("the store has it")
+    {
+        fixture.store.row = { host, confirmed.value, restoredVersion, false };
+        fixture.directory.apply({ fixture.store.row }, true);
+        fixture.registration.onHostsChanged();
+        CHECK(fixture.store.writes == 1);
+        CHECK(fixture.registration.rowsWrittenAgain() == 0);
+        // The next write has the version of the new era.
+        fixture.store.newest = restoredVersion;
+        fixture.sendHeartbeat(2, true);
+        CHECK(fixture.store.writes == 2);
+        CHECK(fixture.storedRecord().state == HostRecord::State::Draining);
+    }
+    SECTION("the store lost it")
+    {
+        fixture.store.row = {};
+        fixture.store.newest = makeVersion(1, 5);
+        fixture.directory.apply({}, true);
+        fixture.registration.onHostsChanged();
+        CHECK(fixture.store.writes == 2);
+        CHECK(fixture.storedRecord().state == HostRecord::State::Serving);
+        CHECK(fixture.registration.rowsWrittenAgain() == 1);
+    }
+    SECTION("the store has an older one")
+    {
+        HostRecord older { .peerAddress = "10.1.0.1:8366", .service = "ledger", .targetId = "i-0" };
+        older.targetStartedAt = 50;
+        older.state = HostRecord::State::Serving;
+        fixture.store.row = { host, encodeHostRecord(older), restoredVersion, false };
+        fixture.store.newest = restoredVersion;
+        fixture.directory.apply({ fixture.store.row }, true);
+        fixture.registration.onHostsChanged();
+        CHECK(fixture.store.writes == 2);
+        CHECK(fixture.storedRecord().targetId == "i-1");
+    }
+}
+
+// Guards against a daemon that was started again while the restored store lacked the drain: it followed a late
+// heartbeat.
+TEST_CASE("a drain that another daemon wrote again ends the use of the target")
+{
+    RegistrationFixture fixture;
+    fixture.registration.onHostsLoaded();
+    fixture.sendHeartbeat(1, false);
+    REQUIRE(fixture.target.isServing());
+    auto record = fixture.storedRecord();
+    record.state = HostRecord::State::Draining;
+    fixture.store.row = { host, encodeHostRecord(record), ++fixture.store.newest, false };
+    fixture.directory.apply({ fixture.store.row }, false);
+    const auto changes = fixture.targetChanges;
+    fixture.registration.onHostsChanged();
+    CHECK_FALSE(fixture.target.isServing());
+    CHECK(fixture.targetChanges == changes + 1);
+    fixture.sendHeartbeat(9, false);
+    CHECK_FALSE(fixture.target.isServing());
+    CHECK(fixture.storedRecord().state == HostRecord::State::Draining);
+}
+
 // Guards against a departed target that is in use again after an upgrade.
 TEST_CASE("the row that an earlier version wrote under another key is taken over with the state of its target")
 {
--- a/src/fleet/HostRowWriter.cpp
+++ b/src/fleet/HostRowWriter.cpp
@@ -81,6 +81,26 @@
     }
 }
 
+auto HostRowWriter::onStoreRestored() -> void
+{
+    m_hasConfirmed = false;
+    m_version = 0; // of the earlier era; the store tells the version of its row when it rejects a write
+}
+
+auto HostRowWriter::setStoredRow(std::uint64_t version, const std::optional<std::string>& value) -> void
+{
+    if (m_hasConfirmed || m_isWriting)
+        return;
+    m_version = version;
+    m_confirmed = value;
+    m_hasConfirmed = value.has_value();
+}
+
+auto HostRowWriter::isStored(const HostRecord& record) const -> bool
+{
+    return m_hasConfirmed && m_confirmed == encodeHostRecord(record);
+}
+
 auto HostRowWriter::onRowRemoved() -> void
 {
     if (!m_desired || !isStored())
--- a/src/fleet/HostRowWriter.h
+++ b/src/fleet/HostRowWriter.h
@@ -35,12 +35,25 @@
     // update() writes `record` unless the store already has it, and calls `stored` once it does.
     auto update(const HostRecord& record, StoredCallback stored) -> void;
 
+    // onStoreRestored() takes back the confirmation of the row, and that of a write under way, which may have been
+    // lost.
+    auto onStoreRestored() -> void;
+
+    // setStoredRow() sets the row that the restored store has, if its value is known, so that the same record isn't
+    // written again. It has no effect while a write is under way or once one is confirmed.
+    auto setStoredRow(std::uint64_t version, const std::optional<std::string>& value) -> void;
+
     // onRowRemoved() writes the row again after another host removed it.
     auto onRowRemoved() -> void;
 
-    // isStored() tells whether the store has confirmed the last update.
+    // isStored() tells whether the store has confirmed the last update, or `record`.
     [[nodiscard]] auto isStored() const -> bool { return m_hasConfirmed && m_confirmed == m_desired; }
 
+    [[nodiscard]] auto isStored(const HostRecord& record) const -> bool;
+    // hasRecord() tells whether update() was called; isWriting() tells whether a write is under way.
+    [[nodiscard]] auto hasRecord() const -> bool { return m_desired.has_value(); }
+    [[nodiscard]] auto isWriting() const -> bool { return m_isWriting; }
+
     auto stop() -> void;
 
 private:
--- a/src/fleet/RelayWatchCodec.h
+++ b/src/fleet/RelayWatchCodec.h
@@ -24,6 +24,7 @@
     // The relay may hold the request while it gets no response of the store itself, instead of rejecting it.
     bool canOutliveOutage = false;
     bool isSnapshot = false; // asks for all rows, at the latest after `wait`; the daemon need not be a relay
+    bool acceptsAnyAge = false; // of the rows of a snapshot
 };
 
 // encodeRelayWatchRequest() returns a complete HTTP request, encodeRelayWatchResponse() the body of its response.
--- a/src/fleet/RelayedStoreClient.cpp
+++ b/src/fleet/RelayedStoreClient.cpp
@@ -3,6 +3,7 @@
 #include "base/Hash.h"
 #include "fleet/HostDirectory.h"
 #include "fleet/RelayWatchCodec.h"
+#include "fleet/StoreVersion.h"
 #include "http/Exchange.h"
 #include "http/Status.h"
 #include "log/Event.h"
@@ -29,19 +30,24 @@
 RelayedStoreClient::RelayedStoreClient(
     Scheduler& scheduler, StoreClient& store, RelayTransport& transport, const Options& options)
     : m_scheduler(scheduler)
-    , m_store(store)
+    , m_store(scheduler, store)
     , m_transport(transport)
     , m_options(options)
     , m_random(options.randomSeed)
 {
     if (!options.region.empty())
-        m_bootstrapReader.emplace(scheduler, store, transport,
+        m_bootstrapReader.emplace(scheduler, m_store, transport,
             BootstrapReader::Options { .hostKey = options.hostKey,
                 .region = options.region,
                 .hostTable = options.hostTable,
+                .operatorTable = options.freshnessTable,
                 .isFirstStart = options.isFirstStart,
                 .maximumAge = options.maximumAge,
                 .randomSeed = options.randomSeed });
+    if (m_bootstrapReader) {
+        m_bootstrapReader->onKnownRows(
+            [this](const std::string& table, StoreResponse rows) { updateCache(table, rows, false); });
+    }
 }
 
 RelayedStoreClient::~RelayedStoreClient() { *m_isAlive = false; }
@@ -178,7 +184,7 @@
 auto RelayedStoreClient::read(const std::string& table, Callback done) -> void
 {
     const auto cached = m_tables.find(table);
-    const bool isFirst = cached == m_tables.end() || !cached->second.hasSnapshot;
+    const bool isFirst = cached == m_tables.end() || !cached->second.hasSnapshot();
     if (!m_bootstrapReader || !isFirst) {
         readFromStore(table, std::move(done));
         return;
@@ -200,11 +206,13 @@
     });
 }
 
-auto RelayedStoreClient::onRead(const std::string& table, const Result& result) -> void
+auto RelayedStoreClient::onRead(const std::string& table, Result& result) -> void
 {
-    const auto* response = std::get_if<StoreResponse>(&result);
+    auto* response = std::get_if<StoreResponse>(&result);
     if (response && table == m_options.hostTable)
         m_isHostListPartial = response->isPartial;
+    if (!response)
+        rejectPendingWatches(table);
     if (response && !response->isPartial)
         updateCache(table, *response, true);
     else if (!response && table == m_options.hostTable)
@@ -247,6 +255,10 @@
         request.wait = std::max(request.wait, m_options.relayPollTime);
         watchRelay(*outageRelay, request, true, std::move(done));
     } else {
+        // The relay may have failed because the store was restored. The store then may hold a watch from a version that
+        // it gave out again, without a word, for as long as it waits.
+        if (m_tablesWithLostRelay.contains(watch.table))
+            request.wait = milliseconds { 0 };
         watchStore(request, std::move(done));
     }
 }
@@ -263,7 +275,7 @@
     const auto cached = m_tables.find(watch.table);
     if (watch.table != m_options.freshnessTable || !storeNow || cached == m_tables.end())
         return milliseconds::max();
-    return m_options.maximumAge - (*storeNow - cached->second.storeTime);
+    return m_options.maximumAge - (*storeNow - cached->second.storeTime());
 }
 
 auto RelayedStoreClient::watchStore(const WatchRequest& watch, Callback done) -> void
@@ -275,10 +287,10 @@
     m_store.watch(request, [this, alive = m_isAlive, table = watch.table, done = std::move(done)](Result result) {
         if (*alive) {
             recordStoreResult(table, result);
-            if (const auto* response = std::get_if<StoreResponse>(&result))
+            if (auto* response = std::get_if<StoreResponse>(&result))
                 updateCache(table, *response, false);
-            else
-                rejectPendingWatches(table);
+            else if (std::get<StoreFailure>(result).kind != StoreFailure::Kind::HistoryTruncated)
+                rejectPendingWatches(table); // else the table is read next, for the other hosts too
         }
         done(std::move(result));
     });
@@ -319,8 +331,10 @@
             const auto storeNow = m_storeClock ? m_storeClock() : std::nullopt;
             const bool isStale
                 = response && storeNow && isFreshnessTable && *storeNow - response->storeTime > m_options.maximumAge;
-            if (!response || isStale) {
-                const auto reason = response ? Error { "watch through relay", relay.host, "its rows are too old" }
+            const bool isOfEarlierEra = response && eraOf(response->newestVersion) < m_store.era();
+            if (!response || isStale || isOfEarlierEra) {
+                const auto reason = response ? Error { "watch through relay", relay.host,
+                    isOfEarlierEra ? "its rows are of an earlier era of the store" : "its rows are too old" }
                                              : std::get<Error>(result);
                 onRelayFailed(relay, reason, watch, done);
                 return;
@@ -328,8 +342,11 @@
             response->sentAt = sentAt;
             response->receivedAt = m_scheduler.suspendAwareNow();
             response->isRelayed = true;
+            response->isSnapshot = eraOf(response->newestVersion) > eraOf(watch.after);
+            m_store.recordEra(eraOf(response->newestVersion));
+            m_servingRelays.insert(relay.host);
             // This host may become a relay and then needs every row.
-            updateCache(watch.table, *response, false);
+            updateCache(watch.table, *response, response->isSnapshot);
             done(std::move(*response));
         });
 }
@@ -340,67 +357,48 @@
     const auto now = m_scheduler.now();
     m_relayBackoffUntil[relay.host] = now + m_options.relayBackoff;
     log::logEvent(relayFailed, { { "why", reason.toText() } });
+    if (m_servingRelays.contains(relay.host))
+        m_tablesWithLostRelay.insert(watch.table);
     this->watch(watch, std::move(done));
 }
 
-// Marks rows that are missing from a snapshot as removed: they were removed while no changes were received, and hosts
-// that watch through this one must learn that.
-auto RelayedStoreClient::markMissingAsRemoved(CachedTable& table, const StoreResponse& snapshot) -> void
-{
-    for (auto& entry : table.rows) {
-        const auto& key = entry.first;
-        auto& row = entry.second;
-        const bool isPresent = std::any_of(
-            snapshot.rows.begin(), snapshot.rows.end(), [&key](const StoreRow& other) { return other.key == key; });
-        if (!isPresent && !row.isRemoved)
-            row = { key, "", snapshot.newestVersion, true };
-    }
-}
-
-auto RelayedStoreClient::updateCache(const std::string& table, const StoreResponse& response, bool isSnapshot) -> void
+auto RelayedStoreClient::updateCache(const std::string& table, StoreResponse& response, bool isSnapshot) -> void
 {
     auto& cached = m_tables[table];
-    if (isSnapshot)
-        markMissingAsRemoved(cached, response);
-    for (const auto& row : response.rows) {
-        auto& known = cached.rows[row.key];
-        if (row.version >= known.version)
-            known = row;
-    }
-    cached.newestVersion = std::max(cached.newestVersion, response.newestVersion);
-    cached.hasSnapshot = cached.hasSnapshot || isSnapshot;
-    // Only newer responses count. Otherwise two relays that watch through each other would confirm each other's old
-    // rows without end.
-    if (response.storeTime > cached.storeTime)
-        ++cached.confirmations;
-    cached.storeTime = std::max(cached.storeTime, response.storeTime);
+    if (m_isOutdated && table == m_options.freshnessTable)
+        keepNewerContent(cached, response);
+    cached.update(response, isSnapshot);
+    m_tablesWithLostRelay.erase(table);
     respondToPendingWatches(table);
 }
 
-auto RelayedStoreClient::recordUnchanged(const std::string& table, std::uint64_t version, milliseconds storeTime)
-    -> void
+// A daemon that starts, or that missed the newer content, learns it from the others until the store has it again.
+auto RelayedStoreClient::keepNewerContent(const TableCache& known, StoreResponse& response) const -> void
 {
-    auto& cached = m_tables[table];
-    cached.newestVersion = std::max(cached.newestVersion, version);
-    cached.storeTime = std::max(cached.storeTime, storeTime);
+    for (auto& row : response.rows) {
+        const auto* knownRow = known.find(row.key);
+        if (knownRow && !knownRow->isRemoved && !row.isRemoved && knownRow->value != row.value
+            && m_isOutdated(row, *knownRow))
+            row.value = knownRow->value;
+    }
 }
 
 auto RelayedStoreClient::canBeCopied(const std::string& table) const -> bool
 {
     const auto cached = m_tables.find(table);
     const auto storeNow = m_storeClock ? m_storeClock() : std::nullopt;
-    return cached != m_tables.end() && cached->second.hasSnapshot && storeNow
-        && *storeNow - cached->second.storeTime <= m_options.maximumAge;
+    return cached != m_tables.end() && cached->second.hasSnapshot() && storeNow
+        && eraOf(cached->second.newestVersion()) == m_store.era()
+        && *storeNow - cached->second.storeTime() <= m_options.maximumAge;
 }
 
-auto RelayedStoreClient::hasUpdateFor(const CachedTable& table, const PendingWatch& pending) const -> bool
+auto RelayedStoreClient::hasUpdateFor(const TableCache& table, const PendingWatch& pending) const -> bool
 {
     if (pending.isSnapshot)
-        return canBeCopied(pending.table);
-    if (pending.table == m_options.freshnessTable && table.confirmations > pending.confirmations)
+        return pending.acceptsAnyAge ? table.hasSnapshot() : canBeCopied(pending.table);
+    if (pending.table == m_options.freshnessTable && table.confirmations() > pending.confirmations)
         return true;
-    return std::any_of(table.rows.begin(), table.rows.end(),
-        [&pending](const auto& entry) { return entry.second.version > pending.after; });
+    return table.hasChangesAfter(pending.after);
 }
 
 auto RelayedStoreClient::respondToPendingWatches(const std::string& table) -> void
@@ -434,16 +432,10 @@
 }
 
 auto RelayedStoreClient::respondFrom(
-    const CachedTable& table, std::uint64_t after, const std::shared_ptr<http::Exchange>& exchange) -> void
+    const TableCache& table, std::uint64_t after, const std::shared_ptr<http::Exchange>& exchange) -> void
 {
-    StoreResponse response;
-    for (const auto& [key, row] : table.rows) {
-        if (row.version > after)
-            response.rows.push_back(row);
-    }
-    response.newestVersion = table.newestVersion;
-    response.storeTime = table.storeTime;
-    exchange->answer(http::makeAnswer(http::statusOk, "application/cbor", encodeRelayWatchResponse(response)));
+    exchange->answer(
+        http::makeAnswer(http::statusOk, "application/cbor", encodeRelayWatchResponse(table.changesAfter(after))));
 }
 
 auto RelayedStoreClient::handle(const std::shared_ptr<http::Exchange>& exchange) -> void
@@ -455,16 +447,14 @@
         return;
     }
     const auto cached = m_tables.find(request->table);
-    const bool hasSnapshot = cached != m_tables.end() && cached->second.hasSnapshot;
+    const bool hasSnapshot = cached != m_tables.end() && cached->second.hasSnapshot();
     if (!request->isSnapshot && (!isRelay() || !hasSnapshot)) {
         reject(exchange, "not a relay");
         return;
     }
-    // Removed rows stay in the cache, marked as removed, so a response contains every change after the requested
-    // version.
     const auto& table = m_tables[request->table];
-    PendingWatch pending { request->table, request->after, request->isSnapshot, request->canOutliveOutage,
-        table.confirmations, exchange };
+    PendingWatch pending { request->table, request->after, request->isSnapshot, request->acceptsAnyAge,
+        request->canOutliveOutage, table.confirmations(), exchange };
     if (hasUpdateFor(table, pending))
         respondFrom(table, request->after, exchange);
     else
--- a/src/fleet/RelayedStoreClient.h
+++ b/src/fleet/RelayedStoreClient.h
@@ -6,7 +6,9 @@
 // that fails. All other hosts watch through one of the relays, which responds as soon as rows changed or the store
 // confirmed that none did. A relayed response is only as recent as the store time that it contains. A relay that fails
 // is replaced by another one of the data centre or else of the region; if no relay responds with recent rows, the host
-// watches the store itself. A relay that the store doesn't serve watches through the other relays in the meantime.
+// watches the store itself. A relay that the store doesn't serve watches through the other relays in the meantime. Rows
+// of an earlier era of the store (EraCheckedStore) count as no response; a response that leaves the era of a watch has
+// all rows.
 //
 // Load pattern of an outage: no relay has recent rows, so every host would ask the store, again and again. Once the
 // store has failed a host too, the host waits at a relay, and only the first relays keep asking the store.
@@ -20,14 +22,17 @@
 #include "base/Locality.h"
 #include "base/Scheduler.h"
 #include "fleet/BootstrapReader.h"
+#include "fleet/EraCheckedStore.h"
 #include "fleet/RelayTransport.h"
 #include "fleet/StoreClient.h"
+#include "fleet/TableCache.h"
 
 #include <list>
 #include <map>
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -75,6 +80,16 @@
     // onClock() sets what is called with a response of the store that only relates its clock to this host's one.
     auto onClock(BootstrapReader::ClockCallback callback) -> void;
 
+    // onEraRose() sets what is called when the store came back from an older copy; era() is its latest known era.
+    auto onEraRose(std::function<void()> callback) -> void { m_store.onEraRose(std::move(callback)); }
+    [[nodiscard]] auto era() const -> std::uint64_t { return m_store.era(); }
+
+    // IsOutdated tells whether the content of a received row is older than that of the known row with the same key.
+    using IsOutdated = std::function<bool(const StoreRow& received, const StoreRow& known)>;
+    // setIsOutdated() keeps known content of the freshness table's rows in place of older content that a restored store
+    // returns.
+    auto setIsOutdated(IsOutdated isOutdated) -> void { m_isOutdated = std::move(isOutdated); }
+
     // setHosts() updates the relays from the list of hosts and this host's locality.
     auto setHosts(const HostDirectory& directory, const Locality& here) -> void;
 
@@ -87,27 +102,22 @@
     auto write(const WriteRequest& write, Callback done) -> void override;
 
     // recordUnchanged() records that the rows of `table` are also those of `version`, as of `storeTime`.
-    auto recordUnchanged(const std::string& table, std::uint64_t version, std::chrono::milliseconds storeTime) -> void;
+    auto recordUnchanged(const std::string& table, std::uint64_t version, std::chrono::milliseconds storeTime) -> void
+    {
+        m_tables[table].recordUnchanged(version, storeTime);
+    }
 
     // handle() responds to another daemon's watch request. Any daemon gives a snapshot, but only relays respond to
     // watches, because the others may have no recent rows.
     auto handle(const std::shared_ptr<http::Exchange>& exchange) -> void;
 
 private:
-    // CachedTable holds the rows of one table that a relay sends to other daemons.
-    struct CachedTable {
-        std::map<std::string, StoreRow> rows;
-        std::uint64_t newestVersion = 0;
-        std::chrono::milliseconds storeTime { 0 };
-        std::uint64_t confirmations = 0; // number of responses with a later storeTime than all before
-        bool hasSnapshot = false;
-    };
-
     // PendingWatch is another daemon's open watch request.
     struct PendingWatch {
         std::string table;
         std::uint64_t after = 0;
         bool isSnapshot = false;
+        bool acceptsAnyAge = false;
         bool canOutliveOutage = false;
         std::uint64_t confirmations = 0; // of the table when the request arrived
         std::shared_ptr<http::Exchange> exchange;
@@ -145,26 +155,28 @@
     auto recordStoreResult(const std::string& table, const Result& result) -> void;
     [[nodiscard]] auto isStoreInBackoff(MonotonicTime now) const -> bool;
     [[nodiscard]] auto timeUntilStale(const WatchRequest& watch) const -> std::chrono::milliseconds;
-    auto updateCache(const std::string& table, const StoreResponse& response, bool isSnapshot) -> void;
-    static auto markMissingAsRemoved(CachedTable& table, const StoreResponse& snapshot) -> void;
+    // updateCache() also replaces outdated content in `response`.
+    auto updateCache(const std::string& table, StoreResponse& response, bool isSnapshot) -> void;
+    auto keepNewerContent(const TableCache& known, StoreResponse& response) const -> void;
     auto readFromStore(const std::string& table, Callback done) -> void;
-    auto onRead(const std::string& table, const Result& result) -> void;
+    auto onRead(const std::string& table, Result& result) -> void;
     auto startDelayedWatches() -> void;
     auto watchFirstHosts(Callback done) -> void;
     // canBeCopied() returns whether the table is complete and recent enough for a starting daemon.
     [[nodiscard]] auto canBeCopied(const std::string& table) const -> bool;
     auto endWatch(const http::Exchange* exchange) -> void;
     auto holdWatch(PendingWatch pending, std::chrono::milliseconds wait) -> void;
-    [[nodiscard]] auto hasUpdateFor(const CachedTable& table, const PendingWatch& pending) const -> bool;
+    [[nodiscard]] auto hasUpdateFor(const TableCache& table, const PendingWatch& pending) const -> bool;
     auto respondToPendingWatches(const std::string& table) -> void;
     auto rejectPendingWatches(const std::string& table) -> void;
-    auto respondFrom(const CachedTable& table, std::uint64_t after, const std::shared_ptr<http::Exchange>& exchange)
-        -> void;
+    static auto respondFrom(
+        const TableCache& table, std::uint64_t after, const std::shared_ptr<http::Exchange>& exchange) -> void;
 
     Scheduler& m_scheduler;
-    StoreClient& m_store;
+    EraCheckedStore m_store;
     RelayTransport& m_transport;
     Options m_options;
+    IsOutdated m_isOutdated;
     std::function<std::optional<std::chrono::milliseconds>()> m_storeClock;
     std::optional<BootstrapReader> m_bootstrapReader; // for the first read of each table
     bool m_areHostsKnown = false;
@@ -174,9 +186,11 @@
     std::vector<Relay> m_regionRelays; // of the region's other data centres
     std::vector<Relay> m_storeWatchers; // of the region, in the order in which they become the regional primary
     std::map<std::string, MonotonicTime> m_relayBackoffUntil; // by host
+    std::set<std::string> m_servingRelays; // hosts that have responded
+    std::set<std::string> m_tablesWithLostRelay; // one of these failed, and no response came since
     std::size_t m_storeFailures = 0; // consecutive
     MonotonicTime m_storeBackoffUntil;
-    std::map<std::string, CachedTable> m_tables;
+    std::map<std::string, TableCache> m_tables;
     std::list<PendingWatch> m_pendingWatches;
     std::minstd_rand m_random;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
--- a/src/fleet/RelayedStoreClient_test.cpp
+++ b/src/fleet/RelayedStoreClient_test.cpp
@@ -4,6 +4,7 @@
 #include "fleet/HostDirectory.h"
 #include "fleet/HttpRelayTransport.h"
 #include "fleet/RelayWatchCodec.h"
+#include "fleet/StoreVersion.h"
 #include "http/Exchange.h"
 #include "net/AsioScheduler.h"
 #include "net/HttpClient.h"
@@ -211,6 +212,66 @@
     CHECK(received->rows == response.rows);
 }
 
+TEST_CASE("a relay that read a restored store's table anew sends all of its rows to watches from the earlier era")
+{
+    ThreeHosts hosts;
+    std::optional<StoreResponse> received;
+    hosts.nonRelay->client.watch({ "op", 5, 1500ms }, [&](StoreClient::Result result) {
+        if (auto* response = std::get_if<StoreResponse>(&result))
+            received = *response;
+    });
+    hosts.processEvents();
+    const StoreRow row { "config", "text", makeVersion(1, 4), false };
+    hosts.primary->store.readResponse = { .rows = { row }, .newestVersion = makeVersion(1, 5), .storeTime = 1050ms };
+    hosts.primary->client.read("op", [](const StoreClient::Result&) {});
+    REQUIRE(runUntil(hosts.io, [&] { return received.has_value(); }));
+    CHECK(received->isSnapshot);
+    CHECK(received->rows == std::vector<StoreRow> { row });
+    CHECK(hosts.nonRelay->client.era() == 1);
+}
+
+// Guards against rows and proofs of freshness of a relay that hasn't noticed the restore.
+TEST_CASE("a relay of an earlier era isn't used by a host that knows the later one")
+{
+    ThreeHosts hosts;
+    int rises = 0;
+    hosts.nonRelay->client.onEraRose([&] { ++rises; });
+    hosts.nonRelay->store.readResponse = { .newestVersion = makeVersion(1, 5), .storeTime = 1000ms };
+    hosts.nonRelay->client.read("op", [](const StoreClient::Result&) {});
+    CHECK(rises == 1);
+    bool isDone = false;
+    hosts.nonRelay->client.watch(
+        { "op", makeVersion(1, 5), 2600ms }, [&](const StoreClient::Result&) { isDone = true; });
+    int confirmations = 0;
+    REQUIRE(runUntil(hosts.io, [&] {
+        hosts.primary->store.respond({ .newestVersion = 6, .storeTime = 1050ms + ++confirmations * 1ms });
+        return !hosts.nonRelay->store.pendingWatches.empty();
+    }));
+    CHECK_FALSE(isDone);
+}
+
+// Guards against a withdrawn key that works again beside a daemon that read the restored configuration.
+TEST_CASE(
+    "older content of a restored row doesn't replace the known one, for this host and for those that copy from it")
+{
+    ThreeHosts hosts;
+    auto& client = hosts.primary->client;
+    client.setIsOutdated([](const StoreRow& received, const StoreRow& known) { return received.value < known.value; });
+    auto& readResponse = hosts.primary->store.readResponse;
+    const auto readValue = [&](std::uint64_t version, const std::string& value) -> std::string {
+        readResponse
+            = { .rows = { { "config", value, version, false } }, .newestVersion = version, .storeTime = 1060ms };
+        std::string result;
+        client.read(
+            "op", [&](const StoreClient::Result& done) { result = std::get<StoreResponse>(done).rows[0].value; });
+        return result;
+    };
+    CHECK(readValue(6, "r2") == "r2");
+    CHECK(readValue(makeVersion(1, 4), "r1") == "r2");
+    CHECK(readValue(makeVersion(1, 4), "r1") == "r2"); // also when it is read again
+    CHECK(readValue(makeVersion(1, 7), "r3") == "r3");
+}
+
 TEST_CASE("a host whose relays are unreachable watches the store")
 {
     ThreeHosts hosts;
--- a/src/fleet/StoreClient.h
+++ b/src/fleet/StoreClient.h
@@ -18,7 +18,7 @@
 
 namespace coriandergate::fleet {
 
-// StoreRow is one row as it was read. All tables of the store share one version counter.
+// StoreRow is one row as it was read. All tables of the store share one version counter; see StoreVersion.h.
 struct StoreRow {
     std::string key;
     std::string value;
@@ -36,6 +36,7 @@
     SuspendAwareTime sentAt; // when the request was sent
     SuspendAwareTime receivedAt;
     bool isPartial = false; // rows are missing; a watch from newestVersion returns them
+    bool isSnapshot = false; // all rows, in response to a watch from a version of an earlier era of the store
     bool isRelayed = false; // received from another daemon: as recent as storeTime, not as sentAt
 };
 
@@ -44,13 +45,14 @@
     enum class Kind {
         NotApplied, // the store rejected the request or never received it
         Unknown, // sent without a response: a write may have taken effect or may still do so
-        HistoryTruncated, // the store no longer keeps the changes since `after`
+        HistoryTruncated, // the store no longer keeps the changes since `after`, or was restored from an older copy
         ConditionFailed, // the row's version differs from the expected one; `current` holds the stored row, if any
     };
 
     Kind kind = Kind::NotApplied;
     Error error;
     std::vector<StoreRow> current;
+    std::uint64_t era = 0; // of the store as told in its response, if there is one
 };
 
 // StoreClient is used on one thread. Each callback is called once, asynchronously.
--- a/src/fleet/StoreView.h
+++ b/src/fleet/StoreView.h
@@ -50,10 +50,14 @@
     auto onResponse(ResponseCallback callback) -> void { m_responseCallback = std::move(callback); }
     auto onFailure(FailureCallback callback) -> void { m_operatorWatcher.onFailure(std::move(callback)); }
 
+    // onEraRose() sets what is called when the store came back from an older copy, before its rows are received.
+    auto onEraRose(std::function<void()> callback) -> void { m_client.onEraRose(std::move(callback)); }
+
     auto start() -> void;
     auto stop() -> void;
 
     [[nodiscard]] auto client() -> RelayedStoreClient& { return m_client; }
+    [[nodiscard]] auto era() const -> std::uint64_t { return m_client.era(); }
     [[nodiscard]] auto directory() const -> const HostDirectory& { return m_directory; }
     [[nodiscard]] auto areHostsLoaded() const -> bool { return m_areHostsLoaded; }
     [[nodiscard]] auto operatorFreshness() const -> const dispatch::StalenessTracker& { return m_operatorFreshness; }
--- a/src/fleet/TableWatcher.cpp
+++ b/src/fleet/TableWatcher.cpp
@@ -60,7 +60,7 @@
 auto TableWatcher::onCatchUpDone(StoreClient::Result result) -> void
 {
     if (const auto* response = std::get_if<StoreResponse>(&result)) {
-        applyResponse(*response, false);
+        applyResponse(*response, response->isSnapshot);
         return;
     }
     if (std::get<StoreFailure>(result).kind != StoreFailure::Kind::HistoryTruncated)
@@ -95,7 +95,7 @@
         return;
     }
     const auto& response = std::get<StoreResponse>(result);
-    applyResponse(response, false);
+    applyResponse(response, response.isSnapshot);
     if (response.rows.empty())
         m_changeDelay = milliseconds { 0 };
     else
--- a/src/relay/CrashRegistry.cpp
+++ b/src/relay/CrashRegistry.cpp
@@ -9,6 +9,8 @@
 #include "relay/PeerMessages.h"
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 namespace coriandergate::relay {
 
@@ -16,6 +18,8 @@
 
     const log::Event requestMarked { 1937, log::Severity::Warning, "request crashes targets",
         "no host retries it; find its callers by the attempts that ended with connection-lost" };
+    const log::Event markWrittenAgain { 1977, log::Severity::Info, "mark of a crashing request written again",
+        "the store came back from an older copy without it" };
     const log::Event requestUnmarked { 1938, log::Severity::Info, "request no longer crashes targets", "nothing" };
 
 } // namespace
@@ -91,8 +95,47 @@
     }
 }
 
+auto CrashRegistry::onHostsChanged() -> void
+{
+    if (std::exchange(m_mustCheckMarks, false))
+        restoreLostMarks();
+    else
+        forgetRemovedMarks();
+}
+
+// Another host may have removed a mark after a success of the request.
+auto CrashRegistry::forgetRemovedMarks() -> void
+{
+    for (auto it = m_marks.begin(); it != m_marks.end();) {
+        auto& mark = it->second;
+        const bool isStored = m_directory.version(it->first) > 0;
+        const bool isRemoved = mark.isSeen && !isStored;
+        mark.isSeen = isStored;
+        it = isRemoved ? m_marks.erase(it) : std::next(it);
+    }
+}
+
+auto CrashRegistry::restoreLostMarks() -> void
+{
+    const auto storeTime = m_storeClock ? m_storeClock() : std::nullopt;
+    const auto marks = m_marks;
+    for (const auto& [key, mark] : marks) {
+        Error reason;
+        const auto lastCrashAt = fleet::decodeCrashRow(key, mark.value, reason);
+        const bool isExpired = !lastCrashAt || (storeTime && *lastCrashAt + s_markLifetime < *storeTime);
+        if (isExpired || m_directory.version(key) > 0)
+            continue;
+        ++m_marksWrittenAgain;
+        log::logEvent(markWrittenAgain, { { "key", key } });
+        write(key, mark.value);
+    }
+}
+
 auto CrashRegistry::write(const std::string& key, std::optional<std::string> value) -> void
 {
+    m_marks.erase(key);
+    if (value && m_marks.size() < m_options.maximumMarks)
+        m_marks.emplace(key, WrittenMark { .value = *value });
     m_store.write(
         { m_options.table, key, m_directory.version(key), std::move(value) }, [](const fleet::StoreClient::Result&) {
             // If the write failed, the next crash or success of the request tries it again.
--- a/src/relay/CrashRegistry.h
+++ b/src/relay/CrashRegistry.h
@@ -14,6 +14,7 @@
 #include "fleet/StoreClient.h"
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -51,6 +52,14 @@
     // setStoreClock() sets the function that reads the store's clock. Without a time, no row is written.
     auto setStoreClock(StoreClock storeClock) -> void { m_storeClock = std::move(storeClock); }
 
+    // onStoreRestored() is called when the store came back from an older copy. onHostsChanged() is called after each
+    // change of the directory; after a restore it writes the marks again that this host made and the store lost.
+    auto onStoreRestored() -> void { m_mustCheckMarks = true; }
+    auto onHostsChanged() -> void;
+
+    // marksWrittenAgain() is their number.
+    [[nodiscard]] auto marksWrittenAgain() const -> std::uint64_t { return m_marksWrittenAgain; }
+
     // handle() serves a CrashReport of another host.
     auto handle(const std::shared_ptr<http::Exchange>& exchange) -> void;
 
@@ -93,6 +102,13 @@
         std::map<Key, MonotonicTime> m_times;
     };
 
+    struct WrittenMark {
+        std::string value;
+        bool isSeen = false; // the row was in the directory
+    };
+
+    auto forgetRemovedMarks() -> void;
+    auto restoreLostMarks() -> void;
     auto mark(std::uint64_t fingerprint, std::size_t crashes, MonotonicTime now) -> void;
     auto unmark(std::uint64_t fingerprint, MonotonicTime now) -> void;
     auto write(const std::string& key, std::optional<std::string> value) -> void;
@@ -102,6 +118,9 @@
     Options m_options;
     StoreClock m_storeClock;
     dispatch::CrashTracker m_tracker { {} };
+    std::map<std::string, WrittenMark> m_marks; // of this host, by the row's key
+    std::uint64_t m_marksWrittenAgain = 0;
+    bool m_mustCheckMarks = false;
     RecentEvents<std::string> m_recentWrites; // by the row's key
     RecentEvents<std::uint64_t> m_recentSuccessReports; // by fingerprint
 };
--- a/src/relay/CrashRegistry_test.cpp
+++ b/src/relay/CrashRegistry_test.cpp
@@ -167,4 +167,30 @@
     CHECK(fleet.reports.size() == 2);
 }
 
+// Guards against a crashing request that is retried again: the store came back from a copy without its mark.
+TEST_CASE("CrashRegistry writes a mark again that the restored store lost, but not one that was removed")
+{
+    Fleet fleet;
+    auto& writes = fleet.store.otherWrites;
+    for (const auto* target : { "a", "b", "c" })
+        fleet.crashRegistry.recordAndMark(crashAt(target), start);
+    REQUIRE(writes.size() == 1);
+    const fleet::StoreRow row { writes[0].key, *writes[0].value, 41, false };
+    fleet.directory.apply({ row }, false);
+    fleet.crashRegistry.onHostsChanged();
+    const bool isRemoved = GENERATE(false, true);
+    if (isRemoved) {
+        fleet.directory.apply({ { row.key, "", 42, true } }, false);
+        fleet.crashRegistry.onHostsChanged();
+    }
+    fleet.crashRegistry.onStoreRestored();
+    fleet.directory.apply({}, true);
+    fleet.crashRegistry.onHostsChanged();
+    REQUIRE(writes.size() == (isRemoved ? 1 : 2));
+    CHECK(fleet.crashRegistry.marksWrittenAgain() == (isRemoved ? 0 : 1));
+    CHECK(writes.back().key == row.key);
+    CHECK(writes.back().value == row.value);
+    CHECK(writes.back().expectedVersion == 0);
+}
+
 } // namespace coriandergate::relay
--- a/src/sidecar/ConfigurationFeed.cpp
+++ b/src/sidecar/ConfigurationFeed.cpp
@@ -42,6 +42,16 @@
     return isChanged;
 }
 
+auto ConfigurationFeed::isOutdated(const fleet::StoreRow& received, const fleet::StoreRow& known) const -> bool
+{
+    if (received.key != m_adapter.configurationKey)
+        return false;
+    Error reason; // a row that can't be decoded is reported when it is applied
+    const auto receivedConfiguration = m_adapter.decodeConfiguration(received.value, reason);
+    const auto knownConfiguration = m_adapter.decodeConfiguration(known.value, reason);
+    return receivedConfiguration && knownConfiguration && receivedConfiguration->version < knownConfiguration->version;
+}
+
 auto ConfigurationFeed::applyConfiguration(const fleet::StoreRow& row) -> bool
 {
     Error reason;
--- a/src/sidecar/ConfigurationFeed.h
+++ b/src/sidecar/ConfigurationFeed.h
@@ -29,6 +29,10 @@
     // A configuration that can't be decoded is logged, and the last valid one stays in force.
     auto apply(const std::vector<fleet::StoreRow>& rows, bool isSnapshot) -> bool;
 
+    // isOutdated() returns whether `received` is a configuration of an earlier version than `known`, as a store returns
+    // it after it came back from an older copy.
+    [[nodiscard]] auto isOutdated(const fleet::StoreRow& received, const fleet::StoreRow& known) const -> bool;
+
 private:
     auto applyConfiguration(const fleet::StoreRow& row) -> bool;
 
--- a/src/sidecar/MetricsPage.h
+++ b/src/sidecar/MetricsPage.h
@@ -24,6 +24,8 @@
     std::size_t openRequests = 0;
     std::uint64_t targetConnectionsOpened = 0; // since the start
     std::uint64_t peerConnectionsOpened = 0; // since the start
+    std::uint64_t storeEra = 0; // how often the store came back from an older copy
+    std::uint64_t rowsWrittenAgain = 0; // after that, since the start
     std::uint64_t lateResponses = 0; // of the target of this host, since the start
 };
 
--- a/src/sidecar/RowCleaner.cpp
+++ b/src/sidecar/RowCleaner.cpp
@@ -18,6 +18,14 @@
         "its daemon was unreachable for 15 s; its row is removed, or marked as departed if its target drains, and the "
         "daemon writes it again if it is running" };
 
+    const log::Event drainWrittenAgain { 1978, log::Severity::Info, "drain of another host written again",
+        "the store came back from an older copy in which the host's target still served" };
+
+    // Until then the daemon beside the target usually has written its row again.
+    constexpr milliseconds lostDrainDelay { 600 };
+    // Hosts of a region that write lost drains of the others, so that one may be unreachable.
+    constexpr std::size_t lostDrainWriters = 2;
+
     // A daemon that is unreachable for this time despite attempts is considered dead. Restarts and pauses are
     // shorter.
     constexpr milliseconds unreachableHostTimeout { 15000 };
@@ -34,6 +42,7 @@
     , m_balancer(balancer)
     , m_options(std::move(options))
     , m_timer(io)
+    , m_restoreTimer(io)
 {
 }
 
@@ -56,6 +65,46 @@
 {
     m_isStopped = true;
     m_timer.cancel();
+    m_restoreTimer.cancel();
+}
+
+auto RowCleaner::onHostsChanged() -> void
+{
+    if (m_isStopped || m_isRestoreScheduled || m_view.directory().hostsWithLostDrain().empty())
+        return;
+    m_isRestoreScheduled = true;
+    m_restoreTimer.expires_after(lostDrainDelay);
+    m_restoreTimer.async_wait([this](const boost::system::error_code& error) {
+        if (error || m_isStopped)
+            return;
+        m_isRestoreScheduled = false;
+        restoreLostDrains();
+    });
+}
+
+auto RowCleaner::mustRestore(const std::string& host) const -> bool
+{
+    const auto& directory = m_view.directory();
+    const auto* record = directory.find(host);
+    if (!record || host == m_options.hostKey || record->locality.region != m_options.locality.region)
+        return false;
+    auto writers = directory.hostsInRegion(m_options.locality.region);
+    std::erase(writers, host);
+    writers.resize(std::min(writers.size(), lostDrainWriters));
+    return std::find(writers.begin(), writers.end(), m_options.hostKey) != writers.end();
+}
+
+auto RowCleaner::restoreLostDrains() -> void
+{
+    const auto& directory = m_view.directory();
+    for (const auto& host : directory.hostsWithLostDrain()) {
+        if (!mustRestore(host))
+            continue;
+        ++m_drainsWrittenAgain;
+        log::logEvent(
+            drainWrittenAgain, { { "host", host }, { "row-version", std::to_string(directory.version(host)) } });
+        replaceRow(host, fleet::encodeHostRecord(*directory.find(host)));
+    }
 }
 
 // As long as the row of a dead host remains, the host keeps its share of the limits that are divided among all hosts.
--- a/src/sidecar/RowCleaner.h
+++ b/src/sidecar/RowCleaner.h
@@ -1,4 +1,6 @@
-// Removes rows from the store's list of hosts: of hosts that are gone, and of what has expired.
+// Removes rows from the store's list of hosts: of hosts that are gone, and of what has expired. It also writes the
+// drains of other hosts' targets again that a restored store lost, because their daemons may have been restarted
+// meanwhile.
 //
 //   RowCleaner cleaner(io, storeView, loadBalancer, { .table = "hosts", .hostKey = key, .locality = here });
 //   cleaner.start();
@@ -8,6 +10,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <random>
@@ -40,7 +43,15 @@
     auto start() -> void;
     auto stop() -> void;
 
+    // onHostsChanged() is called after each change of the directory.
+    auto onHostsChanged() -> void;
+
+    // drainsWrittenAgain() is the number of drains of other hosts' targets that were written again.
+    [[nodiscard]] auto drainsWrittenAgain() const -> std::uint64_t { return m_drainsWrittenAgain; }
+
 private:
+    [[nodiscard]] auto mustRestore(const std::string& host) const -> bool;
+    auto restoreLostDrains() -> void;
     auto removeUnreachableHosts() -> void;
     auto removeExpiredRows() -> void;
     [[nodiscard]] auto remainingRow(const fleet::HostRecord& record) const -> std::optional<std::string>;
@@ -50,6 +61,9 @@
     const dispatch::LoadBalancer& m_balancer;
     Options m_options;
     boost::asio::steady_timer m_timer;
+    boost::asio::steady_timer m_restoreTimer;
+    std::uint64_t m_drainsWrittenAgain = 0;
+    bool m_isRestoreScheduled = false;
     std::minstd_rand m_random { std::random_device {}() };
     bool m_isStopped = false;
 };
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -38,6 +38,8 @@
     const log::Event storeUnreachable { 1925, log::Severity::Warning, "store lost",
         "the store; requests with API keys are rejected once its last response is too old" };
     const log::Event storeReachableAgain { 1926, log::Severity::Info, "store regained", "nothing" };
+    const log::Event storeRestored { 1975, log::Severity::Warning, "store came back from an older copy",
+        "the store; what it had confirmed in the last seconds before is read anew and written again" };
     const log::Event controlCallRejected { 1928, log::Severity::Warning, "control call refused",
         "a process other than this host's target may be calling the control address; the reason names the fault" };
     const log::Event hostsChanged { 1929, log::Severity::Info, "hosts changed",
@@ -97,6 +99,7 @@
     auto startPendingRequestsIfReady() -> void;
     auto onStoreResponse() -> void;
     auto onStoreFailure(const Error& error) -> void;
+    auto onStoreRestored() -> void;
     auto handlePeer(const std::shared_ptr<http::Exchange>& exchange) -> void;
     auto handleRetryBudgetRequest(const std::shared_ptr<http::Exchange>& exchange) -> void;
     auto rateLimits() const -> dispatch::RateLimits;
@@ -234,6 +237,10 @@
     storeView.onHostsChanged([this](const std::vector<Error>& faults) { onHostsChanged(faults); });
     storeView.onResponse([this] { onStoreResponse(); });
     storeView.onFailure([this](const Error& error) { onStoreFailure(error); });
+    storeView.onEraRose([this] { onStoreRestored(); });
+    storeView.client().setIsOutdated([this](const fleet::StoreRow& received, const fleet::StoreRow& known) {
+        return configurationFeed.isOutdated(received, known);
+    });
     storeView.start();
     rowCleaner.start();
     log::logEvent(started,
@@ -267,6 +274,13 @@
         storeUnreachable, { { "why", error.toText() }, { "proof-age-ms", age ? std::to_string(age->count()) : "" } });
 }
 
+auto Sidecar::State::onStoreRestored() -> void
+{
+    log::logEvent(storeRestored, { { "era", std::to_string(storeView.era()) } });
+    registration.onStoreRestored();
+    crashRegistry.onStoreRestored();
+}
+
 auto Sidecar::State::rateLimits() const -> dispatch::RateLimits
 {
     return {
@@ -327,6 +341,8 @@
     loadBalancer.setTargets(directory.targets());
     if (!isStopping)
         registration.onHostsChanged();
+    rowCleaner.onHostsChanged();
+    crashRegistry.onHostsChanged();
     rateLimitOwner.setHosts(directory.rateLimitHostsInRegion(settings.locality.region), monotonicNow());
     entryContext.hostCount = std::max<std::size_t>(1, directory.size());
     log::logEvent(hostsChanged,
@@ -443,6 +459,9 @@
         .openRequests = callerServer.openRequests(),
         .targetConnectionsOpened = targetRelay.targetConnectionsOpened(),
         .peerConnectionsOpened = peerClient.connectionsOpened(),
+        .storeEra = storeView.era(),
+        .rowsWrittenAgain
+        = registration.rowsWrittenAgain() + rowCleaner.drainsWrittenAgain() + crashRegistry.marksWrittenAgain(),
         .lateResponses = targetRelay.lateResponses() });
 }
 
