--- a/src/sidecar/ConfigurationFeed.h
+++ b/src/sidecar/ConfigurationFeed.h
@@ -34,6 +34,10 @@
     // with their rows; one of an unknown data centre is logged and skipped.
     auto apply(const std::vector<fleet::StoreRow>& rows, bool isSnapshot, MonotonicTime now) -> bool;
 
+    // isOutdated() returns whether `received` is a configuration of an earlier version than `known`, as a store returns
+    // it after it came back from an older copy.
+    [[nodiscard]] auto isOutdated(const fleet::StoreRow& received, const fleet::StoreRow& known) const -> bool;
+
 private:
     [[nodiscard]] auto evacuatedBy(const fleet::StoreRow& row) const -> std::optional<std::string>;
     auto applyEvacuation(const fleet::StoreRow& row, MonotonicTime now) -> void;
