Let the soak fail on every end of a daemon that it did not cause

What operators saw: nothing. A daemon that crashed was started again at the soak's next stop or kill of its host, and no promise was broken by it.

Cause: the soak looked neither at when a daemon had ended nor at its exit code.

Change: the soak looks at each daemon every 250 ms and before each signal of its own; the checker takes an end for its own only if a SIGTERM (exit code 0 or 143) or a SIGKILL (137) was sent before. What the daemon printed last is written among the faults.

--- a/soak/Checker.cpp
+++ b/soak/Checker.cpp
@@ -3,11 +3,14 @@
 #include "http/Status.h"
 
 #include <algorithm>
+#include <csignal>
 
 namespace coriandergate::soak {
 
 namespace {
 
+    constexpr int signalExitBase = 128; // of testing::ProcessUnderTest
+
     auto promisesNotRun(int status) -> bool
     {
         return status == http::statusRequestTimeout || status == http::statusMisdirected
@@ -157,6 +160,30 @@
 {
     const MutexLock lock(m_mutex);
     m_served.erase(host);
+    m_lives.erase(host);
+}
+
+auto Checker::endCaused(std::size_t host, EndSignal signal) -> void
+{
+    const MutexLock lock(m_mutex);
+    m_lives[host].signals.insert(signal);
+}
+
+auto Checker::daemonEnded(std::size_t host, int code) -> bool
+{
+    const MutexLock lock(m_mutex);
+    auto& life = m_lives[host];
+    if (life.hasEnded)
+        return true;
+    life.hasEnded = true;
+    const bool isStopped
+        = (code == 0 || code == signalExitBase + SIGTERM) && life.signals.contains(EndSignal::Terminate);
+    const bool isKilled = code == signalExitBase + SIGKILL && life.signals.contains(EndSignal::Kill);
+    if (isStopped || isKilled)
+        return true;
+    violateLocked(
+        "end", "the daemon of host " + std::to_string(host) + " ended by itself with " + std::to_string(code));
+    return false;
 }
 
 auto Checker::stopBegan(std::size_t host, MonotonicTime now) -> void
--- a/soak/Checker.h
+++ b/soak/Checker.h
@@ -16,6 +16,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -79,6 +80,13 @@
     auto keyWithdrawn(const std::string& key, MonotonicTime now) -> void;
     auto daemonStarted(std::size_t host) -> void;
 
+    // endCaused() says that `signal` is sent to a host's daemon now. daemonEnded() says that the daemon has ended with
+    // `code` (testing::ProcessUnderTest::waitForExit), which is a violation when no such signal explains it. It may be
+    // called again; only the first call since the daemon's start counts. The result is false when it finds a violation.
+    enum class EndSignal { Terminate, Kill };
+    auto endCaused(std::size_t host, EndSignal signal) -> void;
+    auto daemonEnded(std::size_t host, int code) -> bool;
+
     // stopBegan() and stopEnded() bound a planned stop of a host's daemon; disturbed() notes an unplanned fault.
     auto stopBegan(std::size_t host, MonotonicTime now) -> void;
     auto stopEnded(std::size_t host) -> void;
@@ -111,6 +119,11 @@
         std::uint64_t generation = 0;
         MonotonicTime at;
     };
+    // Life is what is known of the end of a host's daemon since its start.
+    struct Life {
+        std::set<EndSignal> signals;
+        bool hasEnded = false;
+    };
 
     REQUIRES(m_mutex)
     auto checkRunLocked(const std::string& instance, const Request& request, const Run& run, MonotonicTime now) -> void;
@@ -123,6 +136,7 @@
     std::map<std::string, MonotonicTime> m_leaving GUARDED_BY(m_mutex);
     std::map<std::string, MonotonicTime> m_withdrawn GUARDED_BY(m_mutex);
     std::map<std::size_t, Served> m_served GUARDED_BY(m_mutex); // newest configuration seen, by host
+    std::map<std::size_t, Life> m_lives GUARDED_BY(m_mutex); // by host
     std::map<std::size_t, MonotonicTime> m_stopping GUARDED_BY(m_mutex);
     std::vector<std::pair<MonotonicTime, MonotonicTime>> m_disturbances GUARDED_BY(m_mutex);
     std::deque<std::pair<MonotonicTime, MonotonicTime>> m_limitedRuns GUARDED_BY(m_mutex); // run, sent
--- a/soak/Checker_test.cpp
+++ b/soak/Checker_test.cpp
@@ -144,6 +144,29 @@
         checker.ran("i", runOf(older), at(2101ms));
         CHECK(violates(checker, "regress"));
     }
+    SECTION("a daemon that ended by itself, also when it would have been ended later")
+    {
+        CHECK_FALSE(checker.daemonEnded(2, GENERATE(0, 1, 134, 137, 139)));
+        checker.endCaused(2, GENERATE(Checker::EndSignal::Terminate, Checker::EndSignal::Kill));
+        CHECK(checker.daemonEnded(2, 137)); // told before
+        CHECK(violates(checker, "end"));
+    }
+    SECTION("a daemon that crashed on a signal, or whose signal was for the one before it or for another")
+    {
+        const auto code = GENERATE(0, 134, 137, 139);
+        if (code >= 134 && code != 137)
+            checker.endCaused(2, GENERATE(Checker::EndSignal::Terminate, Checker::EndSignal::Kill));
+        if (code == 137)
+            checker.endCaused(2, Checker::EndSignal::Terminate);
+        if (code == 0)
+            checker.endCaused(2, Checker::EndSignal::Kill);
+        if (GENERATE(true, false)) {
+            checker.daemonStarted(2);
+            checker.endCaused(1, Checker::EndSignal::Terminate);
+        }
+        CHECK_FALSE(checker.daemonEnded(2, code));
+        CHECK(violates(checker, "end"));
+    }
     SECTION("a request that a planned stop cut off")
     {
         checker.stopBegan(0, at(5000ms));
@@ -166,6 +189,18 @@
         checker.ran("i", runOf(sent), at(5101ms));
         checker.cut("r", at(5200ms));
     }
+    SECTION("an end that a signal explains")
+    {
+        checker.endCaused(0, Checker::EndSignal::Kill);
+        CHECK(checker.daemonEnded(0, 137));
+        CHECK(checker.daemonEnded(0, 137));
+        checker.daemonStarted(0);
+        checker.endCaused(0, Checker::EndSignal::Terminate);
+        CHECK(checker.daemonEnded(0, GENERATE(0, 143)));
+        checker.endCaused(1, Checker::EndSignal::Terminate);
+        checker.endCaused(1, Checker::EndSignal::Kill);
+        CHECK(checker.daemonEnded(1, GENERATE(0, 137)));
+    }
     SECTION("an older configuration at a daemon that was started again")
     {
         auto newer = book("new");
--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -5,6 +5,7 @@
 #include "platform/testing/FleetUnderTest.h"
 #include "soak/Callers.h"
 
+#include <algorithm>
 #include <functional>
 #include <iomanip>
 #include <map>
@@ -30,6 +31,7 @@
     constexpr milliseconds longestStop { 8000 };
     // A configuration holds, and a fault's effects are over, so long after.
     constexpr milliseconds afterEffect { 3000 };
+    constexpr milliseconds watchInterval { 250 }; // short enough to tell an end's time within the list of faults
 
     // Soak holds what one run needs.
     class Soak {
@@ -64,11 +66,14 @@
             m_callers = &callers;
             callers.start();
             m_startedAt = monotonicNow();
+            watchDaemons();
             for (const auto& step : drawPlan(options)) {
                 runDue(m_startedAt + step.at);
                 inject(step);
             }
             runDue(m_startedAt + options.length);
+            for (std::size_t host = 0; host < options.hosts; ++host)
+                noteEnd(host);
             endAll();
             callers.stop();
             m_report.violations = m_checker.finish();
@@ -265,10 +270,42 @@
             }
         }
 
+        auto watchDaemons() -> void
+        {
+            for (std::size_t host = 0; host < m_fleet.hostCount(); ++host)
+                noteEnd(host);
+            later(watchInterval, [this] { watchDaemons(); });
+        }
+
+        // Tells the checker when a daemon has ended, and writes what it printed last if the soak hasn't ended it.
+        auto noteEnd(std::size_t host) -> void
+        {
+            const auto code = m_fleet.daemon(host).waitForExit(milliseconds(0));
+            if (!code || m_checker.daemonEnded(host, *code))
+                return;
+            constexpr std::size_t longestQuote = 6000;
+            const auto output = m_fleet.daemon(host).output();
+            const std::chrono::duration<double> at = monotonicNow() - m_startedAt;
+            m_log << at.count() << " s: the daemon of host " << host << " ended by itself with " << *code
+                  << "; it printed last:\n"
+                  << output.substr(output.size() - std::min(output.size(), longestQuote)) << std::endl;
+        }
+
+        // Looks whether the daemon has ended before, so that the signal can't explain an end of its own.
+        auto signalEnd(std::size_t host, Checker::EndSignal signal) -> void
+        {
+            noteEnd(host);
+            m_checker.endCaused(host, signal);
+            if (signal == Checker::EndSignal::Kill)
+                m_fleet.daemon(host).kill();
+            else
+                m_fleet.daemon(host).terminate();
+        }
+
         auto killDaemon(std::size_t host) -> void
         {
             m_fleet.daemon(host).resume();
-            m_fleet.daemon(host).kill();
+            signalEnd(host, Checker::EndSignal::Kill);
             restartWhenEnded(host);
         }
 
@@ -278,7 +315,7 @@
                 return;
             m_stopping.insert(host);
             m_checker.stopBegan(host, monotonicNow());
-            m_fleet.daemon(host).terminate();
+            signalEnd(host, Checker::EndSignal::Terminate);
             later(milliseconds(200), [this, host] { awaitStop(host, monotonicNow() + longestStop); });
         }
 
@@ -290,7 +327,7 @@
                 later(milliseconds(100), [this, host, end] { awaitStop(host, end); });
                 return;
             }
-            m_fleet.daemon(host).kill();
+            signalEnd(host, Checker::EndSignal::Kill);
             restartWhenEnded(host);
         }
 
@@ -298,6 +335,7 @@
         {
             if (!m_fleet.daemon(host).waitForExit(milliseconds(3000)))
                 m_report.violations.push_back("end: a daemon did not end");
+            noteEnd(host);
             m_checker.stopEnded(host);
             m_stopping.erase(host);
             m_checker.daemonStarted(host);
