--- a/src/daemon/HttpFaults_test.cpp
+++ b/src/daemon/HttpFaults_test.cpp
@@ -75,7 +75,9 @@
 {
     const std::string heads[] = { "", "HTTP/1.1 200 OK\r\nConte", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n12345",
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n", "HTTP/1.1 200 OK\r\n\r\nno length",
-        "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 5\r\n\r\nhello", "nonsense\r\n\r\n" };
+        "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: 5\r\n\r\nhello", "nonsense\r\n\r\n",
+        "HTTP/1.1 000 Odd\r\n\r\n", "HTTP/1.1 000 Odd\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 000 Odd\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok" };
     for (const auto& bytes : heads) {
         for (const std::string path : { "/orders", "/idempotent" }) {
             INFO(path << " answered by '" << bytes << "'");
