--- a/src/dispatch/LoadBalancer.cpp
+++ b/src/dispatch/LoadBalancer.cpp
@@ -142,8 +142,10 @@
     const auto coldService = m_coldServices.find(criteria.service);
     if (now < target.assumedColdUntil && coldService != m_coldServices.end())
         utilization /= coldService->second.fraction;
-    double cost
-        = std::max(utilization, arrivalUtilization(target, now)) + m_options.rejectionPenalty * target.rejectionRate;
+    const double arrivals = arrivalUtilization(target, now);
+    double cost = std::max(utilization, arrivals) + m_options.rejectionPenalty * target.rejectionRate;
+    if (arrivals >= 1)
+        cost += m_options.exhaustedPenalty;
     const auto& locality = target.description.locality;
     if (locality.region != m_options.ownLocality.region)
         cost += m_options.otherRegionPenalty * criteria.distanceFactor;
--- a/src/dispatch/LoadBalancer.h
+++ b/src/dispatch/LoadBalancer.h
@@ -46,6 +46,8 @@
         double otherDataCentrePenalty = 0.45;
         double otherRegionPenalty = 1.1;
         double rejectionPenalty = 1.5; // for a target that rejects every request
+        // For a target that takes no further request within the second: a region's distance is worth it.
+        double exhaustedPenalty = 1.5;
         // A failure report expires this long after nextProbeAt, since the target may have recovered by then.
         std::chrono::milliseconds failureExpiry { 1000 };
         double failingPenalty = 0.5; // for a failing target in panic mode
--- a/src/fleet/HostRegistration.cpp
+++ b/src/fleet/HostRegistration.cpp
@@ -177,7 +177,7 @@
 auto HostRegistration::compareWithRestoredRow() -> void
 {
     m_mustCompareRow = false;
-    const auto* stored = storedRecord();
+    const auto stored = storedRecord();
     const auto version = m_directory.version(m_options.key);
     const bool isKnown = stored && version > 0 && !m_directory.hostsWithLostDrain().contains(m_options.key);
     m_rowWriter.setStoredRow(version, isKnown ? std::optional(encodeHostRecord(*stored)) : std::nullopt);
--- a/src/sidecar/ConfigurationFeed.cpp
+++ b/src/sidecar/ConfigurationFeed.cpp
@@ -139,8 +139,8 @@
     if (received.key != m_adapter.configurationKey)
         return false;
     Error reason; // a row that can't be decoded is reported when it is applied
-    const auto receivedConfiguration = m_adapter.decodeConfiguration(received.value, reason);
-    const auto knownConfiguration = m_adapter.decodeConfiguration(known.value, reason);
+    const auto receivedConfiguration = m_adapter.decodeConfiguration(received.value, reason, m_knownRegions);
+    const auto knownConfiguration = m_adapter.decodeConfiguration(known.value, reason, m_knownRegions);
     return receivedConfiguration && knownConfiguration && receivedConfiguration->version < knownConfiguration->version;
 }
 
