Limit a target's arrivals only while it is or may be cold, unless operators say otherwise

Cause: the bound of a cold target was held for warm ones too, since one may turn cold without a word; on a deployment with such bounds the smaller service was refused most of what its targets could do. What was sent in the last second counts once it turns cold.

--- a/src/dispatch/WarmUp.cpp
+++ b/src/dispatch/WarmUp.cpp
@@ -57,7 +57,7 @@
 // While the target is cold, the limit grows from the rate that it tolerates by the overage, along with the time.
 auto WarmUp::limit(MonotonicTime now) const -> std::optional<std::size_t>
 {
-    if (!isMetered())
+    if (!isLimited(now))
         return std::nullopt;
     if (!isCold(now))
         return highestLimit();
@@ -81,7 +81,7 @@
 {
     if (!m_bound)
         return false;
-    if (isMetered() && waitFor(0, now).count() > 0)
+    if (isLimited(now) && waitFor(0, now).count() > 0)
         return false;
     ++m_permits;
     return true;
@@ -95,7 +95,7 @@
 
 auto WarmUp::maySend(MonotonicTime now) const -> bool
 {
-    if (!isMetered())
+    if (!isLimited(now))
         return m_bound.has_value();
     return now >= m_firstSendAt && sentInWindow(now) < highestLimit();
 }
@@ -114,7 +114,7 @@
 {
     if (!m_bound)
         return longestWait;
-    if (!isMetered())
+    if (!isLimited(now))
         return milliseconds { 0 };
     const auto untilFirst = millisecondsUntil(m_firstSendAt, now);
     const auto most = *limit(now);
--- a/src/dispatch/WarmUp.h
+++ b/src/dispatch/WarmUp.h
@@ -1,11 +1,10 @@
-// How many requests the target on this host may get now: few while it is cold, more as it warms, and never more in a
-// second than a cold target may get at all.
+// How many requests the target on this host may get now: few while it is cold, and more as it warms.
 //
 // A target that has just started crashes if it gets a warm target's load. It says by heartbeats how long it stays cold,
-// but may turn cold between two of them. So the limit of a cold target holds for a warm one too; what is known of its
-// state decides only how far below that limit the meter stays. All requests to a target pass through the daemon on its
-// host, so that no other daemon takes part. A permit is held from the grant of a slot until the request's first byte
-// goes out, and counts from then on for a second.
+// and is taken for cold whenever it may have started anew since the last one. One that says that it is warm gets
+// whatever its slots take, unless the options limit it too; what it got in the last second still counts once it turns
+// cold. All requests to a target pass through the daemon on its host, so that no other daemon takes part. A permit is
+// held from the grant of a slot until the request's first byte goes out, and counts from then on for a second.
 //
 // Load patterns: half of a service's targets come back cold at once; a release that replaces targets one by one; one
 // cold target that gets a whole service's requests because all others are away.
@@ -34,6 +33,8 @@
         // the clock and the sending.
         std::chrono::milliseconds window { 1020 };
         std::size_t margin = 1; // requests below the bound, for the same reason
+        // Whether the bound of a cold target holds for a warm one too, since it may turn cold without a word.
+        bool limitsWarmTarget = false;
     };
 
     // Bound is what the configuration and the deployment say of a service's cold targets.
@@ -68,7 +69,8 @@
     // isCold() says that the target is cold or must be taken for cold; false without a bound.
     [[nodiscard]] auto isCold(MonotonicTime now) const -> bool;
 
-    // limit() is the number of requests that the target may get in a window now; nothing without a bound.
+    // limit() is the number of requests that the target may get in a window now; nothing if it is
+    // not limited.
     [[nodiscard]] auto limit(MonotonicTime now) const -> std::optional<std::size_t>;
 
     // tryAcquire() acquires the permit to send one request; false if the limit is reached. Each permit ends by
@@ -76,7 +78,7 @@
     [[nodiscard]] auto tryAcquire(MonotonicTime now) -> bool;
     auto giveBack() -> void;
 
-    // maySend() says that a request with a permit may go out now. The limit may have sunk since the permit was
+    // maySend() says that a request with a permit may go out now. The target may have turned cold since the permit was
     // acquired; what a second may bear at most decides here, since another try elsewhere costs more than a request
     // more.
     [[nodiscard]] auto maySend(MonotonicTime now) const -> bool;
@@ -86,11 +88,15 @@
     // permit is used at once; an hour while the bound is unknown.
     [[nodiscard]] auto waitFor(std::size_t ahead, MonotonicTime now) const -> std::chrono::milliseconds;
 
-    // arrivals() is what entries are told; nothing without a bound.
+    // arrivals() is what entries are told of a limited target; nothing of any other.
     [[nodiscard]] auto arrivals(MonotonicTime now) const -> std::optional<TargetArrivals>;
 
 private:
     [[nodiscard]] auto isMetered() const -> bool { return m_bound && m_bound->requestsPerSecond > 0; }
+    [[nodiscard]] auto isLimited(MonotonicTime now) const -> bool
+    {
+        return isCold(now) || (m_options.limitsWarmTarget && isMetered());
+    }
     [[nodiscard]] auto highestLimit() const -> std::size_t;
     [[nodiscard]] auto sentInWindow(MonotonicTime now) const -> std::size_t;
 
--- a/src/relay/TargetRelay.cpp
+++ b/src/relay/TargetRelay.cpp
@@ -71,7 +71,7 @@
               .onSkippedAnswer = [this](const http::Answer& response) { recordLateResponse(response); } })
     , m_slots({})
     , m_health(options.health)
-    , m_warmUp(monotonicNow())
+    , m_warmUp(monotonicNow(), { .limitsWarmTarget = options.limitsWarmTarget })
     , m_reservations(io, m_slots, m_health, m_warmUp,
           { .timeout = options.reservationTimeout,
               .addReport = [this](http::HeaderList& headers, MonotonicTime now) { addReport(headers, now); },
--- a/src/relay/TargetRelay.h
+++ b/src/relay/TargetRelay.h
@@ -44,6 +44,7 @@
         std::chrono::milliseconds reservationTimeout { 1000 }; // frees a granted slot whose request does not arrive
         // The deployment bounds the arrivals at cold targets: nothing is sent before setArrivalBound().
         bool isArrivalBoundExpected = false;
+        bool limitsWarmTarget = false; // the bound of a cold target holds for a warm one too
         std::chrono::milliseconds targetConnectTimeout { 400 }; // the target is on this host
         // How long fewer requests are admitted after the target rejected one because it was full.
         std::chrono::milliseconds concurrencyLimitTime { 300 };
--- a/src/sidecar/HostSettings.h
+++ b/src/sidecar/HostSettings.h
@@ -50,6 +50,7 @@
     // Factor by which a second may exceed the requests per second that a cold target tolerates; 0: the deployment has
     // no bound for cold targets.
     double coldOverage = 0;
+    bool limitsWarmTarget = false; // the bound of a cold target holds for a warm one too
     double coldSlack = 0; // requests by which a second may exceed it in addition
 
     // knownRegions() are the regions of the whole deployment; empty if they aren't known.
--- a/src/sidecar/RunSidecar.cpp
+++ b/src/sidecar/RunSidecar.cpp
@@ -33,7 +33,7 @@
 
 Usage:
   coriandergate-sidecar [--settings=FILE] [--log-level=LEVEL] [--peer-address=ADDRESS]
-                        [--hedging=SHARE]
+                        [--hedging=SHARE] [--limit-warm-target]
   coriandergate-sidecar --check-settings [--settings=FILE]
   coriandergate-sidecar --event-catalogue
   coriandergate-sidecar (-h | --help)
@@ -45,6 +45,7 @@
   --peer-address=ADDRESS  IP address and port that other daemons connect to, if not the listening address
   --hedging=SHARE     second attempts of slow repeatable requests that the daemon may send to a service, as a share of
                       its requests there: 0 (none) to 0.2 [default: 0]
+  --limit-warm-target  hold the bound of a cold target for a warm one too, as it may turn cold without a word
   --check-settings    check the settings, print the errors, and exit
   --event-catalogue   print all log events, and exit
 )";
@@ -127,12 +128,13 @@
             m_lastRead = settings;
         }
 
-        // The address and the limit come from the command line, and later starts don't concern a running daemon.
+        // The address and the limits come from the command line, and later starts don't concern a running daemon.
         auto keepStartSettings(HostSettings& settings) const -> void
         {
             settings.peerAddress = m_activeSettings.peerAddress;
             settings.isFirstStart = m_activeSettings.isFirstStart;
             settings.hedgingLimit = m_activeSettings.hedgingLimit;
+            settings.limitsWarmTarget = m_activeSettings.limitsWarmTarget;
         }
 
         boost::asio::signal_set m_signals;
@@ -195,6 +197,7 @@
         }
     }
     if (settings) {
+        settings->limitsWarmTarget = arguments.at("--limit-warm-target").asBool();
         Error reason;
         const auto limit = parseHedgingLimit(arguments.at("--hedging").asString(), reason);
         if (limit) {
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -203,6 +203,7 @@
     , targetRelay(io, target, callRatio,
           { .headers = adapter.headers,
               .isArrivalBoundExpected = settings.coldOverage > 0,
+              .limitsWarmTarget = settings.limitsWarmTarget,
               .maximumBufferedAnswerBytes = maximumAnswerBytes(settings) })
     , callerServer(io, callerOptions(settings, {}),
           [this](std::shared_ptr<http::Exchange> exchange) {
