--- a/src/dispatch/WarmUp_test.cpp
+++ b/src/dispatch/WarmUp_test.cpp
@@ -61,10 +61,10 @@
             : m_rate(ratePerSecond)
             , m_isNaive(isNaive)
             , m_random(seed)
-            , m_targets(targetCount)
-            , m_entries(entryCount, LoadBalancer(LoadBalancer::Options {}))
+            , m_targets(s_targetCount)
+            , m_entries(s_entryCount, LoadBalancer(LoadBalancer::Options {}))
         {
-            for (std::size_t i = 0; i < targetCount; ++i) {
+            for (std::size_t i = 0; i < s_targetCount; ++i) {
                 m_targets[i].warmUp.setBound(isNaive ? WarmUp::Bound {} : bound);
                 m_targets[i].nextHeartbeat = at(milliseconds(90 * i)); // 16 of them spread over 1.5 s
             }
@@ -98,7 +98,7 @@
                     std::chrono::duration<double, std::milli>(gap(m_random)));
                 finishUntilNow();
                 sendHeartbeats();
-                offer(m_entries[m_random() % entryCount]);
+                offer(m_entries[m_random() % s_entryCount]);
             }
         }
 
@@ -119,12 +119,12 @@
         }
         auto takeRefused() -> std::size_t { return std::exchange(m_refused, 0); }
 
-        static constexpr std::size_t targetCount = 16;
+        static constexpr std::size_t s_targetCount = 16;
 
     private:
-        static constexpr std::size_t entryCount = 8;
-        static constexpr std::size_t slots = 10;
-        static constexpr int tries = 5;
+        static constexpr std::size_t s_entryCount = 8;
+        static constexpr std::size_t s_slots = 10;
+        static constexpr int s_tries = 5;
 
         struct End {
             MonotonicTime time;
@@ -137,13 +137,13 @@
         auto announce() -> void
         {
             std::vector<LoadBalancer::Description> descriptions;
-            for (std::size_t i = 0; i < targetCount; ++i)
+            for (std::size_t i = 0; i < s_targetCount; ++i)
                 if (!m_targets[i].isAway)
                     descriptions.push_back({ .address = std::to_string(i),
                         .targetId = "i-" + std::to_string(i),
                         .targetStartedAt = m_incarnations[i],
                         .service = "ledger",
-                        .slots = slots });
+                        .slots = s_slots });
             for (auto& entry : m_entries) {
                 if (!m_isNaive)
                     entry.setColdServices({ { "ledger", { .fraction = 0.5, .coldTime = bound.coldTime } } });
@@ -153,7 +153,7 @@
 
         auto report(LoadBalancer& entry, LoadBalancer::Target& known, const SimulatedTarget& target) -> void
         {
-            entry.recordLoad(known, { target.running, 0, slots }, 0, m_now);
+            entry.recordLoad(known, { target.running, 0, s_slots }, 0, m_now);
             entry.recordArrivals(known, target.warmUp.arrivals(m_now));
         }
 
@@ -182,13 +182,13 @@
         auto offer(LoadBalancer& entry) -> void
         {
             std::vector<std::string> excluded;
-            for (int i = 0; i < tries; ++i) {
+            for (int i = 0; i < s_tries; ++i) {
                 const auto known = entry.choose({ .service = "ledger", .excluded = excluded }, m_now, m_random());
                 if (!known)
                     break;
                 const auto number = std::stoul(known->description.address);
                 auto& target = m_targets[number];
-                if (target.running >= slots || !target.warmUp.tryAcquire(m_now) || !target.warmUp.maySend(m_now)) {
+                if (target.running >= s_slots || !target.warmUp.tryAcquire(m_now) || !target.warmUp.maySend(m_now)) {
                     report(entry, *known, target);
                     excluded.push_back(known->description.address);
                     continue;
@@ -222,7 +222,7 @@
         MonotonicTime m_now = at(2000ms);
         std::vector<SimulatedTarget> m_targets;
         std::vector<LoadBalancer> m_entries;
-        std::vector<std::uint64_t> m_incarnations = std::vector<std::uint64_t>(targetCount, 1);
+        std::vector<std::uint64_t> m_incarnations = std::vector<std::uint64_t>(s_targetCount, 1);
         std::priority_queue<End> m_ends;
         std::size_t m_refused = 0;
     };
@@ -340,14 +340,14 @@
     Replay replay(600, false, seed); // 37 a second for each, above the bound
     std::mt19937 random(seed);
     for (int i = 0; i < 20; ++i) {
-        replay.turnCold(random() % Replay::targetCount);
+        replay.turnCold(random() % Replay::s_targetCount);
         replay.run(milliseconds(random() % 1500));
     }
     CHECK(replay.mostWhileCold() <= mostInOneSecond);
 
     Replay naive(600, true, seed);
     for (int i = 0; i < 20; ++i) {
-        naive.turnCold(random() % Replay::targetCount);
+        naive.turnCold(random() % Replay::s_targetCount);
         naive.run(milliseconds(random() % 1500));
     }
     CHECK(naive.mostWhileCold() > mostInOneSecond);
@@ -391,7 +391,7 @@
 {
     const auto seed = GENERATE(1U, 2U, 3U);
     Replay replay(240, false, seed);
-    for (std::size_t i = 0; i < Replay::targetCount; ++i) {
+    for (std::size_t i = 0; i < Replay::s_targetCount; ++i) {
         replay.setAway(i, true);
         replay.run(400ms);
         replay.setAway(i, false);
@@ -412,7 +412,7 @@
     const auto seed = GENERATE(1U, 2U, 3U);
     const auto play = [seed](bool isNaive) -> Replay {
         Replay replay(200, isNaive, seed);
-        for (std::size_t i = 1; i < Replay::targetCount; ++i)
+        for (std::size_t i = 1; i < Replay::s_targetCount; ++i)
             replay.setAway(i, true);
         replay.restart(0);
         replay.run(3s);
