Run the relay's tests of cold targets with the bound of warm ones

Change: their fixture sets the option; checks and bounds are unchanged. Measured: both pass, with seven others of cold and warm targets.

--- a/src/relay/ColdTarget_test.cpp
+++ b/src/relay/ColdTarget_test.cpp
@@ -27,8 +27,8 @@
             REQUIRE(relayServer.listen("127.0.0.1:0", reason));
             const auto address = "127.0.0.1:" + std::to_string(targetServer->port());
             target.emplace("ledger", address);
-            relay.emplace(
-                io, *target, callRatio, TargetRelay::Options { .headers = names, .isArrivalBoundExpected = true });
+            relay.emplace(io, *target, callRatio,
+                TargetRelay::Options { .headers = names, .isArrivalBoundExpected = true, .limitsWarmTarget = true });
             relay->startAccepting();
             sendHeartbeat(0ms);
         }
