Let a new connection wait for the closing of idle ones instead of refusing it

Accepted connections that had not reached their worker could not be selected either. Change: such a connection waits, the others stay in the backlog, until the workers have closed some; it is refused only if every connection is in use.

--- a/src/dispatch/ConnectionBudget.cpp
+++ b/src/dispatch/ConnectionBudget.cpp
@@ -22,8 +22,10 @@
 auto ConnectionBudget::remove(Connection& connection) -> void
 {
     m_bytes -= total(connection.usage);
-    if (connection.isReleasing)
+    if (connection.isReleasing) {
         m_releasingBytes -= releasable(connection.usage);
+        --m_releasing;
+    }
     connection.isReleasing = false;
 }
 
@@ -64,6 +66,7 @@
     if (connection.isReleasing)
         return;
     connection.isReleasing = true;
+    ++m_releasing;
     m_releasingBytes += releasable(connection.usage);
 }
 
--- a/src/dispatch/ConnectionBudget.h
+++ b/src/dispatch/ConnectionBudget.h
@@ -88,6 +88,11 @@
     // bytes() is what all connections hold.
     [[nodiscard]] auto bytes() const -> std::size_t { return m_bytes; }
 
+    [[nodiscard]] auto connections() const -> std::size_t { return m_connections.size(); }
+
+    // releasing() is how many open connections are about to give way.
+    [[nodiscard]] auto releasing() const -> std::size_t { return m_releasing; }
+
 private:
     struct Connection {
         Usage usage;
@@ -102,6 +107,7 @@
     std::unordered_map<ConnectionId, Connection> m_connections;
     std::size_t m_bytes = 0;
     std::size_t m_releasingBytes = 0;
+    std::size_t m_releasing = 0;
 };
 
 } // namespace coriandergate::dispatch
--- a/src/http/Server.cpp
+++ b/src/http/Server.cpp
@@ -9,7 +9,9 @@
 #include <QHostAddress>
 #include <QPointer>
 #include <QTcpServer>
+#include <QTimer>
 #include <algorithm>
+#include <utility>
 #include <vector>
 
 namespace coriandergate::http {
@@ -32,28 +34,74 @@
     };
 
     constexpr int listenBacklog = 1024;
+    constexpr qintptr noDescriptor = -1;
+    // How soon an accepted connection that has no room yet is tried again; closing one takes a turn of its worker.
+    constexpr std::chrono::milliseconds roomRetryDelay { 2 };
 
 } // namespace
 
 struct Server::State {
+    using Room = internal::ServerState::Room;
+
     WorkerPool& workers;
     std::shared_ptr<internal::ServerState> shared;
     std::unique_ptr<Listener> listener;
     // One list a worker, touched by that worker only.
     std::vector<std::vector<QPointer<internal::ServerConnection>>> open;
     std::size_t nextWorker = 0;
+    qintptr waitingDescriptor = noDescriptor; // accepted; until it has room, the others stay in the backlog
 
     auto accept(qintptr descriptor) -> void;
+    auto acceptWaiting() -> void;
+    auto waitForRoom(qintptr descriptor) -> void;
+    auto start(qintptr descriptor) -> void;
+    static auto refuse(qintptr descriptor) -> void;
 };
 
 auto Server::State::accept(qintptr descriptor) -> void
 {
-    if (!shared->makeRoom(monotonicNow())) {
-        QTcpSocket refused;
-        refused.setSocketDescriptor(descriptor);
-        refused.abort();
+    switch (shared->makeRoom(monotonicNow())) {
+    case Room::Now:
+        start(descriptor);
+        return;
+    case Room::Soon:
+        waitForRoom(descriptor);
+        return;
+    case Room::None:
+        refuse(descriptor);
         return;
     }
+}
+
+auto Server::State::waitForRoom(qintptr descriptor) -> void
+{
+    waitingDescriptor = descriptor;
+    // Pausing alone would not end the listener's present round of accepting.
+    listener->setMaxPendingConnections(0);
+    listener->pauseAccepting();
+    QTimer::singleShot(roomRetryDelay, listener.get(), [this] { acceptWaiting(); });
+}
+
+auto Server::State::acceptWaiting() -> void
+{
+    if (waitingDescriptor == noDescriptor)
+        return;
+    accept(std::exchange(waitingDescriptor, noDescriptor));
+    if (waitingDescriptor != noDescriptor || !listener->isListening())
+        return;
+    listener->setMaxPendingConnections(listenBacklog);
+    listener->resumeAccepting();
+}
+
+auto Server::State::refuse(qintptr descriptor) -> void
+{
+    QTcpSocket refused;
+    refused.setSocketDescriptor(descriptor);
+    refused.abort();
+}
+
+auto Server::State::start(qintptr descriptor) -> void
+{
     ++shared->connections;
     const auto worker = nextWorker++ % workers.size();
     workers.post(worker, [this, worker, descriptor, connectionState = shared] {
@@ -75,6 +123,8 @@
 Server::~Server()
 {
     m_state->listener.reset();
+    if (m_state->waitingDescriptor != noDescriptor)
+        State::refuse(m_state->waitingDescriptor);
     for (std::size_t worker = 0; worker < m_state->workers.size(); ++worker) {
         m_state->workers.runAndWait(worker, [state = m_state, worker] {
             for (auto& connection : state->open[worker]) {
@@ -109,6 +159,8 @@
     beginDrain();
     if (m_state->listener)
         m_state->listener->close();
+    if (m_state->waitingDescriptor != noDescriptor)
+        State::refuse(std::exchange(m_state->waitingDescriptor, noDescriptor));
     for (std::size_t worker = 0; worker < m_state->workers.size(); ++worker) {
         m_state->workers.post(worker, [state = m_state, worker] {
             for (auto& connection : state->open[worker]) {
--- a/src/http/Server_test.cpp
+++ b/src/http/Server_test.cpp
@@ -10,6 +10,8 @@
 #include <QTcpSocket>
 #include <atomic>
 #include <catch2/catch.hpp>
+#include <future>
+#include <memory>
 #include <thread>
 
 using namespace coriandergate;
@@ -42,6 +44,7 @@
 
     [[nodiscard]] auto server() -> Server& { return m_server; }
     [[nodiscard]] auto handled() const -> int { return m_handled; }
+    [[nodiscard]] auto workers() -> WorkerPool& { return m_workers; }
 
 private:
     WorkerPool m_workers { WorkerPool::Options { 1 } };
@@ -194,3 +197,28 @@
         }
     }
 }
+
+// Load: more connections that say nothing than may be open, while the workers, which close them, are busy elsewhere.
+TEST_CASE("an ordinary request behind a crowd of silent connections is answered once the workers have closed some")
+{
+    testing::ensureApplication();
+    constexpr std::size_t maximumConnections = 4;
+    CountingServer counting(Answering::AtOnce, { .maximumConnections = maximumConnections });
+    std::promise<void> workerMayGoOn;
+    counting.workers().post(0, [isFree = workerMayGoOn.get_future().share()] { isFree.wait(); });
+
+    std::vector<std::unique_ptr<RawCaller>> silent;
+    constexpr std::size_t silentConnections = 40;
+    for (std::size_t i = 0; i < silentConnections; ++i)
+        silent.push_back(std::make_unique<RawCaller>(counting.server()));
+    RawCaller ordinary(counting.server());
+    ordinary.write(request("/ordinary", "Connection: close\r\n"));
+    RawCaller::pump([] { return false; }, 50ms); // the listener has dealt with all that it will accept
+    CHECK(counting.server().connections() <= maximumConnections + 16);
+    workerMayGoOn.set_value();
+
+    const auto answers = answersIn(ordinary.readUntilEnd());
+    REQUIRE(answers.size() == 1);
+    CHECK(answers.front().body == "/ordinary");
+    CHECK(counting.server().connections() <= maximumConnections + 16);
+}
--- a/src/http/internal/ServerState.cpp
+++ b/src/http/internal/ServerState.cpp
@@ -69,21 +69,24 @@
     m_budget.recordTaken(id, now);
 }
 
-auto ServerState::makeRoom(MonotonicTime now) -> bool
+auto ServerState::makeRoom(MonotonicTime now) -> Room
 {
     if (connections < options.maximumConnections)
-        return true;
-    if (connections >= options.maximumConnections + maximumAhead)
-        return false;
+        return Room::Now;
     const MutexLock lock(m_mutex);
+    const bool isBelowAhead = connections < options.maximumConnections + maximumAhead;
+    // Accepted connections that are still on their way to their worker may turn out to be idle.
+    const bool isSettling = m_budget.releasing() > 0 || connections > m_budget.connections();
+    if (!isBelowAhead && isSettling)
+        return Room::Soon;
     const auto selected = m_budget.selectForConnection();
     if (!selected)
-        return false;
+        return isSettling ? Room::Soon : Room::None;
     m_budget.beginRelease(*selected);
     m_open.at(*selected)->postCloseForRoom();
     ++m_idleConnections;
     reportReleasesLocked(now);
-    return true;
+    return isBelowAhead ? Room::Now : Room::Soon;
 }
 
 auto ServerState::reportReleasesLocked(MonotonicTime now) -> void
--- a/src/http/internal/ServerState.h
+++ b/src/http/internal/ServerState.h
@@ -34,8 +34,15 @@
     auto recordRequest(ConnectionId id, MonotonicTime now) -> void;
     auto recordTaken(ConnectionId id, MonotonicTime now) -> void;
 
-    // makeRoom() says whether one more connection may be accepted; at the limit an idle one is told to close for it.
-    [[nodiscard]] auto makeRoom(MonotonicTime now) -> bool;
+    // Room is what there is for one more connection.
+    enum class Room {
+        Now,
+        Soon, // once connections that are about to close, or to be opened, have got their turn on the workers
+        None, // every connection is in use
+    };
+
+    // makeRoom() tells what room there is; at the limit an idle connection is told to close for the new one.
+    [[nodiscard]] auto makeRoom(MonotonicTime now) -> Room;
 
     [[nodiscard]] auto released() const -> Server::ReleaseCounters;
     auto countRefused() -> void { ++m_refusedRequests; }
