--- a/src/net/HttpServer_test.cpp
+++ b/src/net/HttpServer_test.cpp
@@ -4,6 +4,7 @@
 #include "http/Exchange.h"
 #include "testing/RunUntil.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
@@ -74,6 +75,36 @@
     CHECK(received.find("answer 2") < received.find("answer 3"));
 }
 
+// Load: a connection that brings hundreds of requests at once, beside one that brings a single one.
+TEST_CASE("a long pipeline that is answered at once doesn't hold up a request on another connection")
+{
+    boost::asio::io_context io;
+    std::vector<std::string> handled;
+    HttpServer server(io, {}, [&handled](const std::shared_ptr<http::Exchange>& exchange) {
+        handled.push_back(exchange->request().target);
+        exchange->answer(http::makeAnswer(404, "text/plain", ""));
+    });
+    Error reason;
+    REQUIRE(server.listen("127.0.0.1:0", reason));
+    const tcp::endpoint address(boost::asio::ip::address_v4::loopback(), server.port());
+    tcp::socket pipelining(io);
+    tcp::socket ordinary(io);
+    pipelining.connect(address);
+    ordinary.connect(address);
+    // Both connections are open, and nothing has arrived on them, before the first bytes are sent.
+    REQUIRE(testing::runUntil(io, [&server] { return server.connections() == 2; }));
+
+    constexpr std::size_t pipelined = 300; // of about 40 bytes, in one read
+    std::string requests;
+    for (std::size_t i = 0; i < pipelined; ++i)
+        requests += get("/many");
+    boost::asio::write(pipelining, boost::asio::buffer(requests));
+    boost::asio::write(ordinary, boost::asio::buffer(get("/one")));
+    REQUIRE(testing::runUntil(io, [&handled] { return handled.size() == pipelined + 1; }));
+    const auto position = std::find(handled.begin(), handled.end(), "/one") - handled.begin();
+    CHECK(position < static_cast<std::ptrdiff_t>(pipelined / 10));
+}
+
 TEST_CASE("a caller that leaves is noticed while its request is handled")
 {
     Served test;
--- a/src/net/internal/HttpServerConnection.cpp
+++ b/src/net/internal/HttpServerConnection.cpp
@@ -6,6 +6,7 @@
 #include "net/internal/HttpServerState.h"
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <fcntl.h>
 
@@ -27,6 +28,8 @@
     constexpr std::size_t uncountedUnreadBytes = 1024;
     // Room that the strings of a connection keep between requests; it fits most of them.
     constexpr std::size_t keptCapacity = 4 * 1024;
+    // Requests of one connection that are handled before the others have their turn.
+    constexpr std::size_t maximumRequestsPerTurn = 4;
     // What the handling of a request takes beside its headers and body: its state, timers and messages.
     constexpr std::size_t requestOverhead = 2 * 1024;
     constexpr std::size_t responseOverhead = 512; // status line and headers
@@ -178,10 +181,14 @@
 auto HttpServerConnection::parse() -> void
 {
     // A handler that answers at once comes back here through flush().
-    if (m_isParsing)
+    if (m_isParsing || m_isParsingLater)
         return;
     m_isParsing = true;
-    while (mayParse() && !m_unparsed.empty()) {
+    for (std::size_t handled = 0; mayParse() && !m_unparsed.empty(); ++handled) {
+        if (handled == maximumRequestsPerTurn) {
+            parseLater();
+            break;
+        }
         const auto used = m_parser.feed(m_unparsed);
         m_unparsed.erase(0, used);
         if (m_parser.progress() == ParseProgress::Failed) {
@@ -210,6 +217,15 @@
         read();
 }
 
+auto HttpServerConnection::parseLater() -> void
+{
+    m_isParsingLater = true;
+    boost::asio::post(m_socket.get_executor(), [self = shared_from_this()] {
+        self->m_isParsingLater = false;
+        self->parse();
+    });
+}
+
 // An interim answer would be taken for that of an earlier request, so it waits until those are answered.
 auto HttpServerConnection::sendContinue() -> void
 {
--- a/src/net/internal/HttpServerConnection.h
+++ b/src/net/internal/HttpServerConnection.h
@@ -57,6 +57,8 @@
     auto onReadable(const boost::system::error_code& error) -> void;
     auto receive(std::string_view bytes) -> void;
     auto parse() -> void;
+    // parseLater() goes on with what has arrived once the other connections have had their turn.
+    auto parseLater() -> void;
     auto sendContinue() -> void;
     auto updateBudget(std::chrono::steady_clock::time_point now) -> void;
     [[nodiscard]] auto mayParse() const -> bool;
@@ -98,6 +100,7 @@
     bool m_isShutDown = false;
     bool m_isClosed = false;
     bool m_isParsing = false;
+    bool m_isParsingLater = false; // parse() is posted
 };
 
 } // namespace coriandergate::net::internal
