Let the soak bring the store back from an older copy

Cause: none of the drawn faults took back what the store had confirmed, so the promises on withdrawn keys, on targets that left and on configurations were not checked over a restore.

Change: the kind store-restored, the last of the list, takes the store away for a quarter of its drawn length and brings it back without what it confirmed within that length before. The operator writes nothing while it is away, and 0.3 s after its return writes the newest configuration again if the store lacks it.

--- a/soak/Plan.cpp
+++ b/soak/Plan.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-    constexpr std::array<std::pair<FaultKind, std::string_view>, 26> names { {
+    constexpr std::array<std::pair<FaultKind, std::string_view>, 27> names { {
         { FaultKind::KillDaemon, "kill-daemon" },
         { FaultKind::PauseDaemon, "pause-daemon" },
         { FaultKind::StopDaemon, "stop-daemon" },
@@ -38,6 +38,7 @@
         { FaultKind::ReplaceInstance, "replace-instance" },
         { FaultKind::ChangeConfiguration, "change-configuration" },
         { FaultKind::WithdrawKey, "withdraw-key" },
+        { FaultKind::StoreRestored, "store-restored" },
     } };
 
     // A stretch of the run is either wild or holds planned work alone.
--- a/soak/Plan.h
+++ b/soak/Plan.h
@@ -41,6 +41,7 @@
     ReplaceInstance, // it leaves as planned, and another comes
     ChangeConfiguration,
     WithdrawKey,
+    StoreRestored, // it is away for a moment and comes back with the content that it had some seconds before
 };
 
 // Step is one fault of a plan.
--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -31,6 +31,8 @@
     constexpr milliseconds longestStop { 8000 };
     // A configuration holds, and a fault's effects are over, so long after.
     constexpr milliseconds afterEffect { 3000 };
+    // Until the operator has seen that the store came back and writes again what it lost.
+    constexpr milliseconds operatorDelay { 300 };
     constexpr milliseconds watchInterval { 250 }; // short enough to tell an end's time within the list of faults
 
     // Soak holds what one run needs.
@@ -111,6 +113,7 @@
             accounts[1][4] = limitedRate;
             accounts.push_back(
                 json::array({ "three", json::array({ "key-three-" + std::to_string(m_key) }), nullptr, 0, 0 }));
+            m_published = configuration;
             m_fleet.configure(configuration);
         }
 
@@ -226,19 +229,52 @@
                 replaceInstance(step.host);
                 return;
             case FaultKind::ChangeConfiguration:
-                ++m_generation;
-                publish();
-                m_callers->setGeneration(m_generation);
+                changeConfiguration(false);
                 return;
             case FaultKind::WithdrawKey:
-                ++m_key;
-                ++m_generation;
-                publish();
-                m_checker.keyWithdrawn("key-three-" + std::to_string(m_key - 1), monotonicNow());
-                m_callers->setWithdrawable(m_key);
-                m_callers->setGeneration(m_generation);
+                changeConfiguration(true);
+                return;
+            case FaultKind::StoreRestored:
+                restoreStore(step);
+                return;
+            }
+        }
+
+        // The store confirms nothing to the operator while it is away, so the operator writes once it is back.
+        auto changeConfiguration(bool withdrawsKey) -> void
+        {
+            if (m_restores > 0) {
+                later(milliseconds(100), [this, withdrawsKey] { changeConfiguration(withdrawsKey); });
                 return;
             }
+            m_key += withdrawsKey ? 1 : 0;
+            ++m_generation;
+            publish();
+            if (withdrawsKey)
+                m_checker.keyWithdrawn("key-three-" + std::to_string(m_key - 1), monotonicNow());
+            m_callers->setWithdrawable(m_key);
+            m_callers->setGeneration(m_generation);
+        }
+
+        // The store is away for a quarter of the step and loses what it confirmed in a whole one before.
+        auto restoreStore(const Step& step) -> void
+        {
+            const auto away = step.length / 4;
+            ++m_restores;
+            m_fleet.store().setFault(FakePlatformStore::Fault::Unavailable);
+            later(away, [this, age = away + step.length] {
+                m_fleet.store().restoreFromCopy(age);
+                m_fleet.store().setFault(FakePlatformStore::Fault::None);
+                --m_restores;
+                later(operatorDelay, [this] { writeLostConfiguration(); });
+            });
+        }
+
+        auto writeLostConfiguration() -> void
+        {
+            const auto stored = m_fleet.store().value(platform::operatorTable, platform::configurationKey);
+            if (json::parse(stored, nullptr, false) != m_published)
+                m_fleet.configure(m_published);
         }
 
         auto peers(const Step& step, const std::string& fault) -> void
@@ -378,6 +414,8 @@
         std::set<std::size_t> m_replacing;
         std::uint64_t m_generation = 1;
         std::uint64_t m_key = 1;
+        json m_published; // the newest configuration
+        std::size_t m_restores = 0; // during which the store is away
     };
 
 } // namespace
