--- a/cmake/SidecarOnly.cmake
+++ b/cmake/SidecarOnly.cmake
@@ -40,9 +40,13 @@
     # It compares docs/EVENTS.md with the events of the whole project, which this build lacks.
     list(FILTER SIDECAR_TEST_SOURCES EXCLUDE REGEX "/log/Event_test\\.cpp$")
     list(APPEND SIDECAR_TEST_SOURCES
-        src/config/KeyDigest_test.cpp src/config/KeyIndex_test.cpp src/http/RequestParser_test.cpp
-        platform/Codecs_test.cpp src/testing/EntryFixture.cpp src/testing/FleetSimulation.cpp
+        src/config/KeyDigest_test.cpp src/config/KeyIndex_test.cpp src/http/AnswerParser_test.cpp
+        src/http/RequestParser_test.cpp
+        platform/Codecs_test.cpp platform/StoreCodec_test.cpp src/testing/EntryFixture.cpp src/testing/FleetSimulation.cpp
         src/testing/Main_test.cpp src/testing/SimulatedNetwork.cpp src/testing/SimulatedScheduler.cpp)
     add_executable(coriandergate_sidecar_tests ${SIDECAR_TEST_SOURCES})
     target_link_libraries(coriandergate_sidecar_tests PRIVATE sidecar_objects Catch2::Catch2 rapidcheck)
+    enable_testing()
+    include(Catch)
+    catch_discover_tests(coriandergate_sidecar_tests PROPERTIES TIMEOUT 300)
 endif()
