--- a/src/admission/SlotTable.h
+++ b/src/admission/SlotTable.h
@@ -18,10 +18,10 @@
 // Safe from any thread: groups are spread over shards, each under its own lock.
 #pragma once
 
-#include "admission/FairQueue.h"
 #include "admission/SlotDecision.h"
 #include "admission/SlotRequest.h"
 #include "base/Mutex.h"
+#include "dispatch/FairQueue.h"
 
 #include <array>
 #include <memory>
@@ -38,7 +38,7 @@
 class SlotTable {
 public:
     struct Options {
-        FairQueue::Options queue; // per group
+        dispatch::FairQueue::Options queue; // per group
         MonotonicDuration initialServiceTime = std::chrono::milliseconds(5); // estimate until one is recorded
     };
 
--- a/src/admission/internal/SlotGroup.cpp
+++ b/src/admission/internal/SlotGroup.cpp
@@ -4,6 +4,8 @@
 
 namespace coriandergate::admission::internal {
 
+using dispatch::FairQueue;
+
 auto SlotGroup::setTarget(std::string_view target, std::size_t slots) -> void
 {
     const auto found = std::find_if(
@@ -43,14 +45,14 @@
     const auto wait = expectedWait(request.clientAccount);
     if (wait + p95ServiceTime() > request.deadline.remaining(now))
         return Refused { ticket, RefusalReason::DeadlineTooShort, wait };
-    std::vector<QueuedRequest> evicted;
-    const auto result = m_queue.push({ ticket, request.deadline, request.clientAccount }, evicted);
+    std::vector<FairQueue::Request> evicted;
+    const auto result = m_queue.push({ ticket.value, request.deadline.at(), request.clientAccount }, evicted);
     if (result == FairQueue::PushResult::AccountFull)
         return Refused { ticket, RefusalReason::AccountQueueFull, wait };
     if (result == FairQueue::PushResult::Full)
         return Refused { ticket, RefusalReason::QueueFull, wait };
     for (const auto& evictedRequest : evicted)
-        dequeued.emplace_back(Refused { evictedRequest.ticket, RefusalReason::Evicted, wait });
+        dequeued.emplace_back(Refused { Ticket { evictedRequest.ticket }, RefusalReason::Evicted, wait });
     return Queued { ticket, wait };
 }
 
@@ -70,7 +72,7 @@
     processQueue(now, dequeued);
 }
 
-auto SlotGroup::cancel(Ticket ticket) -> bool { return m_queue.remove(ticket); }
+auto SlotGroup::cancel(Ticket ticket) -> bool { return m_queue.remove(ticket.value); }
 
 auto SlotGroup::processQueue(MonotonicTime now, std::vector<DequeueDecision>& dequeued) -> void
 {
@@ -85,7 +87,8 @@
         auto next = m_queue.pop(expectedServiceTime());
         if (!next)
             return;
-        dequeued.emplace_back(admit(next->ticket, std::move(next->clientAccount), target, expectedServiceTime(), now));
+        dequeued.emplace_back(
+            admit(Ticket { next->ticket }, std::move(next->clientAccount), target, expectedServiceTime(), now));
     }
 }
 
@@ -128,7 +131,8 @@
 
 auto SlotGroup::expectedWait(std::string_view clientAccount) const -> MonotonicDuration
 {
-    const auto serviceTimeCount = static_cast<MonotonicDuration::rep>(m_queue.requestsAhead(clientAccount) + 1);
+    const auto serviceTimeCount
+        = static_cast<MonotonicDuration::rep>(m_queue.requestsAhead(clientAccount, 1, expectedServiceTime()) + 1);
     return expectedServiceTime() * serviceTimeCount
         / static_cast<MonotonicDuration::rep>(std::max<std::size_t>(slotsOfAcceptingTargets(), 1));
 }
@@ -146,13 +150,13 @@
 {
     for (const auto& late : m_queue.removeDueBefore(now + p95ServiceTime()))
         dequeued.emplace_back(
-            Refused { late.ticket, RefusalReason::DeadlineTooShort, expectedWait(late.clientAccount) });
+            Refused { Ticket { late.ticket }, RefusalReason::DeadlineTooShort, expectedWait(late.clientAccount) });
 }
 
 auto SlotGroup::refuseAll(std::vector<DequeueDecision>& dequeued) -> void
 {
     for (const auto& request : m_queue.removeDueBefore(MonotonicTime::max()))
-        dequeued.emplace_back(Refused { request.ticket, RefusalReason::NoTarget, {} });
+        dequeued.emplace_back(Refused { Ticket { request.ticket }, RefusalReason::NoTarget, {} });
 }
 
 } // namespace coriandergate::admission::internal
--- a/src/admission/internal/SlotGroup.h
+++ b/src/admission/internal/SlotGroup.h
@@ -1,9 +1,9 @@
 // A group of a SlotTable: its targets, its queue and its recent service times.
 #pragma once
 
-#include "admission/FairQueue.h"
 #include "admission/SlotDecision.h"
 #include "admission/SlotTable.h"
+#include "dispatch/FairQueue.h"
 #include "dispatch/ServiceTimeHistogram.h"
 
 #include <string>
@@ -75,7 +75,7 @@
 
     const SlotTable::Options& m_options;
     std::vector<Target> m_targets;
-    FairQueue m_queue;
+    dispatch::FairQueue m_queue;
     dispatch::ServiceTimeHistogram m_serviceTimes;
     std::unordered_map<std::uint64_t, RunningRequest> m_running;
 };
