Refuse a target's response whose status is beyond 599

Change: the parser fails on them as on those below 100, so the caller gets a 502 or 504 of the daemon.

--- a/src/http/AnswerParser.cpp
+++ b/src/http/AnswerParser.cpp
@@ -12,6 +12,7 @@
 namespace {
 
     constexpr int firstStatus = 100;
+    constexpr int lastStatus = 599; // no class of responses lies beyond it (RFC 9110, 15)
     constexpr int firstFinalStatus = 200;
     constexpr int switchingProtocols = 101;
     constexpr int maximumInterimAnswers = 8;
@@ -70,7 +71,7 @@
             || std::any_of(
                 headers.begin(), headers.end(), [](const Header& field) { return hasStatusLine(field.value); }))
             return fail("two heads that run into each other");
-        if (parser->get().result_int() < firstStatus)
+        if (parser->get().result_int() < firstStatus || parser->get().result_int() > lastStatus)
             return fail("a number that is no status");
         if (isInterim()) {
             if (parser->get().result_int() == switchingProtocols)
--- a/src/http/AnswerParser_test.cpp
+++ b/src/http/AnswerParser_test.cpp
@@ -25,10 +25,11 @@
 TEST_CASE("AnswerParser fails on a status line that is none, also in place of an interim answer")
 {
     const std::string line = GENERATE("HTTP/1.1 000 Odd", "HTTP/1.1 000", "HTTP/1.1 099 Odd", "HTTP/1.1 0 Odd",
-        "HTTP/1.1 42 Odd", "HTTP/1.1 2000 OK", "HTTP/1.1 0200 OK", "HTTP/1.1 1000 OK", "HTTP/1.1 +20 OK",
-        "HTTP/1.1 -20 OK", "HTTP/1.1 +200 OK", "HTTP/1.1 -200 OK", "HTTP/1.1 2x0 OK", "HTTP/1.1  200 OK",
-        "HTTP/1.1 200OK", "HTTP/1.1 101 Switching Protocols", "HTTP/0.9 200 OK", "HTTP/0.9 000 OK", "HTTP/2.0 200 OK",
-        "HTTP/1.10 200 OK", "HTTP/1 200 OK", "http/1.1 200 OK", "HTTP/1.1", "200 OK", "ICY 200 OK");
+        "HTTP/1.1 42 Odd", "HTTP/1.1 600 Odd", "HTTP/1.1 999 Odd", "HTTP/1.1 2000 OK", "HTTP/1.1 0200 OK",
+        "HTTP/1.1 1000 OK", "HTTP/1.1 +20 OK", "HTTP/1.1 -20 OK", "HTTP/1.1 +200 OK", "HTTP/1.1 -200 OK",
+        "HTTP/1.1 2x0 OK", "HTTP/1.1  200 OK", "HTTP/1.1 200OK", "HTTP/1.1 101 Switching Protocols", "HTTP/0.9 200 OK",
+        "HTTP/0.9 000 OK", "HTTP/2.0 200 OK", "HTTP/1.10 200 OK", "HTTP/1 200 OK", "http/1.1 200 OK", "HTTP/1.1",
+        "200 OK", "ICY 200 OK");
     const auto* framing = GENERATE("\r\n\r\n", "\r\nContent-Length: 0\r\n\r\n");
     const bool mayEndWithConnection = GENERATE(false, true);
     CAPTURE(line, framing, mayEndWithConnection);
