Ask the other hosts when the store is restored between the first reads of a daemon

Cause: a starting daemon asks two hosts for the operators' rows only if the store's first response already has an era. When the store was restored between that response and the reading of the operators' rows, the daemon used the older configuration, in which a withdrawn key worked.

Change: operators' rows that the store returns from a later era than the one of the last questions are held until the two hosts were asked, and then compared with their rows as before. BootstrapReader has tests of its own, also for copies of an earlier era, and the fleet one for a daemon that is started while the store is away.

--- a/src/fleet/BootstrapReader.cpp
+++ b/src/fleet/BootstrapReader.cpp
@@ -114,6 +114,7 @@
 auto BootstrapReader::consultPeers() -> void
 {
     m_openConsultations = m_consultedAddresses.size();
+    m_consultedEra = m_store.era();
     for (const auto& address : m_consultedAddresses) {
         m_transport.watch(address, { .table = m_options.operatorTable, .isSnapshot = true, .acceptsAnyAge = true },
             m_options.consultTimeout, [this, alive = m_isAlive](RelayTransport::Result result) {
@@ -129,8 +130,28 @@
 
 auto BootstrapReader::onConsulted() -> void
 {
-    if (--m_openConsultations == 0)
-        startPendingReads();
+    if (--m_openConsultations > 0)
+        return;
+    for (const auto& give : std::exchange(m_heldResults, {}))
+        give();
+    startPendingReads();
+}
+
+auto BootstrapReader::readFromStore(const std::string& table, StoreClient::Callback done) -> void
+{
+    m_store.read(table, [this, alive = m_isAlive, table, done = std::move(done)](StoreClient::Result result) {
+        if (!*alive)
+            return;
+        const bool mayBeOutdated = table == m_options.operatorTable && std::holds_alternative<StoreResponse>(result)
+            && m_store.era() > m_consultedEra && !m_consultedAddresses.empty();
+        if (!mayBeOutdated) {
+            done(std::move(result));
+            return;
+        }
+        m_heldResults.push_back([done, result = std::move(result)] { done(result); });
+        if (m_openConsultations == 0)
+            consultPeers();
+    });
 }
 
 // The reads of other tables remain pending.
@@ -155,7 +176,7 @@
 {
     const auto address = peers.choose(m_random());
     if (!address) {
-        m_store.read(table, done);
+        readFromStore(table, done);
         return;
     }
     const auto sentAt = m_scheduler.suspendAwareNow();
--- a/src/fleet/BootstrapReader.h
+++ b/src/fleet/BootstrapReader.h
@@ -96,6 +96,9 @@
     auto consultPeers() -> void;
     auto onConsulted() -> void;
     auto startPendingReads() -> void;
+    // readFromStore() asks the other hosts before it returns the operators' rows of a store that was restored since
+    // they were asked.
+    auto readFromStore(const std::string& table, StoreClient::Callback done) -> void;
     auto copyOrRead(const std::string& table, const BootstrapPeers& peers, const StoreClient::Callback& done) -> void;
     auto onCopied(const std::string& table, StoreResponse copy, const StoreClient::Callback& done) -> void;
     [[nodiscard]] static auto merge(StoreResponse copy, StoreResponse changes) -> StoreResponse;
@@ -115,6 +118,8 @@
     std::optional<BootstrapPeers> m_peers; // once the first hosts are known
     std::vector<std::string> m_consultedAddresses;
     std::size_t m_openConsultations = 0;
+    std::uint64_t m_consultedEra = 0; // up to which the store's rows may be used without asking again
+    std::vector<std::function<void()>> m_heldResults; // until the consulted peers have responded
     std::minstd_rand m_random;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
