Take over a drain that another host wrote again before the first heartbeat

Cause: a daemon that was started after a restore, before other hosts had written the lost drain of its target again, took that drain over only if a heartbeat had come. A late heartbeat of the target then replaced the row with one that says it serves, until the other hosts wrote the drain once more.

Change: without a heartbeat yet the drain in the row is taken over like that of a row read at the start.

--- a/src/fleet/HostRegistration.cpp
+++ b/src/fleet/HostRegistration.cpp
@@ -199,11 +199,17 @@
 auto HostRegistration::takeOverDrain() -> void
 {
     const auto* stored = m_directory.find(m_options.key);
+    if (!stored || !isDrainStored(*stored))
+        return;
     const auto& current = m_target.current();
-    if (!stored || !m_target.isServing() || !isDrainStored(*stored) || stored->targetId != current->id
-        || stored->targetStartedAt != current->startedAt)
+    const bool isServingTarget
+        = m_target.isServing() && stored->targetId == current->id && stored->targetStartedAt == current->startedAt;
+    if (current && !isServingTarget)
         return;
+    // Without a heartbeat yet, a late one must not bring the target back.
     m_target.restoreFromStore(stored->targetId, stored->targetStartedAt, true);
+    if (!current)
+        return;
     logTargetChange();
     m_targetChangedCallback();
     writeRow(nullptr);
--- a/src/fleet/HostRegistration_test.cpp
+++ b/src/fleet/HostRegistration_test.cpp
@@ -307,6 +307,35 @@
     CHECK(fixture.storedRecord().state == HostRecord::State::Draining);
 }
 
+// Guards against a row with a drain that a late heartbeat replaces: the daemon was started before another one had
+// written the drain again.
+TEST_CASE("a drain that another daemon wrote again before the first heartbeat outlives a late one")
+{
+    RegistrationFixture fixture;
+    HostRecord record { .peerAddress = "10.1.0.1:8366", .service = "ledger", .targetId = "i-1" };
+    record.targetStartedAt = 100;
+    record.state = HostRecord::State::Serving;
+    fixture.store.row = { host, encodeHostRecord(record), 41, false };
+    fixture.directory.apply({ fixture.store.row }, true);
+    fixture.registration.onHostsLoaded();
+    record.state = HostRecord::State::Draining;
+    fixture.store.row = { host, encodeHostRecord(record), 42, false };
+    fixture.directory.apply({ fixture.store.row }, false);
+    fixture.registration.onHostsChanged();
+    fixture.registration.onHostsChanged();
+    CHECK(fixture.store.writes == 0);
+    const bool isNextTarget = GENERATE(false, true);
+    auto heartbeat = makeHeartbeat(9, false);
+    if (isNextTarget) {
+        heartbeat.id = "i-2";
+        heartbeat.startedAt = 200;
+    }
+    Error reason;
+    REQUIRE(fixture.registration.receive(heartbeat, fixture.acknowledge(), reason));
+    CHECK(fixture.target.isServing() == isNextTarget);
+    CHECK(fixture.storedRecord().state == (isNextTarget ? HostRecord::State::Serving : HostRecord::State::Draining));
+}
+
 // Guards against a departed target that is in use again after an upgrade.
 TEST_CASE("the row that an earlier version wrote under another key is taken over with the state of its target")
 {
