Test proofs, catching up and a write under way over a restore of the store

Cause: three rows of the table in store-era.md had no test of their own: the proof by a count of versions, the decision to request missing changes, and the confirmation of a write that was under way during the restore.

Change: a test each. The fake store of one row tells its era with a conflict, as the real client does.

Result: the three tests pass without a change of the daemon; the write is tried with a confirmation, a conflict and no response, each before and after the rise is known.

--- a/src/fleet/CatchUp_test.cpp
+++ b/src/fleet/CatchUp_test.cpp
@@ -1,5 +1,7 @@
 #include "fleet/CatchUp.h"
 
+#include "fleet/StoreVersion.h"
+
 #include <algorithm>
 #include <catch2/catch.hpp>
 
@@ -39,4 +41,10 @@
     CHECK(isCatchUpDue(6, 7, std::nullopt));
 }
 
+TEST_CASE("a table of an earlier era is behind, also when the restored store's version is lower")
+{
+    CHECK(isCatchUpDue(makeVersion(0, 7), makeVersion(1, 4), 1300ms));
+    CHECK_FALSE(isCatchUpDue(makeVersion(1, 4), makeVersion(0, 7), 1300ms));
+}
+
 } // namespace coriandergate::fleet
--- a/src/fleet/HostRowWriter_test.cpp
+++ b/src/fleet/HostRowWriter_test.cpp
@@ -1,6 +1,9 @@
 #include "fleet/HostRowWriter.h"
 
+#include "fleet/EraCheckedStore.h"
 #include "fleet/HostRecord.h"
+#include "fleet/StoreVersion.h"
+#include "net/AsioScheduler.h"
 #include "testing/OneRowStore.h"
 
 #include <catch2/catch.hpp>
@@ -64,4 +67,47 @@
     CHECK(fixture.writer.isStored());
 }
 
+// Guards against a drain that is acknowledged and in no row: its write was under way during the restore.
+TEST_CASE("a write that was under way while the store was restored is repeated, whatever its response says")
+{
+    boost::asio::io_context io;
+    net::AsioScheduler scheduler(io);
+    testing::OneRowStore store(host);
+    EraCheckedStore checkedStore(scheduler, store);
+    HostRowWriter writer(io, checkedStore, "hosts", host);
+    checkedStore.onEraRose([&writer] { writer.onStoreRestored(); });
+    checkedStore.recordEra(0);
+    const StoreRow restored { host, encodeHostRecord(makeRecord("i-1")), makeVersion(1, 12), false };
+    int confirmations = 0;
+    store.isSilent = true;
+    writer.update(makeRecord("i-2"), [&confirmations] { ++confirmations; });
+    store.isSilent = false;
+    store.row = restored;
+    store.newest = restored.version;
+    const auto response = GENERATE(0, 1, 2);
+    const bool isRiseKnownBefore = GENERATE(true, false);
+    if (isRiseKnownBefore)
+        checkedStore.recordEra(1);
+    if (response == 0) { // the store of the earlier era confirmed it; that is known to be void only after the rise
+        store.unanswered(StoreResponse { .newestVersion = 41 });
+        CHECK(confirmations == (isRiseKnownBefore ? 0 : 1));
+    } else if (response == 1) { // the row of the earlier era has the very content
+        StoreFailure conflict { StoreFailure::Kind::ConditionFailed, { "write", "store", "status 412" }, {} };
+        conflict.current.push_back({ host, encodeHostRecord(makeRecord("i-2")), 41, false });
+        store.unanswered(conflict);
+        CHECK(confirmations == (isRiseKnownBefore ? 0 : 1));
+    } else { // no response
+        store.unanswered(StoreFailure { StoreFailure::Kind::Unknown, { "write", "store", "no answer" }, {} });
+        CHECK(confirmations == 0);
+    }
+    checkedStore.recordEra(1);
+    if (!writer.isStored())
+        writer.update(makeRecord("i-2"), nullptr); // as HostRegistration does for a drain
+    io.run_for(1s);
+    CHECK(writer.isStored());
+    CHECK(confirmations == 1);
+    CHECK(store.row.value == encodeHostRecord(makeRecord("i-2")));
+    CHECK(eraOf(store.row.version) == 1);
+}
+
 } // namespace coriandergate::fleet
--- a/src/fleet/VersionProof_test.cpp
+++ b/src/fleet/VersionProof_test.cpp
@@ -1,5 +1,7 @@
 #include "fleet/VersionProof.h"
 
+#include "fleet/StoreVersion.h"
+
 #include <catch2/catch.hpp>
 
 namespace coriandergate::fleet {
@@ -44,4 +46,13 @@
     CHECK_FALSE(provesUnchanged(7, makeResponse(9, { 3, 8 })));
 }
 
+// Guards against a table that is never read anew: the restored store has other content under the known version.
+TEST_CASE("a response of a later era proves nothing about a table that was read in an earlier one")
+{
+    CHECK_FALSE(provesUnchanged(makeVersion(0, 7), makeResponse(makeVersion(1, 7), {})));
+    CHECK_FALSE(provesUnchanged(makeVersion(0, 7), makeResponse(makeVersion(1, 4), { makeVersion(1, 4) })));
+    CHECK_FALSE(provesUnchanged(makeVersion(1, 7), makeResponse(makeVersion(2, 8), { makeVersion(2, 8) })));
+    CHECK(provesUnchanged(makeVersion(1, 7), makeResponse(makeVersion(1, 8), { makeVersion(1, 8) })));
+}
+
 } // namespace coriandergate::fleet
--- a/src/testing/OneRowStore.h
+++ b/src/testing/OneRowStore.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "fleet/StoreClient.h"
+#include "fleet/StoreVersion.h"
 
 #include <cstdint>
 #include <string>
@@ -43,7 +44,7 @@
         }
         if (write.expectedVersion != row.version) {
             fleet::StoreFailure failure { fleet::StoreFailure::Kind::ConditionFailed,
-                { "write", "store", "status 412" }, {} };
+                { "write", "store", "status 412" }, {}, fleet::eraOf(newest) };
             if (row.version > 0)
                 failure.current.push_back(row);
             done(std::move(failure));
