Keep an evacuation that a restored store has lost for 10 s

Cause: an evacuation binds until the operator takes it back, but daemons took the row that a restored store lacked for a removed one and sent requests to the data centre until the operator had written it again.

Change: after a rise of the era an evacuation in force outlives a reading that lacks it for 10 s, twice the time in which a new one is in force everywhere; a row that is there again confirms it, and after the time it ends with the store's next response (dispatch/Evacuations, CG1969).

--- a/src/dispatch/Evacuations.cpp
+++ b/src/dispatch/Evacuations.cpp
@@ -9,17 +9,44 @@
 auto Evacuations::begin(const std::string& dataCentre, MonotonicTime now) -> bool
 {
     m_returnedAt.erase(dataCentre);
+    m_doubts.erase(dataCentre);
     return m_evacuatedSince.emplace(dataCentre, now).second;
 }
 
 auto Evacuations::end(const std::string& dataCentre, MonotonicTime now) -> bool
 {
+    m_doubts.erase(dataCentre);
     if (m_evacuatedSince.erase(dataCentre) == 0)
         return false;
     m_returnedAt[dataCentre] = now;
     return true;
 }
 
+auto Evacuations::requireConfirmation(MonotonicTime now) -> void
+{
+    for (const auto& [dataCentre, since] : m_evacuatedSince)
+        m_doubts[dataCentre] = { now + m_options.confirmationTime };
+}
+
+auto Evacuations::endMissing(const std::string& dataCentre, MonotonicTime now) -> bool
+{
+    const auto doubt = m_doubts.find(dataCentre);
+    if (doubt == m_doubts.end() || now >= doubt->second.until)
+        return end(dataCentre, now);
+    doubt->second.isMissing = true;
+    return false;
+}
+
+auto Evacuations::unconfirmed(MonotonicTime now) const -> std::vector<std::string>
+{
+    std::vector<std::string> names;
+    for (const auto& [dataCentre, doubt] : m_doubts) {
+        if (doubt.isMissing && now >= doubt.until)
+            names.push_back(dataCentre);
+    }
+    return names;
+}
+
 auto Evacuations::isEvacuated(std::string_view dataCentre) const -> bool
 {
     return m_evacuatedSince.find(dataCentre) != m_evacuatedSince.end();
--- a/src/dispatch/Evacuations_test.cpp
+++ b/src/dispatch/Evacuations_test.cpp
@@ -151,6 +151,50 @@
     CHECK_FALSE(evacuations.oldestAge(at(8s)));
 }
 
+// Guards against requests to a data centre that nobody took back: the store came back from a copy without its row.
+TEST_CASE("an evacuation that a restored store lacks stays in force until the operator had time to write it again")
+{
+    Evacuations evacuations({ .returnTime = 4s, .confirmationTime = 10s });
+    for (const auto* dataCentre : { "west-a", "west-b", "west-c" })
+        evacuations.begin(dataCentre, at(1s));
+    evacuations.requireConfirmation(at(5s));
+    CHECK_FALSE(evacuations.endMissing("west-a", at(6s)));
+    CHECK_FALSE(evacuations.endMissing("west-b", at(6s)));
+    CHECK(evacuations.isEvacuated("west-a"));
+    CHECK(evacuations.returnShare("west-a", at(6s)) == 0);
+    // The operator writes the second one again and takes it back; the third one's row was never missing.
+    CHECK_FALSE(evacuations.begin("west-b", at(7s)));
+    CHECK(evacuations.endMissing("west-b", at(8s)));
+    CHECK_FALSE(evacuations.begin("west-c", at(6s)));
+    CHECK(evacuations.unconfirmed(at(14s)).empty());
+    CHECK(evacuations.unconfirmed(at(15s)) == std::vector<std::string> { "west-a" });
+    CHECK(evacuations.age("west-a", at(15s)) == 14s);
+    CHECK(evacuations.end("west-a", at(15s)));
+    CHECK(evacuations.unconfirmed(at(16s)).empty());
+    CHECK(evacuations.evacuated() == std::vector<std::string> { "west-c" });
+}
+
+TEST_CASE("each restore of the store gives the operator the whole time, and an unread store ends no evacuation")
+{
+    Evacuations evacuations({ .confirmationTime = 10s });
+    evacuations.begin("west-a", at(1s));
+    evacuations.requireConfirmation(at(5s));
+    CHECK_FALSE(evacuations.endMissing("west-a", at(6s)));
+    evacuations.requireConfirmation(at(9s));
+    CHECK(evacuations.unconfirmed(at(16s)).empty());
+    CHECK_FALSE(evacuations.endMissing("west-a", at(18s)));
+    CHECK(evacuations.unconfirmed(at(19s)).size() == 1);
+    // The rows are read only after the time, and lack it.
+    evacuations.requireConfirmation(at(20s));
+    CHECK(evacuations.unconfirmed(at(40s)).empty());
+    CHECK(evacuations.isEvacuated("west-a"));
+    CHECK(evacuations.endMissing("west-a", at(40s)));
+    CHECK_FALSE(evacuations.isEvacuated("west-a"));
+    // Without a restore a missing row is one that was removed.
+    evacuations.begin("west-a", at(50s));
+    CHECK(evacuations.endMissing("west-a", at(51s)));
+}
+
 TEST_CASE("replay: an emptied data centre gets nothing, and the others serve what they have slots for")
 {
     Replay replay;
--- a/src/sidecar/ConfigurationFeed.cpp
+++ b/src/sidecar/ConfigurationFeed.cpp
@@ -31,6 +31,14 @@
     const log::Event evacuationOdd { 1968, log::Severity::Warning, "evacuation odd",
         "the row's key and what is wrong with it; the data centre is evacuated only if taken says so" };
 
+    const log::Event evacuationKept { 1969, log::Severity::Warning, "evacuation kept",
+        "the store came back from an older copy without its row; it ends unless it is written again within 10 s" };
+
+    auto logEnd(const std::string& dataCentre, std::chrono::milliseconds age) -> void
+    {
+        log::logEvent(evacuationEnded, { { "data-centre", dataCentre }, { "age-ms", std::to_string(age.count()) } });
+    }
+
     auto logHomes(std::string_view kind, const std::string& name, const std::vector<std::string>& regions) -> void
     {
         log::logEvent(homesChanged, { { kind, name }, { "regions", dispatch::HomeRegions(regions).toText() } });
@@ -117,11 +125,21 @@
             evacuationBegun, { { "data-centre", dataCentre }, { "row-version", std::to_string(row.version) } });
 }
 
+auto ConfigurationFeed::onStoreRestored(MonotonicTime now) -> void { m_context.evacuations.requireConfirmation(now); }
+
+auto ConfigurationFeed::endUnconfirmedEvacuations(MonotonicTime now) -> bool
+{
+    const auto unconfirmed = m_context.evacuations.unconfirmed(now);
+    for (const auto& dataCentre : unconfirmed)
+        endEvacuation(dataCentre, now);
+    return !unconfirmed.empty();
+}
+
 auto ConfigurationFeed::endEvacuation(const std::string& dataCentre, MonotonicTime now) -> void
 {
     const auto age = m_context.evacuations.age(dataCentre, now);
     if (m_context.evacuations.end(dataCentre, now))
-        log::logEvent(evacuationEnded, { { "data-centre", dataCentre }, { "age-ms", std::to_string(age->count()) } });
+        logEnd(dataCentre, *age);
 }
 
 auto ConfigurationFeed::endMissingEvacuations(const std::vector<fleet::StoreRow>& rows, MonotonicTime now) -> void
@@ -129,8 +147,13 @@
     m_evacuationVersions.clear();
     for (const auto& dataCentre : m_context.evacuations.evacuated()) {
         const auto key = m_adapter.evacuationPrefix + dataCentre;
-        if (std::none_of(rows.begin(), rows.end(), [&](const auto& row) { return row.key == key; }))
-            endEvacuation(dataCentre, now);
+        if (std::any_of(rows.begin(), rows.end(), [&](const auto& row) { return row.key == key; }))
+            continue;
+        const auto age = m_context.evacuations.age(dataCentre, now);
+        if (m_context.evacuations.endMissing(dataCentre, now))
+            logEnd(dataCentre, *age);
+        else
+            log::logEvent(evacuationKept, { { "data-centre", dataCentre } });
     }
 }
 
--- a/src/sidecar/ConfigurationFeed.h
+++ b/src/sidecar/ConfigurationFeed.h
@@ -34,6 +34,12 @@
     // with their rows; one of an unknown data centre is logged and skipped.
     auto apply(const std::vector<fleet::StoreRow>& rows, bool isSnapshot, MonotonicTime now) -> bool;
 
+    // onStoreRestored() is called when the store came back from an older copy: evacuations that it lacks then stay in
+    // force for a while. endUnconfirmedEvacuations() ends those that the operator hasn't written again by then, and
+    // returns whether there are any.
+    auto onStoreRestored(MonotonicTime now) -> void;
+    auto endUnconfirmedEvacuations(MonotonicTime now) -> bool;
+
     // isOutdated() returns whether `received` is a configuration of an earlier version than `known`, as a store returns
     // it after it came back from an older copy.
     [[nodiscard]] auto isOutdated(const fleet::StoreRow& received, const fleet::StoreRow& known) const -> bool;
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -21,14 +21,13 @@
 #include "sidecar/MetricsPage.h"
 #include "sidecar/ResourceLimits.h"
 #include "sidecar/RowCleaner.h"
+#include "sidecar/TimeBounds.h"
 
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 
 namespace coriandergate::sidecar {
 
-using std::chrono::milliseconds;
-
 namespace {
 
     const log::Event started { 1920, log::Severity::Info, "sidecar started",
@@ -50,35 +49,9 @@
         "the row is skipped; the reason names the malformed field" };
 
     constexpr const char* hostTable = "hosts";
-    // Fraction of the revocation bound for which a response of the store counts as fresh. The rest covers the time that
-    // a request takes to its target.
-    constexpr double freshnessRatio = 0.88;
-    // Delay until the callers' port and idle connections are closed. The platform probes readiness every second and
-    // acts on the second failure.
-    constexpr milliseconds callerDrainDelay { 2300 };
-    // Delay until new requests to the target are rejected. It is shorter than callerDrainDelay, so that most of the
-    // target's open requests complete before the callers' port closes. That shortens the unavailability of each host in
-    // a rolling restart of the daemons, during which the targets keep running.
-    constexpr milliseconds targetDrainDelay { 1200 };
-    constexpr milliseconds stopPollPeriod { 40 };
-    constexpr milliseconds responseDeliveryTime { 120 };
-    // Open requests end this long before the process is killed, and the daemon after half of that time. A target that
-    // is still at work in the last sixth of the grace period has had its time.
-    constexpr milliseconds maximumFinalResponseMargin { 800 };
-    constexpr int finalResponseDivisor = 8; // of the grace period
-
-    constexpr milliseconds peerConnectTimeout { 400 };
-    constexpr milliseconds peerClientIdleTimeout { 30000 };
+    constexpr std::chrono::milliseconds peerConnectTimeout { 400 };
+    constexpr std::chrono::milliseconds peerClientIdleTimeout { 30000 };
     constexpr std::size_t maximumIdleConnectionsPerPeer = 4;
-    auto finalResponseMargin(const HostSettings& settings) -> milliseconds
-    {
-        return std::min(maximumFinalResponseMargin, settings.stopGracePeriod / finalResponseDivisor);
-    }
-
-    auto maximumResponseAge(const HostSettings& settings) -> milliseconds
-    {
-        return std::chrono::duration_cast<milliseconds>(settings.revocationBound * freshnessRatio);
-    }
 
 } // namespace
 
@@ -275,6 +248,8 @@
     if (!isStoreReachable)
         log::logEvent(storeReachableAgain, {});
     isStoreReachable = true;
+    if (configurationFeed.endUnconfirmedEvacuations(monotonicNow()))
+        targetRelay.onEvacuationsChanged();
 }
 
 auto Sidecar::State::onStoreFailure(const Error& error) -> void
@@ -290,6 +265,7 @@
 auto Sidecar::State::onStoreRestored() -> void
 {
     log::logEvent(storeRestored, { { "era", std::to_string(storeView.era()) } });
+    configurationFeed.onStoreRestored(monotonicNow());
     registration.onStoreRestored();
     crashRegistry.onStoreRestored();
 }
