Tell the owner of a target whose request waits

Cause: a request that asks for a slot doesn't say whose it is, so the owner's queue can't take turns between client accounts.

Change: ReserveRequest carries the client account and its weight, the account's rate; both are optional in what is decoded, and bounded. An entry sends them for services to which some route leaves little time beyond its aim, deadline < 3 x target latency; elsewhere requests are served as before. The owner refuses a request that gives way to another account at once, as not sent. The event of a refused slot names the account; two metrics count refusals of this kind and waiting accounts.

--- a/src/relay/EntryRequest.cpp
+++ b/src/relay/EntryRequest.cpp
@@ -202,6 +202,7 @@
     const auto now = monotonicNow();
     m_attempt = std::make_unique<TargetAttempt>(m_context, std::move(target), m_requestId);
     const auto latencyLeft = targetLatencyLeft(now);
+    const auto* account = m_admitted.queueAccount(m_service);
     const ReserveRequest message { .requestId = m_requestId,
         .service = m_service,
         .priority = m_priority,
@@ -209,7 +210,9 @@
         .targetLatencyLeft = latencyLeft,
         .maximumWait = m_search.maximumWait({ .toTargetLatency = latencyLeft, .toDeadline = m_admitted.timeLeft(now) }),
         .acceptsFailingTarget = m_choice.isInPanicMode(now),
-        .isPastTargetLatency = m_search.isPastTargetLatency() };
+        .isPastTargetLatency = m_search.isPastTargetLatency(),
+        .clientAccount = account ? account->name : "",
+        .accountWeight = account ? m_admitted.snapshot->accountWeight(*account) : 1 };
     m_attempt->reserve(
         message, [self = shared_from_this()](const TargetAttempt::SlotResult& result) { self->onSlotResult(result); });
 }
--- a/src/relay/PeerMessages.cpp
+++ b/src/relay/PeerMessages.cpp
@@ -29,7 +29,9 @@
         ReserveTargetLatencyLeft,
         ReserveMaximumWait,
         ReservePastTargetLatency,
-        ReserveAcceptsFailing
+        ReserveAcceptsFailing,
+        ReserveClientAccount, // this and the next are not sent by earlier releases
+        ReserveAccountWeight
     };
     enum RunField {
         RunRequestId,
@@ -47,6 +49,10 @@
     };
 
     constexpr double percentPerUnit = 100;
+    // Bounds of what a peer may send of an account.
+    constexpr std::size_t maximumAccountNameBytes = 256;
+    constexpr double minimumAccountWeight = 1e-3;
+    constexpr double maximumAccountWeight = 1e6;
 
     constexpr std::array<std::pair<RunOutcome, std::string_view>, 5> outcomeNames { {
         { RunOutcome::Answered, "answered" },
@@ -71,7 +77,7 @@
     return http::makeCborRequest(reservePath,
         json::array({ message.requestId, message.service, message.priority, message.isIdempotent,
             message.targetLatencyLeft.count(), message.maximumWait.count(), message.isPastTargetLatency,
-            message.acceptsFailingTarget }));
+            message.acceptsFailingTarget, message.clientAccount, message.accountWeight }));
 }
 
 auto decodeReserveRequest(const std::string& body, Error& reason) -> std::optional<ReserveRequest>
@@ -86,6 +92,13 @@
         message.maximumWait = milliseconds(value.at(ReserveMaximumWait).get<milliseconds::rep>());
         message.isPastTargetLatency = value.at(ReservePastTargetLatency).get<bool>();
         message.acceptsFailingTarget = value.at(ReserveAcceptsFailing).get<bool>();
+        if (value.size() > ReserveAccountWeight) {
+            message.clientAccount
+                = value.at(ReserveClientAccount).get<std::string>().substr(0, maximumAccountNameBytes);
+            const auto weight = value.at(ReserveAccountWeight).get<double>();
+            message.accountWeight
+                = std::isfinite(weight) ? std::clamp(weight, minimumAccountWeight, maximumAccountWeight) : 1;
+        }
     });
     return isDecoded ? std::optional(std::move(message)) : std::nullopt;
 }
--- a/src/relay/PeerMessages.h
+++ b/src/relay/PeerMessages.h
@@ -65,6 +65,9 @@
     std::chrono::milliseconds maximumWait { 0 }; // for a slot
     bool acceptsFailingTarget = false; // most targets are failing, so a failing one is better than none
     bool isPastTargetLatency = false; // can't meet the target latency; queued behind the requests that can
+    // Whose turn it is within a priority; empty for calls of targets, and where the order is by deadline alone.
+    std::string clientAccount;
+    double accountWeight = 1; // relative to other accounts
 };
 
 // RunRequest carries the request to execute in the reserved slot.
--- a/src/relay/PolicySnapshot.cpp
+++ b/src/relay/PolicySnapshot.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+    // Deadlines below this many target latencies leave no time for a wait, a refusal and another target.
+    constexpr int slackTargetLatencies = 3;
+
     auto normalizeHost(std::string_view host) -> std::string
     {
         std::string name(host.substr(0, host.find(':')));
@@ -28,11 +31,20 @@
         m_routesByHost[normalizeHost(route.host)].push_back(&route);
         m_routes.emplace(route.name, &route);
         recordPriority(route.service, route.priority);
-        for (const auto& part : route.split)
+        const bool hasLittleSlack = route.deadline < slackTargetLatencies * route.targetLatency;
+        if (hasLittleSlack)
+            m_servicesWithLittleSlack.insert(route.service);
+        for (const auto& part : route.split) {
             recordPriority(part.service, route.priority);
+            if (hasLittleSlack)
+                m_servicesWithLittleSlack.insert(part.service);
+        }
     }
-    for (const auto& account : m_configuration->clientAccounts)
+    for (const auto& account : m_configuration->clientAccounts) {
         m_clientAccounts.emplace(account.name, &account);
+        if (!account.isUnlimited)
+            m_largestRate = std::max(m_largestRate, account.ratePerSecond);
+    }
     for (auto& [host, routes] : m_routesByHost) {
         std::stable_sort(routes.begin(), routes.end(), [](const config::Route* left, const config::Route* right) {
             return left->pathPrefix.size() > right->pathPrefix.size();
@@ -73,6 +85,17 @@
     return found == m_highestPriority.end() ? 0 : found->second;
 }
 
+auto PolicySnapshot::hasLittleSlack(std::string_view service) const -> bool
+{
+    return m_servicesWithLittleSlack.contains(service);
+}
+
+auto PolicySnapshot::accountWeight(const config::ClientAccount& account) const -> double
+{
+    const double rate = account.isUnlimited ? m_largestRate : account.ratePerSecond;
+    return rate > 0 ? rate : 1;
+}
+
 auto PolicySnapshot::chooseService(const config::Route& route, std::uint64_t random) -> const std::string&
 {
     double totalWeight = 0;
--- a/src/relay/PolicySnapshot.h
+++ b/src/relay/PolicySnapshot.h
@@ -9,6 +9,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -41,6 +42,14 @@
     // there is no such route.
     [[nodiscard]] auto highestPriority(std::string_view service) const -> int;
 
+    // hasLittleSlack() returns whether some route to `service` leaves little time beyond its target latency. Its
+    // callers compete for little room and have no time for another round.
+    [[nodiscard]] auto hasLittleSlack(std::string_view service) const -> bool;
+
+    // accountWeight() is the weight of an account in queues: the requests a second that it is granted. An account
+    // without a limit weighs as much as the largest of the others.
+    [[nodiscard]] auto accountWeight(const config::ClientAccount& account) const -> double;
+
     // chooseService() returns the service that a request of `route` goes to. When the route splits its traffic,
     // `random` selects a part with a probability proportional to its weight.
     [[nodiscard]] static auto chooseService(const config::Route& route, std::uint64_t random) -> const std::string&;
@@ -49,6 +58,8 @@
     std::shared_ptr<const config::Configuration> m_configuration;
     config::KeyIndex m_keys;
     std::map<std::string, int, std::less<>> m_highestPriority; // by service
+    std::set<std::string, std::less<>> m_servicesWithLittleSlack;
+    double m_largestRate = 0; // of the accounts with a limit; 0 when there is none
     std::map<std::string, const config::ClientAccount*, std::less<>> m_clientAccounts; // by name
     std::map<std::string, const config::Route*, std::less<>> m_routes; // by name
     std::map<std::string, std::vector<const config::Route*>, std::less<>> m_routesByHost; // longest path prefix first
--- a/src/relay/PolicySnapshot_test.cpp
+++ b/src/relay/PolicySnapshot_test.cpp
@@ -68,4 +68,43 @@
     CHECK(countOfA == Approx(500).margin(20));
 }
 
+TEST_CASE("a service has little slack if a route to it has a deadline below three target latencies")
+{
+    using namespace std::chrono_literals;
+    const auto slackOf = [](std::chrono::milliseconds deadline, const std::vector<config::TrafficPart>& split) {
+        config::Configuration configuration;
+        auto route = makeRoute(split);
+        route.targetLatency = 1000ms;
+        route.deadline = 10s;
+        configuration.routes.push_back(route);
+        route.name = "late-orders";
+        route.deadline = deadline;
+        configuration.routes.push_back(route);
+        return PolicySnapshot(configuration);
+    };
+    CHECK(slackOf(2999ms, {}).hasLittleSlack("plain"));
+    CHECK_FALSE(slackOf(3000ms, {}).hasLittleSlack("plain"));
+    CHECK_FALSE(slackOf(2999ms, {}).hasLittleSlack("unknown"));
+    for (const auto* service : { "a", "b" })
+        CHECK(slackOf(2500ms, { { "a", 1 }, { "b", 9 } }).hasLittleSlack(service));
+}
+
+TEST_CASE("an account weighs what its rate is, and without a limit as much as the largest")
+{
+    config::Configuration configuration;
+    configuration.clientAccounts.push_back({ .name = "small", .ratePerSecond = 2 });
+    configuration.clientAccounts.push_back({ .name = "large", .ratePerSecond = 40 });
+    configuration.clientAccounts.push_back({ .name = "unlimited", .ratePerSecond = 1, .isUnlimited = true });
+    configuration.clientAccounts.push_back({ .name = "closed", .ratePerSecond = 0 });
+    const PolicySnapshot snapshot(configuration);
+    const auto weightOf
+        = [&snapshot](std::string_view name) { return snapshot.accountWeight(*snapshot.clientAccount(name)); };
+    CHECK(weightOf("small") == 2);
+    CHECK(weightOf("large") == 40);
+    CHECK(weightOf("unlimited") == 40);
+    CHECK(weightOf("closed") == 1);
+    const PolicySnapshot without({ .clientAccounts = { { .name = "unlimited", .isUnlimited = true } } });
+    CHECK(without.accountWeight(*without.clientAccount("unlimited")) == 1);
+}
+
 } // namespace coriandergate::relay
--- a/src/relay/RequestAdmission.cpp
+++ b/src/relay/RequestAdmission.cpp
@@ -59,6 +59,11 @@
     return isUrgent ? RetryClass::HighPriority : RetryClass::LowPriority;
 }
 
+auto AdmittedRequest::queueAccount(std::string_view service) const -> const config::ClientAccount*
+{
+    return clientAccount && snapshot->hasLittleSlack(service) ? clientAccount : nullptr;
+}
+
 auto AdmittedRequest::isKeyRevokedBy(const std::shared_ptr<const PolicySnapshot>& current) const -> bool
 {
     return clientAccount && current != snapshot && !current->keys().accountForKey(key);
--- a/src/relay/RequestAdmission.h
+++ b/src/relay/RequestAdmission.h
@@ -43,6 +43,10 @@
     // another request: if the call fails, the calling request fails too and its work is lost.
     [[nodiscard]] auto isCallFromTarget() const -> bool { return !clientAccount; }
 
+    // queueAccount() is the client account that takes turns with others at a target of `service`; null where requests
+    // are served by deadline, and for a call.
+    [[nodiscard]] auto queueAccount(std::string_view service) const -> const config::ClientAccount*;
+
     // retryClass() is the class of its retries at a target of `service`.
     [[nodiscard]] auto retryClass(std::string_view service) const -> dispatch::RetryBudget::RetryClass;
 
--- a/src/relay/RequestAdmission_test.cpp
+++ b/src/relay/RequestAdmission_test.cpp
@@ -102,6 +102,20 @@
     CHECK_FALSE(admitted.isCallFromTarget());
 }
 
+TEST_CASE_METHOD(Admission, "a request with a key takes turns by account where time is scarce")
+{
+    request.target = "/keyed/1";
+    request.headers.add("Key", "secret");
+    recordFreshResponse();
+    REQUIRE_FALSE(admit());
+    CHECK(admitted.queueAccount("stock") == nullptr);
+    auto configuration = context.snapshot->configuration();
+    configuration.routes.front().targetLatency = 2s;
+    context.snapshot = std::make_shared<const PolicySnapshot>(std::move(configuration));
+    REQUIRE_FALSE(admit());
+    CHECK(admitted.queueAccount("stock") == admitted.clientAccount);
+}
+
 TEST_CASE_METHOD(Admission, "requests that can't be admitted are refused with a reason")
 {
     SECTION("no configuration")
--- a/src/relay/SlotReservations.cpp
+++ b/src/relay/SlotReservations.cpp
@@ -32,7 +32,8 @@
 struct SlotReservations::Reservation {
     Ticket ticket = 0;
     std::string connection;
-    std::string requestId;
+    Origin origin;
+    int priority = 0;
     std::shared_ptr<http::Exchange> exchange; // null once granted
     bool isGranted = false;
     bool isProbe = false;
@@ -59,7 +60,7 @@
 {
     const auto admission = m_health.admit(message.isIdempotent || message.acceptsFailingTarget, now);
     if (admission == TargetHealth::Admission::Refused && !message.acceptsFailingTarget) {
-        refuse(exchange, message.requestId, targetIsFailing, now);
+        refuse(exchange, { message.requestId, message.clientAccount }, targetIsFailing, now);
         return;
     }
     release(exchange->peer());
@@ -70,8 +71,10 @@
         : std::min(message.maximumWait, message.targetLatencyLeft - m_slots.meanServiceTime());
     const SlotQueue::Request request { .ticket = ticket,
         .priority = message.priority + (message.isPastTargetLatency ? pastTargetLatencyPenalty : 0),
-        .startDeadline = now + maximumWait };
-    const auto meterWait = m_warmUp.waitFor(m_slots.queuedBefore(request.priority), now);
+        .startDeadline = now + maximumWait,
+        .clientAccount = message.clientAccount,
+        .accountWeight = message.accountWeight };
+    const auto meterWait = m_warmUp.waitFor(m_slots.requestsAhead(request), now);
     const bool hasPermit = meterWait.count() == 0 && m_warmUp.tryAcquire(now);
     if (!hasPermit && m_slots.load().running < m_slots.load().slots)
         ++m_heldBack;
@@ -81,13 +84,14 @@
     if (decision == SlotQueue::Decision::Refused) {
         if (admission == TargetHealth::Admission::Probe)
             m_health.endProbe();
-        refuse(exchange, message.requestId, noSlotInTime, now);
+        refuse(exchange, { message.requestId, message.clientAccount }, noSlotInTime, now);
         return;
     }
     const auto reservation = std::make_shared<Reservation>();
     reservation->ticket = ticket;
     reservation->connection = exchange->peer();
-    reservation->requestId = message.requestId;
+    reservation->origin = { message.requestId, message.clientAccount };
+    reservation->priority = message.priority;
     reservation->exchange = exchange;
     reservation->isIdempotent = message.isIdempotent;
     reservation->acceptsFailingTarget = message.acceptsFailingTarget;
@@ -99,6 +103,7 @@
     }
     m_waiting[ticket] = exchange->peer();
     armWaitTimer();
+    refuseEvicted(now);
 }
 
 auto SlotReservations::grant(Reservation& reservation, MonotonicTime now) -> void
@@ -119,14 +124,14 @@
     std::exchange(reservation.exchange, nullptr)->answer(std::move(response));
 }
 
-auto SlotReservations::refuse(const std::shared_ptr<http::Exchange>& exchange, const std::string& requestId,
+auto SlotReservations::refuse(const std::shared_ptr<http::Exchange>& exchange, const Origin& origin,
     std::string_view why, MonotonicTime now) -> void
 {
     auto response = http::makeAnswer(http::statusUnavailable, "text/plain", std::string(why));
     response.headers.add(outcomeHeader, outcomeName(RunOutcome::NotSent));
     m_options.addReport(response.headers, now);
     log::logEvent(slotRefused,
-        { { "request", requestId }, { "why", std::string(why) },
+        { { "request", origin.requestId }, { "account", origin.clientAccount }, { "why", std::string(why) },
             { "load", std::string(response.headers.find(loadHeader).value_or("")) },
             { "arrivals", std::string(response.headers.find(arrivalsHeader).value_or("")) } });
     exchange->answer(std::move(response));
@@ -137,13 +142,26 @@
     while (!m_waiting.empty()) {
         const auto ticket = m_waiting.begin()->first;
         m_slots.cancel(ticket);
-        const auto reservation = takeWaiting(ticket);
-        if (!reservation)
-            continue;
-        m_reservations.erase(reservation->connection);
-        if (reservation->isProbe)
-            m_health.endProbe();
-        refuse(reservation->exchange, reservation->requestId, why, now);
+        refuseTicket(ticket, why, now);
+    }
+}
+
+auto SlotReservations::refuseTicket(Ticket ticket, std::string_view why, MonotonicTime now) -> void
+{
+    const auto reservation = takeWaiting(ticket);
+    if (!reservation)
+        return;
+    m_reservations.erase(reservation->connection);
+    if (reservation->isProbe)
+        m_health.endProbe();
+    refuse(reservation->exchange, reservation->origin, why, now);
+}
+
+auto SlotReservations::refuseEvicted(MonotonicTime now) -> void
+{
+    for (const auto ticket : m_slots.takeEvicted()) {
+        ++m_gaveWay;
+        refuseTicket(ticket, noSlotInTime, now);
     }
 }
 
@@ -162,7 +180,10 @@
     const auto found = m_reservations.find(connection);
     if (found == m_reservations.end() || !found->second->isGranted)
         return std::nullopt;
-    const Slot slot { .isProbe = found->second->isProbe, .acceptsFailingTarget = found->second->acceptsFailingTarget };
+    const Slot slot { .ticket = found->second->ticket,
+        .priority = found->second->priority,
+        .isProbe = found->second->isProbe,
+        .acceptsFailingTarget = found->second->acceptsFailingTarget };
     m_reservations.erase(found);
     return slot;
 }
@@ -177,7 +198,7 @@
     if (reservation->isProbe)
         m_health.endProbe();
     if (reservation->isGranted) {
-        m_slots.release(std::nullopt);
+        m_slots.release(std::nullopt, reservation->ticket);
         m_warmUp.giveBack();
         grantWaiting(monotonicNow());
         return;
@@ -205,15 +226,8 @@
 // Each response may lead to the next message of its connection, and with it to changes of all tables.
 auto SlotReservations::grantWaiting(MonotonicTime now) -> void
 {
-    for (const auto ticket : m_slots.removeExpired(now)) {
-        const auto reservation = takeWaiting(ticket);
-        if (!reservation)
-            continue;
-        m_reservations.erase(reservation->connection);
-        if (reservation->isProbe)
-            m_health.endProbe();
-        refuse(reservation->exchange, reservation->requestId, noSlotInTime, now);
-    }
+    for (const auto ticket : m_slots.removeExpired(now))
+        refuseTicket(ticket, noSlotInTime, now);
     while (!m_waiting.empty() && m_warmUp.tryAcquire(now)) {
         const auto ticket = m_slots.grantNext(now);
         const auto reservation = ticket ? takeWaiting(*ticket) : nullptr;
@@ -224,7 +238,7 @@
         m_warmUp.giveBack();
         if (!ticket)
             break;
-        m_slots.release(std::nullopt);
+        m_slots.release(std::nullopt, ticket);
     }
     armWaitTimer();
 }
--- a/src/relay/SlotReservations.h
+++ b/src/relay/SlotReservations.h
@@ -43,6 +43,8 @@
 
     // Slot is a granted slot.
     struct Slot {
+        dispatch::SlotQueue::Ticket ticket = 0; // to release it with
+        int priority = 0;
         bool isProbe = false;
         bool acceptsFailingTarget = false;
     };
@@ -58,8 +60,14 @@
     auto reserve(const std::shared_ptr<http::Exchange>& exchange, const ReserveRequest& message, MonotonicTime now)
         -> void;
 
+    // Origin names a refused request and its client account in the log.
+    struct Origin {
+        std::string requestId;
+        std::string clientAccount;
+    };
+
     // refuse() responds that no slot was reserved and that the request was not sent.
-    auto refuse(const std::shared_ptr<http::Exchange>& exchange, const std::string& requestId, std::string_view why,
+    auto refuse(const std::shared_ptr<http::Exchange>& exchange, const Origin& origin, std::string_view why,
         MonotonicTime now) -> void;
 
     // refuseWaiting() refuses every request that waits.
@@ -83,6 +91,10 @@
     [[nodiscard]] auto heldBack() const -> std::uint64_t { return m_heldBack; }
     auto countHeldBack() -> void { ++m_heldBack; }
 
+    // gaveWay() counts waiting requests that were refused because their account had the most of them and a request of
+    // another went first.
+    [[nodiscard]] auto gaveWay() const -> std::uint64_t { return m_gaveWay; }
+
 private:
     struct Reservation;
     using Ticket = dispatch::SlotQueue::Ticket;
@@ -90,6 +102,9 @@
     auto grant(Reservation& reservation, MonotonicTime now) -> void;
     // takeWaiting() returns the reservation that waits with `ticket`, which from then on no longer waits; null if none.
     auto takeWaiting(Ticket ticket) -> std::shared_ptr<Reservation>;
+    // refuseTicket() refuses the reservation that waits with `ticket`, which is no longer in the queue.
+    auto refuseTicket(Ticket ticket, std::string_view why, MonotonicTime now) -> void;
+    auto refuseEvicted(MonotonicTime now) -> void;
     auto armWaitTimer() -> void;
     auto release(const std::string& connection) -> void;
     auto expire(const std::string& connection, Ticket ticket) -> void;
@@ -105,6 +120,7 @@
     std::map<Ticket, std::string> m_waiting; // connection of each waiting reservation
     Ticket m_nextTicket = 1;
     std::uint64_t m_heldBack = 0;
+    std::uint64_t m_gaveWay = 0;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
 
--- a/src/relay/TargetRelay.cpp
+++ b/src/relay/TargetRelay.cpp
@@ -48,7 +48,7 @@
     std::shared_ptr<http::Exchange> exchange;
     std::string requestId;
     std::string target; // "id/start time"; empty if it was never sent
-    bool isProbe = false;
+    SlotReservations::Slot slot;
     bool holdsPermit = false; // of the meter of arrivals; ends when the request is sent or given up
     bool isIdempotent = false;
     bool isOnNewConnection = false;
@@ -125,9 +125,9 @@
     Error reason;
     const auto message = decodeReserveRequest(exchange->request().body, reason);
     if (!message)
-        m_reservations.refuse(exchange, "", reason.reason, now);
+        m_reservations.refuse(exchange, {}, reason.reason, now);
     else if (const auto why = refusalReason(*message); !why.empty())
-        m_reservations.refuse(exchange, message->requestId, why, now);
+        m_reservations.refuse(exchange, { message->requestId, message->clientAccount }, why, now);
     else
         m_reservations.reserve(exchange, *message, now);
 }
@@ -219,9 +219,9 @@
         return;
     }
     run->isIdempotent = message->isIdempotent;
-    run->isProbe = slot->isProbe;
+    run->slot = *slot;
     run->holdsPermit = true;
-    const bool acceptsFailingTarget = run->isProbe || slot->acceptsFailingTarget;
+    const bool acceptsFailingTarget = slot->isProbe || slot->acceptsFailingTarget;
     if (!m_target.isServing()) {
         finishRun(*run, std::nullopt);
         reply(*run, RunOutcome::NotSent, http::makeAnswer(http::statusUnavailable, "text/plain", ""),
@@ -339,11 +339,11 @@
 {
     run.isDone = true;
     run.unresponsiveTimer.reset();
-    if (run.isProbe)
+    if (run.slot.isProbe)
         m_health.endProbe();
     if (std::exchange(run.holdsPermit, false))
         m_warmUp.giveBack();
-    m_slots.release(serviceTime);
+    m_slots.release(serviceTime, run.slot.ticket);
     m_reservations.grantWaiting(monotonicNow());
 }
 
--- a/src/relay/TargetRelay.h
+++ b/src/relay/TargetRelay.h
@@ -104,6 +104,10 @@
     // lateResponses() counts responses of the target to requests that had ended before.
     // heldBack() counts requests that waited or were refused because the target may get no more in a second.
     [[nodiscard]] auto heldBack() const -> std::uint64_t { return m_reservations.heldBack(); }
+    // gaveWay() counts waiting requests that were refused for those of another client account.
+    [[nodiscard]] auto gaveWay() const -> std::uint64_t { return m_reservations.gaveWay(); }
+    // waitingAccounts() is the number of client accounts whose requests wait for slots.
+    [[nodiscard]] auto waitingAccounts() const -> std::size_t { return m_slots.waitingAccounts(); }
     [[nodiscard]] auto isTargetCold(MonotonicTime now) const -> bool { return m_warmUp.isCold(now); }
     [[nodiscard]] auto lateResponses() const -> std::uint64_t { return m_lateResponses; }
 
--- a/src/sidecar/MetricsPage.h
+++ b/src/sidecar/MetricsPage.h
@@ -34,6 +34,8 @@
     std::uint64_t lateResponses = 0; // of the target of this host, since the start
     bool isTargetCold = false; // the target of this host, or taken for it
     std::uint64_t heldBack = 0; // requests to it that waited or were refused for that reason, since the start
+    std::uint64_t gaveWay = 0; // requests that waited for it and were refused for those of other accounts
+    std::size_t waitingAccounts = 0; // with requests that wait for it
 };
 
 // renderMetricsPage() returns the page. Thread-safe.
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -507,7 +507,9 @@
         .bufferedBytes = bufferedBytes,
         .lateResponses = targetRelay.lateResponses(),
         .isTargetCold = targetRelay.isTargetCold(monotonicNow()),
-        .heldBack = targetRelay.heldBack() });
+        .heldBack = targetRelay.heldBack(),
+        .gaveWay = targetRelay.gaveWay(),
+        .waitingAccounts = targetRelay.waitingAccounts() });
 }
 
 Sidecar::Sidecar(boost::asio::io_context& io, const HostSettings& settings, Adapter adapter, fleet::StoreClient& store)
