Start the daemons of a fleet's tests in one fixture

Cause: three tests of once-only requests wrote the same declaration and started the same three daemons line by line, and the tests of rates and of membership started three daemons in ways of their own.

Change: fixture/DaemonFleet.h starts the daemons of a fleet, each with those before it as peers, and writes the declaration. No assertion and no bound changed. The fleets of the tests of rates and of the killed and the leaving daemon get all earlier daemons as peers, where they had the first alone. Daemons that a test starts twice, pauses or restarts by itself (OnceDisturbance_test, Control_test) keep their own start, as each gets other arguments.

--- a/src/daemon/MemberPlugin_test.cpp
+++ b/src/daemon/MemberPlugin_test.cpp
@@ -1,7 +1,7 @@
 // Daemons that know each other, with real processes on loopback.
 #include "base/Clock.h"
 #include "base/Error.h"
-#include "fixture/DaemonUnderTest.h"
+#include "fixture/DaemonFleet.h"
 #include "fixture/TargetUnderTest.h"
 #include "testing/LoopbackPort.h"
 #include "testing/SimpleCall.h"
@@ -76,9 +76,10 @@
 
 TEST_CASE("a killed daemon is noticed, and a leaving one is said to leave")
 {
-    DaemonUnderTest first;
-    DaemonUnderTest killed({ "--peers=" + first.peers() });
-    DaemonUnderTest leaving({ "--peers=" + first.peers() });
+    const DaemonFleet fleet({ .dataCentres = 1 });
+    auto& first = fleet.daemon(0);
+    auto& killed = fleet.daemon(1);
+    auto& leaving = fleet.daemon(2);
     REQUIRE(eventually([&] { return believes(first, "alive", 2) && believes(leaving, "alive", 2); }));
     killed.process().kill();
     CHECK(eventually([&] { return believes(first, "dead", 1) && believes(leaving, "dead", 1); }));
--- a/src/daemon/OncePlugin_test.cpp
+++ b/src/daemon/OncePlugin_test.cpp
@@ -1,11 +1,10 @@
 // At most once with real processes.
+#include "fixture/DaemonFleet.h"
 #include "fixture/DaemonUnderTest.h"
 #include "fixture/TargetUnderTest.h"
 #include "testing/SimpleCall.h"
 
-#include <QTemporaryDir>
 #include <catch2/catch.hpp>
-#include <fstream>
 #include <nlohmann/json.hpp>
 #include <thread>
 
@@ -124,16 +123,10 @@
 
 TEST_CASE("a key runs once when its caller turns to another daemon, also after the first was killed")
 {
-    // An open route: what accounts may have after a loss is not the matter here.
-    const QTemporaryDir folder;
-    const auto file = folder.filePath("routes.yaml").toStdString();
-    std::ofstream(file) << "services: [{ name: demo }]\n"
-                           "routes: [{ name: orders, pathPrefix: /, service: demo, isOpen: true }]\n";
-    const auto declaration = "--declaration=" + file;
-    DaemonUnderTest first({ declaration, "--data-centre=dc-1" });
-    DaemonUnderTest owner({ declaration, "--data-centre=dc-2", "--peers=" + first.peers() });
-    DaemonUnderTest other({ declaration, "--data-centre=dc-3", "--peers=" + first.peers() + "," + owner.peers() });
-    TargetUnderTest target(owner, { "--service=demo" });
+    const DaemonFleet fleet({ .declaration = openDemoRoute });
+    auto& first = fleet.daemon(0);
+    const auto& other = fleet.daemon(2);
+    TargetUnderTest target(fleet.daemon(1), { "--service=demo" });
     const std::vector<std::string> keys { "k1", "k2", "k3", "k4", "k5", "k6" };
     for (const auto& key : keys)
         CHECK(orderUntilRun(first.callers(), key, key).status == 200);
@@ -153,15 +146,10 @@
 // Guards against refusing what ran, for as long as the lost daemon's data centre has no other.
 TEST_CASE("a key that ran is answered again after another daemon is known to be dead")
 {
-    const QTemporaryDir folder;
-    const auto file = folder.filePath("routes.yaml").toStdString();
-    std::ofstream(file) << "services: [{ name: demo }]\n"
-                           "routes: [{ name: orders, pathPrefix: /, service: demo, isOpen: true }]\n";
-    const std::vector<std::string> common { "--declaration=" + file, "--suspicion-timeout-ms=1000" };
-    DaemonUnderTest first({ common[0], common[1], "--data-centre=dc-1" });
-    DaemonUnderTest owner({ common[0], common[1], "--data-centre=dc-2", "--peers=" + first.peers() });
-    DaemonUnderTest other(
-        { common[0], common[1], "--data-centre=dc-3", "--peers=" + first.peers() + "," + owner.peers() });
+    const DaemonFleet fleet({ .arguments = { "--suspicion-timeout-ms=1000" }, .declaration = openDemoRoute });
+    auto& first = fleet.daemon(0);
+    auto& owner = fleet.daemon(1);
+    const auto& other = fleet.daemon(2);
     TargetUnderTest target(owner, { "--service=demo" });
     CHECK(orderUntilRun(first.callers(), "k1", "k1").status == 200);
     CHECK(orderUntilRun(other.callers(), "k1", "k1").body == "k1");
@@ -182,14 +170,9 @@
 // Guards against a second run beside another daemon, when the daemons of a fleet were given no common store.
 TEST_CASE("a key runs once over targets of two daemons that have no common store")
 {
-    const QTemporaryDir folder;
-    const auto file = folder.filePath("routes.yaml").toStdString();
-    std::ofstream(file) << "services: [{ name: demo }]\n"
-                           "routes: [{ name: orders, pathPrefix: /, service: demo, isOpen: true }]\n";
-    const auto declaration = "--declaration=" + file;
-    DaemonUnderTest first({ declaration, "--data-centre=dc-1" });
-    DaemonUnderTest second({ declaration, "--data-centre=dc-2", "--peers=" + first.peers() });
-    DaemonUnderTest third({ declaration, "--data-centre=dc-3", "--peers=" + first.peers() + "," + second.peers() });
+    const DaemonFleet fleet({ .declaration = openDemoRoute });
+    auto& first = fleet.daemon(0);
+    auto& second = fleet.daemon(1);
     TargetUnderTest former(first, { "--service=demo" });
     CHECK(orderUntilRun(first.callers(), "k1", "k1").status == 200);
     former.setMode(R"({"drain": true})");
--- a/src/daemon/SharePlugin_test.cpp
+++ b/src/daemon/SharePlugin_test.cpp
@@ -1,6 +1,6 @@
 // Client accounts' limits over several real daemons, counted at the target.
 #include "config/KeyDigest.h"
-#include "fixture/DaemonUnderTest.h"
+#include "fixture/DaemonFleet.h"
 #include "fixture/TargetUnderTest.h"
 #include "http/Client.h"
 #include "testing/Application.h"
@@ -35,14 +35,16 @@
         const auto line = m_store.waitForLine("listening on ", patience);
         REQUIRE(line);
         m_storeAddress = line->substr(line->rfind(' ') + 1);
-        for (std::size_t i = 0; i < 3; ++i)
-            m_daemons.push_back(std::make_unique<DaemonUnderTest>(arguments(i)));
-        m_target = std::make_unique<TargetUnderTest>(*m_daemons.front(), std::vector<std::string> { "--service=demo" });
+        m_daemons = std::make_unique<DaemonFleet>(DaemonFleet::Options { .dataCentres = 2,
+            .arguments = { "--store=" + m_storeAddress, "--seat-count=8", "--suspicion-timeout-ms=1000",
+                "--key-contact-limit-ms=600000", "--operators=ann:" + config::digestOfKey("ann-token") } });
+        m_target
+            = std::make_unique<TargetUnderTest>(m_daemons->daemon(0), std::vector<std::string> { "--service=demo" });
         declare();
         waitUntilServed();
     }
 
-    auto daemon(std::size_t i) -> DaemonUnderTest& { return *m_daemons[i]; }
+    auto daemon(std::size_t i) -> DaemonUnderTest& { return m_daemons->daemon(i); }
     auto store() -> ProcessUnderTest& { return m_store; }
 
     // call() sends one request with the account's key to each daemon every 5 ms for `duration`, 15 times the rate, and
@@ -54,11 +56,12 @@
         QEventLoop loop;
         QTimer timer;
         QObject::connect(&timer, &QTimer::timeout, [&] {
-            for (const auto& daemon : m_daemons) {
-                client.send(daemon->callers(), request(), { .timeout = 5s }, [&statuses](http::ExchangeResult result) {
-                    const auto* const answer = std::get_if<http::Answer>(&result);
-                    ++statuses[answer ? answer->status : 0];
-                });
+            for (std::size_t i = 0; i < m_daemons->size(); ++i) {
+                client.send(
+                    daemon(i).callers(), request(), { .timeout = 5s }, [&statuses](http::ExchangeResult result) {
+                        const auto* const answer = std::get_if<http::Answer>(&result);
+                        ++statuses[answer ? answer->status : 0];
+                    });
             }
         });
         timer.start(5ms);
@@ -88,7 +91,7 @@
     auto statusOf(std::size_t i) -> int
     {
         Error reason;
-        const auto answer = simpleCall(m_daemons[i]->callers(), request(), patience, reason);
+        const auto answer = simpleCall(daemon(i).callers(), request(), patience, reason);
         return answer ? answer->status : 0;
     }
 
@@ -106,17 +109,6 @@
     }
 
 private:
-    auto arguments(std::size_t i) -> std::vector<std::string>
-    {
-        std::vector<std::string> result { "--store=" + m_storeAddress, "--seat-count=8",
-            "--data-centre=dc-" + std::to_string(i % 2), "--suspicion-timeout-ms=1000", "--key-contact-limit-ms=600000",
-            "--operators=ann:" + config::digestOfKey("ann-token") };
-        if (i > 0) {
-            result.push_back("--peers=" + m_daemons.front()->peers());
-        }
-        return result;
-    }
-
     static auto request() -> http::Request
     {
         http::Request request { .method = "GET", .target = "/a", .headers = {}, .body = {} };
@@ -141,7 +133,7 @@
         http::Request request { .method = "POST", .target = path, .headers = {}, .body = body };
         request.headers.add("Authorization", "Bearer ann-token");
         Error reason;
-        const auto answer = simpleCall(m_daemons.front()->admin(), request, patience, reason);
+        const auto answer = simpleCall(daemon(0).admin(), request, patience, reason);
         REQUIRE(answer);
         INFO(answer->body);
         REQUIRE(answer->status < 300);
@@ -150,13 +142,13 @@
 
     auto waitUntilServed() -> void
     {
-        for (std::size_t i = 0; i < m_daemons.size(); ++i)
+        for (std::size_t i = 0; i < m_daemons->size(); ++i)
             REQUIRE(isServedWithin(i, 20s));
     }
 
     ProcessUnderTest m_store;
     std::string m_storeAddress;
-    std::vector<std::unique_ptr<DaemonUnderTest>> m_daemons;
+    std::unique_ptr<DaemonFleet> m_daemons;
     std::unique_ptr<TargetUnderTest> m_target;
 };
 
