Serve the scripted peers of tests from one raw server

Cause: the peers of HttpClient_test, OddTarget of TargetRelay_test and the raw server of the platform's tests each accepted connections on an io_context, read a request, sent chosen bytes and kept, closed or reset the connection, in code of their own. ScriptedTarget did the same on a thread with blocking Qt sockets.

Change: testing/RawServer.h serves all four. A reply keeps the connection unless it says otherwise, as in HttpClient_test; the platform's two replies that relied on the former default name it. Requests are read by the request parser, and those that came together are answered one after the other. The peer of http/Client_test stays a QTcpServer, as the client under test runs in Qt's event loop, which drives no io_context. No assertion and no bound changed.

--- a/src/relay/TargetRelay_test.cpp
+++ b/src/relay/TargetRelay_test.cpp
@@ -5,12 +5,10 @@
 #include "net/HttpServer.h"
 #include "relay/LocalPlacement.h"
 #include "testing/EntryFixture.h"
+#include "testing/RawServer.h"
 #include "testing/RunUntil.h"
 
 #include <array>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 #include <set>
@@ -19,7 +17,6 @@
 
 namespace coriandergate::relay {
 
-using boost::asio::ip::tcp;
 using namespace std::chrono_literals;
 
 namespace {
@@ -270,60 +267,24 @@
     class OddTarget {
     public:
         OddTarget(boost::asio::io_context& io, std::vector<Sending> script)
-            : m_acceptor(io, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
-            , m_script(std::move(script))
+            : m_script(std::move(script))
+            , m_server(io, [this](const http::Request& request) { return respond(request); })
         {
-            accept();
         }
 
-        [[nodiscard]] auto address() const -> std::string
-        {
-            return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
-        }
+        [[nodiscard]] auto address() const -> std::string { return m_server.address(); }
 
         [[nodiscard]] auto hasExecuted(const std::string& id) const -> bool { return m_executed.count(id) > 0; }
 
     private:
-        struct Connection {
-            explicit Connection(tcp::socket accepted)
-                : socket(std::move(accepted))
-            {
-            }
-            tcp::socket socket;
-            std::string received;
-        };
+        using Then = testing::RawServer::Then;
 
         struct Reply {
             std::string bytes;
             bool isExecuted = true;
-            bool isClosed = false;
-            bool isReset = false;
+            Then then = Then::Keep;
         };
 
-        auto accept() -> void
-        {
-            m_acceptor.async_accept([this](const boost::system::error_code& error, tcp::socket socket) {
-                if (error)
-                    return;
-                read(std::make_shared<Connection>(std::move(socket)));
-                accept();
-            });
-        }
-
-        auto read(const std::shared_ptr<Connection>& connection) -> void
-        {
-            boost::asio::async_read_until(connection->socket, boost::asio::dynamic_buffer(connection->received),
-                "\r\n\r\n", [this, connection](const boost::system::error_code& error, std::size_t size) {
-                    if (error)
-                        return;
-                    const auto head = connection->received.substr(0, size);
-                    connection->received.erase(0, size);
-                    const std::string name = "Request-Id: ";
-                    const auto at = head.find(name) + name.size();
-                    respond(connection, head.substr(at, head.find('\r', at) - at));
-                });
-        }
-
         static auto served(const std::string& id, const std::string& headers = "") -> std::string
         {
             return "HTTP/1.1 200 OK\r\n" + headers + "Signature: signed\r\nRequest-Id: " + id
@@ -372,13 +333,14 @@
                 return { "HTTP/1.1 421 Misdirected Request\r\nRequest-Id: " + id + "\r\nContent-Length: 0\r\n\r\n",
                     false };
             case Oddity::CutServe:
-                return { served(id).substr(0, sending.cut % served(id).size()), true, true };
+                return { served(id).substr(0, sending.cut % served(id).size()), true, Then::Close };
             case Oddity::CutReject:
-                return { rejection.substr(0, sending.cut % rejection.size()), true, true };
+                return { rejection.substr(0, sending.cut % rejection.size()), true, Then::Close };
             case Oddity::InterimThenClose:
-                return { "HTTP/1.1 103 Early Hints\r\nNot-Run: 1\r\nRequest-Id: " + id + "\r\n\r\n", true, true };
+                return { "HTTP/1.1 103 Early Hints\r\nNot-Run: 1\r\nRequest-Id: " + id + "\r\n\r\n", true,
+                    Then::Close };
             case Oddity::Reset:
-                return { "", true, true, true };
+                return { "", true, Then::Reset };
             case Oddity::Hang:
                 return { "" };
             case Oddity::Serve:
@@ -388,26 +350,20 @@
             return { served(id) };
         }
 
-        auto respond(const std::shared_ptr<Connection>& connection, const std::string& id) -> void
+        auto respond(const http::Request& request) -> testing::RawServer::Reply
         {
+            const std::string id(request.headers.find("Request-Id").value_or(""));
             const auto reply = makeReply(m_script[std::min(m_next++, m_script.size() - 1)], id);
             if (reply.isExecuted)
                 m_executed.insert(id);
-            boost::system::error_code ignored; // the relay may have closed the connection
-            boost::asio::write(connection->socket, boost::asio::buffer(reply.bytes), ignored);
-            if (reply.isReset)
-                connection->socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
-            if (reply.isClosed)
-                connection->socket.close(ignored);
-            else
-                read(connection);
+            return { reply.bytes, reply.then };
         }
 
-        tcp::acceptor m_acceptor;
         std::vector<Sending> m_script;
         std::size_t m_next = 0;
         std::string m_lastRejection;
         std::set<std::string> m_executed;
+        testing::RawServer m_server; // last, as it uses the others
     };
 
     // Sends one once-only request for each entry of the script, and returns the first untrue report of the relay.
--- a/platform/testing/RawServer.cpp
+++ b/src/testing/RawServer.cpp
@@ -1,17 +1,28 @@
-#include "platform/testing/RawServer.h"
+#include "testing/RawServer.h"
 
 #include "base/Error.h"
 #include "http/RequestParser.h"
 #include "net/Endpoint.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/write.hpp>
 #include <stdexcept>
 
-namespace coriandergate::platform::testing {
+namespace coriandergate::testing {
 
 using boost::asio::ip::tcp;
 
+namespace {
+
+    auto inTurn(std::vector<RawServer::Reply> replies) -> RawServer::Handler
+    {
+        return [replies = std::move(replies), next = std::size_t(0)](
+                   const http::Request&) mutable { return replies[std::min(next++, replies.size() - 1)]; };
+    }
+
+} // namespace
+
 struct RawServer::Connection {
     explicit Connection(tcp::socket accepted)
         : socket(std::move(accepted))
@@ -39,11 +50,28 @@
     accept();
 }
 
+RawServer::RawServer(boost::asio::io_context& io, Handler handler)
+    : RawServer(io, "127.0.0.1:0", std::move(handler))
+{
+}
+
+RawServer::RawServer(boost::asio::io_context& io, std::vector<Reply> replies)
+    : RawServer(io, inTurn(std::move(replies)))
+{
+}
+
+auto RawServer::address() const -> std::string
+{
+    const auto endpoint = m_acceptor.local_endpoint();
+    return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
+}
+
 auto RawServer::accept() -> void
 {
     m_acceptor.async_accept([this](const boost::system::error_code& error, tcp::socket socket) {
         if (error)
             return;
+        ++m_connections;
         read(std::make_shared<Connection>(std::move(socket)));
         accept();
     });
@@ -62,16 +90,22 @@
 
 auto RawServer::parse(const std::shared_ptr<Connection>& connection) -> void
 {
-    connection->unparsed.erase(0, connection->parser.feed(connection->unparsed));
-    if (connection->parser.progress() != http::ParseProgress::Complete || respond(*connection))
-        read(connection);
+    while (true) {
+        connection->unparsed.erase(0, connection->parser.feed(connection->unparsed));
+        if (connection->parser.progress() != http::ParseProgress::Complete)
+            break;
+        if (!respond(*connection))
+            return;
+    }
+    read(connection);
 }
 
 auto RawServer::respond(Connection& connection) -> bool
 {
+    ++m_requests;
     const auto reply = m_handler(connection.parser.takeRequest());
     connection.parser = http::RequestParser({});
-    boost::system::error_code ignored; // the daemon may have closed the connection
+    boost::system::error_code ignored; // the client may have closed the connection
     boost::asio::write(connection.socket, boost::asio::buffer(reply.bytes), ignored);
     if (reply.then == Then::Keep)
         return true;
@@ -81,4 +115,4 @@
     return false;
 }
 
-} // namespace coriandergate::platform::testing
+} // namespace coriandergate::testing
