--- a/src/log/RequestTrace.cpp
+++ b/src/log/RequestTrace.cpp
@@ -1,5 +1,7 @@
 #include "log/RequestTrace.h"
 
+#include "log/LogLine.h"
+
 #include <algorithm>
 #include <charconv>
 
@@ -10,14 +12,6 @@
     constexpr std::string_view requestField = " request=";
     constexpr std::string_view timeField = "time=";
 
-    // The prefix that a log collector adds ends with the name of the process that wrote the line.
-    auto lastWord(std::string_view prefix) -> std::string
-    {
-        while (!prefix.empty() && prefix.back() == ' ')
-            prefix.remove_suffix(1);
-        return std::string(prefix.substr(prefix.rfind(' ') + 1));
-    }
-
 } // namespace
 
 auto RequestTrace::belongsToRequest(std::string_view line) const -> bool
@@ -34,12 +28,12 @@
 
 auto RequestTrace::add(std::string_view source, std::string_view line) -> void
 {
-    const auto at = line.find(timeField);
-    if (at == std::string_view::npos || !belongsToRequest(line))
+    const auto position = LogLine::locate(line);
+    if (!position || !belongsToRequest(line))
         return;
-    const auto text = line.substr(at);
-    Line entry { 0, at == 0 ? std::string(source) : lastWord(line.substr(0, at)), std::string(text) };
-    const auto timestamp = text.substr(timeField.size());
+    const bool hasPrefix = position->text.size() < line.size();
+    Line entry { 0, std::string(hasPrefix ? position->source : source), std::string(position->text) };
+    const auto timestamp = position->text.substr(timeField.size());
     std::from_chars(timestamp.data(), timestamp.data() + timestamp.size(), entry.time);
     m_lines.push_back(std::move(entry));
 }
