--- a/src/fleet/StoreView_test.cpp
+++ b/src/fleet/StoreView_test.cpp
@@ -167,4 +167,33 @@
     CHECK(time->count() <= 2500);
 }
 
+// Guards against a flood at a store that has just come back, and against hosts that watch on from a version that it
+// gave out again. A naive host reads both tables from the store once it notices.
+TEST_CASE("after the store came back from an older copy all hosts are informed soon, with few requests to it")
+{
+    FleetSimulation fleet({ .hosts = GENERATE(3U, 354U), .seed = GENERATE(1U, 2U) });
+    fleet.startAll();
+    REQUIRE(fleet.timeUntilInformed(1.0, 20s));
+    fleet.runFor(5s);
+    fleet.keepCopy();
+    fleet.runFor(1s);
+    fleet.configure();
+    fleet.runFor(3s);
+    const auto requestsBefore = fleet.storeRequests();
+    const auto bytesBefore = fleet.regionLinkBytes();
+    fleet.restoreStore();
+    const bool writesAtOnce = GENERATE(true, false); // under the version that was lost
+    if (!writesAtOnce)
+        fleet.runFor(3s);
+    fleet.configure();
+    const auto time = fleet.timeUntilInformed(1.0, 10s);
+    const auto requests = fleet.storeRequests() - requestsBefore;
+    const auto bytes = fleet.regionLinkBytes() - bytesBefore;
+    CAPTURE(writesAtOnce, requests, bytes, fleet.snapshotBytes());
+    REQUIRE(time);
+    CHECK(time->count() <= 2500);
+    CHECK(requests <= fleet.hostCount() / 4 + 60);
+    CHECK(bytes <= 10 * fleet.snapshotBytes()); // a naive far region takes 177
+}
+
 } // namespace coriandergate::fleet
--- a/src/testing/FleetSimulation.cpp
+++ b/src/testing/FleetSimulation.cpp
@@ -1,7 +1,7 @@
 #include "testing/FleetSimulation.h"
 
 #include "http/Exchange.h"
-#include "http/Status.h"
+#include "testing/RelayMessages.h"
 
 #include <algorithm>
 
@@ -17,8 +17,7 @@
     constexpr const char* operatorTable = "op";
     constexpr const char* configurationKey = "config";
     constexpr const char* hostTable = "hosts";
-    constexpr std::size_t responseOverhead = 150; // status line and headers
-    constexpr std::size_t rowOverhead = 85; // field names of a row in the store's JSON
+    constexpr auto responseOverhead = SimulatedStore::s_responseOverhead;
     // A new connection takes a round trip before the request follows.
     constexpr int delaysUntilRequest = 3;
     constexpr int delaysUntilRefused = 2;
@@ -32,31 +31,6 @@
         return "10." + std::to_string(host / 200) + ".0." + std::to_string(host % 200) + ":7780";
     }
 
-    auto responseBytes(const StoreResponse& response) -> std::size_t
-    {
-        std::size_t bytes = responseOverhead;
-        for (const auto& row : response.rows)
-            bytes += rowOverhead + row.key.size() + row.value.size() * 4 / 3; // the value is base64
-        return bytes;
-    }
-
-    auto bodyOf(const std::string& request) -> std::string
-    {
-        constexpr std::string_view endOfHeaders = "\r\n\r\n";
-        return request.substr(request.find(endOfHeaders) + endOfHeaders.size());
-    }
-
-    auto decodeAnswer(const http::Answer& answer, const std::string& address) -> fleet::RelayTransport::Result
-    {
-        Error reason { "watch through relay", address, answer.body };
-        if (answer.status != http::statusOk)
-            return reason;
-        auto response = fleet::decodeRelayWatchResponse(answer.body, reason);
-        if (!response)
-            return reason;
-        return std::move(*response);
-    }
-
 } // namespace
 
 class FleetSimulation::HostStoreClient : public StoreClient {
@@ -155,7 +129,6 @@
             put(hostTable, host->key, host->row);
         m_hosts.push_back(std::move(host));
     }
-    m_tables[hostTable];
     configure();
 }
 
@@ -268,7 +241,7 @@
 auto FleetSimulation::isInformed(const Host& host) const -> bool
 {
     const auto now = m_scheduler.suspendAwareNow();
-    return host.view && host.configurationVersion == m_tables.at(operatorTable).at(configurationKey).version
+    return host.view && host.configurationVersion == m_store.row(operatorTable, configurationKey).version
         && host.view->directory().size() == m_hosts.size() && host.view->operatorFreshness().isFresh(now)
         && host.view->hostListFreshness().isFresh(now);
 }
@@ -388,10 +361,9 @@
         m_scheduler.runAfter(delaysUntilRefused * delay(host, relay), [this, id] { failRequest(id); });
         return;
     }
-    http::Request request { .method = "POST",
-        .target = std::string(fleet::relayWatchPath),
-        .headers = {},
-        .body = bodyOf(fleet::encodeRelayWatchRequest(watch)) };
+    http::Request request {
+        .method = "POST", .target = std::string(fleet::relayWatchPath), .headers = {}, .body = relayRequestBody(watch)
+    };
     m_scheduler.runAfter(delaysUntilRequest * delay(host, relay),
         [this, id, relay, address, request = std::move(request), done = std::move(done)] {
             const auto found = m_requests.find(id);
@@ -404,7 +376,7 @@
             const auto exchange = std::make_shared<http::Exchange>(
                 request, "caller", 0, [this, id, address, done](const http::Answer& answer) {
                     respond(id, responseOverhead + answer.body.size(),
-                        [done, result = decodeAnswer(answer, address)] { done(result); });
+                        [done, result = decodeRelayAnswer(answer, address)] { done(result); });
                 });
             found->second.abandon = [weak = std::weak_ptr(exchange)] {
                 if (const auto open = weak.lock())
@@ -450,14 +422,20 @@
         });
         return;
     }
-    auto response = rowsAfter(watch.table, watch.after);
+    if (!m_store.hasGivenOut(watch.after)) {
+        respond(id, responseOverhead, [done, era = m_store.era()] {
+            done(StoreFailure { StoreFailure::Kind::HistoryTruncated, { "watch", "store", "status 410" }, {}, era });
+        });
+        return;
+    }
+    auto response = m_store.rowsAfter(watch.table, watch.after, storeTime());
     if (range && range->limit > 0) {
         std::erase_if(response.rows,
             [&range](const fleet::StoreRow& row) { return row.key < range->firstKey || row.key >= range->endKey; });
         response.rows.resize(std::min(range->limit, response.rows.size()));
     }
     if (range || !response.rows.empty() || watch.wait.count() == 0) {
-        respond(id, responseBytes(response), [done, response] { done(response); });
+        respond(id, SimulatedStore::responseBytes(response), [done, response] { done(response); });
         return;
     }
     m_storeWatches[id] = { watch, done };
@@ -471,30 +449,13 @@
         return;
     const auto [watch, done] = std::move(found->second);
     m_storeWatches.erase(found);
-    const auto response = rowsAfter(watch.table, watch.after);
-    respond(id, responseBytes(response), [done = done, response] { done(response); });
-}
-
-auto FleetSimulation::storeTime() const -> milliseconds
-{
-    return std::chrono::duration_cast<milliseconds>(m_scheduler.now().time_since_epoch());
-}
-
-auto FleetSimulation::rowsAfter(const std::string& table, std::uint64_t after) const -> StoreResponse
-{
-    StoreResponse response;
-    response.newestVersion = m_version;
-    response.storeTime = storeTime();
-    for (const auto& [key, row] : m_tables.at(table)) {
-        if (row.version > after)
-            response.rows.push_back(row);
-    }
-    return response;
+    const auto response = m_store.rowsAfter(watch.table, watch.after, storeTime());
+    respond(id, SimulatedStore::responseBytes(response), [done = done, response] { done(response); });
 }
 
 auto FleetSimulation::put(const std::string& table, const std::string& key, const std::string& value) -> void
 {
-    m_tables[table][key] = { key, value, ++m_version, false };
+    m_store.put(table, key, value);
     std::vector<RequestId> changed;
     for (const auto& [id, pending] : m_storeWatches) {
         if (pending.first.table == table)
@@ -504,6 +465,16 @@
         endStoreWatch(id);
 }
 
+auto FleetSimulation::restoreStore() -> void
+{
+    m_store.restore();
+    for (const auto& [id, pending] : std::exchange(m_storeWatches, {})) {
+        respond(id, responseOverhead, [done = pending.second, era = m_store.era()] {
+            done(StoreFailure { StoreFailure::Kind::NotApplied, { "watch", "store", "status 503" }, {}, era });
+        });
+    }
+}
+
 auto FleetSimulation::hostsWatchingConfiguration() const -> std::set<std::size_t>
 {
     std::set<std::size_t> hosts;
@@ -516,16 +487,12 @@
 
 auto FleetSimulation::snapshotBytes() const -> std::size_t
 {
-    return responseBytes(rowsAfter(operatorTable, 0)) + responseBytes(rowsAfter(hostTable, 0));
+    return m_store.tableBytes(operatorTable) + m_store.tableBytes(hostTable);
 }
 
-auto FleetSimulation::emptyResponseBytes() -> std::size_t { return responseBytes({}); }
-
 auto FleetSimulation::firstHostsBytes() const -> std::size_t
 {
-    auto response = rowsAfter(hostTable, 0);
-    response.rows.resize(std::min(response.rows.size(), fleet::BootstrapReader::Options {}.firstHosts));
-    return responseBytes(response);
+    return m_store.tableBytes(hostTable, fleet::BootstrapReader::Options {}.firstHosts);
 }
 
 } // namespace coriandergate::testing
--- a/src/testing/FleetSimulation.h
+++ b/src/testing/FleetSimulation.h
@@ -14,6 +14,7 @@
 #include "fleet/StoreView.h"
 #include "testing/SimulatedNetwork.h"
 #include "testing/SimulatedScheduler.h"
+#include "testing/SimulatedStore.h"
 
 #include <chrono>
 #include <cstddef>
@@ -61,6 +62,11 @@
     auto configure() -> void;
     auto setState(std::size_t host, fleet::HostRecord::State state) -> void;
 
+    // restoreStore() puts the store back to its content at the last keepCopy(), as SimulatedStore does, and ends all
+    // watches.
+    auto keepCopy() -> void { m_store.keepCopy(); }
+    auto restoreStore() -> void;
+
     // stateAtStart() is the state in its own row that a host's daemon learned with the list of hosts when it started.
     [[nodiscard]] auto stateAtStart(std::size_t host) const -> std::optional<fleet::HostRecord::State>;
 
@@ -85,7 +91,7 @@
     // Size of the store's response with the first host rows of a region, which each starting daemon reads.
     [[nodiscard]] auto firstHostsBytes() const -> std::size_t;
     // Size of the store's response without rows.
-    [[nodiscard]] static auto emptyResponseBytes() -> std::size_t;
+    [[nodiscard]] static auto emptyResponseBytes() -> std::size_t { return SimulatedStore::s_responseOverhead; }
 
 private:
     struct Host;
@@ -120,8 +126,10 @@
     auto handleAtStore(RequestId id, const fleet::StoreClient::WatchRequest& watch,
         const std::optional<fleet::StoreClient::RangeRequest>& range, const fleet::StoreClient::Callback& done) -> void;
     auto endStoreWatch(RequestId id) -> void;
-    [[nodiscard]] auto storeTime() const -> std::chrono::milliseconds;
-    [[nodiscard]] auto rowsAfter(const std::string& table, std::uint64_t after) const -> fleet::StoreResponse;
+    [[nodiscard]] auto storeTime() const -> std::chrono::milliseconds
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(m_scheduler.now().time_since_epoch());
+    }
     auto put(const std::string& table, const std::string& key, const std::string& value) -> void;
     [[nodiscard]] auto delay(std::size_t from, std::optional<std::size_t> to) const -> std::chrono::milliseconds;
     [[nodiscard]] auto responsePath(std::optional<std::size_t> from, std::size_t to) const
@@ -134,8 +142,7 @@
     SimulatedNetwork::Link m_regionLink; // from the store's region
     SimulatedNetwork::Link m_reverseRegionLink;
     std::vector<std::unique_ptr<Host>> m_hosts;
-    std::map<std::string, std::map<std::string, fleet::StoreRow>> m_tables;
-    std::uint64_t m_version = 0;
+    SimulatedStore m_store;
     std::map<RequestId, Request> m_requests;
     std::map<RequestId, std::pair<fleet::StoreClient::WatchRequest, fleet::StoreClient::Callback>> m_storeWatches;
     RequestId m_nextRequest = 1;
