Let calls of targets inherit the priority of the runs under way

Cause: a call that a target makes while it executes a request waits with the highest priority of the called service, whatever its run is worth, so the calls of cheap requests compete with the dearest ones.

Change: the daemon that takes the call is the owner of the target that makes it. It counts the priorities of the runs under way, and a call gets the highest of them, which bounds that of its own run; without any known, the service's highest as before. Only for called services with little slack.

--- a/src/relay/EntryContext.h
+++ b/src/relay/EntryContext.h
@@ -30,6 +30,10 @@
 #include <string_view>
 #include <vector>
 
+namespace coriandergate::dispatch {
+class RunningPriorities;
+}
+
 namespace coriandergate::fleet {
 class HostDirectory;
 }
@@ -98,6 +102,7 @@
     dispatch::StalenessTracker& hostListFreshness;
     const fleet::HostDirectory& directory;
     CrashRegistry& crashRegistry;
+    const dispatch::RunningPriorities* runningPriorities = nullptr; // of this host's target; null: not known
     std::shared_ptr<const PolicySnapshot> snapshot; // null until the first configuration arrives
     dispatch::Evacuations evacuations;
     MonotonicTime startedAt = monotonicNow();
--- a/src/relay/EntryRequest.cpp
+++ b/src/relay/EntryRequest.cpp
@@ -90,7 +90,6 @@
         refuse(*refusal);
         return;
     }
-    m_priority = m_admitted.priority;
     (*m_openRequests)[this] = weak_from_this();
     armDeadlineTimer();
     checkRateLimit();
@@ -152,8 +151,7 @@
 auto EntryRequest::prepareForwarding() -> void
 {
     m_service = PolicySnapshot::chooseService(*m_admitted.route, m_context.nextSplitPosition(m_admitted.route->name));
-    if (m_admitted.isCallFromTarget())
-        m_priority = std::min(m_priority, m_admitted.snapshot->highestPriority(m_service));
+    m_priority = m_admitted.queuePriority(m_context, m_service);
     const auto now = monotonicNow();
     m_context.retryBudget.recordRequest(m_service, now);
     m_context.hedging.recordRequest(m_service);
--- a/src/relay/FairWaiting_test.cpp
+++ b/src/relay/FairWaiting_test.cpp
@@ -123,4 +123,39 @@
     CHECK_FALSE(waiting.front()->result);
 }
 
+TEST_CASE("the relay knows the priorities of the requests that its target executes")
+{
+    Relay fixture;
+    auto& relay = *fixture.relay;
+    const auto peer = fixture.reserve("shop", 0s, 3);
+    REQUIRE(fixture.statusOf(*peer) == 200);
+    CHECK_FALSE(relay.runningPriorities().highest()); // nothing was sent yet
+    peer->result.reset();
+    http::Request request;
+    request.method = "POST";
+    request.target = "/orders/1";
+    request.headers.add("Host", "shop.example");
+    REQUIRE(fixture.client.sendNext(peer->call,
+        encodeRunRequest(
+            { .request = request, .requestId = "r", .isIdempotent = true, .timeLeft = 10s, .targetLatencyLeft = 10s }),
+        { .timeout = 10s }, [peer](net::HttpClient::Result received) { peer->result = std::move(received); }));
+    testing::runUntil(fixture.io, [&fixture] { return !fixture.executing.empty(); });
+    REQUIRE(fixture.executing.size() == 1);
+    CHECK(relay.runningPriorities().highest() == 3);
+    SECTION("the target responds")
+    {
+        auto response = http::makeAnswer(200, "text/plain", "");
+        response.headers.add(fixture.names.signature, "signed");
+        response.headers.add(fixture.names.requestId, "r");
+        fixture.executing.front()->answer(std::move(response));
+        CHECK(fixture.statusOf(*peer) == 200);
+    }
+    SECTION("the caller leaves")
+    {
+        fixture.client.cancel(peer->call);
+        testing::runUntil(fixture.io, [&relay] { return relay.running() == 0; });
+    }
+    CHECK_FALSE(relay.runningPriorities().highest());
+}
+
 } // namespace coriandergate::relay
--- a/src/relay/RequestAdmission.cpp
+++ b/src/relay/RequestAdmission.cpp
@@ -1,5 +1,6 @@
 #include "relay/RequestAdmission.h"
 
+#include "dispatch/RunningPriorities.h"
 #include "http/Request.h"
 #include "http/Status.h"
 #include "relay/EntryContext.h"
@@ -59,6 +60,16 @@
     return isUrgent ? RetryClass::HighPriority : RetryClass::LowPriority;
 }
 
+auto AdmittedRequest::queuePriority(const EntryContext& context, const std::string& service) const -> int
+{
+    if (!isCallFromTarget())
+        return priority;
+    const auto running = context.runningPriorities && snapshot->hasLittleSlack(service)
+        ? context.runningPriorities->highest()
+        : std::nullopt;
+    return running.value_or(std::min(priority, snapshot->highestPriority(service)));
+}
+
 auto AdmittedRequest::queueAccount(std::string_view service) const -> const config::ClientAccount*
 {
     return clientAccount && snapshot->hasLittleSlack(service) ? clientAccount : nullptr;
--- a/src/relay/RequestAdmission.h
+++ b/src/relay/RequestAdmission.h
@@ -43,6 +43,10 @@
     // another request: if the call fails, the calling request fails too and its work is lost.
     [[nodiscard]] auto isCallFromTarget() const -> bool { return !clientAccount; }
 
+    // queuePriority() is the priority with which it waits at a target of `service`. A call gets the highest priority of
+    // the requests that this host's target executes, or of the service's routes where that isn't known.
+    [[nodiscard]] auto queuePriority(const EntryContext& context, const std::string& service) const -> int;
+
     // queueAccount() is the client account that takes turns with others at a target of `service`; null where requests
     // are served by deadline, and for a call.
     [[nodiscard]] auto queueAccount(std::string_view service) const -> const config::ClientAccount*;
--- a/src/relay/RequestAdmission_test.cpp
+++ b/src/relay/RequestAdmission_test.cpp
@@ -1,6 +1,7 @@
 #include "relay/RequestAdmission.h"
 
 #include "config/KeyDigest.h"
+#include "dispatch/RunningPriorities.h"
 #include "http/Request.h"
 #include "testing/EntryFixture.h"
 
@@ -102,17 +103,46 @@
     CHECK_FALSE(admitted.isCallFromTarget());
 }
 
-TEST_CASE_METHOD(Admission, "a request with a key takes turns by account where time is scarce")
+TEST_CASE_METHOD(Admission, "a call inherits the highest priority of the running requests where time is scarce")
 {
+    dispatch::RunningPriorities running;
+    context.runningPriorities = &running;
+    auto configuration = context.snapshot->configuration();
+    configuration.routes.front().targetLatency = GENERATE(2s, 1s); // of a deadline of 5 s
+    const bool hasLittleSlack = configuration.routes.front().targetLatency == 2s;
+    configuration.routes.front().priority = 7;
+    context.snapshot = std::make_shared<const PolicySnapshot>(std::move(configuration));
+    REQUIRE_FALSE(admit());
+    CHECK(admitted.queueAccount("stock") == nullptr);
+    CHECK(admitted.queuePriority(context, "stock") == 4);
+    running.add(9);
+    CHECK(admitted.queuePriority(context, "stock") == (hasLittleSlack ? 9 : 4));
+    running.add(6);
+    running.add(6);
+    running.remove(6);
+    CHECK(admitted.queuePriority(context, "stock") == (hasLittleSlack ? 6 : 4));
+    running.remove(6);
+    CHECK(admitted.queuePriority(context, "stock") == (hasLittleSlack ? 9 : 4));
+    running.remove(9);
+    CHECK(admitted.queuePriority(context, "stock") == 4);
+}
+
+TEST_CASE_METHOD(Admission, "a request with a key keeps its priority and takes turns by account where time is scarce")
+{
+    dispatch::RunningPriorities running;
+    running.add(0);
+    context.runningPriorities = &running;
     request.target = "/keyed/1";
     request.headers.add("Key", "secret");
     recordFreshResponse();
     REQUIRE_FALSE(admit());
+    CHECK(admitted.queuePriority(context, "stock") == 1);
     CHECK(admitted.queueAccount("stock") == nullptr);
     auto configuration = context.snapshot->configuration();
     configuration.routes.front().targetLatency = 2s;
     context.snapshot = std::make_shared<const PolicySnapshot>(std::move(configuration));
     REQUIRE_FALSE(admit());
+    CHECK(admitted.queuePriority(context, "stock") == 1);
     CHECK(admitted.queueAccount("stock") == admitted.clientAccount);
 }
 
--- a/src/relay/TargetRelay.cpp
+++ b/src/relay/TargetRelay.cpp
@@ -274,6 +274,7 @@
 auto TargetRelay::sendToTarget(const std::shared_ptr<Run>& run, RunRequest message) -> void
 {
     run->startedAt = monotonicNow();
+    m_runningPriorities.add(run->slot.priority);
     if (message.isIdempotent)
         m_callRatio.recordRequest(run->startedAt);
     const auto request = makeTargetRequest(message, message.timeLeft);
@@ -341,6 +342,8 @@
     run.unresponsiveTimer.reset();
     if (run.slot.isProbe)
         m_health.endProbe();
+    if (run.startedAt != MonotonicTime {})
+        m_runningPriorities.remove(run.slot.priority);
     if (std::exchange(run.holdsPermit, false))
         m_warmUp.giveBack();
     m_slots.release(serviceTime, run.slot.ticket);
--- a/src/relay/TargetRelay.h
+++ b/src/relay/TargetRelay.h
@@ -10,6 +10,7 @@
 #pragma once
 
 #include "dispatch/CallRatio.h"
+#include "dispatch/RunningPriorities.h"
 #include "dispatch/SlotQueue.h"
 #include "dispatch/TargetHealth.h"
 #include "dispatch/WarmUp.h"
@@ -96,6 +97,9 @@
     // setPlacement() sets what decides by its place whether the target gets a request; it outlives the relay.
     auto setPlacement(const LocalPlacement& placement) -> void { m_placement = &placement; }
 
+    // runningPriorities() are those of the requests that the target executes now.
+    [[nodiscard]] auto runningPriorities() const -> const dispatch::RunningPriorities& { return m_runningPriorities; }
+
     // running() is the number of occupied slots.
     [[nodiscard]] auto running() const -> std::size_t { return m_slots.load().running; }
     // loadReport() is the state of the target that entries receive with every response.
@@ -139,6 +143,7 @@
     Options m_options;
     net::HttpClient m_client;
     dispatch::SlotQueue m_slots;
+    dispatch::RunningPriorities m_runningPriorities;
     dispatch::TargetHealth m_health;
     dispatch::WarmUp m_warmUp;
     SlotReservations m_reservations;
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -237,6 +237,7 @@
     crashRegistry.setStoreClock([this] { return storeView.hostListFreshness().storeTime(SuspendAwareClock::now()); });
     registration.onTargetChanged([this] { targetRelay.onTargetChanged(); });
     targetRelay.setPlacement(localPlacement);
+    entryContext.runningPriorities = &targetRelay.runningPriorities();
     registration.onHeartbeat([this] { targetRelay.onHeartbeat(); });
     if (!callerServer.listen(settings.callerListenAddress, reason)
         || !peerServer.listen(settings.peerListenAddress, reason)
