Order the classes of SlotQueue by a plain comparison

Cause: the linter takes a defaulted three-way comparison for a function without a trailing return type, and for a null pointer. Change: operator<, which is all that the map needs.

--- a/src/dispatch/SlotQueue.cpp
+++ b/src/dispatch/SlotQueue.cpp
@@ -107,7 +107,7 @@
     if (request.clientAccount.empty())
         return false;
     const auto requestClass = classOf(request);
-    for (auto queue = m_queues.rbegin(); queue != m_queues.rend() && queue->first >= requestClass; ++queue) {
+    for (auto queue = m_queues.rbegin(); queue != m_queues.rend() && !(queue->first < requestClass); ++queue) {
         if (!queue->first.hasClientAccount)
             continue;
         const auto evicted
--- a/src/dispatch/SlotQueue.h
+++ b/src/dispatch/SlotQueue.h
@@ -26,6 +26,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -112,7 +113,10 @@
         int priority = 0;
         bool hasClientAccount = false;
 
-        friend auto operator<=>(const Class&, const Class&) = default;
+        friend auto operator<(const Class& left, const Class& right) -> bool
+        {
+            return std::tie(left.priority, left.hasClientAccount) < std::tie(right.priority, right.hasClientAccount);
+        }
     };
 
     // Charge is what a running request's account was charged when it was granted.
