Bound times and numbers of messages where they are decoded

Cause: fuzz targets and the sanitized build of the tests showed that decoders passed on what later sums overflow or what is no amount: a target's header with ms of cold time, times of peers' CBOR, doubles where integers are asked for (undefined when cast), 900 % of rejected requests, infinite calls per request. Boost.Beast asserts on a legal chunked request whose last chunk comes in two reads, in builds with assertions ("20,000 damaged requests" aborts there). A request that came without Host over HTTP/1.0 was sent on over HTTP/1.1 without one. Change: http::readInteger and readTime bound what CBOR holds, the text decoders of PeerMessages their own numbers; the parsers wait for five bytes of what begins like a last chunk; the serializer adds an empty Host.

--- a/src/fleet/RelayWatchCodec.cpp
+++ b/src/fleet/RelayWatchCodec.cpp
@@ -15,14 +15,14 @@
     public:
         // VersionReader() reads the era at `index` of `message`; 0 from a daemon that doesn't send one.
         VersionReader(const json& message, std::size_t index)
-            : m_era(message.size() > index ? message.at(index).get<std::uint64_t>() : 0)
+            : m_era(message.size() > index ? http::readInteger<std::uint64_t>(message.at(index)) : 0)
             , m_isInRange(m_era <= maximumEra)
         {
         }
 
         [[nodiscard]] auto read(const json& value) -> std::uint64_t
         {
-            const auto number = value.get<std::uint64_t>();
+            const auto number = http::readInteger<std::uint64_t>(value);
             m_isInRange = m_isInRange && number <= maximumVersionNumber;
             return m_isInRange ? makeVersion(m_era, number) : 0;
         }
@@ -59,7 +59,7 @@
         VersionReader versions(value, 5);
         request.after = versions.read(value.at(1));
         isInRange = versions.isInRange(step, reason);
-        request.wait = milliseconds(value.at(2).get<milliseconds::rep>());
+        request.wait = http::readTime(value.at(2));
         // Daemons of version 0.1.0 don't send the following fields.
         request.isSnapshot = value.size() > 3 && value.at(3).get<bool>();
         request.canOutliveOutage = value.size() > 4 && value.at(4).get<bool>();
@@ -85,7 +85,7 @@
     const bool isDecoded = http::readCbor(body, step, reason, [&](const json& value) {
         VersionReader versions(value, 3);
         response.newestVersion = versions.read(value.at(0));
-        response.storeTime = milliseconds(value.at(1).get<milliseconds::rep>());
+        response.storeTime = http::readTime(value.at(1));
         for (const auto& row : value.at(2))
             response.rows.push_back({ row.at(0).get<std::string>(), row.at(1).get<std::string>(),
                 versions.read(row.at(2)), row.at(3).get<bool>() });
--- a/src/http/CborMessage.cpp
+++ b/src/http/CborMessage.cpp
@@ -25,6 +25,14 @@
     return serializeRequest(request);
 }
 
+auto readTime(const json& value) -> std::chrono::milliseconds
+{
+    const std::chrono::milliseconds time { readInteger<std::chrono::milliseconds::rep>(value) };
+    if (time < -maximumMessageTime || time > maximumMessageTime)
+        throw std::out_of_range("must be a time within twenty years");
+    return time;
+}
+
 auto readCbor(const std::string& body, const char* step, Error& reason, const std::function<void(const json&)>& read)
     -> bool
 {
@@ -36,7 +44,7 @@
     try {
         read(*value);
         return true;
-    } catch (const json::exception& exception) {
+    } catch (const std::exception& exception) {
         reason = { step, "", exception.what() };
         return false;
     }
--- a/src/http/RequestParser_test.cpp
+++ b/src/http/RequestParser_test.cpp
@@ -97,6 +97,34 @@
     CHECK(refused > 1000);
 }
 
+// Guards against an assertion of Boost.Beast on a legal request, in builds that have assertions.
+TEST_CASE("a chunked body may end at any byte of a read")
+{
+    const std::string head = "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string body
+        = GENERATE("0\r\n\r\n", "0\r\nT: 1\r\n\r\n", "2\r\nok\r\n0\r\n\r\n", "1;e=1\r\nk\r\n00\r\n\r\n");
+    for (std::size_t cut = 0; cut < body.size(); ++cut) {
+        RequestParser parser({});
+        auto unread = head + body.substr(0, cut);
+        unread.erase(0, parser.feed(unread));
+        CHECK(parser.progress() == ParseProgress::NeedsMore);
+        unread += body.substr(cut);
+        CHECK(parser.feed(unread) == unread.size());
+        CHECK(parser.progress() == ParseProgress::Complete);
+    }
+}
+
+TEST_CASE("a request that came without Host is sent with an empty one")
+{
+    RequestParser parser({});
+    parser.feed("GET /a HTTP/1.0\r\n\r\n");
+    REQUIRE(parser.progress() == ParseProgress::Complete);
+    RequestParser next({});
+    next.feed(serializeRequest(parser.takeRequest()));
+    CHECK(next.progress() == ParseProgress::Complete);
+    CHECK(next.takeRequest().headers.find("Host") == "");
+}
+
 TEST_CASE("headers and bodies beyond their limits are refused")
 {
     const auto all = [] { return std::size_t { 100000 }; };
--- a/src/http/Serialize.cpp
+++ b/src/http/Serialize.cpp
@@ -61,6 +61,9 @@
     message.target(toBeast(request.target));
     HeaderList headers = request.headers;
     headers.removeAll("Transfer-Encoding");
+    // HTTP/1.1 needs one, which a request that came with HTTP/1.0 may lack; it is empty where there is no name.
+    if (!headers.find("Host"))
+        headers.add("Host", "");
     if (headers.find("Content-Length") || !request.body.empty())
         setContentLength(headers, request.body.size());
     insertHeaders(message, headers);
--- a/src/http/internal/BeastBuffer.h
+++ b/src/http/internal/BeastBuffer.h
@@ -35,6 +35,10 @@
         && length->find_first_not_of("0123456789") == std::string_view::npos;
 }
 
+// Size of "0\r\n\r\n". Beast asserts that it is given as many bytes when it returns to an unfinished last chunk. A
+// chunked body never ends with fewer bytes left, so that waiting for more holds nothing up.
+inline constexpr std::size_t lastChunkBytes = 5;
+
 // feedParser() gives `bytes` to a Beast parser until it needs more, is done or fails. After the header block is parsed,
 // `onHeaders` is called once with the number of bytes used so far, before any body byte is read; it returns false to
 // stop there.
@@ -46,6 +50,8 @@
     while (used < bytes.size() && !parser.is_done()) {
         const bool hadHeaders = parser.is_header_done();
         const auto rest = bytes.substr(used);
+        if (hadHeaders && parser.chunked() && rest.front() == '0' && rest.size() < lastChunkBytes)
+            break;
         used += parser.put(boost::asio::const_buffer(rest.data(), rest.size()), error);
         if (error == boost::beast::http::error::need_more) {
             error = {};
--- a/src/relay/PeerMessages.cpp
+++ b/src/relay/PeerMessages.cpp
@@ -9,6 +9,7 @@
 #include <charconv>
 #include <cmath>
 #include <cstdio>
+#include <utility>
 #include <vector>
 
 namespace coriandergate::relay {
@@ -80,10 +81,10 @@
     const bool isDecoded = http::readCbor(body, decodeStep, reason, [&message](const json& value) {
         message.requestId = value.at(ReserveRequestId).get<std::string>();
         message.service = value.at(ReserveService).get<std::string>();
-        message.priority = value.at(ReservePriority).get<int>();
+        message.priority = http::readInteger<int>(value.at(ReservePriority));
         message.isIdempotent = value.at(ReserveIdempotent).get<bool>();
-        message.targetLatencyLeft = milliseconds(value.at(ReserveTargetLatencyLeft).get<milliseconds::rep>());
-        message.maximumWait = milliseconds(value.at(ReserveMaximumWait).get<milliseconds::rep>());
+        message.targetLatencyLeft = http::readTime(value.at(ReserveTargetLatencyLeft));
+        message.maximumWait = http::readTime(value.at(ReserveMaximumWait));
         message.isPastTargetLatency = value.at(ReservePastTargetLatency).get<bool>();
         message.acceptsFailingTarget = value.at(ReserveAcceptsFailing).get<bool>();
     });
@@ -120,12 +121,12 @@
         message.callerService = value.at(RunCallerService).get<std::string>();
         message.clientAccount = value.at(RunClientAccount).get<std::string>();
         message.isIdempotent = value.at(RunIdempotent).get<bool>();
-        message.timeLeft = milliseconds(value.at(RunTimeLeft).get<milliseconds::rep>());
-        message.targetLatencyLeft = milliseconds(value.at(RunTargetLatencyLeft).get<milliseconds::rep>());
+        message.timeLeft = http::readTime(value.at(RunTimeLeft));
+        message.targetLatencyLeft = http::readTime(value.at(RunTargetLatencyLeft));
         if (!value.at(RunExpiresAt).is_null())
-            message.expiresAt = milliseconds(value.at(RunExpiresAt).get<milliseconds::rep>());
+            message.expiresAt = http::readTime(value.at(RunExpiresAt));
         if (value.size() > RunConfigurationVersion)
-            message.configurationVersion = value.at(RunConfigurationVersion).get<std::uint64_t>();
+            message.configurationVersion = http::readInteger<std::uint64_t>(value.at(RunConfigurationVersion));
     });
     return isDecoded ? std::optional(std::move(message)) : std::nullopt;
 }
@@ -167,7 +168,7 @@
 {
     CrashReport message;
     const bool isDecoded = http::readCbor(body, decodeStep, reason, [&message](const json& value) {
-        message.fingerprint = value.at(0).get<std::uint64_t>();
+        message.fingerprint = http::readInteger<std::uint64_t>(value.at(0));
         message.target = value.at(1).get<std::string>();
         message.hasSucceeded = value.at(2).get<bool>();
     });
@@ -179,7 +180,9 @@
 auto decodeRetryAfter(std::string_view text) -> std::optional<milliseconds>
 {
     const auto number = parseNumber<milliseconds::rep>(text);
-    return number ? std::optional(milliseconds(*number)) : std::nullopt;
+    if (!number || *number < 0 || *number > http::maximumMessageTime.count())
+        return std::nullopt;
+    return milliseconds(*number);
 }
 
 auto encodeCrashes(std::size_t crashes) -> std::string { return std::to_string(crashes); }
@@ -242,10 +245,16 @@
     if (numbers.size() < 3)
         return std::nullopt;
     TargetLoadReport report { .load = { numbers[0], numbers[1], numbers[2] } };
-    if (numbers.size() > 3)
+    if (numbers.size() > 3) {
         report.rejectionRate = static_cast<double>(numbers[3]) / percentPerUnit;
-    if (numbers.size() > 4)
+        if (report.rejectionRate > 1)
+            return std::nullopt;
+    }
+    if (numbers.size() > 4) {
+        if (std::cmp_greater(numbers[4], http::maximumMessageTime.count()))
+            return std::nullopt;
         report.nextProbeIn = milliseconds(numbers[4]);
+    }
     return report;
 }
 
@@ -283,8 +292,8 @@
         const auto equals = item.rfind('=');
         double count = 0;
         const auto* end = item.data() + item.size();
-        if (equals != std::string_view::npos
-            && std::from_chars(item.data() + equals + 1, end, count).ec == std::errc {})
+        if (equals != std::string_view::npos && std::from_chars(item.data() + equals + 1, end, count).ec == std::errc {}
+            && std::isfinite(count) && count >= 0)
             calls[std::string(item.substr(0, equals))] = count;
         text.remove_prefix(std::min(text.size(), item.size() + 1));
     }
--- a/src/relay/PeerMessages_test.cpp
+++ b/src/relay/PeerMessages_test.cpp
@@ -1,5 +1,8 @@
 #include "relay/PeerMessages.h"
 
+#include "base/Error.h"
+#include "http/CborMessage.h"
+
 #include <catch2/catch.hpp>
 
 namespace coriandergate::relay {
@@ -20,4 +23,31 @@
         CHECK_FALSE(decodeArrivals(text));
 }
 
+// Guards against sums of such a time with a clock's, which overflowed: a target sends one in a header.
+TEST_CASE("times beyond the range of a message are malformed, in headers and in bodies")
+{
+    CHECK(decodeRetryAfter("1500") == 1500ms);
+    for (const auto* text : { "-1", "9223372036854775807", "630720000001", "1e3", "" })
+        CHECK_FALSE(decodeRetryAfter(text));
+    CHECK(decodeLoadReport("3,1,8,25,900")->nextProbeIn == 900ms);
+    CHECK(decodeLoadReport("3,1,8,100")->rejectionRate == 1);
+    for (const auto* text : { "3,1,8,25,9223372036854775807", "3,1,8,25,18446744073709551615", "3,1,8,101" })
+        CHECK_FALSE(decodeLoadReport(text));
+    const nlohmann::json time = GENERATE(nlohmann::json(9223372036854775807), nlohmann::json(-9223372036854775807),
+        nlohmann::json(1e300), nlohmann::json(1.5), nlohmann::json("1"));
+    CAPTURE(time);
+    Error reason;
+    CHECK_FALSE(decodeReserveRequest(http::cborBytes({ "id-1", "ledger", 1, true, time, 200, false, false }), reason));
+    CHECK_FALSE(reason.reason.empty());
+    CHECK_FALSE(
+        decodeReserveRequest(http::cborBytes({ "id-1", "ledger", time, true, 800, 200, false, false }), reason));
+    CHECK(decodeReserveRequest(http::cborBytes({ "id-1", "ledger", 1, true, -800, 200, false, false }), reason));
+}
+
+TEST_CASE("calls per request that are no amount are skipped")
+{
+    const auto calls = decodeCallsPerRequest("stock=1.50,bank=inf,cards=nan,mail=-1,ledger=0.25,=,x");
+    CHECK(calls == dispatch::RetryBudget::CallsPerRequest { { "stock", 1.5 }, { "ledger", 0.25 } });
+}
+
 } // namespace coriandergate::relay
