Log whether a refused request gave way to another account

Cause: the event of a refused slot has the same reason for a request that found no slot in time and for one that gave way, since entries read it. Change: a field of the event, "gave-way".

--- a/src/relay/SlotReservations.cpp
+++ b/src/relay/SlotReservations.cpp
@@ -132,6 +132,7 @@
     m_options.addReport(response.headers, now);
     log::logEvent(slotRefused,
         { { "request", origin.requestId }, { "account", origin.clientAccount }, { "why", std::string(why) },
+            { "gave-way", origin.gaveWay ? "yes" : "no" },
             { "load", std::string(response.headers.find(loadHeader).value_or("")) },
             { "arrivals", std::string(response.headers.find(arrivalsHeader).value_or("")) } });
     exchange->answer(std::move(response));
@@ -146,7 +147,7 @@
     }
 }
 
-auto SlotReservations::refuseTicket(Ticket ticket, std::string_view why, MonotonicTime now) -> void
+auto SlotReservations::refuseTicket(Ticket ticket, std::string_view why, MonotonicTime now, bool gaveWay) -> void
 {
     const auto reservation = takeWaiting(ticket);
     if (!reservation)
@@ -154,6 +155,7 @@
     m_reservations.erase(reservation->connection);
     if (reservation->isProbe)
         m_health.endProbe();
+    reservation->origin.gaveWay = gaveWay;
     refuse(reservation->exchange, reservation->origin, why, now);
 }
 
@@ -161,7 +163,7 @@
 {
     for (const auto ticket : m_slots.takeEvicted()) {
         ++m_gaveWay;
-        refuseTicket(ticket, noSlotInTime, now);
+        refuseTicket(ticket, noSlotInTime, now, true);
     }
 }
 
--- a/src/relay/SlotReservations.h
+++ b/src/relay/SlotReservations.h
@@ -64,6 +64,7 @@
     struct Origin {
         std::string requestId;
         std::string clientAccount;
+        bool gaveWay = false; // to a request of another account
     };
 
     // refuse() responds that no slot was reserved and that the request was not sent.
@@ -103,7 +104,7 @@
     // takeWaiting() returns the reservation that waits with `ticket`, which from then on no longer waits; null if none.
     auto takeWaiting(Ticket ticket) -> std::shared_ptr<Reservation>;
     // refuseTicket() refuses the reservation that waits with `ticket`, which is no longer in the queue.
-    auto refuseTicket(Ticket ticket, std::string_view why, MonotonicTime now) -> void;
+    auto refuseTicket(Ticket ticket, std::string_view why, MonotonicTime now, bool gaveWay = false) -> void;
     auto refuseEvicted(MonotonicTime now) -> void;
     auto armWaitTimer() -> void;
     auto release(const std::string& connection) -> void;
