--- /dev/null
+++ b/fuzz/AnswerParserFuzz.cpp
@@ -0,0 +1,58 @@
+// Answers of targets. The first byte is the size of the parts in which the rest arrives, the second the options.
+#include "fuzz/Require.h"
+#include "http/Answer.h"
+#include "http/AnswerParser.h"
+
+#include <cstdint>
+#include <string>
+
+using namespace coriandergate::http;
+using coriandergate::fuzz::require;
+
+namespace {
+
+constexpr std::size_t maximumHeaderBytes = 512;
+constexpr std::size_t maximumBodyBytes = 1024;
+
+auto parse(std::string_view bytes, std::size_t partBytes, std::uint8_t choices) -> AnswerParser
+{
+    AnswerParser parser({ .maximumHeaderBytes = maximumHeaderBytes,
+        .maximumBodyBytes = maximumBodyBytes,
+        .isHead = (choices & 1) != 0,
+        .mayEndWithConnection = (choices & 2) != 0 });
+    std::string unread;
+    while (!bytes.empty() && parser.progress() == ParseProgress::NeedsMore) {
+        const auto part = bytes.substr(0, partBytes);
+        bytes.remove_prefix(part.size());
+        unread += part;
+        const auto used = parser.feed(unread);
+        require(used <= unread.size());
+        unread.erase(0, used);
+    }
+    if (parser.progress() == ParseProgress::NeedsMore)
+        parser.finishAtEnd();
+    return parser;
+}
+
+} // namespace
+
+extern "C" auto LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) -> int // NOLINT
+{
+    if (size < 3)
+        return 0;
+    const std::string_view bytes(reinterpret_cast<const char*>(data) + 2, size - 2);
+    auto whole = parse(bytes, bytes.size(), data[1]);
+    auto inParts = parse(bytes, std::size_t { 1 } + data[0], data[1]);
+    // Beast refuses a bare CR in an unfinished head at once only if it is given the head at once.
+    require((whole.progress() == ParseProgress::Complete) == (inParts.progress() == ParseProgress::Complete));
+    if (whole.progress() != ParseProgress::Complete) {
+        require(whole.progress() != ParseProgress::Failed || !whole.failureReason().empty());
+        return 0;
+    }
+    const auto answer = whole.takeAnswer();
+    const auto same = inParts.takeAnswer();
+    require(answer.status == same.status && answer.body == same.body);
+    require(answer.status >= 200 && answer.status <= 999);
+    require(answer.body.size() <= maximumBodyBytes);
+    return 0;
+}
--- /dev/null
+++ b/fuzz/RequestParserFuzz.cpp
@@ -0,0 +1,69 @@
+// Requests of callers. The first byte is the size of the parts in which the rest arrives.
+#include "fuzz/Require.h"
+#include "http/RequestParser.h"
+#include "http/Serialize.h"
+
+#include <cstdint>
+
+using namespace coriandergate::http;
+using coriandergate::fuzz::require;
+
+namespace {
+
+constexpr std::size_t maximumHeaderBytes = 512;
+constexpr std::size_t maximumBodyBytes = 1024;
+// Of the parser's own estimate for each byte that it read, with the nodes of the header fields.
+constexpr std::size_t heldBytesPerByte = 256;
+
+auto parse(std::string_view bytes, std::size_t partBytes) -> RequestParser
+{
+    RequestParser parser({ .maximumHeaderBytes = maximumHeaderBytes, .maximumBodyBytes = maximumBodyBytes });
+    std::string unread;
+    while (!bytes.empty() && parser.progress() == ParseProgress::NeedsMore) {
+        const auto part = bytes.substr(0, partBytes);
+        bytes.remove_prefix(part.size());
+        unread += part;
+        const auto used = parser.feed(unread);
+        require(used <= unread.size());
+        unread.erase(0, used);
+        require(parser.bodyBytes() <= maximumBodyBytes);
+        require(parser.heldBytes() <= heldBytesPerByte * (maximumHeaderBytes + maximumBodyBytes));
+    }
+    return parser;
+}
+
+auto requireSame(const Request& left, const Request& right) -> void
+{
+    require(left.method == right.method && left.target == right.target && left.body == right.body
+        && left.isKeepAlive == right.isKeepAlive);
+    require(serializeRequest(left) == serializeRequest(right));
+}
+
+} // namespace
+
+extern "C" auto LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) -> int // NOLINT
+{
+    if (size < 2)
+        return 0;
+    const std::string_view bytes(reinterpret_cast<const char*>(data) + 1, size - 1);
+    auto whole = parse(bytes, bytes.size());
+    auto inParts = parse(bytes, std::size_t { 1 } + data[0]);
+    // Beast refuses a bare CR in an unfinished head at once only if it is given the head at once.
+    require((whole.progress() == ParseProgress::Complete) == (inParts.progress() == ParseProgress::Complete));
+    if (whole.progress() == ParseProgress::Failed)
+        require(whole.failureStatus() >= 400 && !whole.failureReason().empty());
+    if (whole.progress() != ParseProgress::Complete)
+        return 0;
+    const auto request = whole.takeRequest();
+    requireSame(request, inParts.takeRequest());
+    // What the next server reads is the same request.
+    auto forwarded = request;
+    removeHopByHop(forwarded.headers);
+    RequestParser next({});
+    const auto text = serializeRequest(forwarded);
+    require(next.feed(text) == text.size());
+    require(next.progress() == ParseProgress::Complete);
+    const auto received = next.takeRequest();
+    require(received.method == request.method && received.target == request.target && received.body == request.body);
+    return 0;
+}
