--- a/src/relay/CallerResponse.cpp
+++ b/src/relay/CallerResponse.cpp
@@ -32,6 +32,21 @@
         return time ? std::to_string(time->count()) : "";
     }
 
+    auto logEnd(const EntryContext& context, const EndOfRequest& end, const std::string& status, SuspendAwareTime now)
+        -> void
+    {
+        const auto& admitted = end.admitted;
+        log::logEvent(requestEnded,
+            { { "request", end.requestId }, { "status", status }, { "why", std::string(end.reason) },
+                { "ms", std::to_string(end.latency.count()) }, { "route", admitted.route ? admitted.route->name : "" },
+                { "service", end.service }, { "account", admitted.clientAccount ? admitted.clientAccount->name : "" },
+                { "runs", std::to_string(end.attempts) }, { "rejections", std::to_string(end.rejections) },
+                { "version",
+                    admitted.snapshot ? std::to_string(admitted.snapshot->configuration().version) : std::string() },
+                { "proof-age-ms", millisecondsText(context.configurationFreshness.age(now)) },
+                { "hosts-age-ms", millisecondsText(context.hostListFreshness.age(now)) } });
+    }
+
 } // namespace
 
 auto makeRefusal(const EntryContext& context, const RequestRefusal& refusal) -> http::Answer
@@ -54,24 +69,13 @@
         ++context.counters.refusedForEvacuations;
     if (end.reason == answeredReason)
         context.counters.recordLatency(end.latency);
-    const auto& admitted = end.admitted;
-    log::logEvent(requestEnded,
-        { { "request", end.requestId }, { "status", std::to_string(end.status) }, { "why", std::string(end.reason) },
-            { "ms", std::to_string(end.latency.count()) }, { "route", admitted.route ? admitted.route->name : "" },
-            { "service", end.service }, { "account", admitted.clientAccount ? admitted.clientAccount->name : "" },
-            { "runs", std::to_string(end.attempts) }, { "rejections", std::to_string(end.rejections) },
-            { "version",
-                admitted.snapshot ? std::to_string(admitted.snapshot->configuration().version) : std::string() },
-            { "proof-age-ms", millisecondsText(context.configurationFreshness.age(now)) },
-            { "hosts-age-ms", millisecondsText(context.hostListFreshness.age(now)) } });
+    logEnd(context, end, std::to_string(end.status), now);
 }
 
-auto recordCallerLeft(EntryContext& context, const std::string& requestId, milliseconds latency) -> void
+auto recordCallerLeft(EntryContext& context, const EndOfRequest& end, SuspendAwareTime now) -> void
 {
-    ++context.counters.endedByReason["caller left"];
-    log::logEvent(requestEnded,
-        { { "request", requestId }, { "status", "none" }, { "why", "caller left" },
-            { "ms", std::to_string(latency.count()) } });
+    ++context.counters.endedByReason[std::string(end.reason)];
+    logEnd(context, end, "none", now);
 }
 
 auto overloadRetryAfter(const EntryContext& context, milliseconds targetLatency, double meanUtilization, double spread)
--- a/src/relay/CallerResponse.h
+++ b/src/relay/CallerResponse.h
@@ -32,6 +32,8 @@
 
 // The reason that log events and metrics give for a target's response.
 inline constexpr std::string_view answeredReason = "answered";
+// The same for a request without a response.
+inline constexpr std::string_view callerLeftReason = "caller left";
 
 // makeRefusal() returns the response of a refusal. Its Retry-After is kept between the bounds of the context's options.
 [[nodiscard]] auto makeRefusal(const EntryContext& context, const RequestRefusal& refusal) -> http::Answer;
@@ -39,8 +41,8 @@
 // recordEnd() counts and logs the end of a request that got a response.
 auto recordEnd(EntryContext& context, const EndOfRequest& end, SuspendAwareTime now) -> void;
 
-// recordCallerLeft() counts and logs the end of a request whose caller left before the response.
-auto recordCallerLeft(EntryContext& context, const std::string& requestId, std::chrono::milliseconds latency) -> void;
+// recordCallerLeft() counts and logs the end of a request whose caller left before the response; it has no status.
+auto recordCallerLeft(EntryContext& context, const EndOfRequest& end, SuspendAwareTime now) -> void;
 
 // overloadRetryAfter() is when a caller may come back whose request found no slot. It spreads the callers' retries over
 // about the time that the targets need to work off their queues; `spread` is a random number from 0.5 to 1.5.
--- a/src/relay/CallerResponse_test.cpp
+++ b/src/relay/CallerResponse_test.cpp
@@ -56,7 +56,9 @@
             .reason = answeredReason,
             .latency = 7ms },
         SuspendAwareClock::now());
-    recordCallerLeft(entry.context, "r-3", 5ms);
+    recordCallerLeft(entry.context,
+        { .admitted = admitted, .requestId = "r-3", .service = "", .reason = callerLeftReason, .latency = 5ms },
+        SuspendAwareClock::now());
     CHECK(entry.context.counters.endedByReason.at("404 no route") == 1);
     CHECK(entry.context.counters.endedByReason.at("200 answered") == 1);
     CHECK(entry.context.counters.endedByReason.at("caller left") == 1);
--- a/src/relay/EntryRequest.cpp
+++ b/src/relay/EntryRequest.cpp
@@ -145,7 +145,7 @@
     if (m_isDone)
         return;
     cancel();
-    recordCallerLeft(m_context, m_request->id, m_request->latency(monotonicNow()));
+    recordCallerLeft(m_context, makeEnd(0, callerLeftReason), SuspendAwareClock::now());
 }
 
 auto EntryRequest::refuse(const RequestRefusal& refusal) -> void
@@ -153,6 +153,18 @@
     finish(makeRefusal(m_context, refusal), refusal.reason);
 }
 
+auto EntryRequest::makeEnd(int status, std::string_view why) const -> EndOfRequest
+{
+    return { .admitted = m_request->admitted,
+        .requestId = m_request->id,
+        .service = m_request->service,
+        .status = status,
+        .reason = why,
+        .latency = m_request->latency(monotonicNow()),
+        .attempts = m_request->history.attempts,
+        .rejections = m_request->search.rejections() };
+}
+
 auto EntryRequest::finish(http::Answer response, std::string_view why) -> void
 {
     m_isDone = true;
@@ -160,16 +172,7 @@
     m_readyTimer.cancel();
     endRateLimitCheck();
     const auto& id = m_request->id;
-    recordEnd(m_context,
-        { .admitted = m_request->admitted,
-            .requestId = id,
-            .service = m_request->service,
-            .status = response.status,
-            .reason = why,
-            .latency = m_request->latency(monotonicNow()),
-            .attempts = m_request->history.attempts,
-            .rejections = m_request->search.rejections() },
-        SuspendAwareClock::now());
+    recordEnd(m_context, makeEnd(response.status, why), SuspendAwareClock::now());
     if (!id.empty() && !response.headers.find(m_context.headers.requestId))
         response.headers.add(m_context.headers.requestId, id);
     m_request->exchange->answer(std::move(response));
--- a/src/relay/EntryRequest.h
+++ b/src/relay/EntryRequest.h
@@ -23,6 +23,7 @@
 
 class RateLimitCheck;
 class RequestForwarding;
+struct EndOfRequest;
 
 // EntryRequest keeps itself alive until it has responded or the caller disconnects.
 class EntryRequest : public std::enable_shared_from_this<EntryRequest> {
@@ -55,6 +56,7 @@
     auto onDeadline() -> void;
     auto onCallerDisconnected() -> void;
     auto refuse(const RequestRefusal& refusal) -> void;
+    [[nodiscard]] auto makeEnd(int status, std::string_view why) const -> EndOfRequest;
     auto finish(http::Answer response, std::string_view why) -> void;
 
     EntryContext& m_context;
