Correct two comments

Cause: callers that left are logged with route and account now, and an example was broken by the formatter. Change: comments only.

--- a/src/log/LogSummary.h
+++ b/src/log/LogSummary.h
@@ -82,8 +82,8 @@
     [[nodiscard]] auto requests() const -> const RequestTotals& { return m_requests; }
     [[nodiscard]] auto calls() const -> const RequestTotals& { return m_calls; }
 
-    // routes() and services() hold requests and calls, accounts() and intervals() requests alone. Requests whose caller
-    // left have neither route nor account in the logs; their name is empty.
+    // routes() and services() hold requests and calls, accounts() and intervals() requests alone. Where a line
+    // names neither route nor account, as older daemons' lines on callers that left, the name is empty.
     [[nodiscard]] auto routes() const -> const BoundedTable<RequestTotals>& { return m_routes; }
     [[nodiscard]] auto services() const -> const BoundedTable<RequestTotals>& { return m_services; }
     [[nodiscard]] auto accounts() const -> const BoundedTable<RequestTotals>& { return m_accounts; }
--- a/src/relay/RequestForwarding.h
+++ b/src/relay/RequestForwarding.h
@@ -1,8 +1,8 @@
 // The step of a request that forwards it: finds a target with a free slot, sends the request there and tries other
 // targets as far as its route, its deadline and the retry budget allow.
 //
-//   m_forwarding = std::make_shared<RequestForwarding>(request, [](http::Answer response, std::string_view why) { ...
-//   }); m_forwarding->start(); // once the request is admitted
+//   m_forwarding = std::make_shared<RequestForwarding>(request, onEnded);
+//   m_forwarding->start(); // once the request is admitted
 #pragma once
 
 #include "http/Answer.h"
