Keep the targets that rejected a request in one list, and build the daemon's tests with their new parts

Change: one list of descriptions, and LoadBalancer::isExcluded() compares address, id and host; the test's call follows the name. The four sources are listed.

--- a/cmake/SidecarOnly.cmake
+++ b/cmake/SidecarOnly.cmake
@@ -43,7 +43,8 @@
         src/config/KeyDigest_test.cpp src/config/KeyIndex_test.cpp src/http/AnswerParser_test.cpp
         src/http/RequestParser_test.cpp
         platform/Codecs_test.cpp platform/StoreCodec_test.cpp src/testing/EntryFixture.cpp src/testing/FleetSimulation.cpp
-        src/testing/Main_test.cpp src/testing/SimulatedNetwork.cpp src/testing/SimulatedScheduler.cpp)
+        src/testing/Main_test.cpp src/testing/RawServer.cpp src/testing/RelayMessages.cpp src/testing/RequestFixture.cpp
+        src/testing/SimulatedNetwork.cpp src/testing/SimulatedScheduler.cpp src/testing/SimulatedStore.cpp)
     add_executable(coriandergate_sidecar_tests ${SIDECAR_TEST_SOURCES})
     target_link_libraries(coriandergate_sidecar_tests PRIVATE sidecar_objects Catch2::Catch2 rapidcheck)
     enable_testing()
--- a/src/dispatch/LoadBalancer.cpp
+++ b/src/dispatch/LoadBalancer.cpp
@@ -23,6 +23,9 @@
         return std::find(texts.begin(), texts.end(), text) != texts.end();
     }
 
+    // An empty name is one that isn't known.
+    auto isKnownAs(const std::string& left, const std::string& right) -> bool { return !left.empty() && left == right; }
+
     // The first round of the 64-bit finalizer of MurmurHash3.
     auto mixBits(std::uint64_t value) -> std::uint64_t
     {
@@ -177,10 +180,14 @@
     return static_cast<double>(failing) > m_options.panicThreshold * static_cast<double>(eligible);
 }
 
-auto LoadBalancer::isAmong(
-    const Description& target, std::span<const std::string> addresses, std::span<const std::string> ids) -> bool
+auto LoadBalancer::isExcluded(
+    const Description& target, std::span<const std::string> addresses, std::span<const Description> rejecting) -> bool
 {
-    return contains(addresses, target.address) || contains(ids, target.targetId) || contains(ids, target.hostKey);
+    return contains(addresses, target.address)
+        || std::any_of(rejecting.begin(), rejecting.end(), [&target](const Description& other) {
+               return target.address == other.address || isKnownAs(target.targetId, other.targetId)
+                   || isKnownAs(target.hostKey, other.hostKey);
+           });
 }
 
 auto LoadBalancer::choose(const Criteria& criteria, MonotonicTime now, std::uint64_t random) const -> TargetPointer
@@ -198,7 +205,7 @@
     for (const auto& target : found->second) {
         ++index;
         if (!isEligible(target->description, criteria)
-            || isAmong(target->description, criteria.excluded, criteria.excludedIds))
+            || isExcluded(target->description, criteria.excluded, criteria.rejecting))
             continue;
         const bool isHeldBack = isAnyReturning
             && preference >= criteria.evacuations->returnShare(target->description.locality.dataCentre, now);
--- a/src/dispatch/LoadBalancer.h
+++ b/src/dispatch/LoadBalancer.h
@@ -93,7 +93,7 @@
         bool mayProbe = false; // the request may be sent to a failing target as a probe
         double distanceFactor = 1; // scales the distance penalties, for responses that are costly to transfer
         std::span<const std::string> excluded; // addresses that were tried already
-        std::span<const std::string> excludedIds; // ids of targets and keys of hosts, at whatever address
+        std::span<const Description> rejecting; // targets that must not get the request, at whatever address
         const HomeRegions* homes = nullptr; // null: anywhere
         const Evacuations* evacuations = nullptr; // null: none
     };
@@ -102,9 +102,10 @@
     // What is said of the targets of a service for a request is said of the eligible ones.
     [[nodiscard]] static auto isEligible(const Description& target, const Criteria& criteria) -> bool;
 
-    // isAmong() says that a target has one of `addresses`, or that its id or the key of its host is one of `ids`.
-    [[nodiscard]] static auto isAmong(
-        const Description& target, std::span<const std::string> addresses, std::span<const std::string> ids) -> bool;
+    // isExcluded() says that a target has one of `addresses`, or may be one of `rejecting`: it has the same address, id
+    // or host.
+    [[nodiscard]] static auto isExcluded(const Description& target, std::span<const std::string> addresses,
+        std::span<const Description> rejecting) -> bool;
 
     explicit LoadBalancer(const Options& options);
 
--- a/src/dispatch/TargetSearch.cpp
+++ b/src/dispatch/TargetSearch.cpp
@@ -28,7 +28,7 @@
         }
         advanceStage();
         if (m_stage == Stage::WithinTargetLatency)
-            m_excluded = m_rejectingAddresses;
+            m_excluded.clear();
     }
     return nullptr;
 }
@@ -74,7 +74,7 @@
 auto TargetSearch::restartAfterPause() -> void
 {
     restart();
-    m_excluded = m_rejectingAddresses;
+    m_excluded.clear();
 }
 
 auto TargetSearch::stop(std::string_view reason) -> void
@@ -85,20 +85,13 @@
 
 auto TargetSearch::exclude(const std::string& address) -> void { m_excluded.push_back(address); }
 
-auto TargetSearch::recordRejection(const LoadBalancer::Description& target) -> void
-{
-    m_rejectingAddresses.push_back(target.address);
-    for (const auto& id : { target.targetId, target.hostKey }) {
-        if (!id.empty())
-            m_rejectingIds.push_back(id);
-    }
-}
+auto TargetSearch::recordRejection(const LoadBalancer::Description& target) -> void { m_rejecting.push_back(target); }
 
 auto TargetSearch::isRejectedByAll(std::span<const LoadBalancer::TargetPointer> targets) const -> bool
 {
-    return !m_rejectingAddresses.empty() && std::all_of(targets.begin(), targets.end(), [this](const auto& target) {
+    return !m_rejecting.empty() && std::all_of(targets.begin(), targets.end(), [this](const auto& target) {
         const auto& description = target->description;
-        return description.isDraining || LoadBalancer::isAmong(description, m_rejectingAddresses, m_rejectingIds);
+        return description.isDraining || LoadBalancer::isExcluded(description, {}, m_rejecting);
     });
 }
 
--- a/src/dispatch/TargetSearch.h
+++ b/src/dispatch/TargetSearch.h
@@ -75,10 +75,10 @@
     // request, and the two responses bear the same id, so a target that rejected a request never gets it again, also
     // if its daemon has another address by then.
     auto recordRejection(const LoadBalancer::Description& target) -> void;
-    [[nodiscard]] auto rejections() const -> std::size_t { return m_rejectingAddresses.size(); }
+    [[nodiscard]] auto rejections() const -> std::size_t { return m_rejecting.size(); }
 
     [[nodiscard]] auto excluded() const -> std::span<const std::string> { return m_excluded; } // addresses
-    [[nodiscard]] auto excludedIds() const -> std::span<const std::string> { return m_rejectingIds; }
+    [[nodiscard]] auto rejecting() const -> std::span<const LoadBalancer::Description> { return m_rejecting; }
 
     // shouldPause() returns whether an exhausted search of a service with `targets` is worth starting over after a
     // pause of s_pause.
@@ -104,8 +104,7 @@
     bool m_hasMissedSlot = false;
     std::string_view m_stopReason;
     std::vector<std::string> m_excluded; // addresses
-    std::vector<std::string> m_rejectingAddresses;
-    std::vector<std::string> m_rejectingIds; // of the targets, and the keys of their hosts
+    std::vector<LoadBalancer::Description> m_rejecting; // as they were when they rejected the request
 };
 
 } // namespace coriandergate::dispatch
--- a/src/dispatch/TargetSearch_test.cpp
+++ b/src/dispatch/TargetSearch_test.cpp
@@ -27,7 +27,7 @@
         {
             return search.next([&]() -> LoadBalancer::TargetPointer {
                 for (const auto& target : targets) {
-                    if (!LoadBalancer::isAmong(target->description, search.excluded(), search.excludedIds()))
+                    if (!LoadBalancer::isExcluded(target->description, search.excluded(), search.rejecting()))
                         return target;
                 }
                 return nullptr;
--- a/src/relay/TargetChoice.cpp
+++ b/src/relay/TargetChoice.cpp
@@ -33,7 +33,7 @@
         && m_context.retryBudget.canAcquire(m_service, m_context.callsPerRequest[m_service],
             dispatch::RetryBudget::RetryClass::Probe, m_context.hostCount, now);
     criteria.excluded = search.excluded();
-    criteria.excludedIds = search.excludedIds();
+    criteria.rejecting = search.rejecting();
     return m_context.loadBalancer.choose(criteria, now, m_context.random());
 }
 
@@ -45,7 +45,7 @@
     std::vector<std::string> tried(search.excluded().begin(), search.excluded().end());
     tried.push_back(firstAddress);
     criteria.excluded = tried;
-    criteria.excludedIds = search.excludedIds();
+    criteria.rejecting = search.rejecting();
     auto target = m_context.loadBalancer.choose(criteria, now, m_context.random());
     if (!target || target->isFailing || m_context.loadBalancer.estimatedUtilization(*target, 0, now) >= 1)
         return nullptr;
