--- a/review/standin-2/DrainAfterClockJump.cpp
+++ b/review/standin-2/DrainAfterClockJump.cpp
@@ -29,7 +29,8 @@
 auto main() -> int
 {
     constexpr std::size_t hosts = 3;
-    Fleet fleet("review/6");
+    Record record("review/6/record.txt");
+    Fleet fleet(record);
     fleet.serviceTime = Milliseconds(400);
     for (std::size_t i = 0; i < hosts; ++i)
         fleet.addHost("ledger");
--- a/review/standin-2/Fleet.cpp
+++ b/review/standin-2/Fleet.cpp
@@ -640,8 +640,8 @@
     return m_arrivals;
 }
 
-Fleet::Fleet(const std::string& folder)
-    : m_record(folder + "/record.txt")
+Fleet::Fleet(Record& record)
+    : m_record(record)
 {
     std::signal(SIGPIPE, SIG_IGN);
     char name[] = "/tmp/review-XXXXXX";
--- a/review/standin-2/Fleet.h
+++ b/review/standin-2/Fleet.h
@@ -1,7 +1,8 @@
 // A small deployment for one review case: the platform's store, instances and clients as threads of this process, and
 // the daemons as child processes started with the command of the deploy file. Every address is a loopback address.
 //
-//   Fleet fleet("review/6");
+//   Record record("review/6/record.txt");
+//   Fleet fleet(record);
 //   auto& host = fleet.addHost("ledger");
 //   fleet.putManifest(manifest);
 //   fleet.startDaemon(host);
@@ -229,10 +230,11 @@
 
 class Fleet {
 public:
-    explicit Fleet(const std::string& folder);
+    explicit Fleet(Record& record);
     ~Fleet(); // kills the daemons
 
-    // finish() ends the process, with the daemons and all connections.
+    // stop() kills the daemons, and finish() ends the process as well.
+    auto stop() -> void { killDaemons(); }
     [[noreturn]] auto finish(int status) -> void;
 
     auto addHost(const std::string& service) -> Host&;
@@ -259,7 +261,7 @@
 private:
     auto killDaemons() -> void;
 
-    Record m_record;
+    Record& m_record;
     std::string m_temporaryFolder;
     std::string m_network; // the first three bytes of the hosts' addresses
     std::string m_storeAddress;
