--- a/review/standin-2/Fleet.cpp
+++ b/review/standin-2/Fleet.cpp
@@ -432,7 +432,13 @@
     return respond(200, json::object());
 }
 
-auto Store::keepCopy() -> void { m_copies.push_back({ Clock::now(), m_tables, m_version }); }
+auto Store::keepCopy() -> void
+{
+    constexpr std::size_t maximumCopies = 64;
+    if (m_copies.size() >= maximumCopies)
+        m_copies.erase(m_copies.begin());
+    m_copies.push_back({ Clock::now(), m_tables, m_version });
+}
 
 auto Store::put(const std::string& table, const std::string& key, const std::string& value) -> void
 {
