--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -9,3 +9,4 @@
 "${CXX:-g++}" "${flags[@]}" -c standin-2/Fleet.cpp -o build-2/Fleet.o
 "${CXX:-g++}" "${flags[@]}" standin-2/DrainAfterClockJump.cpp build-2/Fleet.o -o build-2/drain-after-clock-jump
 "${CXX:-g++}" "${flags[@]}" standin-2/OldRouteAfterOutage.cpp build-2/Fleet.o -o build-2/old-route-after-outage
+"${CXX:-g++}" "${flags[@]}" standin-2/LostAfterSecondStop.cpp build-2/Fleet.o -o build-2/lost-after-second-stop
