Fail an answer with a line in its head that begins with a blank

What callers saw: a target in trouble sent a line such as " Content-Length: 2" or " X-Odd: 1" behind a sound one; the caller got its 200, signed, with that line joined to the value of the one before.

Cause: such a line is also how a folded one looks, and Boost.Beast joins it with the line before. A line that states the length is then lost, and the body is no longer the one that the target framed.

Change: AnswerParser fails on a line that begins with a blank, in interim heads too; RFC 9112 (5.2) has a proxy either refuse such a response or join the lines. All other names with a blank or a control byte failed before, as did control bytes in values and in the names of trailers: their cases stand in the same tests, which the fuzz target states as well.

--- a/fuzz/AnswerParserFuzz.cpp
+++ b/fuzz/AnswerParserFuzz.cpp
@@ -3,6 +3,7 @@
 #include "http/Answer.h"
 #include "http/AnswerParser.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 
@@ -14,6 +15,10 @@
 constexpr std::size_t maximumHeaderBytes = 512;
 constexpr std::size_t maximumBodyBytes = 1024;
 
+auto isVisible(char c) -> bool { return c > ' ' && c < '\x7f'; }
+
+auto isControl(char c) -> bool { return (static_cast<unsigned char>(c) < ' ' && c != '\t') || c == '\x7f'; }
+
 auto parse(std::string_view bytes, std::size_t partBytes, std::uint8_t choices) -> AnswerParser
 {
     AnswerParser parser({ .maximumHeaderBytes = maximumHeaderBytes,
@@ -54,5 +59,9 @@
     require(answer.status == same.status && answer.body == same.body);
     require(answer.status >= 200 && answer.status <= 999);
     require(answer.body.size() <= maximumBodyBytes);
+    for (const auto& header : answer.headers) {
+        require(!header.name.empty() && std::all_of(header.name.begin(), header.name.end(), isVisible));
+        require(std::none_of(header.value.begin(), header.value.end(), isControl));
+    }
     return 0;
 }
--- a/src/http/AnswerParser.cpp
+++ b/src/http/AnswerParser.cpp
@@ -32,6 +32,13 @@
         return false;
     }
 
+    // hasFoldedLine() says that a line of `head` begins with a blank. Beast joins it with the line before, but it may
+    // as well be a field of its own whose name lost its beginning, such as one that states the length.
+    auto hasFoldedLine(std::string_view head) -> bool
+    {
+        return head.find("\r\n ") != std::string_view::npos || head.find("\r\n\t") != std::string_view::npos;
+    }
+
 } // namespace
 
 struct AnswerParser::State {
@@ -58,6 +65,21 @@
         parser->skip(options.isHead);
     }
 
+    auto feedParser(std::string_view bytes, boost::beast::error_code& error) -> std::size_t
+    {
+        const bool hadHead = parser->is_header_done();
+        std::size_t headBytes = 0;
+        const auto used = internal::feedParser(*parser, bytes, error, [this, &headBytes](std::size_t count) {
+            headBytes = count;
+            return takeHeaders();
+        });
+        if (!parser->is_header_done())
+            headBytes = used;
+        if (!hadHead && hasFoldedLine(bytes.substr(0, headBytes)))
+            fail("a line of the head that begins with a blank");
+        return used;
+    }
+
     [[nodiscard]] auto isInterim() const -> bool
     {
         return static_cast<int>(parser->get().result_int()) < firstFinalStatus;
@@ -107,8 +129,7 @@
     while (state.progress == ParseProgress::NeedsMore && used < bytes.size()) {
         state.hasStarted = true;
         boost::beast::error_code error;
-        used += internal::feedParser(
-            *state.parser, bytes.substr(used), error, [&state](std::size_t) -> bool { return state.takeHeaders(); });
+        used += state.feedParser(bytes.substr(used), error);
         if (state.progress == ParseProgress::Failed)
             break;
         if (error) {
--- a/src/http/AnswerParser_test.cpp
+++ b/src/http/AnswerParser_test.cpp
@@ -39,6 +39,47 @@
         == ParseProgress::Failed);
 }
 
+// Guards against callers that get such a line, or a body whose length another reader of that line takes differently. A
+// line that begins with a blank is also how a folded line looks.
+TEST_CASE("AnswerParser fails on a field whose name holds a blank or a control byte")
+{
+    const auto name = GENERATE(values<std::string>({ "X Odd", "X-Odd ", "X-Odd\t", "X\tOdd", " X-Odd", "\tX-Odd", "  ",
+        "", std::string("X\0Odd", 5), "X\x01Odd", "X\rOdd", "X\nOdd", "X-Odd\x1f", "\x7fX-Odd", "X\x7fOdd",
+        "Content-Length ", " Content-Length", "Content Length", "Content-Length\x01",
+        "\x0b"
+        "Content-Length",
+        "Transfer-Encoding ", " Transfer-Encoding" }));
+    const std::string line = name + (name.find("Transfer") == std::string::npos ? ": 2\r\n" : ": chunked\r\n");
+    const auto* framing = GENERATE("Content-Length: 2\r\n", "Transfer-Encoding: chunked\r\n", "");
+    const bool isFirst = GENERATE(true, false);
+    const bool isInterim = GENERATE(true, false);
+    const bool mayEndWithConnection = GENERATE(false, true);
+    const std::string status = isInterim ? "HTTP/1.1 103 Early Hints\r\n" : "HTTP/1.1 200 OK\r\n";
+    const std::string sound = "X-Sound: 1\r\n" + std::string(isInterim ? "" : framing);
+    const std::string head = status + (isFirst ? line + sound : sound + line) + "\r\n";
+    CAPTURE(head, mayEndWithConnection);
+    CHECK(
+        progressOf(head + (isInterim ? whole : "2\r\nok\r\n0\r\n\r\n"), mayEndWithConnection) == ParseProgress::Failed);
+    AnswerParser bytewise({ .mayEndWithConnection = mayEndWithConnection });
+    std::string unread;
+    for (const char byte : head) {
+        unread += byte;
+        unread.erase(0, bytewise.feed(unread));
+    }
+    CHECK(bytewise.progress() == ParseProgress::Failed);
+}
+
+TEST_CASE("AnswerParser fails on a control byte in the value of a field or in a trailer's name")
+{
+    const auto bad = GENERATE(values<std::string>({ std::string("\0", 1), "\x01", "\r", "\n", "\x1f", "\x7f" }));
+    CHECK(progressOf("HTTP/1.1 200 OK\r\nX-Odd: a" + bad + "b\r\nContent-Length: 0\r\n\r\n", true)
+        == ParseProgress::Failed);
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n";
+    CHECK(progressOf(chunked + "X" + bad + "Odd: 1\r\n\r\n", true) == ParseProgress::Failed);
+    CHECK(progressOf(chunked + "X Odd: 1\r\n\r\n", true) == ParseProgress::Failed);
+    CHECK(progressOf(chunked + "X-Sound: 1\r\n\r\n", true) == ParseProgress::Complete);
+}
+
 TEST_CASE("AnswerParser skips a few interim answers, and fails on one after the other without end")
 {
     const std::string interim = GENERATE(
