Test the product's own client with a reset during the upload

Cause: the fault of net::HttpClient was looked for in the other client, src/http, of coriandergated and coriandergatectl. Change: a test only. That client takes no answer without a length, and a reset, whichever call meets it, fails what isn't whole; the request may have run and the connection serves no other.

--- a/src/http/Client_test.cpp
+++ b/src/http/Client_test.cpp
@@ -2,6 +2,7 @@
 
 #include "http/RequestParser.h"
 #include "testing/Application.h"
+#include "testing/RawServer.h"
 
 #include <QEventLoop>
 #include <QHostAddress>
@@ -9,6 +10,7 @@
 #include <QTcpSocket>
 #include <catch2/catch.hpp>
 #include <sys/socket.h>
+#include <thread>
 
 using namespace coriandergate;
 using namespace coriandergate::http;
@@ -109,12 +111,13 @@
     return answer ? answer->body : "no answer";
 }
 
-// send() sends one request and runs the loop until its result.
-auto send(Client& client, const Peer& peer, const Request& request, bool needsFreshConnection = false) -> ExchangeResult
+// sendTo() sends one request and runs the loop until its result.
+auto sendTo(Client& client, const std::string& peer, const Request& request, bool needsFreshConnection = false)
+    -> ExchangeResult
 {
     QEventLoop loop;
     std::optional<ExchangeResult> result;
-    client.send(peer.address(), request,
+    client.send(peer, request,
         { .timeout = 2s, .needsFreshConnection = needsFreshConnection, .answerIdHeader = "X-Request-Id" },
         [&](ExchangeResult received) {
             result = std::move(received);
@@ -124,6 +127,11 @@
     return std::move(*result);
 }
 
+auto send(Client& client, const Peer& peer, const Request& request, bool needsFreshConnection = false) -> ExchangeResult
+{
+    return sendTo(client, peer.address(), request, needsFreshConnection);
+}
+
 } // namespace
 
 // Guards against an answer that broke off in its head, or was reset, and looked whole.
@@ -165,6 +173,30 @@
     }
 }
 
+TEST_CASE("an answer that is reset while the request is being written is no answer, with or without a length")
+{
+    testing::ensureApplication();
+    const auto* framing = GENERATE("", "Content-Length: 60\r\n", "Transfer-Encoding: chunked\r\n");
+    const auto pause = GENERATE(0ms, 50ms);
+    boost::asio::io_context io;
+    testing::RawServer peer(io,
+        { { "HTTP/1.1 200 OK\r\n" + std::string(framing) + "\r\n4\r\npart\r\n", testing::RawServer::Then::Reset,
+            pause } });
+    peer.respondToHeads();
+    std::thread thread([&io] { io.run(); });
+    Client client({});
+    auto upload = makeRequest("r", "PUT");
+    upload.body = std::string(std::size_t { 32 } * 1024 * 1024, 'x'); // more than the kernel takes
+    const auto result = sendTo(client, peer.address(), upload);
+    io.stop();
+    thread.join();
+    const auto* const failure = std::get_if<ExchangeFailure>(&result);
+    REQUIRE(failure);
+    CHECK(failure->mayHaveRun);
+    CHECK(peer.requests() == 1);
+    CHECK(client.idleConnections() == 0);
+}
+
 // Guards against a late second copy of an answer that is taken for the answer to the next request.
 TEST_CASE("what a peer says unasked between two requests never answers the second one")
 {
