Say what the soak's caller and the fault proxy make of a reset

Change: comments only. A reset that only the write met makes the soak count a request as cut rather than as not read. That checks less and raises no false alarm, since a request that wasn't written to its end can't have run. The proxy stands between daemons and before the store, where lengths are always stated. Measured: nothing; both by reading.

--- a/soak/SocketCaller.cpp
+++ b/soak/SocketCaller.cpp
@@ -169,7 +169,8 @@
             return;
         boost::asio::async_write(m_socket, boost::asio::buffer(m_writing),
             [this, connection](const boost::system::error_code& error, std::size_t) -> void {
-                // A failed write shows at the read too, after what the daemon may have answered before.
+                // A failed write shows at the read too, after what the daemon may have answered before: as a reset, or
+                // as an end if the write received the reset. The request then counts as cut, which promises less.
                 if (!error && connection == m_connection)
                     writeNext();
             });
--- a/src/testing/FaultProxy.h
+++ b/src/testing/FaultProxy.h
@@ -1,7 +1,8 @@
 // Relays TCP connections and datagrams on loopback to one upstream and puts faults on them by command.
 //
 // The TCP and the UDP port have the same number. Datagrams pass towards the upstream only: daemons answer to the
-// address that a message names, not to where it came from.
+// address that a message names, not to where it came from. A reset of one side reaches the other as an orderly end,
+// since Qt's sockets don't tell the two apart: an answer without a length looks whole behind it.
 //
 //   FaultProxy proxy({ .upstreamPort = 7101 });
 //   Error reason;
