--- a/review/standin-3/CutAfterSlowStore.cpp
+++ b/review/standin-3/CutAfterSlowStore.cpp
@@ -1,4 +1,4 @@
-// A daemon that is started while the store is slow breaks off requests before their time: see ../11/claim.txt.
+// A daemon that is started while the store is slow breaks off requests before their time: see ../13/claim.txt.
 #include "Deployment.h"
 
 #include <csignal>
--- a/review/standin-3/Deployment.cpp
+++ b/review/standin-3/Deployment.cpp
@@ -76,7 +76,8 @@
                                                    .zone = zone,
                                                    .control = host.daemon->control(),
                                                    .slots = slots,
-                                                   .workMs = workMs },
+                                                   .workMs = workMs,
+                                                   .spoil = spoil },
         record);
     return *host.instance;
 }
--- a/review/standin-3/Deployment.h
+++ b/review/standin-3/Deployment.h
@@ -38,6 +38,8 @@
     std::string directory;
     Store store;
     std::vector<Host> hosts;
+    // What faulty instances send, for those that are started from then on; see Instance::Options.
+    std::function<std::optional<std::string>(const Message& request)> spoil;
 
 private:
     std::string m_root;
--- a/review/standin-3/Fleet.cpp
+++ b/review/standin-3/Fleet.cpp
@@ -604,6 +604,12 @@
         m_record.line("instance " + m_options.id + (isCut ? " is cut off at work on request " : " ends request ") + id);
         if (isCut)
             return;
+        if (const auto bytes = m_options.spoil ? m_options.spoil(*request) : std::nullopt) {
+            m_record.line("instance " + m_options.id + " spoils its answer to request " + id);
+            if (!wire.write(*bytes))
+                return;
+            continue;
+        }
         const auto body = "result of " + id + " by " + m_options.id;
         if (!wire.write(answerText(200, body, idLine + "X-Server-Signature: s." + m_options.id + "." + id + "\r\n")))
             return;
--- a/review/standin-3/Fleet.h
+++ b/review/standin-3/Fleet.h
@@ -153,6 +153,8 @@
         int slots = 5;
         std::int64_t workMs = 20;
         std::int64_t heartbeatMs = 1500;
+        // What a faulty instance sends in place of its answer to a request; nothing for a sound answer. May be empty.
+        std::function<std::optional<std::string>(const Message& request)> spoil;
     };
     struct Run {
         std::string request;
--- a/review/standin-3/LeavingForgotten.cpp
+++ b/review/standin-3/LeavingForgotten.cpp
@@ -1,4 +1,4 @@
-// A daemon acknowledges that a new instance leaves, and sends it requests after a late ping: see ../12/claim.txt.
+// A daemon acknowledges that a new instance leaves, and sends it requests after a late ping: see ../14/claim.txt.
 #include "Deployment.h"
 
 #include <iostream>
