--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -3,7 +3,7 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0 leaves the disruption out.
 set -uo pipefail
 cd "$(dirname "$0")"
-timeout 115 ../build-3/leaving-forgotten "$(cd ../.. && pwd)" record.txt
+timeout 115 ../build-3/daemon-ended-by-instance "$(cd ../.. && pwd)" record.txt
 code=$?
 [ "$code" -le 2 ] || code=2
 exit "$code"
