--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -16,3 +16,4 @@
 build LeavingForgotten leaving-forgotten
 build DaemonEndedByClient daemon-ended-by-client
 build DaemonEndedByInstance daemon-ended-by-instance
+build DaemonEndedByHeader daemon-ended-by-header
