Bound the trailers of answers and keep none of their fields

Cause: AnswerParser bounded the header block of an answer only as far as it was given at once, and its trailers not at all. Boost.Beast's message keeps the fields of a trailer, and throws std::length_error for a value over 65,533 bytes, which nothing caught on its way out of the event loop. An answer with 20 MB of short trailer fields took memory without a bound.

Change: internal::MessageParser derives from Beast's basic_parser, keeps the message in this project's types, so that a field may be as long as the limit, drops trailers, and bounds the start line, the other lines of the header block, the line before a chunk and a trailer, the same however the bytes are cut. AnswerParser uses it, and turns an exception of a library into a failed answer.

--- a/src/http/AnswerParser.cpp
+++ b/src/http/AnswerParser.cpp
@@ -1,14 +1,14 @@
 #include "http/AnswerParser.h"
 
-#include "http/internal/BeastBuffer.h"
+#include "http/internal/HeaderChecks.h"
+#include "http/internal/MessageParser.h"
 
 #include <algorithm>
+#include <exception>
 #include <optional>
 
 namespace coriandergate::http {
 
-namespace beast = boost::beast::http;
-
 namespace {
 
     constexpr int firstStatus = 100;
@@ -42,14 +42,15 @@
 } // namespace
 
 struct AnswerParser::State {
-    std::optional<beast::response_parser<beast::string_body>> parser;
+    std::optional<internal::MessageParser<false>> parser;
     Options options;
-    HeaderList headers;
     ParseProgress progress = ParseProgress::NeedsMore;
     bool hasStarted = false;
     int interimAnswers = 0;
     std::string failureReason;
 
+    auto feed(std::string_view bytes) -> std::size_t;
+
     auto fail(std::string reason) -> bool
     {
         progress = ParseProgress::Failed;
@@ -59,44 +60,45 @@
 
     auto restart() -> void
     {
-        parser.emplace();
-        parser->header_limit(static_cast<std::uint32_t>(options.maximumHeaderBytes));
-        parser->body_limit(options.maximumBodyBytes);
+        parser.emplace(internal::MessageLimits {
+            .maximumHeaderBytes = options.maximumHeaderBytes, .maximumBodyBytes = options.maximumBodyBytes });
         parser->skip(options.isHead);
     }
 
     auto feedParser(std::string_view bytes, boost::beast::error_code& error) -> std::size_t
     {
         const bool hadHead = parser->is_header_done();
-        std::size_t headBytes = 0;
-        const auto used = internal::feedParser(*parser, bytes, error, [this, &headBytes](std::size_t count) {
-            headBytes = count;
-            return takeHeaders();
-        });
-        if (!parser->is_header_done())
-            headBytes = used;
-        if (!hadHead && hasFoldedLine(bytes.substr(0, headBytes)))
+        const auto knownHeadBytes = parser->headBytes();
+        const auto used = parser->feed(bytes, error, [this] { return checkHead(); });
+        if (!hadHead && hasFoldedLine(bytes.substr(0, parser->headBytes() - knownHeadBytes)))
             fail("a line of the head that begins with a blank");
         return used;
     }
 
-    [[nodiscard]] auto isInterim() const -> bool
+    auto failFrom(const boost::beast::error_code& error) -> void
     {
-        return static_cast<int>(parser->get().result_int()) < firstFinalStatus;
+        if (error == boost::beast::http::error::header_limit) {
+            const auto* part = parser->is_header_done() ? "a trailer or the line before a chunk is" : "the headers are";
+            fail(std::string(part) + " larger than " + std::to_string(options.maximumHeaderBytes) + " bytes");
+        } else {
+            fail(error.message());
+        }
     }
 
-    auto takeHeaders() -> bool
+    [[nodiscard]] auto isInterim() const -> bool { return parser->status() < firstFinalStatus; }
+
+    auto checkHead() -> bool
     {
-        headers = internal::copyHeaders(parser->get());
+        const auto& headers = parser->headers();
         // A head that was cut runs into the next one, whose status line then stands within it.
-        if (hasStatusLine(internal::toView(parser->get().reason()))
-            || std::any_of(
-                headers.begin(), headers.end(), [](const Header& field) { return hasStatusLine(field.value); }))
+        if (hasStatusLine(parser->reason()) || std::any_of(headers.begin(), headers.end(), [](const Header& field) {
+                return hasStatusLine(field.value);
+            }))
             return fail("two heads that run into each other");
-        if (parser->get().result_int() < firstStatus || parser->get().result_int() > lastStatus)
+        if (parser->status() < firstStatus || parser->status() > lastStatus)
             return fail("a number that is no status");
         if (isInterim()) {
-            if (parser->get().result_int() == switchingProtocols)
+            if (parser->status() == switchingProtocols)
                 return fail("the peer switched protocols unasked");
             return true;
         }
@@ -122,36 +124,43 @@
 AnswerParser::AnswerParser(AnswerParser&&) noexcept = default;
 auto AnswerParser::operator=(AnswerParser&&) noexcept -> AnswerParser& = default;
 
-auto AnswerParser::feed(std::string_view bytes) -> std::size_t
+auto AnswerParser::State::feed(std::string_view bytes) -> std::size_t
 {
-    auto& state = *m_state;
     std::size_t used = 0;
-    while (state.progress == ParseProgress::NeedsMore && used < bytes.size()) {
-        state.hasStarted = true;
+    while (progress == ParseProgress::NeedsMore && used < bytes.size()) {
+        hasStarted = true;
         boost::beast::error_code error;
-        used += state.feedParser(bytes.substr(used), error);
-        if (state.progress == ParseProgress::Failed)
+        used += feedParser(bytes.substr(used), error);
+        if (progress == ParseProgress::Failed)
             break;
         if (error) {
-            state.fail(error.message());
+            failFrom(error);
             break;
         }
-        if (!state.parser->is_done())
+        if (!parser->is_done())
             break;
-        if (!state.isInterim()) {
-            state.progress = ParseProgress::Complete;
-        } else if (++state.interimAnswers > maximumInterimAnswers) {
-            state.fail("too many interim answers");
+        if (!isInterim()) {
+            progress = ParseProgress::Complete;
+        } else if (++interimAnswers > maximumInterimAnswers) {
+            fail("too many interim answers");
         } else {
-            state.restart();
+            restart();
         }
     }
-    if (state.progress == ParseProgress::NeedsMore && !state.parser->is_header_done()
-        && bytes.size() - used > state.options.maximumHeaderBytes)
-        state.fail("the headers are larger than " + std::to_string(state.options.maximumHeaderBytes) + " bytes");
     return used;
 }
 
+auto AnswerParser::feed(std::string_view bytes) -> std::size_t
+{
+    try {
+        return m_state->feed(bytes);
+    } catch (const std::exception& error) {
+        // For want of memory, for example. The bytes of one peer must not end the process.
+        m_state->fail(error.what());
+        return bytes.size();
+    }
+}
+
 auto AnswerParser::finishAtEnd() -> void
 {
     auto& state = *m_state;
@@ -171,13 +180,13 @@
 
 auto AnswerParser::takeAnswer() -> Answer
 {
-    auto& message = m_state->parser->get();
+    auto& parser = *m_state->parser;
     Answer answer;
-    answer.status = static_cast<int>(message.result_int());
-    answer.reason = internal::toView(message.reason());
-    answer.headers = std::move(m_state->headers);
-    answer.body = std::move(message.body());
-    answer.isKeepAlive = message.keep_alive();
+    answer.status = parser.status();
+    answer.reason = parser.reason();
+    answer.headers = parser.takeHeaders();
+    answer.body = parser.takeBody();
+    answer.isKeepAlive = parser.isKeepAlive();
     return answer;
 }
 
