Read and write header fields of any length within the limit

Boost.Beast's message throws for a field value over 65,533 bytes, whatever limit its parser was given, and RequestParser bounded a trailer only while it was incomplete. serializeRequest() built such a message again for the target, so that it would have thrown in the next daemon. A limit above 4 GiB was cut off to 32 bits.

Change: RequestParser uses internal::MessageParser.

--- a/src/config/CallerLimits.h
+++ b/src/config/CallerLimits.h
@@ -3,9 +3,14 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
+#include <limits>
 
 namespace coriandergate::config {
 
+// Largest limit on headers in bytes that http::RequestParser keeps.
+inline constexpr std::size_t largestHeaderLimit = std::numeric_limits<std::uint32_t>::max();
+
 // CallerLimits is part of a Configuration.
 struct CallerLimits {
     std::size_t maximumHeaderBytes = 16 * 1024;
--- a/src/http/MessageBounds_test.cpp
+++ b/src/http/MessageBounds_test.cpp
@@ -1,10 +1,13 @@
 // The bounds of the parsers on each part of a message, also far beyond those of the library behind them.
 #include "http/AnswerParser.h"
+#include "http/RequestParser.h"
 
 #include <catch2/catch.hpp>
 #include <functional>
+#include <limits>
 #include <random>
 #include <string>
+#include <type_traits>
 
 namespace coriandergate::http {
 
@@ -65,33 +68,58 @@
         return random() % 2 == 0 ? makeFields(size, size - 4) : makeFields(size, 1 + random() % 40);
     }
 
-    auto drawAnswer(Random& random, std::size_t limit) -> DrawnMessage
+    // drawChunked() draws a message in chunks, which has the given first line and the fields that it needs.
+    auto drawChunked(Random& random, std::size_t limit, const std::string& startLine, const std::string& neededFields)
+        -> DrawnMessage
     {
         DrawnMessage message;
-        const auto limitPart = [&](std::size_t bytes) -> void { message.isWithinLimit &= bytes <= limit; };
-        const auto add = [&](const std::string& part) -> void { message.bytes += part; };
-        for (auto interim = random() % 3; interim > 0; --interim) {
-            const auto fields = drawPart(random, limit) + "\r\n";
-            limitPart(fields.size());
-            add("HTTP/1.1 103 Early Hints\r\n" + fields);
-        }
-        const auto fields = drawPart(random, limit) + "Transfer-Encoding: chunked\r\n\r\n";
-        limitPart(fields.size());
-        add("HTTP/1.1 200 OK\r\n" + fields);
+        const auto add = [&](const std::string& part, std::size_t countedBytes) -> void {
+            message.bytes += part;
+            message.isWithinLimit = message.isWithinLimit && countedBytes <= limit;
+        };
+        add(startLine, startLine.size());
+        const auto fields = drawPart(random, limit) + neededFields + "Transfer-Encoding: chunked\r\n\r\n";
+        add(fields, fields.size());
         // The end of a chunk is read with the line before the next.
-        const char* const lineEnd = random() % 2 == 0 ? "" : "2\r\nok\r\n";
-        add(lineEnd);
-        const std::size_t chunkEnd = *lineEnd ? 2 : 0;
+        constexpr std::size_t chunkEnd = 2;
+        const bool hasFirstChunk = random() % 2 == 0;
+        if (hasFirstChunk)
+            message.bytes += "2\r\nok\r\n";
         const auto extension = random() % 3 == 0 ? ";a=" + std::string(drawPart(random, limit).size() + 1, 'e') : "";
         const auto line = "2" + extension + "\r\n";
-        limitPart(line.size() + chunkEnd);
-        add(line + "ok\r\n");
+        add(line + "ok\r\n", line.size() + (hasFirstChunk ? chunkEnd : 0));
         const auto end = "0\r\n" + drawPart(random, limit) + "\r\n";
-        limitPart(end.size() + 2);
-        add(end);
+        add(end, end.size() + chunkEnd);
         return message;
     }
 
+    // drawLongWord() is a part of a first line, most often a short one.
+    auto drawLongWord(Random& random, std::size_t limit) -> std::string
+    {
+        return std::string(1 + (random() % 4 == 0 ? drawPart(random, limit).size() : 0), 'w');
+    }
+
+    auto drawAnswer(Random& random, std::size_t limit) -> DrawnMessage
+    {
+        std::string interimAnswers;
+        bool isWithinLimit = true;
+        for (auto interim = random() % 3; interim > 0; --interim) {
+            const auto fields = drawPart(random, limit) + "\r\n";
+            isWithinLimit = isWithinLimit && fields.size() <= limit;
+            interimAnswers += "HTTP/1.1 103 Early Hints\r\n" + fields;
+        }
+        auto message = drawChunked(random, limit, "HTTP/1.1 200 " + drawLongWord(random, limit) + "\r\n", "");
+        return { interimAnswers + message.bytes, isWithinLimit && message.isWithinLimit };
+    }
+
+    auto drawRequest(Random& random, std::size_t limit) -> DrawnMessage
+    {
+        return drawChunked(random, limit, "POST /" + drawLongWord(random, limit) + " HTTP/1.1\r\n", "Host: x\r\n");
+    }
+
+    auto bodyOf(AnswerParser& parser) -> std::string { return parser.takeAnswer().body; }
+    auto bodyOf(RequestParser& parser) -> std::string { return parser.takeRequest().body; }
+
     auto drawPieces(Random& random) -> std::function<std::size_t()>
     {
         const std::size_t bounds[] = { 40, 1'000, 8'192, 65'536, 1'000'000 };
@@ -135,27 +163,73 @@
     CHECK(reading.mostUnread + reading.used <= 2 * limit + 1000);
 }
 
-// Guards against any part of an answer that is bounded only by the library, or only in one piece.
-TEST_CASE("an answer whose parts lie around every bound is read the same however it is cut, and never throws")
+// Guards against any part of a message that is bounded only by the library, or only if it comes in one piece.
+TEMPLATE_TEST_CASE("a message whose parts lie around every bound is read the same however it is cut, and never throws",
+    "", AnswerParser, RequestParser)
 {
     const auto seed = GENERATE(range(1, 601));
     Random random(static_cast<Random::result_type>(seed));
     const std::size_t limits[] = { 512, 16 * 1024, 64 * 1024, 128 * 1024 };
     const auto limit = limits[random() % std::size(limits)];
-    const auto message = drawAnswer(random, limit);
+    constexpr bool isRequest = std::is_same_v<TestType, RequestParser>;
+    const auto message = isRequest ? drawRequest(random, limit) : drawAnswer(random, limit);
     CAPTURE(seed, limit, message.bytes.size(), message.isWithinLimit);
-    AnswerParser whole({ .maximumHeaderBytes = limit });
+    TestType whole({ .maximumHeaderBytes = limit });
     readInPieces(whole, message.bytes, [&] { return message.bytes.size(); });
-    AnswerParser inPieces({ .maximumHeaderBytes = limit });
+    TestType inPieces({ .maximumHeaderBytes = limit });
     const auto reading = readInPieces(inPieces, message.bytes, drawPieces(random));
     const auto expected = message.isWithinLimit ? ParseProgress::Complete : ParseProgress::Failed;
     CHECK(whole.progress() == expected);
-    CHECK(inPieces.progress() == expected);
-    if (expected == ParseProgress::Complete && whole.progress() == expected && inPieces.progress() == expected) {
-        const auto answer = whole.takeAnswer();
-        CHECK(answer.body == inPieces.takeAnswer().body);
-        CHECK(reading.used == message.bytes.size());
+    REQUIRE(inPieces.progress() == expected);
+    if (expected == ParseProgress::Failed) {
+        CHECK_FALSE(inPieces.failureReason().empty());
+        return;
+    }
+    CHECK(reading.used == message.bytes.size());
+    CHECK(bodyOf(whole) == bodyOf(inPieces));
+}
+
+// Guards against a request within a limit that a configuration raised, which ended the daemon: a field of 64 KiB was an
+// exception of the library.
+TEST_CASE("RequestParser reads a field of any length within the header limit")
+{
+    constexpr std::size_t limit = 128 * 1024;
+    const std::size_t fieldBytes = GENERATE(60, 65'532, 65'533, 65'534, 66'000, 131'000, 131'072, 200'000);
+    const auto fields = "Host: x\r\nCookie: " + std::string(fieldBytes, 'c') + "\r\n\r\n";
+    RequestParser parser({ .maximumHeaderBytes = limit });
+    parser.feed("GET / HTTP/1.1\r\n" + fields);
+    CAPTURE(fieldBytes);
+    if (fields.size() <= limit) {
+        REQUIRE(parser.progress() == ParseProgress::Complete);
+        CHECK(parser.takeRequest().headers.find("Cookie")->size() == fieldBytes);
+    } else {
+        CHECK(parser.failureStatus() == 431);
     }
 }
 
+// Guards against a trailer that only a reader of unfinished ones bounds, so that one behind other requests passes.
+TEST_CASE("RequestParser bounds a trailer that has arrived whole")
+{
+    constexpr std::size_t limit = 16 * 1024;
+    const std::size_t fieldBytes = GENERATE(60, 16'000, 17'000, 60'000, 66'000);
+    RequestParser parser({ .maximumHeaderBytes = limit });
+    parser.feed("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nT: "
+        + std::string(fieldBytes, 't') + "\r\n\r\n");
+    if (fieldBytes < limit)
+        CHECK(parser.progress() == ParseProgress::Complete);
+    else
+        CHECK(parser.failureStatus() == 431);
+}
+
+// Guards against a configured body limit that the parser takes for the room that it reserves at once.
+TEST_CASE("RequestParser reserves no room for a body of which nothing has come, whatever its limit")
+{
+    RequestParser parser({ .maximumBodyBytes = std::numeric_limits<std::size_t>::max() });
+    const std::string head = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9223372036854775807\r\n\r\n";
+    CHECK(parser.feed(head + "ok") == head.size() + 2);
+    CHECK(parser.progress() == ParseProgress::NeedsMore);
+    CHECK(parser.bodyBytes() == 2);
+    CHECK(parser.heldBytes() < 10'000);
+}
+
 } // namespace coriandergate::http
--- a/src/http/RequestParser.cpp
+++ b/src/http/RequestParser.cpp
@@ -1,8 +1,10 @@
 #include "http/RequestParser.h"
 
-#include "http/internal/BeastBuffer.h"
+#include "http/Status.h"
+#include "http/internal/HeaderChecks.h"
+#include "http/internal/MessageParser.h"
 
-#include <optional>
+#include <exception>
 
 namespace coriandergate::http {
 
@@ -10,28 +12,31 @@
 
 namespace {
 
-    // A header field takes two lists' nodes and allocations beside its text, which both hold.
-    constexpr std::size_t fieldOverhead = 2 * 96;
+    // A header field takes its place in a list, which may double its room while it holds the former one.
+    constexpr std::size_t fieldOverhead = 3 * sizeof(Header);
     // The shortest line is "a:" and its end. So much memory may stand behind each byte of an unfinished header block.
     constexpr std::size_t shortestLine = 4;
-    // Method, version, blanks and end of the request line, in which the target stands.
-    constexpr std::size_t requestLineOverhead = 48;
 
     auto headersMemory(const HeaderList& headers) -> std::size_t
     {
         std::size_t bytes = 0;
         for (const auto& header : headers)
-            bytes += 2 * (header.name.size() + header.value.size()) + fieldOverhead;
+            bytes += header.name.size() + header.value.size() + fieldOverhead;
         return bytes;
     }
 
 } // namespace
 
 struct RequestParser::State {
-    beast::request_parser<beast::string_body> parser;
+    explicit State(const Options& requestOptions)
+        : parser({ .maximumHeaderBytes = requestOptions.maximumHeaderBytes,
+            .maximumBodyBytes = requestOptions.maximumBodyBytes })
+        , options(requestOptions)
+    {
+    }
+
+    internal::MessageParser<true> parser;
     Options options;
-    HeaderList headers;
-    std::size_t headBytes = 0; // read of the header block
     std::size_t headMemory = 0; // once the header block is complete
     ParseProgress progress = ParseProgress::NeedsMore;
     bool hasStarted = false;
@@ -47,8 +52,8 @@
         return false;
     }
 
-    auto takeHeaders(std::size_t used) -> bool;
-    auto checkHeadSize(std::size_t unread) -> bool;
+    auto feed(std::string_view bytes) -> std::size_t;
+    auto checkHead() -> bool;
     auto checkTarget(std::string_view target) -> bool;
     auto failFrom(const boost::beast::error_code& error) -> void;
 };
@@ -64,24 +69,11 @@
     return true;
 }
 
-// Beast bounds what it is given at once, not a header block that comes line by line.
-auto RequestParser::State::checkHeadSize(std::size_t unread) -> bool
+auto RequestParser::State::checkHead() -> bool
 {
-    const auto limit = options.maximumHeaderBytes;
-    if (headBytes + unread <= limit + parser.get().target().size() + requestLineOverhead)
-        return true;
-    return fail(431, "the headers are larger than " + std::to_string(limit) + " bytes");
-}
-
-auto RequestParser::State::takeHeaders(std::size_t used) -> bool
-{
-    const auto& message = parser.get();
-    headers = internal::copyHeaders(message);
+    const auto& headers = parser.headers();
     headMemory = headersMemory(headers);
-    headBytes += used;
-    if (!checkHeadSize(0))
-        return false;
-    if (message.version() != 11 && message.version() != 10)
+    if (parser.version() != 11 && parser.version() != 10)
         return fail(505, "only HTTP/1.0 and HTTP/1.1 are served");
     if (!internal::hasPlainLength(headers))
         return fail(400, "a Content-Length that isn't one whole number");
@@ -90,19 +82,19 @@
     if (const auto encoding = headers.find("Transfer-Encoding")) {
         if (headers.find("Content-Length"))
             return fail(400, "Content-Length beside Transfer-Encoding");
-        if (message.version() == 10)
+        if (parser.version() == 10)
             return fail(400, "Transfer-Encoding in HTTP/1.0");
         if (!isSameName(*encoding, "chunked"))
             return fail(501, "a Transfer-Encoding other than chunked");
     }
-    if (headers.count("Host") > 1 || (message.version() == 11 && headers.count("Host") == 0))
+    if (headers.count("Host") > 1 || (parser.version() == 11 && headers.count("Host") == 0))
         return fail(400, "one Host header is needed");
     if (const auto expect = headers.find("Expect")) {
         if (!isSameName(*expect, "100-continue"))
             return fail(417, "an expectation other than 100-continue");
         awaitsContinue = true;
     }
-    return checkTarget(internal::toView(message.target()));
+    return checkTarget(parser.target());
 }
 
 auto RequestParser::State::failFrom(const boost::beast::error_code& error) -> void
@@ -110,55 +102,49 @@
     if (error == beast::error::body_limit)
         fail(413, "the body is larger than " + std::to_string(options.maximumBodyBytes) + " bytes");
     else if (error == beast::error::header_limit)
-        fail(431, "the headers are larger than " + std::to_string(options.maximumHeaderBytes) + " bytes");
+        fail(431,
+            std::string(parser.is_header_done() ? "a trailer or the line before a chunk is" : "the headers are")
+                + " larger than " + std::to_string(options.maximumHeaderBytes) + " bytes");
     else
         fail(400, error.message());
 }
 
 RequestParser::RequestParser(const Options& options)
-    : m_state(std::make_unique<State>())
+    : m_state(std::make_unique<State>(options))
 {
-    m_state->options = options;
-    m_state->parser.header_limit(static_cast<std::uint32_t>(options.maximumHeaderBytes));
-    m_state->parser.body_limit(options.maximumBodyBytes);
 }
 
 RequestParser::~RequestParser() = default;
 RequestParser::RequestParser(RequestParser&&) noexcept = default;
 auto RequestParser::operator=(RequestParser&&) noexcept -> RequestParser& = default;
 
-auto RequestParser::feed(std::string_view bytes) -> std::size_t
+auto RequestParser::State::feed(std::string_view bytes) -> std::size_t
 {
-    auto& state = *m_state;
-    if (state.progress != ParseProgress::NeedsMore || bytes.empty())
-        return 0;
-    state.hasStarted = true;
+    hasStarted = true;
     boost::beast::error_code error;
-    const auto used = internal::feedParser(
-        state.parser, bytes, error, [&state](std::size_t head) -> bool { return state.takeHeaders(head); });
-    if (state.progress == ParseProgress::Failed)
+    const auto used = parser.feed(bytes, error, [this] { return checkHead(); });
+    if (progress == ParseProgress::Failed)
         return used;
-    if (error) {
-        state.failFrom(error);
-        return used;
-    }
-    const auto unread = bytes.size() - used;
-    if (state.parser.is_done()) {
-        state.progress = ParseProgress::Complete;
-    } else if (!state.parser.is_header_done()) {
-        state.headBytes += used;
-        // A parser that needs more keeps nothing of an unfinished header line.
-        if (unread > state.options.maximumHeaderBytes || !state.checkHeadSize(unread))
-            state.fail(
-                431, "the headers are larger than " + std::to_string(state.options.maximumHeaderBytes) + " bytes");
-    } else if (unread > state.options.maximumHeaderBytes) {
-        state.fail(431,
-            "a trailer or the line before a chunk is larger than " + std::to_string(state.options.maximumHeaderBytes)
-                + " bytes");
-    }
+    if (error)
+        failFrom(error);
+    else if (parser.is_done())
+        progress = ParseProgress::Complete;
     return used;
 }
 
+auto RequestParser::feed(std::string_view bytes) -> std::size_t
+{
+    if (m_state->progress != ParseProgress::NeedsMore || bytes.empty())
+        return 0;
+    try {
+        return m_state->feed(bytes);
+    } catch (const std::exception& error) {
+        // For want of memory, for example. The bytes of one caller must not end the process.
+        m_state->fail(statusUnavailable, error.what());
+        return bytes.size();
+    }
+}
+
 auto RequestParser::progress() const -> ParseProgress { return m_state->progress; }
 
 auto RequestParser::hasHeaders() const -> bool { return m_state->parser.is_header_done(); }
@@ -167,22 +153,21 @@
 
 auto RequestParser::awaitsContinue() const -> bool
 {
-    return m_state->awaitsContinue && m_state->progress == ParseProgress::NeedsMore
-        && m_state->parser.get().body().empty();
+    return m_state->awaitsContinue && m_state->progress == ParseProgress::NeedsMore && m_state->parser.body().empty();
 }
 
-auto RequestParser::bodyBytes() const -> std::size_t { return m_state->parser.get().body().size(); }
+auto RequestParser::bodyBytes() const -> std::size_t { return m_state->parser.body().size(); }
 
 auto RequestParser::heldBytes() const -> std::size_t
 {
     if (!m_state->hasStarted)
         return 0;
-    const auto& message = m_state->parser.get();
-    // The buffer of a body of declared length is reserved at once, and its pages are used as the body comes.
-    const auto body = message.has_content_length() ? message.body().size() : message.body().capacity();
-    if (m_state->parser.is_header_done())
+    const auto& parser = m_state->parser;
+    // Pages of a buffer that is reserved at once are used as the body comes.
+    const auto body = parser.isBodyReserved() ? parser.body().size() : parser.body().capacity();
+    if (parser.is_header_done())
         return body + m_state->headMemory;
-    return m_state->headBytes * (1 + fieldOverhead / shortestLine);
+    return parser.headBytes() * (1 + fieldOverhead / shortestLine);
 }
 
 auto RequestParser::failureStatus() const -> int { return m_state->failureStatus; }
@@ -191,13 +176,13 @@
 
 auto RequestParser::takeRequest() -> Request
 {
-    auto& message = m_state->parser.get();
+    auto& parser = m_state->parser;
     Request request;
-    request.method = internal::toView(message.method_string());
-    request.target = internal::toView(message.target());
-    request.headers = std::move(m_state->headers);
-    request.body = std::move(message.body());
-    request.isKeepAlive = message.keep_alive();
+    request.method = parser.method();
+    request.target = parser.target();
+    request.isKeepAlive = parser.isKeepAlive();
+    request.headers = parser.takeHeaders();
+    request.body = parser.takeBody();
     return request;
 }
 
--- a/src/http/RequestParser.h
+++ b/src/http/RequestParser.h
@@ -3,8 +3,9 @@
 //
 // Beyond Beast's own checks these are refused: more than one Content-Length, Content-Length beside Transfer-Encoding, a
 // Transfer-Encoding other than "chunked", no or several Host headers in HTTP/1.1, a request target that is not a path.
-// Fields in a chunked trailer are dropped, so that none can pass for a header. A trailer and the line before a chunk
-// may each be as long as a header block.
+// Fields in a chunked trailer are dropped, so that none can pass for a header. The request line, the other lines of the
+// header block together, the line before a chunk, and a trailer with the line before it may each be as long as
+// `maximumHeaderBytes`.
 //
 //   RequestParser parser({});
 //   const auto used = parser.feed(bytes);
@@ -24,7 +25,7 @@
 class RequestParser {
 public:
     struct Options {
-        std::size_t maximumHeaderBytes = 16 * 1024;
+        std::size_t maximumHeaderBytes = 16 * 1024; // at most 4 GiB - 1
         std::size_t maximumBodyBytes = 8 * 1024 * 1024;
     };
 
@@ -55,7 +56,7 @@
     // headers with the nodes that hold them.
     [[nodiscard]] auto heldBytes() const -> std::size_t;
 
-    // failureStatus() is the HTTP status (400, 413, 431, 501) for a failed request, and failureReason() says why.
+    // failureStatus() is the HTTP status (400, 413, 417, 431, 501, 503, 505) for a failed request, and failureReason() says why.
     [[nodiscard]] auto failureStatus() const -> int;
     [[nodiscard]] auto failureReason() const -> std::string_view;
 
--- a/src/http/Serialize.cpp
+++ b/src/http/Serialize.cpp
@@ -2,38 +2,37 @@
 
 #include "http/Answer.h"
 #include "http/Request.h"
-#include "http/internal/BeastBuffer.h"
 
-namespace coriandergate::http {
+#include <ostream> // for the next one, which lacks it
 
-namespace beast = boost::beast::http;
+#include <boost/beast/http/status.hpp>
 
-namespace {
+namespace coriandergate::http {
 
-    auto toBeast(std::string_view text) -> boost::beast::string_view { return { text.data(), text.size() }; }
+namespace {
 
-    template <typename Message> auto insertHeaders(Message& message, const HeaderList& headers) -> void
+    // A field may be longer than the 64 KiB that Boost.Beast's messages hold.
+    auto toBytes(const std::string& startLine, const HeaderList& headers, const std::string& body) -> std::string
     {
+        constexpr std::string_view separator = ": ";
+        constexpr std::string_view lineEnd = "\r\n";
+        auto size = startLine.size() + 2 * lineEnd.size() + body.size();
         for (const auto& header : headers)
-            message.insert(toBeast(header.name), toBeast(header.value));
+            size += header.name.size() + separator.size() + header.value.size() + lineEnd.size();
+        std::string bytes;
+        bytes.reserve(size);
+        bytes.append(startLine).append(lineEnd);
+        for (const auto& header : headers)
+            bytes.append(header.name).append(separator).append(header.value).append(lineEnd);
+        return bytes.append(lineEnd).append(body);
     }
 
-    template <typename Message> auto toBytes(Message& message) -> std::string
+    auto reasonOf(const Answer& answer) -> std::string
     {
-        std::string bytes;
-        beast::serializer<Message::is_request::value, typename Message::body_type> serializer(message);
-        boost::beast::error_code error;
-        while (!serializer.is_done() && !error) {
-            serializer.next(error, [&](boost::beast::error_code&, const auto& buffers) -> void {
-                std::size_t written = 0;
-                for (const auto buffer : boost::beast::buffers_range_ref(buffers)) {
-                    bytes.append(static_cast<const char*>(buffer.data()), buffer.size());
-                    written += buffer.size();
-                }
-                serializer.consume(written);
-            });
-        }
-        return bytes;
+        if (!answer.reason.empty())
+            return answer.reason;
+        const auto status = boost::beast::http::int_to_status(static_cast<unsigned>(answer.status));
+        return std::string(boost::beast::http::obsolete_reason(status));
     }
 
     // A length header that is right already stays in its place.
@@ -55,10 +54,6 @@
 
 auto serializeRequest(const Request& request) -> std::string
 {
-    beast::request<beast::string_body> message;
-    message.version(11);
-    message.method_string(toBeast(request.method));
-    message.target(toBeast(request.target));
     HeaderList headers = request.headers;
     headers.removeAll("Transfer-Encoding");
     // HTTP/1.1 needs one, which a request that came with HTTP/1.0 may lack; it is empty where there is no name.
@@ -66,32 +61,24 @@
         headers.add("Host", "");
     if (headers.find("Content-Length") || !request.body.empty())
         setContentLength(headers, request.body.size());
-    insertHeaders(message, headers);
-    message.body() = request.body;
-    return toBytes(message);
+    return toBytes(request.method + ' ' + request.target + " HTTP/1.1", headers, request.body);
 }
 
 auto serializeAnswer(const Answer& answer, bool isHead) -> std::string
 {
-    beast::response<beast::string_body> message;
-    message.version(11);
-    message.result(static_cast<unsigned>(answer.status));
-    if (!answer.reason.empty())
-        message.reason(toBeast(answer.reason));
     HeaderList headers = answer.headers;
     headers.removeAll("Transfer-Encoding");
     headers.removeAll("Connection");
     if (!isHead) {
         if (mayHaveBody(answer.status))
             setContentLength(headers, answer.body.size());
-        message.body() = answer.body;
     } else if (!answer.body.empty() && !headers.find("Content-Length")) {
         headers.add("Content-Length", std::to_string(answer.body.size()));
     }
     if (!answer.isKeepAlive)
         headers.add("Connection", "close");
-    insertHeaders(message, headers);
-    return toBytes(message);
+    return toBytes("HTTP/1.1 " + std::to_string(answer.status) + ' ' + reasonOf(answer), headers,
+        isHead ? std::string() : answer.body);
 }
 
 } // namespace coriandergate::http
