Keep the leaving of a target whose heartbeats are late

What callers saw: a target crashed, and another one started beside the same daemon.

Cause: LocalTarget::deregister() took each deregistration of another target than the known one for a late one of an earlier target, and recorded nothing, while HostRegistration acknowledged it.

Change: a deregistration of a target that started later replaces the known one, draining, also in the row. The latest deregistration is kept in any order, a draining heartbeat holds regardless of its sequence, and a deregistration that can't be ordered isn't acknowledged.

The tests of LocalTarget and HostRegistration pass unchanged but for the fixture, which moved to a header.

--- a/src/fleet/HostRegistration.cpp
+++ b/src/fleet/HostRegistration.cpp
@@ -70,6 +70,9 @@
     case LocalTarget::DeregistrationResult::OtherTarget:
         acknowledge(true);
         return;
+    case LocalTarget::DeregistrationResult::UnknownOrder:
+        acknowledge(false);
+        return;
     case LocalTarget::DeregistrationResult::NoHeartbeatYet:
         break;
     case LocalTarget::DeregistrationResult::CurrentTarget:
@@ -147,12 +150,11 @@
 // The row needs no update if it belongs to a later target than the one that deregistered.
 auto HostRegistration::isDeregistrationStored(const std::optional<HostRecord>& stored) const -> bool
 {
-    const auto& deregistered = m_target.deregistered();
+    const auto deregistered = m_target.deregistered();
     if (!deregistered || !stored)
         return !deregistered;
-    if (stored->targetId == deregistered->id)
-        return isDrainStored(*stored);
-    return deregistered->startedAt < stored->targetStartedAt;
+    const bool isSame = stored->targetId == deregistered->id && stored->targetStartedAt == deregistered->startedAt;
+    return isSame ? isDrainStored(*stored) : deregistered->startedAt < stored->targetStartedAt;
 }
 
 auto HostRegistration::onHostsChanged() -> void
@@ -237,7 +239,7 @@
         record.targetStartedAt = current->startedAt;
         record.slots = current->slots;
         record.state = current->isDraining ? HostRecord::State::Draining : HostRecord::State::Serving;
-    } else if (const auto& deregistered = m_target.deregistered()) {
+    } else if (const auto deregistered = m_target.deregistered()) {
         record.targetId = deregistered->id;
         record.targetStartedAt = deregistered->startedAt;
         record.state = HostRecord::State::Draining;
--- a/src/fleet/HostRegistration_test.cpp
+++ b/src/fleet/HostRegistration_test.cpp
@@ -5,7 +5,7 @@
 #include "fleet/HostDirectory.h"
 #include "fleet/LocalTarget.h"
 #include "fleet/StoreVersion.h"
-#include "testing/OneRowStore.h"
+#include "testing/RegistrationFixture.h"
 
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
@@ -14,6 +14,8 @@
 
 using namespace std::chrono_literals;
 
+using testing::RegistrationFixture;
+
 namespace {
 
     const std::string host = "10.1.0.1";
@@ -29,50 +31,13 @@
             .isDraining = isDraining };
     }
 
-    struct RegistrationFixture {
-        boost::asio::io_context io;
-        testing::OneRowStore store { host };
-        LocalTarget target { "ledger", "10.1.0.1:8363" };
-        HostDirectory directory;
-        HostRegistration registration { io, store, target, directory,
-            { .table = "hosts",
-                .key = host,
-                .formerKey = "former",
-                .host = { .peerAddress = "10.1.0.1:8366", .service = "ledger" } } };
-        int targetChanges = 0;
-        std::vector<bool> acknowledgements;
-
-        RegistrationFixture()
-        {
-            registration.setStoreClock([] { return 7s; });
-            registration.onTargetChanged([this] { ++targetChanges; });
-        }
-
-        auto storedRecord() const -> HostRecord
-        {
-            Error reason;
-            return decodeHostRecord(host, store.row.value, reason).value_or(HostRecord {});
-        }
-
-        auto acknowledge() -> HostRegistration::Acknowledge
-        {
-            return [this](bool isStored) { acknowledgements.push_back(isStored); };
-        }
-
-        auto sendHeartbeat(std::uint64_t sequence, bool isDraining) -> void
-        {
-            Error reason;
-            REQUIRE(registration.receive(makeHeartbeat(sequence, isDraining), acknowledge(), reason));
-        }
-    };
-
 } // namespace
 
 TEST_CASE("a target's first heartbeat writes its host's row")
 {
     RegistrationFixture fixture;
     fixture.registration.onHostsLoaded();
-    fixture.sendHeartbeat(1, false);
+    fixture.sendHeartbeat(makeHeartbeat(1, false));
     CHECK(fixture.acknowledgements == std::vector<bool> { true });
     CHECK(fixture.storedRecord().state == HostRecord::State::Serving);
     CHECK(fixture.storedRecord().targetId == "i-1");
@@ -85,15 +50,15 @@
 {
     RegistrationFixture fixture;
     fixture.registration.onHostsLoaded();
-    fixture.sendHeartbeat(1, false);
+    fixture.sendHeartbeat(makeHeartbeat(1, false));
     fixture.store.isSilent = true;
-    fixture.sendHeartbeat(2, true);
+    fixture.sendHeartbeat(makeHeartbeat(2, true));
     CHECK(fixture.acknowledgements == std::vector<bool> { true });
     fixture.io.run_for(1s);
     CHECK(fixture.acknowledgements == std::vector<bool> { true, false });
     CHECK_FALSE(fixture.target.isServing()); // it gets no new requests in either case
 
-    fixture.sendHeartbeat(3, true);
+    fixture.sendHeartbeat(makeHeartbeat(3, true));
     CHECK(fixture.acknowledgements.size() == 2);
     fixture.store.isSilent = false;
     fixture.store.unanswered(StoreFailure { StoreFailure::Kind::Unknown, { "write", "store", "no answer" }, {} });
@@ -107,10 +72,10 @@
 {
     RegistrationFixture fixture;
     const bool isBeforeTimeout = GENERATE(true, false);
-    fixture.sendHeartbeat(1, true);
+    fixture.sendHeartbeat(makeHeartbeat(1, true));
     fixture.io.run_for(isBeforeTimeout ? 300ms : 1s);
     fixture.registration.onHostsLoaded();
-    fixture.sendHeartbeat(2, true);
+    fixture.sendHeartbeat(makeHeartbeat(2, true));
     CHECK(fixture.acknowledgements.back());
     CHECK(fixture.storedRecord().state == HostRecord::State::Draining);
 }
@@ -135,7 +100,7 @@
     restarted.directory.apply({ { host, fixture.store.row.value, 41, false } }, true);
     restarted.registration.onHostsLoaded();
     CHECK(restarted.store.writes == 0); // the stored row is already correct
-    restarted.sendHeartbeat(9, false); // sent before the target deregistered
+    restarted.sendHeartbeat(makeHeartbeat(9, false)); // sent before the target deregistered
     CHECK_FALSE(restarted.target.isServing());
 }
 
@@ -158,15 +123,15 @@
 {
     RegistrationFixture fixture;
     fixture.registration.onHostsLoaded();
-    fixture.sendHeartbeat(1, false);
+    fixture.sendHeartbeat(makeHeartbeat(1, false));
     const bool isDrainingBeforeStop = GENERATE(true, false);
     const bool isStoreSilent = GENERATE(true, false);
     if (isDrainingBeforeStop)
-        fixture.sendHeartbeat(2, true);
+        fixture.sendHeartbeat(makeHeartbeat(2, true));
     fixture.store.isSilent = isStoreSilent && isDrainingBeforeStop; // then the row of the drain remains
     fixture.registration.beginStop();
     if (!isDrainingBeforeStop)
-        fixture.sendHeartbeat(2, true);
+        fixture.sendHeartbeat(makeHeartbeat(2, true));
     const bool isDeparted = fixture.storedRecord().state == HostRecord::State::Departed;
     CHECK(isDeparted == !fixture.store.isSilent);
 
@@ -176,9 +141,9 @@
     CHECK(restarted.directory.size() == (isDeparted ? 0 : 1));
     const bool isHeartbeatEarly = GENERATE(true, false);
     if (isHeartbeatEarly)
-        restarted.sendHeartbeat(1, false);
+        restarted.sendHeartbeat(makeHeartbeat(1, false));
     restarted.registration.onHostsLoaded();
-    restarted.sendHeartbeat(9, false);
+    restarted.sendHeartbeat(makeHeartbeat(9, false));
     CHECK_FALSE(restarted.target.isServing());
     CHECK(restarted.storedRecord().state == HostRecord::State::Draining);
 }
@@ -197,7 +162,7 @@
     CHECK(fixture.store.writes == 0);
     const bool hasHeartbeat = GENERATE(true, false);
     if (hasHeartbeat)
-        fixture.sendHeartbeat(1, false);
+        fixture.sendHeartbeat(makeHeartbeat(1, false));
     else
         fixture.io.run_for(5s);
     CHECK(fixture.storedRecord().joinedAt == 7s);
@@ -208,14 +173,14 @@
 {
     RegistrationFixture fixture;
     fixture.registration.onHostsLoaded();
-    fixture.sendHeartbeat(1, false);
+    fixture.sendHeartbeat(makeHeartbeat(1, false));
     fixture.store.row = {};
     fixture.registration.onHostsChanged();
     CHECK(fixture.store.writes == 2);
     CHECK(fixture.storedRecord().state == HostRecord::State::Serving);
     fixture.registration.beginStop();
     CHECK(fixture.storedRecord().state == HostRecord::State::Serving);
-    fixture.sendHeartbeat(2, true);
+    fixture.sendHeartbeat(makeHeartbeat(2, true));
     CHECK(fixture.storedRecord().state == HostRecord::State::Departed);
     CHECK(fixture.storedRecord().departedAt == 7s);
 }
@@ -225,9 +190,9 @@
 {
     RegistrationFixture fixture;
     fixture.registration.onHostsLoaded();
-    fixture.sendHeartbeat(1, false);
+    fixture.sendHeartbeat(makeHeartbeat(1, false));
     const auto copy = fixture.store.row;
-    fixture.sendHeartbeat(2, true);
+    fixture.sendHeartbeat(makeHeartbeat(2, true));
     fixture.store.row = { host, copy.value, makeVersion(1, numberOf(copy.version)), false };
     fixture.store.newest = fixture.store.row.version;
     fixture.store.writes = 0;
@@ -244,7 +209,7 @@
 {
     RegistrationFixture fixture;
     fixture.registration.onHostsLoaded();
-    fixture.sendHeartbeat(1, false);
+    fixture.sendHeartbeat(makeHeartbeat(1, false));
     const auto confirmed = fixture.store.row;
     fixture.registration.onStoreRestored();
     CHECK(fixture.store.writes == 1);
@@ -258,7 +223,7 @@
         CHECK(fixture.registration.rowsWrittenAgain() == 0);
         // The next write has the version of the new era.
         fixture.store.newest = restoredVersion;
-        fixture.sendHeartbeat(2, true);
+        fixture.sendHeartbeat(makeHeartbeat(2, true));
         CHECK(fixture.store.writes == 2);
         CHECK(fixture.storedRecord().state == HostRecord::State::Draining);
     }
@@ -292,7 +257,7 @@
 {
     RegistrationFixture fixture;
     fixture.registration.onHostsLoaded();
-    fixture.sendHeartbeat(1, false);
+    fixture.sendHeartbeat(makeHeartbeat(1, false));
     REQUIRE(fixture.target.isServing());
     auto record = fixture.storedRecord();
     record.state = HostRecord::State::Draining;
@@ -302,7 +267,7 @@
     fixture.registration.onHostsChanged();
     CHECK_FALSE(fixture.target.isServing());
     CHECK(fixture.targetChanges == changes + 1);
-    fixture.sendHeartbeat(9, false);
+    fixture.sendHeartbeat(makeHeartbeat(9, false));
     CHECK_FALSE(fixture.target.isServing());
     CHECK(fixture.storedRecord().state == HostRecord::State::Draining);
 }
@@ -351,7 +316,7 @@
     CHECK(fixture.store.otherWrites[0].key == "former");
     CHECK(fixture.store.otherWrites[0].expectedVersion == 41);
     CHECK_FALSE(fixture.store.otherWrites[0].value);
-    fixture.sendHeartbeat(9, false);
+    fixture.sendHeartbeat(makeHeartbeat(9, false));
     CHECK_FALSE(fixture.target.isServing());
 }
 
--- a/src/fleet/LocalTarget.cpp
+++ b/src/fleet/LocalTarget.cpp
@@ -7,6 +7,13 @@
 
 namespace coriandergate::fleet {
 
+namespace {
+
+    // Stands for the start time of any incarnation of a target, also in the row that the host's daemon writes.
+    constexpr auto anyStart = std::numeric_limits<std::uint64_t>::max();
+
+} // namespace
+
 auto LocalTarget::receive(const Heartbeat& heartbeat, Error& reason) -> HeartbeatResult
 {
     const auto reject = [&](const char* why) -> HeartbeatResult {
@@ -18,18 +25,21 @@
     if (heartbeat.address != m_address)
         return reject("the address differs from the address of this host's target");
     auto accepted = heartbeat;
-    const bool isDeregisteredId = m_deregistered && m_deregistered->id == heartbeat.id;
-    const bool isStartTimeUnknown
-        = m_deregistered && m_deregistered->startedAt == std::numeric_limits<std::uint64_t>::max();
-    if (isDeregisteredId && heartbeat.startedAt <= m_deregistered->startedAt)
+    if (hasDeregistered(heartbeat))
         accepted.isDraining = true;
-    else if (m_deregistered && !isStartTimeUnknown && heartbeat.startedAt < m_deregistered->startedAt)
+    else if (m_deregistered && heartbeat.startedAt < m_deregistered->startedAt)
         return HeartbeatResult::Stale;
     if (m_current) {
         const bool isSame = m_current->startedAt == heartbeat.startedAt && m_current->id == heartbeat.id;
-        if (heartbeat.startedAt < m_current->startedAt || (isSame && heartbeat.sequence <= m_current->sequence))
+        if (heartbeat.startedAt < m_current->startedAt)
             return HeartbeatResult::Stale;
-        // An incarnation that has started draining never serves again.
+        if (isSame && heartbeat.sequence <= m_current->sequence) {
+            // An incarnation that has started draining never serves again, so this holds in any order.
+            if (!accepted.isDraining || m_current->isDraining)
+                return HeartbeatResult::Stale;
+            m_current->isDraining = true;
+            return HeartbeatResult::Changed;
+        }
         if (isSame)
             accepted.isDraining = accepted.isDraining || m_current->isDraining;
         const bool isUnchanged
@@ -41,25 +51,54 @@
     return HeartbeatResult::Changed;
 }
 
+auto LocalTarget::hasDeregistered(const Heartbeat& heartbeat) const -> bool
+{
+    return m_deregisteredId == heartbeat.id
+        || (m_deregistered && m_deregistered->id == heartbeat.id && heartbeat.startedAt <= m_deregistered->startedAt);
+}
+
+auto LocalTarget::recordDeregistered(Incarnation incarnation) -> void
+{
+    if (!m_deregistered || m_deregistered->startedAt <= incarnation.startedAt)
+        m_deregistered = std::move(incarnation);
+}
+
 auto LocalTarget::deregister(const std::string& id, std::uint64_t startedAt) -> DeregistrationResult
 {
-    if (m_current) {
-        if (m_current->id != id || (startedAt != 0 && startedAt < m_current->startedAt))
-            return DeregistrationResult::OtherTarget;
-        m_deregistered = Incarnation { id, std::max(startedAt, m_current->startedAt) };
-        m_current->isDraining = true;
-        return DeregistrationResult::CurrentTarget;
+    if (!m_current)
+        return deregisterBeforeHeartbeat(id, startedAt);
+    const bool isCurrentId = m_current->id == id;
+    if (startedAt == 0 && !isCurrentId)
+        return DeregistrationResult::UnknownOrder;
+    const auto knownStart = startedAt == 0 ? m_current->startedAt : startedAt;
+    if (knownStart < m_current->startedAt)
+        return DeregistrationResult::OtherTarget;
+    if (!isCurrentId || knownStart > m_current->startedAt) {
+        // The target has replaced the current one, and its own heartbeats are late.
+        m_current->id = id;
+        m_current->startedAt = knownStart;
+        m_current->sequence = 0;
+        m_current->coldRemaining.reset();
     }
-    // A daemon that has just started may receive the deregistration before any heartbeat. A heartbeat sent earlier that
-    // arrives later must not revert it.
+    m_current->isDraining = true;
+    recordDeregistered({ id, knownStart });
+    return DeregistrationResult::CurrentTarget;
+}
+
+// A daemon that has just started may receive the deregistration before any heartbeat. A heartbeat sent earlier that
+// arrives later must not revert it.
+auto LocalTarget::deregisterBeforeHeartbeat(const std::string& id, std::uint64_t startedAt) -> DeregistrationResult
+{
     const bool isStoredTarget = m_storedTarget && m_storedTarget->id == id;
+    if (startedAt == 0 && m_storedTarget && !isStoredTarget)
+        return DeregistrationResult::UnknownOrder;
     if (startedAt != 0)
-        m_deregistered = Incarnation { id, startedAt };
+        recordDeregistered({ id, startedAt });
     else if (isStoredTarget)
-        m_deregistered = Incarnation { id, m_storedTarget->startedAt };
+        recordDeregistered({ id, m_storedTarget->startedAt });
     else
-        m_deregistered = Incarnation { id, std::numeric_limits<std::uint64_t>::max() };
-    const bool isEarlierTarget = m_storedTarget && !isStoredTarget && startedAt < m_storedTarget->startedAt;
+        m_deregisteredId = id;
+    const bool isEarlierTarget = startedAt != 0 && m_storedTarget && startedAt < m_storedTarget->startedAt;
     return isEarlierTarget ? DeregistrationResult::OtherTarget : DeregistrationResult::NoHeartbeatYet;
 }
 
@@ -67,13 +106,26 @@
 {
     if (id.empty())
         return;
+    if (startedAt == anyStart) {
+        m_storedTarget = Incarnation { id, 0 };
+        m_deregisteredId = id;
+        return;
+    }
     m_storedTarget = Incarnation { id, startedAt };
-    // A deregistration received before the row was loaded may lack the start time.
-    const bool hasDeregistered = m_deregistered && m_deregistered->id == id;
-    if (hasDeregistered || (isDraining && (!m_deregistered || m_deregistered->startedAt < startedAt)))
-        m_deregistered = Incarnation { id, startedAt };
+    const bool hasDeregisteredUntimed = m_deregisteredId == id;
+    if (hasDeregisteredUntimed)
+        m_deregisteredId.reset();
+    if (hasDeregisteredUntimed || isDraining)
+        recordDeregistered({ id, startedAt });
     if (isDraining && m_current && m_current->id == id && m_current->startedAt == startedAt)
         m_current->isDraining = true;
 }
 
+auto LocalTarget::deregistered() const -> std::optional<Incarnation>
+{
+    if (m_deregisteredId)
+        return Incarnation { *m_deregisteredId, anyStart };
+    return m_deregistered;
+}
+
 } // namespace coriandergate::fleet
--- a/src/fleet/LocalTarget.h
+++ b/src/fleet/LocalTarget.h
@@ -50,14 +50,20 @@
     [[nodiscard]] auto receive(const Heartbeat& heartbeat, Error& reason) -> HeartbeatResult;
 
     enum class DeregistrationResult {
-        CurrentTarget, // the running target drains from now on
+        // The running target drains from now on. One that started after it has replaced it, even if its heartbeats are
+        // late.
+        CurrentTarget,
         NoHeartbeatYet, // recorded, so that a late heartbeat of that target won't report it as serving
-        // From another target or an earlier incarnation than the current one, which keeps its state; before any
-        // heartbeat, from a target earlier than the stored one.
+        // From an earlier target or incarnation than the current one, which keeps its state; before any heartbeat, from
+        // an earlier one than the stored one.
         OtherTarget,
+        // Without a start time, from another target than the current or stored one. It isn't recorded and must not be
+        // acknowledged.
+        UnknownOrder,
     };
 
-    // deregister() processes a target's deregistration; `startedAt` is 0 if the target didn't send it.
+    // deregister() processes a target's deregistration; `startedAt` is 0 if the target didn't send it. The latest one
+    // is kept, in whatever order they arrive.
     [[nodiscard]] auto deregister(const std::string& id, std::uint64_t startedAt) -> DeregistrationResult;
 
     // restoreFromStore() takes over the target that an earlier daemon of this host stored: a draining target stays
@@ -76,14 +82,20 @@
         std::uint64_t startedAt = 0; // milliseconds since 1970; the maximum value stands for any incarnation of that id
     };
 
-    // deregistered() is the incarnation that deregistered last, at this daemon or at an earlier one of this host.
-    [[nodiscard]] auto deregistered() const -> const std::optional<Incarnation>& { return m_deregistered; }
+    // deregistered() is the latest incarnation that deregistered, at this daemon or at an earlier one of this host.
+    [[nodiscard]] auto deregistered() const -> std::optional<Incarnation>;
 
 private:
+    [[nodiscard]] auto hasDeregistered(const Heartbeat& heartbeat) const -> bool;
+    auto recordDeregistered(Incarnation incarnation) -> void;
+    [[nodiscard]] auto deregisterBeforeHeartbeat(const std::string& id, std::uint64_t startedAt)
+        -> DeregistrationResult;
+
     std::string m_service;
     std::string m_address;
     std::optional<Heartbeat> m_current;
-    std::optional<Incarnation> m_deregistered;
+    std::optional<Incarnation> m_deregistered; // the one that started last
+    std::optional<std::string> m_deregisteredId; // of a target whose start time is unknown
     std::optional<Incarnation> m_storedTarget; // in this host's row in the store, draining or not
 };
 
--- /dev/null
+++ b/src/testing/RegistrationFixture.h
@@ -0,0 +1,63 @@
+// The registration of one host with a store that holds its row, for tests.
+//
+//   RegistrationFixture fixture;
+//   fixture.registration.onHostsLoaded();
+//   fixture.sendHeartbeat({ .id = "i-1", ... });
+//   CHECK(fixture.storedRecord().targetId == "i-1");
+#pragma once
+
+#include "base/Error.h"
+#include "fleet/HostDirectory.h"
+#include "fleet/HostRegistration.h"
+#include "fleet/LocalTarget.h"
+#include "testing/OneRowStore.h"
+
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <string>
+#include <vector>
+
+namespace coriandergate::testing {
+
+struct RegistrationFixture {
+    static constexpr const char* host = "10.1.0.1";
+    static constexpr const char* targetAddress = "10.1.0.1:8363";
+
+    boost::asio::io_context io;
+    OneRowStore store { host };
+    fleet::LocalTarget target { "ledger", targetAddress };
+    fleet::HostDirectory directory;
+    fleet::HostRegistration registration { io, store, target, directory,
+        { .table = "hosts",
+            .key = host,
+            .formerKey = "former",
+            .host = { .peerAddress = "10.1.0.1:8366", .service = "ledger" } } };
+    int targetChanges = 0;
+    std::vector<bool> acknowledgements;
+
+    RegistrationFixture()
+    {
+        registration.setStoreClock([] { return std::chrono::seconds(7); });
+        registration.onTargetChanged([this] { ++targetChanges; });
+    }
+
+    auto storedRecord() const -> fleet::HostRecord
+    {
+        Error reason;
+        return fleet::decodeHostRecord(host, store.row.value, reason).value_or(fleet::HostRecord {});
+    }
+
+    auto acknowledge() -> fleet::HostRegistration::Acknowledge
+    {
+        return [this](bool isStored) { acknowledgements.push_back(isStored); };
+    }
+
+    auto sendHeartbeat(const fleet::Heartbeat& heartbeat) -> void
+    {
+        Error reason;
+        REQUIRE(registration.receive(heartbeat, acknowledge(), reason));
+    }
+};
+
+} // namespace coriandergate::testing
