Let relays that lost the store not wait for news at each other

Cause: a relay in store backoff watches through other relays for 3 s after the last failure. Two of them held each other's watch, accepted rows that were not yet 1.9 s old, and waited once more, so that neither asked the store for 2.8 s. Excluded: a slow store, a held watch at the store, a failed relay, which all log an event.

Change: a watch request tells whether it comes from a relay (a new last field, which earlier daemons ignore). A relay in store backoff answers one of another relay at once, with rows or with a refusal. What a relay holds for others moved to HeldWatches.

The test of two such relays asked that they wait at each other without confirming old rows, and watched again from the callback of a failure without the pause that TableWatcher makes. It now has that pause, and asks for no response at all (up to eight before) and for continued calls to the store.

--- a/src/fleet/RelayWatchCodec.cpp
+++ b/src/fleet/RelayWatchCodec.cpp
@@ -46,7 +46,7 @@
 {
     return http::makeCborRequest(relayWatchPath,
         json::array({ request.table, numberOf(request.after), request.wait.count(), request.isSnapshot,
-            request.canOutliveOutage, eraOf(request.after), request.acceptsAnyAge }));
+            request.canOutliveOutage, eraOf(request.after), request.acceptsAnyAge, request.isFromRelay }));
 }
 
 auto decodeRelayWatchRequest(const std::string& body, Error& reason) -> std::optional<RelayWatchRequest>
@@ -64,6 +64,7 @@
         request.isSnapshot = value.size() > 3 && value.at(3).get<bool>();
         request.canOutliveOutage = value.size() > 4 && value.at(4).get<bool>();
         request.acceptsAnyAge = value.size() > 6 && value.at(6).get<bool>();
+        request.isFromRelay = value.size() > 7 && value.at(7).get<bool>();
     });
     return isDecoded && isInRange ? std::optional(std::move(request)) : std::nullopt;
 }
--- a/src/fleet/RelayWatchCodec.h
+++ b/src/fleet/RelayWatchCodec.h
@@ -25,6 +25,7 @@
     bool canOutliveOutage = false;
     bool isSnapshot = false; // asks for all rows, at the latest after `wait`; the daemon need not be a relay
     bool acceptsAnyAge = false; // of the rows of a snapshot
+    bool isFromRelay = false; // the daemon that asks is a relay itself
 };
 
 // encodeRelayWatchRequest() returns a complete HTTP request, encodeRelayWatchResponse() the body of its response.
--- a/src/fleet/RelayedStoreClient.cpp
+++ b/src/fleet/RelayedStoreClient.cpp
@@ -20,6 +20,8 @@
     const log::Event relayFailed { 1940, log::Severity::Info, "relay of news lost",
         "the store or another relay is used instead for a few seconds" };
 
+    constexpr const char* storeUnreachable = "the store is unreachable";
+
     auto reject(const std::shared_ptr<http::Exchange>& exchange, const char* why) -> void
     {
         exchange->answer(http::makeAnswer(http::statusUnavailable, "text/plain", why));
@@ -33,6 +35,7 @@
     , m_store(scheduler, store)
     , m_transport(transport)
     , m_options(options)
+    , m_heldWatches(scheduler, [this](const HeldWatches::Watch& watch) { onHeldWatchTimeout(watch); })
     , m_random(options.randomSeed)
 {
     if (!options.region.empty())
@@ -212,7 +215,7 @@
     if (response && table == m_options.hostTable)
         m_isHostListPartial = response->isPartial;
     if (!response)
-        rejectPendingWatches(table);
+        rejectHeldWatches(table);
     if (response && !response->isPartial)
         updateCache(table, *response, true);
     else if (!response && table == m_options.hostTable)
@@ -290,7 +293,7 @@
             if (auto* response = std::get_if<StoreResponse>(&result))
                 updateCache(table, *response, false);
             else if (std::get<StoreFailure>(result).kind != StoreFailure::Kind::HistoryTruncated)
-                rejectPendingWatches(table); // else the table is read next, for the other hosts too
+                rejectHeldWatches(table); // else the table is read next, for the other hosts too
         }
         done(std::move(result));
     });
@@ -322,7 +325,12 @@
     const auto longestTimeout = isStoreInBackoff(m_scheduler.now()) ? milliseconds::max() : timeUntilStale(watch);
     const auto timeout = std::max(m_options.minimumTimeout, std::min(wait + m_options.responseTimeout, longestTimeout));
     m_transport.watch(relay.address,
-        { .table = watch.table, .after = watch.after, .wait = wait, .canOutliveOutage = canOutliveOutage }, timeout,
+        { .table = watch.table,
+            .after = watch.after,
+            .wait = wait,
+            .canOutliveOutage = canOutliveOutage,
+            .isFromRelay = isRelay() },
+        timeout,
         [this, alive = m_isAlive, relay, sentAt, watch, isFreshnessTable, done = std::move(done)](
             RelayTransport::Result result) {
             if (!*alive)
@@ -369,7 +377,7 @@
         keepNewerContent(cached, response);
     cached.update(response, isSnapshot);
     m_tablesWithLostRelay.erase(table);
-    respondToPendingWatches(table);
+    respondToHeldWatches(table);
 }
 
 // A daemon that starts, or that missed the newer content, learns it from the others until the store has it again.
@@ -392,43 +400,31 @@
         && *storeNow - cached->second.storeTime() <= m_options.maximumAge;
 }
 
-auto RelayedStoreClient::hasUpdateFor(const TableCache& table, const PendingWatch& pending) const -> bool
+auto RelayedStoreClient::hasUpdateFor(const TableCache& table, const HeldWatches::Watch& watch) const -> bool
 {
-    if (pending.isSnapshot)
-        return pending.acceptsAnyAge ? table.hasSnapshot() : canBeCopied(pending.table);
-    if (pending.table == m_options.freshnessTable && table.confirmations() > pending.confirmations)
+    if (watch.isSnapshot)
+        return watch.acceptsAnyAge ? table.hasSnapshot() : canBeCopied(watch.table);
+    if (watch.table == m_options.freshnessTable && table.confirmations() > watch.confirmations)
         return true;
-    return table.hasChangesAfter(pending.after);
+    return table.hasChangesAfter(watch.after);
 }
 
-auto RelayedStoreClient::respondToPendingWatches(const std::string& table) -> void
+auto RelayedStoreClient::respondToHeldWatches(const std::string& table) -> void
 {
     const auto& cached = m_tables[table];
-    for (auto it = m_pendingWatches.begin(); it != m_pendingWatches.end();) {
-        if (it->table != table || !hasUpdateFor(cached, *it)) {
-            ++it;
-            continue;
-        }
-        const auto pending = *it;
-        it = m_pendingWatches.erase(it);
-        m_scheduler.cancel(pending.timer);
-        respondFrom(cached, pending.after, pending.exchange);
-    }
+    const auto isDue
+        = [&](const HeldWatches::Watch& watch) { return watch.table == table && hasUpdateFor(cached, watch); };
+    for (const auto& watch : m_heldWatches.take(isDue))
+        respondFrom(cached, watch.after, watch.exchange);
 }
 
 // Rejects the watches of other hosts when this relay loses the store, so that they switch to another source at once.
-auto RelayedStoreClient::rejectPendingWatches(const std::string& table) -> void
+auto RelayedStoreClient::rejectHeldWatches(const std::string& table) -> void
 {
-    for (auto it = m_pendingWatches.begin(); it != m_pendingWatches.end();) {
-        if (it->table != table || it->canOutliveOutage) {
-            ++it;
-            continue;
-        }
-        const auto pending = *it;
-        it = m_pendingWatches.erase(it);
-        m_scheduler.cancel(pending.timer);
-        reject(pending.exchange, "the store is unreachable");
-    }
+    const auto isRejected
+        = [&table](const HeldWatches::Watch& watch) { return watch.table == table && !watch.canOutliveOutage; };
+    for (const auto& watch : m_heldWatches.take(isRejected))
+        reject(watch.exchange, storeUnreachable);
 }
 
 auto RelayedStoreClient::respondFrom(
@@ -453,45 +449,23 @@
         return;
     }
     const auto& table = m_tables[request->table];
-    PendingWatch pending { request->table, request->after, request->isSnapshot, request->acceptsAnyAge,
+    HeldWatches::Watch watch { request->table, request->after, request->isSnapshot, request->acceptsAnyAge,
         request->canOutliveOutage, table.confirmations(), exchange };
-    if (hasUpdateFor(table, pending))
+    if (hasUpdateFor(table, watch))
         respondFrom(table, request->after, exchange);
+    else if (!watch.isSnapshot && request->isFromRelay && request->wait.count() > 0 && !request->canOutliveOutage
+        && isStoreInBackoff(m_scheduler.now()))
+        reject(exchange, storeUnreachable); // two relays without the store would each wait for the other's rows
     else
-        holdWatch(std::move(pending), request->wait);
+        m_heldWatches.add(std::move(watch), request->wait);
 }
 
-auto RelayedStoreClient::holdWatch(PendingWatch pending, milliseconds wait) -> void
+auto RelayedStoreClient::onHeldWatchTimeout(const HeldWatches::Watch& watch) -> void
 {
-    const auto& exchange = pending.exchange;
-    pending.timer = m_scheduler.runAfter(wait, [this, alive = m_isAlive, raw = exchange.get()] {
-        if (*alive)
-            endWatch(raw);
-    });
-    exchange->onAbandoned([this, alive = m_isAlive, raw = exchange.get()] {
-        if (*alive)
-            m_pendingWatches.remove_if([this, raw](const PendingWatch& candidate) {
-                if (candidate.exchange.get() == raw)
-                    m_scheduler.cancel(candidate.timer);
-                return candidate.exchange.get() == raw;
-            });
-    });
-    m_pendingWatches.push_back(std::move(pending));
-}
-
-// Ends a watch for which there was no update in time.
-auto RelayedStoreClient::endWatch(const http::Exchange* exchange) -> void
-{
-    const auto found = std::find_if(m_pendingWatches.begin(), m_pendingWatches.end(),
-        [exchange](const PendingWatch& pending) { return pending.exchange.get() == exchange; });
-    if (found == m_pendingWatches.end())
-        return;
-    const auto pending = *found;
-    m_pendingWatches.erase(found);
-    if (pending.isSnapshot)
-        reject(pending.exchange, "no recent copy");
+    if (watch.isSnapshot)
+        reject(watch.exchange, "no recent copy");
     else
-        respondFrom(m_tables[pending.table], pending.after, pending.exchange);
+        respondFrom(m_tables[watch.table], watch.after, watch.exchange);
 }
 
 } // namespace coriandergate::fleet
--- a/src/fleet/RelayedStoreClient.h
+++ b/src/fleet/RelayedStoreClient.h
@@ -6,9 +6,10 @@
 // that fails. All other hosts watch through one of the relays, which responds as soon as rows changed or the store
 // confirmed that none did. A relayed response is only as recent as the store time that it contains. A relay that fails
 // is replaced by another one of the data centre or else of the region; if no relay responds with recent rows, the host
-// watches the store itself. A relay that the store doesn't serve watches through the other relays in the meantime. Rows
-// of an earlier era of the store (EraCheckedStore) count as no response; a response that leaves the era of a watch has
-// all rows.
+// watches the store itself. A relay that the store doesn't serve watches through the relays that it does serve; it
+// holds no watch of another relay in the meantime, since relays that wait for each other's rows would not ask the
+// store. Rows of an earlier era of the store (EraCheckedStore) count as no response; a response that leaves the era of
+// a watch has all rows.
 //
 // Load pattern of an outage: no relay has recent rows, so every host would ask the store, again and again. Once the
 // store has failed a host too, the host waits at a relay, and only the first relays keep asking the store.
@@ -23,11 +24,11 @@
 #include "base/Scheduler.h"
 #include "fleet/BootstrapReader.h"
 #include "fleet/EraCheckedStore.h"
+#include "fleet/HeldWatches.h"
 #include "fleet/RelayTransport.h"
 #include "fleet/StoreClient.h"
 #include "fleet/TableCache.h"
 
-#include <list>
 #include <map>
 #include <memory>
 #include <optional>
@@ -112,18 +113,6 @@
     auto handle(const std::shared_ptr<http::Exchange>& exchange) -> void;
 
 private:
-    // PendingWatch is another daemon's open watch request.
-    struct PendingWatch {
-        std::string table;
-        std::uint64_t after = 0;
-        bool isSnapshot = false;
-        bool acceptsAnyAge = false;
-        bool canOutliveOutage = false;
-        std::uint64_t confirmations = 0; // of the table when the request arrived
-        std::shared_ptr<http::Exchange> exchange;
-        Scheduler::Timer timer = 0;
-    };
-
     // DelayedWatch is a watch of this host that waits for the list of hosts, and with it for the relays.
     struct DelayedWatch {
         WatchRequest request;
@@ -164,11 +153,10 @@
     auto watchFirstHosts(Callback done) -> void;
     // canBeCopied() returns whether the table is complete and recent enough for a starting daemon.
     [[nodiscard]] auto canBeCopied(const std::string& table) const -> bool;
-    auto endWatch(const http::Exchange* exchange) -> void;
-    auto holdWatch(PendingWatch pending, std::chrono::milliseconds wait) -> void;
-    [[nodiscard]] auto hasUpdateFor(const TableCache& table, const PendingWatch& pending) const -> bool;
-    auto respondToPendingWatches(const std::string& table) -> void;
-    auto rejectPendingWatches(const std::string& table) -> void;
+    [[nodiscard]] auto hasUpdateFor(const TableCache& table, const HeldWatches::Watch& watch) const -> bool;
+    auto respondToHeldWatches(const std::string& table) -> void;
+    auto rejectHeldWatches(const std::string& table) -> void;
+    auto onHeldWatchTimeout(const HeldWatches::Watch& watch) -> void;
     static auto respondFrom(
         const TableCache& table, std::uint64_t after, const std::shared_ptr<http::Exchange>& exchange) -> void;
 
@@ -191,7 +179,7 @@
     std::size_t m_storeFailures = 0; // consecutive
     MonotonicTime m_storeBackoffUntil;
     std::map<std::string, TableCache> m_tables;
-    std::list<PendingWatch> m_pendingWatches;
+    HeldWatches m_heldWatches; // of other daemons
     std::minstd_rand m_random;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
--- a/src/fleet/RelayedStoreClient_test.cpp
+++ b/src/fleet/RelayedStoreClient_test.cpp
@@ -387,14 +387,17 @@
     REQUIRE(runUntil(hosts.io, [&] { return relayWithoutStore->store.calls == callsBefore + 1; }));
 }
 
-TEST_CASE("relays that watch through each other don't confirm old rows to each other")
+// Guards against relays without the store that wait for each other's rows, which none of them gets: both asked the
+// store again only after both waits, and their hosts went by an older configuration meanwhile.
+TEST_CASE("relays that the store doesn't serve don't wait at each other, and go on asking the store")
 {
     ThreeHosts hosts(false);
+    constexpr auto pause = 50ms; // TableWatcher's is longer
     int responses = 0;
     std::function<void(Daemon&)> watch = [&](Daemon& relay) {
         relay.client.watch({ "op", 5, 300ms }, [&](const StoreClient::Result& result) {
             responses += std::holds_alternative<StoreResponse>(result) ? 1 : 0;
-            watch(relay);
+            relay.scheduler.runAfter(pause, [&] { watch(relay); });
         });
     };
     for (auto* relay : { hosts.primary, hosts.secondary }) {
@@ -406,7 +409,9 @@
     const auto end = std::chrono::steady_clock::now() + 1s;
     while (std::chrono::steady_clock::now() < end)
         hosts.io.run_one_for(20ms);
-    CHECK(responses <= 2 * 4); // each waits for 300 ms
+    CHECK(responses == 0); // the old rows are confirmed to nobody
+    for (const auto* relay : { hosts.primary, hosts.secondary })
+        CHECK(relay->store.calls >= 3 + 5); // a wait of 300 ms each would allow 3
 }
 
 TEST_CASE("a host without a relay in its data centre watches through a relay of another one in the region")
--- a/src/testing/FleetSimulation.cpp
+++ b/src/testing/FleetSimulation.cpp
@@ -160,6 +160,13 @@
     m_storeServes = std::move(serves);
 }
 
+auto FleetSimulation::setStoreIsSilent(bool isSilent) -> void
+{
+    m_isStoreSilent = isSilent;
+    if (isSilent)
+        m_storeWatches.clear(); // the hosts' requests then end by their timeouts
+}
+
 // ---------------------------------------------------------------------------------------------------------------------
 // Daemons
 
@@ -257,6 +264,13 @@
     return hosts == 0 ? 1 : informed / hosts;
 }
 
+auto FleetSimulation::uninformedHosts() const -> std::size_t
+{
+    const auto newest = m_store.row(operatorTable, configurationKey).version;
+    return static_cast<std::size_t>(std::count_if(m_hosts.begin(), m_hosts.end(),
+        [newest](const auto& host) { return host->view && host->configurationVersion != newest; }));
+}
+
 auto FleetSimulation::timeUntilInformed(double share, milliseconds longest) -> std::optional<milliseconds>
 {
     for (milliseconds time { 0 }; time <= longest; time += stepTime) {
@@ -416,6 +430,8 @@
 auto FleetSimulation::handleAtStore(RequestId id, const StoreClient::WatchRequest& watch,
     const std::optional<StoreClient::RangeRequest>& range, const StoreClient::Callback& done) -> void
 {
+    if (m_isStoreSilent)
+        return;
     if (!m_storeServes(m_requests.at(id).from)) {
         respond(id, responseOverhead, [done] {
             done(StoreFailure { StoreFailure::Kind::NotApplied, { "query", "store", "status 503" }, {} });
--- a/src/testing/FleetSimulation.h
+++ b/src/testing/FleetSimulation.h
@@ -58,6 +58,9 @@
     // setStoreServes() sets which hosts the store serves; the others get status 503.
     auto setStoreServes(std::function<bool(std::size_t host)> serves) -> void;
 
+    // setStoreIsSilent() sets whether requests to the store end without a response, also those under way.
+    auto setStoreIsSilent(bool isSilent) -> void;
+
     // configure() replaces the configuration row; setState() changes a host's row.
     auto configure() -> void;
     auto setState(std::size_t host, fleet::HostRecord::State state) -> void;
@@ -79,6 +82,9 @@
     [[nodiscard]] auto timeUntilInformed(double share, std::chrono::milliseconds longest)
         -> std::optional<std::chrono::milliseconds>;
 
+    // uninformedHosts() is the number of running hosts that don't know the newest configuration.
+    [[nodiscard]] auto uninformedHosts() const -> std::size_t;
+
     // hostsWatchingConfiguration() returns the hosts whose watches for the configuration are open at the store.
     [[nodiscard]] auto hostsWatchingConfiguration() const -> std::set<std::size_t>;
 
@@ -148,6 +154,7 @@
     RequestId m_nextRequest = 1;
     std::uint64_t m_storeRequests = 0;
     std::function<bool(std::size_t host)> m_storeServes;
+    bool m_isStoreSilent = false;
     std::minstd_rand m_random;
 };
 
