Ask relays that are gone with pauses while the store doesn't respond

Cause: chooseForOutage() takes no account of the relays' backoff, as a relay that refused a watch may still hold one for the end of the outage, and onRelayFailed() asks again at once.

Change: a relay that failed such a watch is asked again 300 ms after that request began; while all of them pause, the host waits.

--- a/src/fleet/RelayedStoreClient.cpp
+++ b/src/fleet/RelayedStoreClient.cpp
@@ -81,6 +81,7 @@
     m_relays.clear();
     m_regionRelays.clear();
     m_storeWatchers.clear();
+    m_outagePauseUntil.clear();
     for (const auto& [hash, host] : byHash) {
         const auto& record = *directory.find(host);
         auto& relayCount = relayCounts[record.locality.dataCentre];
@@ -175,13 +176,34 @@
     return relay ? relay : chooseAmong(m_regionRelays, now);
 }
 
+auto RelayedStoreClient::isWaitingForStore(MonotonicTime now) const -> bool
+{
+    return !isStoreWatcher() && isStoreInBackoff(now) && !m_storeWatchers.empty();
+}
+
 auto RelayedStoreClient::chooseForOutage(MonotonicTime now) -> std::optional<Relay>
 {
-    if (isStoreWatcher() || !isStoreInBackoff(now) || m_storeWatchers.empty())
-        return std::nullopt;
     // Relays wait at those that ask the store, and not at each other.
-    const auto& relays = isRelay() || m_relays.empty() ? m_storeWatchers : m_relays;
-    return relays[m_random() % relays.size()];
+    std::vector<Relay> relays = isRelay() || m_relays.empty() ? m_storeWatchers : m_relays;
+    std::erase_if(relays, [&](const Relay& relay) {
+        const auto pause = m_outagePauseUntil.find(relay.host);
+        return pause != m_outagePauseUntil.end() && now < pause->second;
+    });
+    return relays.empty() ? std::nullopt : std::optional(relays[m_random() % relays.size()]);
+}
+
+auto RelayedStoreClient::watchForOutage(WatchRequest watch, Callback done) -> void
+{
+    const auto now = m_scheduler.now();
+    if (const auto relay = chooseForOutage(now)) {
+        watch.wait = std::max(watch.wait, m_options.relayPollTime);
+        watchRelay(*relay, watch, true, std::move(done));
+        return;
+    }
+    m_scheduler.runAfter(m_options.outagePause, [this, alive = m_isAlive, watch, done = std::move(done)]() mutable {
+        if (*alive)
+            this->watch(watch, std::move(done));
+    });
 }
 
 auto RelayedStoreClient::read(const std::string& table, Callback done) -> void
@@ -254,9 +276,8 @@
         watchStore(request, std::move(done));
     } else if (const auto relay = chooseRelay(now)) {
         watchRelay(*relay, request, false, std::move(done));
-    } else if (const auto outageRelay = chooseForOutage(now)) {
-        request.wait = std::max(request.wait, m_options.relayPollTime);
-        watchRelay(*outageRelay, request, true, std::move(done));
+    } else if (isWaitingForStore(now)) {
+        watchForOutage(request, std::move(done));
     } else {
         // The relay may have failed because the store was restored. The store then may hold a watch from a version that
         // it gave out again, without a word, for as long as it waits.
@@ -318,6 +339,7 @@
     -> void
 {
     const auto sentAt = m_scheduler.suspendAwareNow();
+    const auto pauseUntil = m_scheduler.now() + m_options.outagePause;
     const bool isFreshnessTable = watch.table == m_options.freshnessTable;
     const auto wait
         = isFreshnessTable ? std::min(watch.wait, m_options.relayPollTime + m_options.relayPollMargin) : watch.wait;
@@ -331,8 +353,8 @@
             .canOutliveOutage = canOutliveOutage,
             .isFromRelay = isRelay() },
         timeout,
-        [this, alive = m_isAlive, relay, sentAt, watch, isFreshnessTable, done = std::move(done)](
-            RelayTransport::Result result) {
+        [this, alive = m_isAlive, relay, sentAt, pauseUntil, canOutliveOutage, watch, isFreshnessTable,
+            done = std::move(done)](RelayTransport::Result result) {
             if (!*alive)
                 return;
             auto* response = std::get_if<StoreResponse>(&result);
@@ -344,6 +366,8 @@
                 const auto reason = response ? Error { "watch through relay", relay.host,
                     isOfEarlierEra ? "its rows are of an earlier era of the store" : "its rows are too old" }
                                              : std::get<Error>(result);
+                if (canOutliveOutage)
+                    m_outagePauseUntil[relay.host] = pauseUntil;
                 onRelayFailed(relay, reason, watch, done);
                 return;
             }
--- a/src/fleet/RelayedStoreClient.h
+++ b/src/fleet/RelayedStoreClient.h
@@ -70,6 +70,8 @@
         std::size_t storeFailuresBeforeBackoff = 2; // consecutive
         // How long watches then go to relays; without a relay that has recent rows they still go to the store.
         std::chrono::milliseconds storeBackoff { 3000 };
+        // How soon a host that waits for the store asks a relay again that failed, from its last request on.
+        std::chrono::milliseconds outagePause { 300 };
         std::uint32_t randomSeed = std::random_device {}(); // of the choice among relays
     };
 
@@ -135,11 +137,14 @@
     // regionalPrimary() returns the relay that the region's other primary relays watch through; null if none is usable.
     [[nodiscard]] auto regionalPrimary(MonotonicTime now) const -> const Relay*;
     [[nodiscard]] auto chooseRelay(MonotonicTime now) -> std::optional<Relay>;
-    // chooseForOutage() returns any relay to wait at while neither a relay nor the store responds.
+    // isWaitingForStore() tells whether this host leaves it to the first relays to ask a store that doesn't respond.
+    [[nodiscard]] auto isWaitingForStore(MonotonicTime now) const -> bool;
+    // chooseForOutage() returns a relay to wait at meanwhile; nothing if each of them has just failed.
     [[nodiscard]] auto chooseForOutage(MonotonicTime now) -> std::optional<Relay>;
     [[nodiscard]] auto chooseAmong(const std::vector<Relay>& relays, MonotonicTime now) -> std::optional<Relay>;
     auto watchStore(const WatchRequest& watch, Callback done) -> void;
     auto watchRelay(const Relay& relay, const WatchRequest& watch, bool canOutliveOutage, Callback done) -> void;
+    auto watchForOutage(WatchRequest watch, Callback done) -> void;
     auto onRelayFailed(const Relay& relay, const Error& reason, const WatchRequest& watch, Callback done) -> void;
     auto recordStoreResult(const std::string& table, const Result& result) -> void;
     [[nodiscard]] auto isStoreInBackoff(MonotonicTime now) const -> bool;
@@ -174,6 +179,7 @@
     std::vector<Relay> m_regionRelays; // of the region's other data centres
     std::vector<Relay> m_storeWatchers; // of the region, in the order in which they become the regional primary
     std::map<std::string, MonotonicTime> m_relayBackoffUntil; // by host
+    std::map<std::string, MonotonicTime> m_outagePauseUntil; // by host
     std::set<std::string> m_servingRelays; // hosts that have responded
     std::set<std::string> m_tablesWithLostRelay; // one of these failed, and no response came since
     std::size_t m_storeFailures = 0; // consecutive
--- a/src/fleet/RelayedStoreClient_test.cpp
+++ b/src/fleet/RelayedStoreClient_test.cpp
@@ -414,6 +414,31 @@
         CHECK(relay->store.calls >= 3 + 5); // a wait of 300 ms each would allow 3
 }
 
+// Guards against a processor that is kept busy by connections that are refused at once.
+TEST_CASE("a host that waits for the store asks relays that are gone with pauses")
+{
+    ThreeHosts hosts;
+    for (auto* relay : { hosts.primary, hosts.secondary })
+        relay->server.finishDrain();
+    hosts.processEvents();
+    auto& host = *hosts.nonRelay;
+    host.store.isUnavailable = true;
+    int failures = 0;
+    for (int i = 0; i < 2; ++i)
+        host.client.watch({ "op", 5, 0ms }, [&](const StoreClient::Result&) { ++failures; });
+    REQUIRE(runUntil(hosts.io, [&] { return failures == 2; }));
+    const auto connectionsBefore = host.relayClient.connectionsOpened();
+    const int callsBefore = host.store.calls;
+    host.client.watch({ "op", 5, 1000ms }, [](const StoreClient::Result&) {});
+    const auto end = std::chrono::steady_clock::now() + 1s;
+    while (std::chrono::steady_clock::now() < end)
+        hosts.io.run_one_for(20ms);
+    const auto connections = host.relayClient.connectionsOpened() - connectionsBefore;
+    CHECK(connections >= 2);
+    CHECK(connections <= 2 * 5); // each relay once in 300 ms, and once before
+    CHECK(host.store.calls == callsBefore);
+}
+
 TEST_CASE("a host without a relay in its data centre watches through a relay of another one in the region")
 {
     ThreeHosts hosts;
