Keep no more of a header block than its limit, also when it comes at once

Cause: MessageParser looked at the size of a header block once it was complete, so that one that arrives in one read was kept as a whole first. Found by the fuzz target of requests, once its inputs could be long.

Change: the limit holds for the fields as they are kept.

--- a/src/fleet/LateLeaving_test.cpp
+++ b/src/fleet/LateLeaving_test.cpp
@@ -162,7 +162,7 @@
             }
             const Heartbeat heartbeat { .id = incarnation.id,
                 .service = "ledger",
-                .address = RegistrationFixture::targetAddress,
+                .address = RegistrationFixture::s_targetAddress,
                 .startedAt = incarnation.startedAt,
                 .sequence = message.sequence,
                 .slots = 5,
@@ -216,9 +216,11 @@
 {
     RegistrationFixture fixture;
     fixture.registration.onHostsLoaded();
-    Heartbeat heartbeat {
-        .id = "i-1", .service = "ledger", .address = RegistrationFixture::targetAddress, .startedAt = 100, .sequence = 9
-    };
+    Heartbeat heartbeat { .id = "i-1",
+        .service = "ledger",
+        .address = RegistrationFixture::s_targetAddress,
+        .startedAt = 100,
+        .sequence = 9 };
     fixture.sendHeartbeat(heartbeat);
     const auto* id = GENERATE("i-1", "i-2");
     fixture.registration.receive(Deregistration { id, 200 }, fixture.acknowledge());
@@ -241,7 +243,7 @@
     fixture.registration.onHostsLoaded();
     fixture.sendHeartbeat({ .id = "i-1",
         .service = "ledger",
-        .address = RegistrationFixture::targetAddress,
+        .address = RegistrationFixture::s_targetAddress,
         .startedAt = 100,
         .sequence = 1 });
     fixture.registration.receive(Deregistration { "i-2", 0 }, fixture.acknowledge());
--- a/src/http/AnswerParser.h
+++ b/src/http/AnswerParser.h
@@ -2,9 +2,9 @@
 //
 // An answer is whole only when its end is marked: by Content-Length, by the last chunk, or by its status. One that ends
 // with the connection could have been cut anywhere, so it fails, unless `mayEndWithConnection` is set and the caller
-// can tell an orderly end from a reset. Interim answers (1xx) and trailers are skipped. The status line, the other lines
-// of a header block together, the line before a chunk, and a trailer with the line before it may each be as long as
-// `maximumHeaderBytes`.
+// can tell an orderly end from a reset. Interim answers (1xx) and trailers are skipped. The status line, the other
+// lines of a header block together, the line before a chunk, and a trailer with the line before it may each be as long
+// as `maximumHeaderBytes`.
 //
 //   AnswerParser parser({ .isHead = false });
 //   parser.feed(bytes);
--- a/src/http/MessageBounds_test.cpp
+++ b/src/http/MessageBounds_test.cpp
@@ -163,6 +163,16 @@
     CHECK(reading.mostUnread + reading.used <= 2 * limit + 1000);
 }
 
+// Guards against a header block that is kept as a whole before its size is looked at.
+TEST_CASE("RequestParser keeps no more of a header block that arrives at once than its limit")
+{
+    constexpr std::size_t limit = 16 * 1024;
+    RequestParser parser({ .maximumHeaderBytes = limit });
+    parser.feed("GET / HTTP/1.1\r\nHost: x\r\n" + makeFields(10'000'000, 1));
+    CHECK(parser.failureStatus() == 431);
+    CHECK(parser.heldBytes() <= 64 * limit);
+}
+
 // Guards against any part of a message that is bounded only by the library, or only if it comes in one piece.
 TEMPLATE_TEST_CASE("a message whose parts lie around every bound is read the same however it is cut, and never throws",
     "", AnswerParser, RequestParser)
--- a/src/http/RequestParser.h
+++ b/src/http/RequestParser.h
@@ -56,7 +56,8 @@
     // headers with the nodes that hold them.
     [[nodiscard]] auto heldBytes() const -> std::size_t;
 
-    // failureStatus() is the HTTP status (400, 413, 417, 431, 501, 503, 505) for a failed request, and failureReason() says why.
+    // failureStatus() is the HTTP status (400, 413, 417, 431, 501, 503, 505) for a failed request, and failureReason()
+    // says why.
     [[nodiscard]] auto failureStatus() const -> int;
     [[nodiscard]] auto failureReason() const -> std::string_view;
 
--- a/src/http/internal/MessageParser.h
+++ b/src/http/internal/MessageParser.h
@@ -73,12 +73,12 @@
 
     // Beast asserts that it is given as many bytes when it returns to an unfinished last chunk ("0\r\n\r\n" has as
     // many). A chunked body never ends with fewer bytes left, so that waiting for more holds nothing up.
-    static constexpr std::size_t lastChunkBytes = 5;
+    static constexpr std::size_t s_lastChunkBytes = 5;
     // Version, blanks and line end of "POST /a HTTP/1.1\r\n", version, status, blanks and line end of
     // "HTTP/1.1 200 OK\r\n".
-    static constexpr std::size_t startLineOverhead = isRequest ? 12 : 15;
+    static constexpr std::size_t s_startLineOverhead = isRequest ? 12 : 15;
     // A body whose declared length is larger grows as it comes, because many are refused before they are complete.
-    static constexpr std::size_t maximumReservedBytes = 64 * 1024 * 1024;
+    static constexpr std::size_t s_maximumReservedBytes = 64 * 1024 * 1024;
 
     [[nodiscard]] static auto toView(StringView text) -> std::string_view { return { text.data(), text.size() }; }
 
@@ -123,14 +123,21 @@
     auto takeStartLine(std::size_t variableBytes, int version, ErrorCode& error) -> void
     {
         m_version = version;
-        m_startLineBytes = variableBytes + startLineOverhead;
+        m_startLineBytes = variableBytes + s_startLineOverhead;
         if (m_startLineBytes > m_maximumHeaderBytes)
             error = boost::beast::http::error::header_limit;
     }
 
-    auto on_field_impl(boost::beast::http::field, StringView name, StringView value, ErrorCode&) -> void override
+    auto on_field_impl(boost::beast::http::field, StringView name, StringView value, ErrorCode& error) -> void override
     {
-        if (!this->is_header_done())
+        if (this->is_header_done())
+            return;
+        // Ends a header block that arrives at once before all of it is kept. The line is at least as long as this.
+        constexpr std::size_t separatorBytes = 3;
+        m_fieldBytes += name.size() + separatorBytes + value.size();
+        if (m_fieldBytes > m_maximumHeaderBytes)
+            error = boost::beast::http::error::header_limit;
+        else
             m_headers.add(toView(name), toView(boost::beast::http::detail::trim(value)));
     }
 
@@ -138,7 +145,7 @@
 
     auto on_body_init_impl(const boost::optional<std::uint64_t>& length, ErrorCode&) -> void override
     {
-        m_isBodyReserved = length && *length <= maximumReservedBytes;
+        m_isBodyReserved = length && *length <= s_maximumReservedBytes;
         if (m_isBodyReserved)
             m_body.reserve(static_cast<std::size_t>(*length));
     }
@@ -170,6 +177,7 @@
     std::string m_body;
     std::size_t m_startLineBytes = 0; // 0 until it has been used
     std::size_t m_headBytes = 0;
+    std::size_t m_fieldBytes = 0; // of the fields of the header block
     bool m_isKeepAlive = false;
     bool m_isBodyReserved = false;
     bool m_hasReadChunkData = false; // in the present step, which has read either data or framing
@@ -183,7 +191,7 @@
     while (used < bytes.size() && !this->is_done()) {
         const bool hadHeaders = this->is_header_done();
         const auto rest = bytes.substr(used);
-        if (hadHeaders && this->chunked() && rest.front() == '0' && rest.size() < lastChunkBytes)
+        if (hadHeaders && this->chunked() && rest.front() == '0' && rest.size() < s_lastChunkBytes)
             break;
         const auto count = putOnce(rest, error);
         used += count;
--- a/src/testing/RegistrationFixture.h
+++ b/src/testing/RegistrationFixture.h
@@ -21,16 +21,16 @@
 namespace coriandergate::testing {
 
 struct RegistrationFixture {
-    static constexpr const char* host = "10.1.0.1";
-    static constexpr const char* targetAddress = "10.1.0.1:8363";
+    static constexpr const char* s_host = "10.1.0.1";
+    static constexpr const char* s_targetAddress = "10.1.0.1:8363";
 
     boost::asio::io_context io;
-    OneRowStore store { host };
-    fleet::LocalTarget target { "ledger", targetAddress };
+    OneRowStore store { s_host };
+    fleet::LocalTarget target { "ledger", s_targetAddress };
     fleet::HostDirectory directory;
     fleet::HostRegistration registration { io, store, target, directory,
         { .table = "hosts",
-            .key = host,
+            .key = s_host,
             .formerKey = "former",
             .host = { .peerAddress = "10.1.0.1:8366", .service = "ledger" } } };
     int targetChanges = 0;
@@ -45,7 +45,7 @@
     auto storedRecord() const -> fleet::HostRecord
     {
         Error reason;
-        return fleet::decodeHostRecord(host, store.row.value, reason).value_or(fleet::HostRecord {});
+        return fleet::decodeHostRecord(s_host, store.row.value, reason).value_or(fleet::HostRecord {});
     }
 
     auto acknowledge() -> fleet::HostRegistration::Acknowledge
