Refuse CBOR strings of unknown length, which exhausted the stack

What was seen: a message of another daemon that consists of such strings within each other ends the process by a stack overflow (AddressSanitizer in the fuzz targets BoundedJson and PeerMessages, two inputs of some hundred bytes with repeated parts). Bodies between daemons may have megabytes.

Cause: nlohmann::json reads a part of a string of unknown length by recursion, and a part may be such a string itself. The bound on nesting counts arrays and objects only.

Change: parseBoundedCbor() goes through the heads of the data items first and refuses these strings. No writer here uses them.

--- a/src/base/BoundedJson.cpp
+++ b/src/base/BoundedJson.cpp
@@ -2,6 +2,8 @@
 
 #include "base/Error.h"
 
+#include <cstdint>
+
 namespace coriandergate {
 
 using nlohmann::json;
@@ -51,6 +53,41 @@
     };
     // NOLINTEND(readability-identifier-naming)
 
+    // hasStringOfUnknownLength() goes through the heads of CBOR's data items; malformed ones are left to the library.
+    // It reads a part of such a string that is one itself by recursion, to any depth. No writer here uses these
+    // strings.
+    auto hasStringOfUnknownLength(std::string_view bytes) -> bool
+    {
+        constexpr unsigned byteString = 2;
+        constexpr unsigned textString = 3;
+        constexpr unsigned unknownLength = 31;
+        constexpr unsigned firstLengthClass = 24; // the argument follows in 1, 2, 4 or 8 bytes
+        constexpr unsigned lastLengthClass = 27;
+        for (std::size_t at = 0; at < bytes.size();) {
+            const auto head = static_cast<std::uint8_t>(bytes[at++]);
+            const auto type = head >> 5U;
+            const auto information = head & 0x1fU;
+            const bool isString = type == byteString || type == textString;
+            if (isString && information == unknownLength)
+                return true;
+            std::uint64_t argument = information;
+            if (information >= firstLengthClass && information <= lastLengthClass) {
+                const auto argumentBytes = std::size_t { 1 } << (information - firstLengthClass);
+                if (bytes.size() - at < argumentBytes)
+                    return false;
+                argument = 0;
+                for (const auto end = at + argumentBytes; at < end; ++at)
+                    argument = argument << 8U | static_cast<std::uint8_t>(bytes[at]);
+            }
+            if (!isString)
+                continue;
+            if (argument > bytes.size() - at)
+                return false;
+            at += static_cast<std::size_t>(argument);
+        }
+        return false;
+    }
+
     auto parse(std::string_view bytes, json::input_format_t format, Error& reason) -> std::optional<json>
     {
         json value;
@@ -78,6 +115,10 @@
 
 auto parseBoundedCbor(std::string_view bytes, Error& reason) -> std::optional<json>
 {
+    if (hasStringOfUnknownLength(bytes)) {
+        reason = { "", "", "a string of unknown length" };
+        return std::nullopt;
+    }
     return parse(bytes, json::input_format_t::cbor, reason);
 }
 
--- a/src/base/BoundedJson.h
+++ b/src/base/BoundedJson.h
@@ -21,7 +21,8 @@
 inline constexpr std::size_t maximumJsonDepth = 32;
 
 // parseBoundedJson() and parseBoundedCbor() return the value, or nothing with the reason and an empty step and peer,
-// which the caller fills in. Bytes behind the value are malformed input. Thread-safe.
+// which the caller fills in. Bytes behind the value are malformed input, and so are CBOR's strings of unknown length.
+// Thread-safe.
 [[nodiscard]] auto parseBoundedJson(std::string_view text, Error& reason) -> std::optional<nlohmann::json>;
 [[nodiscard]] auto parseBoundedCbor(std::string_view bytes, Error& reason) -> std::optional<nlohmann::json>;
 
--- a/src/base/BoundedJson_test.cpp
+++ b/src/base/BoundedJson_test.cpp
@@ -29,6 +29,22 @@
     CHECK(parseBoundedJson(nested(maximumJsonDepth), reason));
 }
 
+// Guards against a message of a peer that ends the daemon: the library reads these strings by recursion.
+TEST_CASE("CBOR strings of unknown length are malformed input, however deep they are nested")
+{
+    const std::string head = GENERATE("\x7f", "\x5f", "\x7f\x61x", "\x5f\x41x");
+    const std::size_t depth = GENERATE(1, 100, 1'000'000);
+    std::string bytes = "\x81";
+    for (std::size_t i = 0; i < depth; ++i)
+        bytes += head;
+    Error reason;
+    CHECK_FALSE(parseBoundedCbor(bytes + std::string(depth, '\xff'), reason));
+    CHECK(reason.reason == "a string of unknown length");
+    // The same bytes within a string are content.
+    const json value = { std::string("\x7f\x7f"), json::binary({ 0x5f, 0x5f }), 0x7f, 0x5f5f5f5f, 1.5 };
+    CHECK(parseBoundedCbor(toCbor(value), reason) == value);
+}
+
 // Guards against a row or message of another writer that ends every daemon which reads it.
 TEST_CASE("documents nested too deeply are malformed input")
 {
