Let fuzz inputs repeat parts past every bound

Cause: inputs have 4,096 bytes at most, so none reached the bound of 65,533 at which a message ended the daemon.

Change: a mark in an input repeats the bytes before it, to 140,000 bytes in all, and a change in 32 inserts one.

--- a/cmake/Fuzz.cmake
+++ b/cmake/Fuzz.cmake
@@ -25,7 +25,7 @@
 file(GLOB FUZZ_SOURCES CONFIGURE_DEPENDS fuzz/*Fuzz.cpp)
 foreach(source ${FUZZ_SOURCES})
     get_filename_component(target ${source} NAME_WE)
-    add_executable(${target} ${source})
+    add_executable(${target} ${source} fuzz/RepeatedParts.cpp)
     target_link_libraries(${target} PRIVATE fuzzed)
     target_link_options(${target} PRIVATE -fsanitize=fuzzer,address,undefined,float-cast-overflow)
 endforeach()
--- a/fuzz/BoundedJsonFuzz.cpp
+++ b/fuzz/BoundedJsonFuzz.cpp
@@ -1,6 +1,7 @@
 // JSON and CBOR of any origin.
 #include "base/BoundedJson.h"
 #include "base/Error.h"
+#include "fuzz/RepeatedParts.h"
 #include "fuzz/Require.h"
 
 #include <algorithm>
@@ -24,7 +25,7 @@
 
 } // namespace
 
-extern "C" auto LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) -> int // NOLINT
+auto coriandergate::fuzz::testOneInput(const std::uint8_t* data, std::size_t size) -> int
 {
     const std::string_view bytes(reinterpret_cast<const char*>(data), size);
     Error reason;
--- a/fuzz/ConfigurationFuzz.cpp
+++ b/fuzz/ConfigurationFuzz.cpp
@@ -1,5 +1,6 @@
 // What operators write to the store.
 #include "base/Error.h"
+#include "fuzz/RepeatedParts.h"
 #include "fuzz/Require.h"
 #include "platform/ConfigurationCodec.h"
 
@@ -8,7 +9,7 @@
 using namespace coriandergate;
 using coriandergate::fuzz::require;
 
-extern "C" auto LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) -> int // NOLINT
+auto coriandergate::fuzz::testOneInput(const std::uint8_t* data, std::size_t size) -> int
 {
     constexpr std::chrono::hours maximumTime { 24 * 366 * 10 };
     const std::string text(reinterpret_cast<const char*>(data), size);
--- a/fuzz/ControlCallsFuzz.cpp
+++ b/fuzz/ControlCallsFuzz.cpp
@@ -1,6 +1,7 @@
 // Heartbeats and deregistrations of targets. The first line is the request target, the rest the body.
 #include "base/Error.h"
 #include "fleet/HostRecord.h"
+#include "fuzz/RepeatedParts.h"
 #include "fuzz/Require.h"
 #include "http/Request.h"
 #include "platform/ControlCalls.h"
@@ -10,7 +11,7 @@
 using namespace coriandergate;
 using coriandergate::fuzz::require;
 
-extern "C" auto LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) -> int // NOLINT
+auto coriandergate::fuzz::testOneInput(const std::uint8_t* data, std::size_t size) -> int
 {
     const std::string text(reinterpret_cast<const char*>(data), size);
     const auto lineEnd = std::min(text.find('\n'), text.size());
--- a/fuzz/HostRowsFuzz.cpp
+++ b/fuzz/HostRowsFuzz.cpp
@@ -2,6 +2,7 @@
 #include "base/Error.h"
 #include "fleet/CrashRow.h"
 #include "fleet/HostRecord.h"
+#include "fuzz/RepeatedParts.h"
 #include "fuzz/Require.h"
 
 #include <algorithm>
@@ -10,7 +11,7 @@
 using namespace coriandergate;
 using coriandergate::fuzz::require;
 
-extern "C" auto LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) -> int // NOLINT
+auto coriandergate::fuzz::testOneInput(const std::uint8_t* data, std::size_t size) -> int
 {
     if (size < 1)
         return 0;
--- a/fuzz/PeerMessagesFuzz.cpp
+++ b/fuzz/PeerMessagesFuzz.cpp
@@ -1,6 +1,7 @@
 // Bodies and headers that other daemons send. The first byte chooses the message.
 #include "base/BoundedJson.h"
 #include "base/Error.h"
+#include "fuzz/RepeatedParts.h"
 #include "fuzz/Require.h"
 #include "http/CborMessage.h"
 #include "relay/PeerMessages.h"
@@ -73,7 +74,7 @@
 
 } // namespace
 
-extern "C" auto LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) -> int // NOLINT
+auto coriandergate::fuzz::testOneInput(const std::uint8_t* data, std::size_t size) -> int
 {
     constexpr std::uint8_t messages = 5;
     if (size < 1)
--- a/fuzz/RequestParserFuzz.cpp
+++ b/fuzz/RequestParserFuzz.cpp
@@ -1,4 +1,5 @@
-// Requests of callers. The first byte is the size of the parts in which the rest arrives.
+// Requests of callers. The first byte tells the size of the parts in which the rest arrives, and the limits.
+#include "fuzz/RepeatedParts.h"
 #include "fuzz/Require.h"
 #include "http/RequestParser.h"
 #include "http/Serialize.h"
@@ -10,14 +11,15 @@
 
 namespace {
 
-constexpr std::size_t maximumHeaderBytes = 512;
-constexpr std::size_t maximumBodyBytes = 1024;
+// Small limits, and limits that are larger than those of the library behind the parser.
+constexpr RequestParser::Options smallLimits { .maximumHeaderBytes = 512, .maximumBodyBytes = 1024 };
+constexpr RequestParser::Options largeLimits { .maximumHeaderBytes = 128 * 1024, .maximumBodyBytes = 64 * 1024 };
 // Of the parser's own estimate for each byte that it read, with the nodes of the header fields.
 constexpr std::size_t heldBytesPerByte = 256;
 
-auto parse(std::string_view bytes, std::size_t partBytes) -> RequestParser
+auto parse(std::string_view bytes, std::size_t partBytes, const RequestParser::Options& limits) -> RequestParser
 {
-    RequestParser parser({ .maximumHeaderBytes = maximumHeaderBytes, .maximumBodyBytes = maximumBodyBytes });
+    RequestParser parser(limits);
     std::string unread;
     while (!bytes.empty() && parser.progress() == ParseProgress::NeedsMore) {
         const auto part = bytes.substr(0, partBytes);
@@ -26,8 +28,9 @@
         const auto used = parser.feed(unread);
         require(used <= unread.size());
         unread.erase(0, used);
-        require(parser.bodyBytes() <= maximumBodyBytes);
-        require(parser.heldBytes() <= heldBytesPerByte * (maximumHeaderBytes + maximumBodyBytes));
+        require(parser.bodyBytes() <= limits.maximumBodyBytes);
+        require(parser.heldBytes() <= heldBytesPerByte * (limits.maximumHeaderBytes + limits.maximumBodyBytes));
+        require(unread.size() <= 2 * limits.maximumHeaderBytes || parser.progress() != ParseProgress::NeedsMore);
     }
     return parser;
 }
@@ -41,13 +44,16 @@
 
 } // namespace
 
-extern "C" auto LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) -> int // NOLINT
+auto coriandergate::fuzz::testOneInput(const std::uint8_t* data, std::size_t size) -> int
 {
     if (size < 2)
         return 0;
     const std::string_view bytes(reinterpret_cast<const char*>(data) + 1, size - 1);
-    auto whole = parse(bytes, bytes.size());
-    auto inParts = parse(bytes, std::size_t { 1 } + data[0]);
+    const auto& limits = data[0] >= 0x80 ? largeLimits : smallLimits;
+    // Larger parts of longer inputs, for the time that they take.
+    const auto partBytes = (std::size_t { 1 } + data[0]) * (1 + bytes.size() / 4096);
+    auto whole = parse(bytes, bytes.size(), limits);
+    auto inParts = parse(bytes, partBytes, limits);
     // Beast refuses a bare CR in an unfinished head at once only if it is given the head at once.
     require((whole.progress() == ParseProgress::Complete) == (inParts.progress() == ParseProgress::Complete));
     if (whole.progress() == ParseProgress::Failed)
@@ -59,7 +65,7 @@
     // What the next server reads is the same request.
     auto forwarded = request;
     removeHopByHop(forwarded.headers);
-    RequestParser next({});
+    RequestParser next({ .maximumHeaderBytes = 2 * largeLimits.maximumHeaderBytes });
     const auto text = serializeRequest(forwarded);
     require(next.feed(text) == text.size());
     require(next.progress() == ParseProgress::Complete);
--- a/fuzz/StoreResponsesFuzz.cpp
+++ b/fuzz/StoreResponsesFuzz.cpp
@@ -1,5 +1,6 @@
 // Responses of the store. The first byte chooses the status; the first line is the era, the rest the body.
 #include "fleet/StoreVersion.h"
+#include "fuzz/RepeatedParts.h"
 #include "fuzz/Require.h"
 #include "http/Answer.h"
 #include "platform/ProtocolNames.h"
@@ -12,7 +13,7 @@
 using namespace coriandergate;
 using coriandergate::fuzz::require;
 
-extern "C" auto LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) -> int // NOLINT
+auto coriandergate::fuzz::testOneInput(const std::uint8_t* data, std::size_t size) -> int
 {
     constexpr std::array statuses { 200, 412, 410, 503 };
     constexpr std::chrono::hours maximumTime { 24 * 366 * 10 };
