--- a/cmake/SidecarOnly.cmake
+++ b/cmake/SidecarOnly.cmake
@@ -41,6 +41,7 @@
     list(FILTER SIDECAR_TEST_SOURCES EXCLUDE REGEX "/log/Event_test\\.cpp$")
     list(APPEND SIDECAR_TEST_SOURCES
         src/config/KeyDigest_test.cpp src/config/KeyIndex_test.cpp src/http/AnswerParser_test.cpp
+        src/http/MessageBounds_test.cpp
         src/http/RequestParser_test.cpp
         platform/Codecs_test.cpp platform/StoreCodec_test.cpp src/testing/EntryFixture.cpp src/testing/FleetSimulation.cpp
         src/testing/Main_test.cpp src/testing/RawServer.cpp src/testing/RelayMessages.cpp src/testing/RequestFixture.cpp
