Write an answer's body once, and word an exceeded header limit in one place

A start line beyond the limit was checked twice; the first check ends the parser.

Change: toBytes() takes a view of the body. MessageParser::headerLimitText() words the failure for both parsers. The second check is gone.

--- a/src/http/AnswerParser.cpp
+++ b/src/http/AnswerParser.cpp
@@ -75,16 +75,6 @@
         return used;
     }
 
-    auto failFrom(const boost::beast::error_code& error) -> void
-    {
-        if (error == boost::beast::http::error::header_limit) {
-            const auto* part = parser->is_header_done() ? "a trailer or the line before a chunk is" : "the headers are";
-            fail(std::string(part) + " larger than " + std::to_string(options.maximumHeaderBytes) + " bytes");
-        } else {
-            fail(error.message());
-        }
-    }
-
     [[nodiscard]] auto isInterim() const -> bool { return parser->status() < firstFinalStatus; }
 
     auto checkHead() -> bool
@@ -134,7 +124,7 @@
         if (progress == ParseProgress::Failed)
             break;
         if (error) {
-            failFrom(error);
+            fail(error == boost::beast::http::error::header_limit ? parser->headerLimitText() : error.message());
             break;
         }
         if (!parser->is_done())
--- a/src/http/RequestParser.cpp
+++ b/src/http/RequestParser.cpp
@@ -102,9 +102,7 @@
     if (error == beast::error::body_limit)
         fail(413, "the body is larger than " + std::to_string(options.maximumBodyBytes) + " bytes");
     else if (error == beast::error::header_limit)
-        fail(431,
-            std::string(parser.is_header_done() ? "a trailer or the line before a chunk is" : "the headers are")
-                + " larger than " + std::to_string(options.maximumHeaderBytes) + " bytes");
+        fail(431, parser.headerLimitText());
     else
         fail(400, error.message());
 }
--- a/src/http/Serialize.cpp
+++ b/src/http/Serialize.cpp
@@ -12,7 +12,7 @@
 namespace {
 
     // A field may be longer than the 64 KiB that Boost.Beast's messages hold.
-    auto toBytes(const std::string& startLine, const HeaderList& headers, const std::string& body) -> std::string
+    auto toBytes(const std::string& startLine, const HeaderList& headers, std::string_view body) -> std::string
     {
         constexpr std::string_view separator = ": ";
         constexpr std::string_view lineEnd = "\r\n";
@@ -78,7 +78,7 @@
     if (!answer.isKeepAlive)
         headers.add("Connection", "close");
     return toBytes("HTTP/1.1 " + std::to_string(answer.status) + ' ' + reasonOf(answer), headers,
-        isHead ? std::string() : answer.body);
+        isHead ? std::string_view() : answer.body);
 }
 
 } // namespace coriandergate::http
--- a/src/http/internal/MessageParser.h
+++ b/src/http/internal/MessageParser.h
@@ -50,6 +50,13 @@
     template <typename OnHeaders>
     auto feed(std::string_view bytes, ErrorCode& error, const OnHeaders& onHeaders) -> std::size_t;
 
+    // headerLimitText() says which part of the message exceeded the header limit.
+    [[nodiscard]] auto headerLimitText() const -> std::string
+    {
+        const std::string part = this->is_header_done() ? "a trailer or the line before a chunk is" : "the headers are";
+        return part + " larger than " + std::to_string(m_maximumHeaderBytes) + " bytes";
+    }
+
     [[nodiscard]] auto method() const -> const std::string& { return m_method; }
     [[nodiscard]] auto target() const -> const std::string& { return m_target; }
     [[nodiscard]] auto reason() const -> const std::string& { return m_reason; }
@@ -97,8 +104,7 @@
     [[nodiscard]] auto isHeadWithinLimit(std::string_view unread) const -> bool
     {
         if (m_startLineBytes > 0)
-            return m_startLineBytes <= m_maximumHeaderBytes
-                && m_headBytes + unread.size() <= m_startLineBytes + m_maximumHeaderBytes;
+            return m_headBytes + unread.size() <= m_startLineBytes + m_maximumHeaderBytes;
         if (unread.size() <= m_maximumHeaderBytes)
             return true;
         const auto lineEnd = unread.find('\n');
