Choose relays for an outage by the same function as others

Cause: chooseForOutage() had a copy of chooseAmong() and isUsable() for the pauses of an outage, and a held watch repeated five fields of its request.

Change: both functions take the pauses that count. HeldWatches::Watch holds the request.

--- a/src/fleet/HeldWatches.cpp
+++ b/src/fleet/HeldWatches.cpp
@@ -4,10 +4,10 @@
 
 namespace coriandergate::fleet {
 
-auto HeldWatches::add(Watch watch, std::chrono::milliseconds wait) -> void
+auto HeldWatches::add(Watch watch) -> void
 {
     const auto* exchange = watch.exchange.get();
-    const auto timer = m_scheduler.runAfter(wait, [this, alive = m_isAlive, exchange] {
+    const auto timer = m_scheduler.runAfter(watch.request.wait, [this, alive = m_isAlive, exchange] {
         if (!*alive)
             return;
         for (const auto& expired : takeOne(exchange))
--- a/src/fleet/HeldWatches.h
+++ b/src/fleet/HeldWatches.h
@@ -1,19 +1,18 @@
 // The watch requests of other daemons that a relay holds until it has something to respond.
 //
 //   HeldWatches held(scheduler, [](const HeldWatches::Watch& watch) { respond(watch); });
-//   held.add({ .table = "op", .after = 17, .exchange = exchange }, 1200ms);
-//   for (const auto& watch : held.take([](const auto& candidate) { return candidate.table == "op"; }))
+//   held.add({ request, confirmations, exchange });
+//   for (const auto& watch : held.take([](const auto& candidate) { return candidate.request.table == "op"; }))
 //       respond(watch);
 #pragma once
 
 #include "base/Scheduler.h"
+#include "fleet/RelayWatchCodec.h"
 
-#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <list>
 #include <memory>
-#include <string>
 #include <vector>
 
 namespace coriandergate::http {
@@ -26,11 +25,7 @@
 class HeldWatches {
 public:
     struct Watch {
-        std::string table;
-        std::uint64_t after = 0;
-        bool isSnapshot = false;
-        bool acceptsAnyAge = false;
-        bool canOutliveOutage = false;
+        RelayWatchRequest request;
         std::uint64_t confirmations = 0; // of the table when the request arrived
         std::shared_ptr<http::Exchange> exchange;
     };
@@ -46,8 +41,8 @@
     HeldWatches(const HeldWatches&) = delete;
     auto operator=(const HeldWatches&) -> HeldWatches& = delete;
 
-    // add() holds a watch for at most `wait`.
-    auto add(Watch watch, std::chrono::milliseconds wait) -> void;
+    // add() holds a watch for at most as long as its request waits.
+    auto add(Watch watch) -> void;
 
     // take() returns the watches for which `isSelected` is true; they are no longer held.
     [[nodiscard]] auto take(const std::function<bool(const Watch&)>& isSelected) -> std::vector<Watch>;
--- a/src/fleet/RelayedStoreClient.cpp
+++ b/src/fleet/RelayedStoreClient.cpp
@@ -136,31 +136,34 @@
 
 auto RelayedStoreClient::isStoreWatcher() const -> bool { return contains(m_storeWatchers, m_options.hostKey); }
 
-auto RelayedStoreClient::isUsable(const Relay& relay, MonotonicTime now) const -> bool
+auto RelayedStoreClient::isUsable(const Relay& relay, const PauseEnds& pauses, MonotonicTime now) const -> bool
 {
-    const auto backoff = m_relayBackoffUntil.find(relay.host);
-    return relay.host != m_options.hostKey && (backoff == m_relayBackoffUntil.end() || now >= backoff->second);
+    const auto pause = pauses.find(relay.host);
+    return relay.host != m_options.hostKey && (pause == pauses.end() || now >= pause->second);
 }
 
 auto RelayedStoreClient::primaryRelay(MonotonicTime now) const -> const Relay*
 {
-    const auto first = std::find_if(m_relays.begin(), m_relays.end(),
-        [&](const Relay& relay) { return relay.host == m_options.hostKey || isUsable(relay, now); });
+    const auto first = std::find_if(m_relays.begin(), m_relays.end(), [&](const Relay& relay) {
+        return relay.host == m_options.hostKey || isUsable(relay, m_relayBackoffUntil, now);
+    });
     return first == m_relays.end() ? nullptr : &*first;
 }
 
 auto RelayedStoreClient::regionalPrimary(MonotonicTime now) const -> const Relay*
 {
-    const auto first = std::find_if(m_storeWatchers.begin(), m_storeWatchers.end(),
-        [&](const Relay& relay) { return relay.host == m_options.hostKey || isUsable(relay, now); });
+    const auto first = std::find_if(m_storeWatchers.begin(), m_storeWatchers.end(), [&](const Relay& relay) {
+        return relay.host == m_options.hostKey || isUsable(relay, m_relayBackoffUntil, now);
+    });
     return first == m_storeWatchers.end() ? nullptr : &*first;
 }
 
-auto RelayedStoreClient::chooseAmong(const std::vector<Relay>& relays, MonotonicTime now) -> std::optional<Relay>
+auto RelayedStoreClient::chooseAmong(const std::vector<Relay>& relays, const PauseEnds& pauses, MonotonicTime now)
+    -> std::optional<Relay>
 {
     std::vector<Relay> usable;
     std::copy_if(relays.begin(), relays.end(), std::back_inserter(usable),
-        [&](const Relay& relay) { return isUsable(relay, now); });
+        [&](const Relay& relay) { return isUsable(relay, pauses, now); });
     return usable.empty() ? std::nullopt : std::optional(usable[m_random() % usable.size()]);
 }
 
@@ -172,8 +175,8 @@
             first = regionalPrimary(now);
         return !first || first->host == m_options.hostKey ? std::nullopt : std::optional(*first);
     }
-    auto relay = chooseAmong(m_relays, now);
-    return relay ? relay : chooseAmong(m_regionRelays, now);
+    auto relay = chooseAmong(m_relays, m_relayBackoffUntil, now);
+    return relay ? relay : chooseAmong(m_regionRelays, m_relayBackoffUntil, now);
 }
 
 auto RelayedStoreClient::isWaitingForStore(MonotonicTime now) const -> bool
@@ -184,12 +187,7 @@
 auto RelayedStoreClient::chooseForOutage(MonotonicTime now) -> std::optional<Relay>
 {
     // Relays wait at those that ask the store, and not at each other.
-    std::vector<Relay> relays = isRelay() || m_relays.empty() ? m_storeWatchers : m_relays;
-    std::erase_if(relays, [&](const Relay& relay) {
-        const auto pause = m_outagePauseUntil.find(relay.host);
-        return pause != m_outagePauseUntil.end() && now < pause->second;
-    });
-    return relays.empty() ? std::nullopt : std::optional(relays[m_random() % relays.size()]);
+    return chooseAmong(isRelay() || m_relays.empty() ? m_storeWatchers : m_relays, m_outagePauseUntil, now);
 }
 
 auto RelayedStoreClient::watchForOutage(WatchRequest watch, Callback done) -> void
@@ -426,27 +424,29 @@
 
 auto RelayedStoreClient::hasUpdateFor(const TableCache& table, const HeldWatches::Watch& watch) const -> bool
 {
-    if (watch.isSnapshot)
-        return watch.acceptsAnyAge ? table.hasSnapshot() : canBeCopied(watch.table);
-    if (watch.table == m_options.freshnessTable && table.confirmations() > watch.confirmations)
+    const auto& request = watch.request;
+    if (request.isSnapshot)
+        return request.acceptsAnyAge ? table.hasSnapshot() : canBeCopied(request.table);
+    if (request.table == m_options.freshnessTable && table.confirmations() > watch.confirmations)
         return true;
-    return table.hasChangesAfter(watch.after);
+    return table.hasChangesAfter(request.after);
 }
 
 auto RelayedStoreClient::respondToHeldWatches(const std::string& table) -> void
 {
     const auto& cached = m_tables[table];
     const auto isDue
-        = [&](const HeldWatches::Watch& watch) { return watch.table == table && hasUpdateFor(cached, watch); };
+        = [&](const HeldWatches::Watch& watch) { return watch.request.table == table && hasUpdateFor(cached, watch); };
     for (const auto& watch : m_heldWatches.take(isDue))
-        respondFrom(cached, watch.after, watch.exchange);
+        respondFrom(cached, watch.request.after, watch.exchange);
 }
 
 // Rejects the watches of other hosts when this relay loses the store, so that they switch to another source at once.
 auto RelayedStoreClient::rejectHeldWatches(const std::string& table) -> void
 {
-    const auto isRejected
-        = [&table](const HeldWatches::Watch& watch) { return watch.table == table && !watch.canOutliveOutage; };
+    const auto isRejected = [&table](const HeldWatches::Watch& watch) {
+        return watch.request.table == table && !watch.request.canOutliveOutage;
+    };
     for (const auto& watch : m_heldWatches.take(isRejected))
         reject(watch.exchange, storeUnreachable);
 }
@@ -473,23 +473,24 @@
         return;
     }
     const auto& table = m_tables[request->table];
-    HeldWatches::Watch watch { request->table, request->after, request->isSnapshot, request->acceptsAnyAge,
-        request->canOutliveOutage, table.confirmations(), exchange };
+    // Two relays without the store would each wait for the other's rows.
+    const bool mustNotWait = request->isFromRelay && !request->isSnapshot && !request->canOutliveOutage
+        && request->wait.count() > 0 && isStoreInBackoff(m_scheduler.now());
+    HeldWatches::Watch watch { *request, table.confirmations(), exchange };
     if (hasUpdateFor(table, watch))
         respondFrom(table, request->after, exchange);
-    else if (!watch.isSnapshot && request->isFromRelay && request->wait.count() > 0 && !request->canOutliveOutage
-        && isStoreInBackoff(m_scheduler.now()))
-        reject(exchange, storeUnreachable); // two relays without the store would each wait for the other's rows
+    else if (mustNotWait)
+        reject(exchange, storeUnreachable);
     else
-        m_heldWatches.add(std::move(watch), request->wait);
+        m_heldWatches.add(std::move(watch));
 }
 
 auto RelayedStoreClient::onHeldWatchTimeout(const HeldWatches::Watch& watch) -> void
 {
-    if (watch.isSnapshot)
+    if (watch.request.isSnapshot)
         reject(watch.exchange, "no recent copy");
     else
-        respondFrom(m_tables[watch.table], watch.after, watch.exchange);
+        respondFrom(m_tables[watch.request.table], watch.request.after, watch.exchange);
 }
 
 } // namespace coriandergate::fleet
--- a/src/fleet/RelayedStoreClient.h
+++ b/src/fleet/RelayedStoreClient.h
@@ -127,11 +127,14 @@
         std::string address;
     };
 
+    // PauseEnds tells by host until when a relay that failed gets no requests.
+    using PauseEnds = std::map<std::string, MonotonicTime>;
+
     [[nodiscard]] auto relaysFor(std::size_t hosts) const -> std::size_t; // of a data centre with so many hosts
     [[nodiscard]] static auto contains(const std::vector<Relay>& relays, const std::string& host) -> bool;
     [[nodiscard]] auto isRelay() const -> bool;
     [[nodiscard]] auto isStoreWatcher() const -> bool;
-    [[nodiscard]] auto isUsable(const Relay& relay, MonotonicTime now) const -> bool;
+    [[nodiscard]] auto isUsable(const Relay& relay, const PauseEnds& pauses, MonotonicTime now) const -> bool;
     // primaryRelay() returns the relay that the other relays of the data centre watch through; null if none is usable.
     [[nodiscard]] auto primaryRelay(MonotonicTime now) const -> const Relay*;
     // regionalPrimary() returns the relay that the region's other primary relays watch through; null if none is usable.
@@ -141,7 +144,8 @@
     [[nodiscard]] auto isWaitingForStore(MonotonicTime now) const -> bool;
     // chooseForOutage() returns a relay to wait at meanwhile; nothing if each of them has just failed.
     [[nodiscard]] auto chooseForOutage(MonotonicTime now) -> std::optional<Relay>;
-    [[nodiscard]] auto chooseAmong(const std::vector<Relay>& relays, MonotonicTime now) -> std::optional<Relay>;
+    [[nodiscard]] auto chooseAmong(const std::vector<Relay>& relays, const PauseEnds& pauses, MonotonicTime now)
+        -> std::optional<Relay>;
     auto watchStore(const WatchRequest& watch, Callback done) -> void;
     auto watchRelay(const Relay& relay, const WatchRequest& watch, bool canOutliveOutage, Callback done) -> void;
     auto watchForOutage(WatchRequest watch, Callback done) -> void;
@@ -178,8 +182,8 @@
     std::vector<Relay> m_relays; // of this data centre
     std::vector<Relay> m_regionRelays; // of the region's other data centres
     std::vector<Relay> m_storeWatchers; // of the region, in the order in which they become the regional primary
-    std::map<std::string, MonotonicTime> m_relayBackoffUntil; // by host
-    std::map<std::string, MonotonicTime> m_outagePauseUntil; // by host
+    PauseEnds m_relayBackoffUntil;
+    PauseEnds m_outagePauseUntil;
     std::set<std::string> m_servingRelays; // hosts that have responded
     std::set<std::string> m_tablesWithLostRelay; // one of these failed, and no response came since
     std::size_t m_storeFailures = 0; // consecutive
