--- a/fuzz/AnswerParserFuzz.cpp
+++ b/fuzz/AnswerParserFuzz.cpp
@@ -50,9 +50,7 @@
         return 0;
     const std::string_view bytes(reinterpret_cast<const char*>(data) + 2, size - 2);
     auto whole = parse(bytes, bytes.size(), data[1]);
-    // Larger parts of longer inputs, for the time that they take.
-    const auto partBytes = (std::size_t { 1 } + data[0]) * (1 + bytes.size() / 4096);
-    auto inParts = parse(bytes, partBytes, data[1]);
+    auto inParts = parse(bytes, fuzz::partBytes(data[0], bytes.size()), data[1]);
     // Beast refuses a bare CR in an unfinished head at once only if it is given the head at once.
     require((whole.progress() == ParseProgress::Complete) == (inParts.progress() == ParseProgress::Complete));
     if (whole.progress() != ParseProgress::Complete) {
--- a/fuzz/RepeatedParts.h
+++ b/fuzz/RepeatedParts.h
@@ -17,6 +17,14 @@
 // the number of the repeated bytes less one, then the power of two of copies.
 [[nodiscard]] auto repeatParts(std::string_view input) -> std::string;
 
+// partBytes() is the size of the parts in which a parser gets `wholeBytes`, chosen by a byte of the input. Parts of
+// long inputs are larger, for the time that they take.
+[[nodiscard]] inline auto partBytes(std::uint8_t choice, std::size_t wholeBytes) -> std::size_t
+{
+    constexpr std::size_t shortInputBytes = 4096;
+    return (std::size_t { 1 } + choice) * (1 + wholeBytes / shortInputBytes);
+}
+
 // testOneInput() plays one whole input; it ends the process if something that must hold doesn't. It returns 0.
 auto testOneInput(const std::uint8_t* data, std::size_t size) -> int;
 
--- a/fuzz/RequestParserFuzz.cpp
+++ b/fuzz/RequestParserFuzz.cpp
@@ -50,10 +50,8 @@
         return 0;
     const std::string_view bytes(reinterpret_cast<const char*>(data) + 1, size - 1);
     const auto& limits = data[0] >= 0x80 ? largeLimits : smallLimits;
-    // Larger parts of longer inputs, for the time that they take.
-    const auto partBytes = (std::size_t { 1 } + data[0]) * (1 + bytes.size() / 4096);
     auto whole = parse(bytes, bytes.size(), limits);
-    auto inParts = parse(bytes, partBytes, limits);
+    auto inParts = parse(bytes, fuzz::partBytes(data[0], bytes.size()), limits);
     // Beast refuses a bare CR in an unfinished head at once only if it is given the head at once.
     require((whole.progress() == ParseProgress::Complete) == (inParts.progress() == ParseProgress::Complete));
     if (whole.progress() == ParseProgress::Failed)
