--- a/src/fleet/HostRegistration_test.cpp
+++ b/src/fleet/HostRegistration_test.cpp
@@ -18,17 +18,11 @@
 
 namespace {
 
-    const std::string host = "10.1.0.1";
+    const std::string host = RegistrationFixture::s_host;
 
     auto makeHeartbeat(std::uint64_t sequence, bool isDraining) -> Heartbeat
     {
-        return { .id = "i-1",
-            .service = "ledger",
-            .address = "10.1.0.1:8363",
-            .startedAt = 100,
-            .sequence = sequence,
-            .slots = 5,
-            .isDraining = isDraining };
+        return RegistrationFixture::makeHeartbeat("i-1", 100, sequence, isDraining);
     }
 
 } // namespace
--- a/src/fleet/LateLeaving_test.cpp
+++ b/src/fleet/LateLeaving_test.cpp
@@ -1,7 +1,6 @@
 // Guards against a target that gets requests although its leaving was acknowledged, because a message of it or of an
 // earlier incarnation came late, twice, out of order or not at all, or its daemon was restarted in between.
 #include "fleet/Deregistration.h"
-#include "fleet/StoreVersion.h"
 #include "testing/RegistrationFixture.h"
 
 #include <algorithm>
@@ -160,13 +159,8 @@
                 m_daemon->registration.receive(Deregistration { incarnation.id, incarnation.startedAt }, acknowledge);
                 return;
             }
-            const Heartbeat heartbeat { .id = incarnation.id,
-                .service = "ledger",
-                .address = RegistrationFixture::s_targetAddress,
-                .startedAt = incarnation.startedAt,
-                .sequence = message.sequence,
-                .slots = 5,
-                .isDraining = message.isLeaving };
+            const auto heartbeat = RegistrationFixture::makeHeartbeat(
+                incarnation.id, incarnation.startedAt, message.sequence, message.isLeaving);
             Error reason;
             REQUIRE(m_daemon->registration.receive(heartbeat, acknowledge, reason));
         }
@@ -216,23 +210,15 @@
 {
     RegistrationFixture fixture;
     fixture.registration.onHostsLoaded();
-    Heartbeat heartbeat { .id = "i-1",
-        .service = "ledger",
-        .address = RegistrationFixture::s_targetAddress,
-        .startedAt = 100,
-        .sequence = 9 };
-    fixture.sendHeartbeat(heartbeat);
+    fixture.sendHeartbeat(RegistrationFixture::makeHeartbeat("i-1", 100, 9));
     const auto* id = GENERATE("i-1", "i-2");
     fixture.registration.receive(Deregistration { id, 200 }, fixture.acknowledge());
     CHECK(fixture.acknowledgements == std::vector<bool> { true, true });
     CHECK(fixture.storedRecord().state == HostRecord::State::Draining);
     CHECK(fixture.storedRecord().targetId == id);
     CHECK(fixture.storedRecord().targetStartedAt == 200);
-    heartbeat.id = id;
-    heartbeat.startedAt = 200;
     for (const std::uint64_t sequence : { 1, 2 }) {
-        heartbeat.sequence = sequence;
-        fixture.sendHeartbeat(heartbeat);
+        fixture.sendHeartbeat(RegistrationFixture::makeHeartbeat(id, 200, sequence));
         CHECK_FALSE(fixture.target.isServing());
     }
 }
@@ -241,11 +227,7 @@
 {
     RegistrationFixture fixture;
     fixture.registration.onHostsLoaded();
-    fixture.sendHeartbeat({ .id = "i-1",
-        .service = "ledger",
-        .address = RegistrationFixture::s_targetAddress,
-        .startedAt = 100,
-        .sequence = 1 });
+    fixture.sendHeartbeat(RegistrationFixture::makeHeartbeat("i-1", 100, 1));
     fixture.registration.receive(Deregistration { "i-2", 0 }, fixture.acknowledge());
     CHECK(fixture.acknowledgements == std::vector<bool> { true, false });
     CHECK(fixture.target.isServing());
--- a/src/http/AnswerParser_test.cpp
+++ b/src/http/AnswerParser_test.cpp
@@ -1,5 +1,7 @@
 #include "http/AnswerParser.h"
 
+#include "testing/ReadInPieces.h"
+
 #include <catch2/catch.hpp>
 #include <string>
 
@@ -61,11 +63,7 @@
     CHECK(
         progressOf(head + (isInterim ? whole : "2\r\nok\r\n0\r\n\r\n"), mayEndWithConnection) == ParseProgress::Failed);
     AnswerParser bytewise({ .mayEndWithConnection = mayEndWithConnection });
-    std::string unread;
-    for (const char byte : head) {
-        unread += byte;
-        unread.erase(0, bytewise.feed(unread));
-    }
+    testing::readInPieces(bytewise, head, [] { return std::size_t { 1 }; });
     CHECK(bytewise.progress() == ParseProgress::Failed);
 }
 
--- a/src/http/MessageBounds_test.cpp
+++ b/src/http/MessageBounds_test.cpp
@@ -1,6 +1,7 @@
 // The bounds of the parsers on each part of a message, also far beyond those of the library behind them.
 #include "http/AnswerParser.h"
 #include "http/RequestParser.h"
+#include "testing/ReadInPieces.h"
 
 #include <catch2/catch.hpp>
 #include <functional>
@@ -11,37 +12,14 @@
 
 namespace coriandergate::http {
 
+using testing::readInPieces;
+
 namespace {
 
     using Random = std::mt19937_64;
 
     constexpr std::size_t largestFieldOfLibrary = 65'533; // a longer one ended the process with an exception
 
-    struct Reading {
-        ParseProgress progress = ParseProgress::NeedsMore;
-        std::size_t mostUnread = 0; // bytes that the parser left, at most
-        std::size_t used = 0;
-    };
-
-    // Feeds `bytes` in pieces that `sizes` chooses, as a connection would.
-    template <typename Parser>
-    auto readInPieces(Parser& parser, const std::string& bytes, const std::function<std::size_t()>& sizes) -> Reading
-    {
-        Reading reading;
-        std::string unread;
-        for (std::size_t given = 0; given < bytes.size() && parser.progress() == ParseProgress::NeedsMore;) {
-            const auto piece = std::min(sizes(), bytes.size() - given);
-            unread.append(bytes, given, piece);
-            given += piece;
-            const auto used = parser.feed(unread);
-            unread.erase(0, used);
-            reading.used += used;
-            reading.mostUnread = std::max(reading.mostUnread, unread.size());
-        }
-        reading.progress = parser.progress();
-        return reading;
-    }
-
     auto makeFields(std::size_t bytes, std::size_t fieldBytes) -> std::string
     {
         const auto line = "a:" + std::string(fieldBytes, 'b') + "\r\n";
@@ -159,7 +137,7 @@
     const auto bytes = start + (hasLines ? makeFields(20'000'000, 1) : std::string(20'000'000, 'a'));
     AnswerParser parser({ .maximumHeaderBytes = limit });
     const auto reading = readInPieces(parser, bytes, [] { return std::size_t { 1000 }; });
-    CHECK(reading.progress == ParseProgress::Failed);
+    CHECK(parser.progress() == ParseProgress::Failed);
     CHECK(reading.mostUnread + reading.used <= 2 * limit + 1000);
 }
 
--- a/src/http/RequestParser_test.cpp
+++ b/src/http/RequestParser_test.cpp
@@ -1,6 +1,7 @@
 #include "http/RequestParser.h"
 
 #include "http/Serialize.h"
+#include "testing/ReadInPieces.h"
 
 #include <catch2/catch.hpp>
 #include <random>
@@ -20,17 +21,8 @@
 auto readInPieces(const std::string& bytes, const std::function<std::size_t()>& sizes) -> Reading
 {
     RequestParser parser({ .maximumHeaderBytes = 1024, .maximumBodyBytes = 1024 });
-    std::string buffer;
     Reading reading;
-    std::size_t given = 0;
-    while (given < bytes.size() && parser.progress() == ParseProgress::NeedsMore) {
-        const auto piece = std::min(sizes(), bytes.size() - given);
-        buffer.append(bytes, given, piece);
-        given += piece;
-        const auto used = parser.feed(buffer);
-        buffer.erase(0, used);
-        reading.used += used;
-    }
+    reading.used = coriandergate::testing::readInPieces(parser, bytes, sizes).used;
     reading.progress = parser.progress();
     reading.status = parser.failureStatus();
     if (reading.progress == ParseProgress::Complete)
--- a/src/testing/RegistrationFixture.h
+++ b/src/testing/RegistrationFixture.h
@@ -2,7 +2,7 @@
 //
 //   RegistrationFixture fixture;
 //   fixture.registration.onHostsLoaded();
-//   fixture.sendHeartbeat({ .id = "i-1", ... });
+//   fixture.sendHeartbeat(RegistrationFixture::makeHeartbeat("i-1", 100, 1));
 //   CHECK(fixture.storedRecord().targetId == "i-1");
 #pragma once
 
@@ -15,6 +15,7 @@
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -42,6 +43,19 @@
         registration.onTargetChanged([this] { ++targetChanges; });
     }
 
+    // makeHeartbeat() is one of a target of this host.
+    static auto makeHeartbeat(const std::string& id, std::uint64_t startedAt, std::uint64_t sequence,
+        bool isDraining = false) -> fleet::Heartbeat
+    {
+        return { .id = id,
+            .service = "ledger",
+            .address = s_targetAddress,
+            .startedAt = startedAt,
+            .sequence = sequence,
+            .slots = 5,
+            .isDraining = isDraining };
+    }
+
     auto storedRecord() const -> fleet::HostRecord
     {
         Error reason;
