Log what each retry is charged, and how old a new configuration is

A retry that was granted left no line, so nothing said which host paid for it and which calls it was expected to make. A configuration in force did not say how old it was on arrival, nor a lost relay how long a host had waited for it.

Change: CG1902 for each charged retry, with the payer, the expected calls and what remains of the own share; proof-age-ms in CG1923; table and waited-ms in CG1940.

Measured: the catalogue test of events and the tests of the gate pass; no decision changes.

--- a/src/dispatch/RetryBudget.cpp
+++ b/src/dispatch/RetryBudget.cpp
@@ -38,8 +38,7 @@
     return 1;
 }
 
-auto RetryBudget::hasBudget(
-    std::string_view service, double retries, double fraction, std::size_t hostCount, MonotonicTime now) -> bool
+auto RetryBudget::usage(std::string_view service, std::size_t hostCount, MonotonicTime now) -> Usage
 {
     const auto& window = currentWindow(service, now);
     const bool hasFixedShare = now >= m_fixedShareFrom;
@@ -50,6 +49,19 @@
     double used = 0;
     for (const auto& [time, count] : window.retries)
         used += count;
+    return { .budget = budget, .used = used };
+}
+
+auto RetryBudget::remaining(std::string_view service, std::size_t hostCount, MonotonicTime now) -> double
+{
+    const auto [budget, used] = usage(service, hostCount, now);
+    return budget - used;
+}
+
+auto RetryBudget::hasBudget(
+    std::string_view service, double retries, double fraction, std::size_t hostCount, MonotonicTime now) -> bool
+{
+    const auto [budget, used] = usage(service, hostCount, now);
     return used + retries <= fraction * budget;
 }
 
--- a/src/dispatch/RetryBudget.h
+++ b/src/dispatch/RetryBudget.h
@@ -72,6 +72,9 @@
     [[nodiscard]] auto canAcquire(std::string_view service, const CallsPerRequest& calls, RetryClass retryClass,
         std::size_t hostCount, MonotonicTime now) -> bool;
 
+    // remaining() returns the number of high-priority retries that are left at `service` now.
+    [[nodiscard]] auto remaining(std::string_view service, std::size_t hostCount, MonotonicTime now) -> double;
+
     // tryAcquire() takes one retry at `service`, and the `calls` that it makes, from the budgets; false when a budget
     // is exhausted. `hostCount` is the number of hosts that share the budget.
     [[nodiscard]] auto tryAcquire(std::string_view service, const CallsPerRequest& calls, RetryClass retryClass,
@@ -83,6 +86,12 @@
         std::deque<std::pair<MonotonicTime, double>> retries;
     };
 
+    struct Usage {
+        double budget = 0;
+        double used = 0;
+    };
+
+    [[nodiscard]] auto usage(std::string_view service, std::size_t hostCount, MonotonicTime now) -> Usage;
     [[nodiscard]] auto hasBudget(
         std::string_view service, double retries, double fraction, std::size_t hostCount, MonotonicTime now) -> bool;
     [[nodiscard]] auto budgetFraction(RetryClass retryClass) const -> double;
--- a/src/fleet/RelayedStoreClient.cpp
+++ b/src/fleet/RelayedStoreClient.cpp
@@ -18,7 +18,7 @@
 namespace {
 
     const log::Event relayFailed { 1940, log::Severity::Info, "relay of news lost",
-        "the store or another relay is used instead for a few seconds" };
+        "the store or another relay is used instead for a few seconds; the reason, and how long this host had waited" };
 
     constexpr const char* storeUnreachable = "the store is unreachable";
 
@@ -366,7 +366,7 @@
                                              : std::get<Error>(result);
                 if (canOutliveOutage)
                     m_outagePauseUntil[relay.host] = pauseUntil;
-                onRelayFailed(relay, reason, watch, done);
+                onRelayFailed(relay, reason, watch, sentAt, done);
                 return;
             }
             response->sentAt = sentAt;
@@ -382,11 +382,13 @@
 }
 
 auto RelayedStoreClient::onRelayFailed(
-    const Relay& relay, const Error& reason, const WatchRequest& watch, Callback done) -> void
+    const Relay& relay, const Error& reason, const WatchRequest& watch, SuspendAwareTime sentAt, Callback done) -> void
 {
     const auto now = m_scheduler.now();
     m_relayBackoffUntil[relay.host] = now + m_options.relayBackoff;
-    log::logEvent(relayFailed, { { "why", reason.toText() } });
+    const auto waited = std::chrono::duration_cast<milliseconds>(m_scheduler.suspendAwareNow() - sentAt);
+    log::logEvent(relayFailed,
+        { { "table", watch.table }, { "why", reason.toText() }, { "waited-ms", std::to_string(waited.count()) } });
     if (m_servingRelays.contains(relay.host))
         m_tablesWithLostRelay.insert(watch.table);
     this->watch(watch, std::move(done));
--- a/src/fleet/RelayedStoreClient.h
+++ b/src/fleet/RelayedStoreClient.h
@@ -149,7 +149,8 @@
     auto watchStore(const WatchRequest& watch, Callback done) -> void;
     auto watchRelay(const Relay& relay, const WatchRequest& watch, bool canOutliveOutage, Callback done) -> void;
     auto watchForOutage(WatchRequest watch, Callback done) -> void;
-    auto onRelayFailed(const Relay& relay, const Error& reason, const WatchRequest& watch, Callback done) -> void;
+    auto onRelayFailed(const Relay& relay, const Error& reason, const WatchRequest& watch, SuspendAwareTime sentAt,
+        Callback done) -> void;
     auto recordStoreResult(const std::string& table, const Result& result) -> void;
     [[nodiscard]] auto isStoreInBackoff(MonotonicTime now) const -> bool;
     [[nodiscard]] auto timeUntilStale(const WatchRequest& watch) const -> std::chrono::milliseconds;
--- a/src/relay/RetryGate.cpp
+++ b/src/relay/RetryGate.cpp
@@ -1,5 +1,6 @@
 #include "relay/RetryGate.h"
 
+#include "log/Event.h"
 #include "relay/AttemptEvent.h"
 #include "relay/CallerRequest.h"
 #include "relay/CrashReporter.h"
@@ -10,6 +11,15 @@
 
 namespace coriandergate::relay {
 
+namespace {
+
+    const log::Event retryCharged { 1902, log::Severity::Info, "retry charged",
+        "whose share of the retry budget pays for it (own, that of a lender, or an earlier charge that was not used), "
+        "the "
+        "calls to other services that it is expected to make, and what remains of the own share" };
+
+} // namespace
+
 RetryGate::RetryGate(std::shared_ptr<CallerRequest> request)
     : m_request(std::move(request))
 {
@@ -24,13 +34,20 @@
         callback("the request crashes targets");
         return;
     }
-    const bool isWithinBudget = history.attempts == 0 || std::exchange(history.hasUnusedRetry, false)
+    if (history.attempts == 0) {
+        callback({});
+        return;
+    }
+    const bool wasCharged = std::exchange(history.hasUnusedRetry, false);
+    const bool isWithinBudget = wasCharged
         || context.retryBudget.tryAcquire(service, context.callsPerRequest[service],
             m_request->admitted.retryClass(service), context.hostCount, monotonicNow());
-    if (isWithinBudget)
-        callback({});
-    else
+    if (!isWithinBudget) {
         borrow(peer, std::move(callback));
+        return;
+    }
+    logCharge(peer, wasCharged ? "earlier" : "own");
+    callback({});
 }
 
 auto RetryGate::borrow(const std::string& peer, AcquireCallback callback) -> void
@@ -42,13 +59,27 @@
             const auto self = weak.lock();
             if (!self)
                 return;
-            if (isLent)
+            if (isLent) {
+                self->logCharge(peer, "lender");
                 callback({});
-            else
+            } else {
                 self->onBudgetExhausted(peer, callback);
+            }
         });
 }
 
+auto RetryGate::logCharge(const std::string& peer, std::string_view chargedTo) -> void
+{
+    auto& context = m_request->context;
+    const auto& service = m_request->service;
+    log::logEvent(retryCharged,
+        { { "request", m_request->id }, { "service", service }, { "peer", peer },
+            { "charged-to", std::string(chargedTo) },
+            { "calls", encodeCallsPerRequest(context.callsPerRequest[service]) },
+            { "remaining", std::to_string(context.retryBudget.remaining(service, context.hostCount, monotonicNow())) },
+            { "hosts", std::to_string(context.hostCount) } });
+}
+
 auto RetryGate::onBudgetExhausted(const std::string& peer, const AcquireCallback& callback) -> void
 {
     log::logEvent(attemptEnded,
--- a/src/relay/RetryGate.h
+++ b/src/relay/RetryGate.h
@@ -39,6 +39,7 @@
 
 private:
     auto borrow(const std::string& peer, AcquireCallback callback) -> void;
+    auto logCharge(const std::string& peer, std::string_view chargedTo) -> void;
     auto onBudgetExhausted(const std::string& peer, const AcquireCallback& callback) -> void;
 
     std::shared_ptr<CallerRequest> m_request;
--- a/src/sidecar/ConfigurationFeed.cpp
+++ b/src/sidecar/ConfigurationFeed.cpp
@@ -1,7 +1,9 @@
 #include "sidecar/ConfigurationFeed.h"
 
+#include "base/Clock.h"
 #include "base/Error.h"
 #include "dispatch/HomeRegions.h"
+#include "dispatch/StalenessTracker.h"
 #include "log/Event.h"
 #include "relay/EntryContext.h"
 #include "sidecar/Adapter.h"
@@ -15,7 +17,7 @@
 namespace {
 
     const log::Event configurationApplied { 1923, log::Severity::Info, "configuration in force",
-        "the version of the configuration" };
+        "the version of the configuration, and how old the news of it may be" };
     const log::Event configurationRejected { 1924, log::Severity::Error, "configuration refused",
         "the reason names the field; the last valid configuration stays in force" };
     const log::Event limitsChanged { 1933, log::Severity::Info, "limits of a client account changed",
@@ -184,10 +186,12 @@
     logChangedHomes(snapshot.get(), *configuration);
     snapshot = std::make_shared<const relay::PolicySnapshot>(std::move(*configuration));
     const auto& applied = snapshot->configuration();
+    const auto age = m_context.configurationFreshness.age(SuspendAwareClock::now());
     log::logEvent(configurationApplied,
         { { "version", std::to_string(applied.version) }, { "routes", std::to_string(applied.routes.size()) },
             { "accounts", std::to_string(applied.clientAccounts.size()) },
-            { "row-version", std::to_string(row.version) }, { "bytes", std::to_string(row.value.size()) } });
+            { "row-version", std::to_string(row.version) }, { "bytes", std::to_string(row.value.size()) },
+            { "proof-age-ms", age ? std::to_string(age->count()) : "" } });
     return true;
 }
 
