--- a/src/testing/FleetSimulation.cpp
+++ b/src/testing/FleetSimulation.cpp
@@ -22,8 +22,9 @@
     constexpr int delaysUntilRequest = 3;
     constexpr int delaysUntilRefused = 2;
     constexpr milliseconds storeTimeout { 1100 }; // until a response begins, as in platform::PlatformStore
-    // For the rest of a large response, as in net::HttpClient.
+    // For the rest of a large response, and without any progress, as in net::HttpClient.
     constexpr milliseconds longestResponse { 8000 };
+    constexpr milliseconds stallTimeout { 1100 };
     constexpr milliseconds stepTime { 10 };
 
     auto addressOf(std::size_t host)
@@ -93,7 +94,9 @@
     SimulatedNetwork::Link downlink = 0;
     HostStoreClient store;
     HostRelayTransport transport;
+    Impairment impairment;
     bool isStarting = false;
+    bool isDark = false; // without power
     std::unique_ptr<fleet::StoreView> view; // while the daemon runs
     std::optional<fleet::HostRecord::State> stateAtStart;
     std::uint64_t configurationVersion = 0; // row version that the daemon knows
@@ -186,6 +189,7 @@
 {
     auto& host = *m_hosts[index];
     host.isStarting = false;
+    host.isDark = false;
     host.configurationVersion = 0;
     host.stateAtStart.reset();
     host.view = std::make_unique<fleet::StoreView>(m_scheduler, host.store, host.transport,
@@ -230,19 +234,45 @@
 auto FleetSimulation::stop(const std::function<bool(std::size_t host)>& isSelected) -> void
 {
     for (std::size_t index = 0; index < m_hosts.size(); ++index) {
-        if (!m_hosts[index]->view || !isSelected(index))
-            continue;
-        for (auto it = m_requests.begin(); it != m_requests.end();) {
-            const auto id = it->first;
-            const auto& request = it->second;
-            ++it;
-            if (request.from == index)
-                finish(id);
-            else if (request.to == index)
-                m_scheduler.runAfter(delay(index, request.from), [this, id] { failRequest(id); });
-        }
-        m_hosts[index]->view.reset();
+        if (m_hosts[index]->view && isSelected(index))
+            end(index, true);
+    }
+}
+
+auto FleetSimulation::powerOff(const std::function<bool(std::size_t host)>& isSelected) -> void
+{
+    for (std::size_t index = 0; index < m_hosts.size(); ++index) {
+        if (m_hosts[index]->view && isSelected(index))
+            end(index, false);
+    }
+}
+
+auto FleetSimulation::end(std::size_t index, bool isNoticed) -> void
+{
+    for (auto it = m_requests.begin(); it != m_requests.end();) {
+        const auto id = it->first;
+        const auto& request = it->second;
+        ++it;
+        if (request.from == index)
+            finish(id);
+        else if (request.to == index && isNoticed)
+            m_scheduler.runAfter(delay(index, request.from), [this, id] { failRequest(id); });
     }
+    m_hosts[index]->view.reset();
+    m_hosts[index]->isDark = !isNoticed;
+}
+
+auto FleetSimulation::setImpairment(std::size_t host, const Impairment& impairment) -> void
+{
+    m_hosts[host]->impairment = impairment;
+}
+
+auto FleetSimulation::arrives(std::size_t host, std::optional<std::size_t> other) const -> bool
+{
+    const auto& impairment = m_hosts[host]->impairment;
+    if (!other)
+        return !impairment.isCutFromStore;
+    return !impairment.isCutFromHosts && !m_hosts[*other]->impairment.isCutFromHosts;
 }
 
 auto FleetSimulation::isInformed(const Host& host) const -> bool
@@ -271,6 +301,13 @@
         [newest](const auto& host) { return host->view && host->configurationVersion != newest; }));
 }
 
+auto FleetSimulation::knowsOlderConfiguration(std::size_t host) const -> bool
+{
+    const auto& known = *m_hosts[host];
+    return known.view && known.configurationVersion != 0
+        && known.configurationVersion != m_store.row(operatorTable, configurationKey).version;
+}
+
 auto FleetSimulation::timeUntilInformed(double share, milliseconds longest) -> std::optional<milliseconds>
 {
     for (milliseconds time { 0 }; time <= longest; time += stepTime) {
@@ -338,6 +375,8 @@
     if (found == m_requests.end())
         return;
     auto& request = found->second;
+    if (!arrives(request.from, request.to))
+        return;
     if (request.mayTakeLong)
         extendTimeout(id);
     request.transfer
@@ -345,7 +384,12 @@
               const auto sent = m_requests.find(id);
               if (sent == m_requests.end())
                   return;
-              m_scheduler.runAfter(delay(sent->second.from, sent->second.to), [this, id, deliver] {
+              const auto [from, to] = std::pair(sent->second.from, sent->second.to);
+              if (!arrives(from, to)) {
+                  m_scheduler.runAfter(stallTimeout, [this, id] { failRequest(id); });
+                  return;
+              }
+              m_scheduler.runAfter(delay(from, to) + m_hosts[from]->impairment.messageDelay, [this, id, deliver] {
                   if (!m_requests.contains(id))
                       return;
                   finish(id);
@@ -354,7 +398,6 @@
           });
 }
 
-// Transfers always progress here, so a response that has begun doesn't stall.
 auto FleetSimulation::extendTimeout(RequestId id) -> void
 {
     auto& request = m_requests.at(id);
@@ -368,9 +411,12 @@
     std::size_t relay = 0;
     while (addressOf(relay) != address)
         ++relay;
+    if (getenv("WATCH") && (int)host == atoi(getenv("WATCH")) && watch.table == "op") std::printf("%ld h%zu asks relay h%zu wait %ld outlive %d timeout %ld\n", (long)storeTime().count(), host, relay, (long)watch.wait.count(), watch.canOutliveOutage, (long)timeout.count());
     const auto fail = [done, address] { done(Error { "watch through relay", address, "no response" }); };
     const auto id = start(
         { .from = host, .to = relay, .mayTakeLong = watch.isSnapshot, .fail = fail, .abandon = nullptr }, timeout);
+    if (!arrives(host, relay) || m_hosts[relay]->isDark)
+        return;
     if (!m_hosts[relay]->view) {
         m_scheduler.runAfter(delaysUntilRefused * delay(host, relay), [this, id] { failRequest(id); });
         return;
@@ -378,13 +424,14 @@
     http::Request request {
         .method = "POST", .target = std::string(fleet::relayWatchPath), .headers = {}, .body = relayRequestBody(watch)
     };
-    m_scheduler.runAfter(delaysUntilRequest * delay(host, relay),
+    m_scheduler.runAfter(delaysUntilRequest * delay(host, relay) + m_hosts[relay]->impairment.messageDelay,
         [this, id, relay, address, request = std::move(request), done = std::move(done)] {
             const auto found = m_requests.find(id);
             if (found == m_requests.end())
                 return;
             if (!m_hosts[relay]->view) {
-                failRequest(id);
+                if (!m_hosts[relay]->isDark)
+                    failRequest(id);
                 return;
             }
             const auto exchange = std::make_shared<http::Exchange>(
@@ -406,6 +453,7 @@
 auto FleetSimulation::queryStore(std::size_t host, const StoreClient::WatchRequest& watch,
     const std::optional<StoreClient::RangeRequest>& range, StoreClient::Callback done) -> void
 {
+    if (getenv("WATCH") && (int)host == atoi(getenv("WATCH")) && watch.table == "op") std::printf("%ld h%zu asks store wait %ld\n", (long)storeTime().count(), host, (long)watch.wait.count());
     ++m_storeRequests;
     const auto sentAt = m_scheduler.suspendAwareNow();
     const auto complete = [this, sentAt, done = std::move(done)](StoreClient::Result result) {
@@ -422,7 +470,7 @@
         storeTimeout + watch.wait);
     m_scheduler.runAfter(delaysUntilRequest * delay(host, std::nullopt) + m_options.storeServiceTime,
         [this, id, watch, range, complete] {
-            if (m_requests.contains(id))
+            if (m_requests.contains(id) && arrives(m_requests.at(id).from, std::nullopt))
                 handleAtStore(id, watch, range, complete);
         });
 }
--- a/src/testing/FleetSimulation.h
+++ b/src/testing/FleetSimulation.h
@@ -61,6 +61,17 @@
     // setStoreIsSilent() sets whether requests to the store end without a response, also those under way.
     auto setStoreIsSilent(bool isSilent) -> void;
 
+    // powerOff() ends the daemons for which `isSelected` returns true; unlike with stop(), nobody is told.
+    auto powerOff(const std::function<bool(std::size_t host)>& isSelected) -> void;
+
+    // Impairment is what a host suffers while its daemon runs.
+    struct Impairment {
+        bool isCutFromHosts = false; // nothing passes between it and other hosts
+        bool isCutFromStore = false;
+        std::chrono::milliseconds messageDelay { 0 }; // until it handles a message
+    };
+    auto setImpairment(std::size_t host, const Impairment& impairment) -> void;
+
     // configure() replaces the configuration row; setState() changes a host's row.
     auto configure() -> void;
     auto setState(std::size_t host, fleet::HostRecord::State state) -> void;
@@ -85,6 +96,9 @@
     // uninformedHosts() is the number of running hosts that don't know the newest configuration.
     [[nodiscard]] auto uninformedHosts() const -> std::size_t;
 
+    // knowsOlderConfiguration() returns whether a host's daemon goes by a configuration that is not the newest.
+    [[nodiscard]] auto knowsOlderConfiguration(std::size_t host) const -> bool;
+
     // hostsWatchingConfiguration() returns the hosts whose watches for the configuration are open at the store.
     [[nodiscard]] auto hostsWatchingConfiguration() const -> std::set<std::size_t>;
 
@@ -138,6 +152,9 @@
     }
     auto put(const std::string& table, const std::string& key, const std::string& value) -> void;
     [[nodiscard]] auto delay(std::size_t from, std::optional<std::size_t> to) const -> std::chrono::milliseconds;
+    // arrives() returns whether a message between a host and another one, or the store, gets through now.
+    [[nodiscard]] auto arrives(std::size_t host, std::optional<std::size_t> other) const -> bool;
+    auto end(std::size_t index, bool isNoticed) -> void;
     [[nodiscard]] auto responsePath(std::optional<std::size_t> from, std::size_t to) const
         -> std::vector<SimulatedNetwork::Link>;
     [[nodiscard]] auto isInformed(const Host& host) const -> bool;
