Ask the store again sooner after it failed, whatever relays do

What callers saw: requests were handled by an older configuration later than the bound, on hosts that had been calm for long enough.

Cause: a host that the store failed twice left it alone for 3 s, counted from the failure, which comes up to 1.1 s after the request. Within that pause it gave a relay the full 1.7 s, also when the rows were already too old. A host that had been cut off, and whose relay was then cut off too, did not ask the store for up to 4.4 s after its own way was back. The class of fault: a pause that is counted from a late event and outlasts the time within which its owner must be whole again.

Change: fleet/StoreBackoff counts 2.5 s from the sending of the request that failed, and a relay gets no more than what is left of the pause, or of the rows' age.

--- a/src/fleet/RelayedStoreClient.cpp
+++ b/src/fleet/RelayedStoreClient.cpp
@@ -35,6 +35,7 @@
     , m_store(scheduler, store)
     , m_transport(transport)
     , m_options(options)
+    , m_storeBackoff(options.storeBackoff)
     , m_heldWatches(scheduler, [this](const HeldWatches::Watch& watch) { onHeldWatchTimeout(watch); })
     , m_random(options.randomSeed)
 {
@@ -169,7 +170,7 @@
 
 auto RelayedStoreClient::chooseRelay(MonotonicTime now) -> std::optional<Relay>
 {
-    if (isRelay() && !isStoreInBackoff(now)) {
+    if (isRelay() && !m_storeBackoff.isActive(now)) {
         const auto* first = primaryRelay(now);
         if (first->host == m_options.hostKey)
             first = regionalPrimary(now);
@@ -181,7 +182,7 @@
 
 auto RelayedStoreClient::isWaitingForStore(MonotonicTime now) const -> bool
 {
-    return !isStoreWatcher() && isStoreInBackoff(now) && !m_storeWatchers.empty();
+    return !isStoreWatcher() && m_storeBackoff.isActive(now) && !m_storeWatchers.empty();
 }
 
 auto RelayedStoreClient::chooseForOutage(MonotonicTime now) -> std::optional<Relay>
@@ -269,7 +270,7 @@
         request.wait = milliseconds { 0 };
     // A request that doesn't wait goes to the store itself, because it is sent to obtain changes that relays may
     // lack.
-    const bool mustAskStore = request.wait.count() == 0 && !isStoreInBackoff(now);
+    const bool mustAskStore = request.wait.count() == 0 && !m_storeBackoff.isActive(now);
     if (mustAskStore) {
         watchStore(request, std::move(done));
     } else if (const auto relay = chooseRelay(now)) {
@@ -285,11 +286,6 @@
     }
 }
 
-auto RelayedStoreClient::isStoreInBackoff(MonotonicTime now) const -> bool
-{
-    return m_storeFailures >= m_options.storeFailuresBeforeBackoff && now < m_storeBackoffUntil;
-}
-
 // Time until the cached rows exceed the maximum age.
 auto RelayedStoreClient::timeUntilStale(const WatchRequest& watch) const -> milliseconds
 {
@@ -306,31 +302,31 @@
     // A relay polls more often, because other hosts wait for its confirmations.
     if (isRelay() && watch.table == m_options.freshnessTable)
         request.wait = std::min(request.wait, m_options.relayPollTime);
-    m_store.watch(request, [this, alive = m_isAlive, table = watch.table, done = std::move(done)](Result result) {
-        if (*alive) {
-            recordStoreResult(table, result);
-            if (auto* response = std::get_if<StoreResponse>(&result))
-                updateCache(table, *response, false);
-            else if (std::get<StoreFailure>(result).kind != StoreFailure::Kind::HistoryTruncated)
-                rejectHeldWatches(table); // else the table is read next, for the other hosts too
-        }
-        done(std::move(result));
-    });
+    const auto sentAt = m_scheduler.now();
+    m_store.watch(
+        request, [this, alive = m_isAlive, sentAt, table = watch.table, done = std::move(done)](Result result) {
+            if (*alive) {
+                recordStoreResult(table, sentAt, result);
+                if (auto* response = std::get_if<StoreResponse>(&result))
+                    updateCache(table, *response, false);
+                else if (std::get<StoreFailure>(result).kind != StoreFailure::Kind::HistoryTruncated)
+                    rejectHeldWatches(table); // else the table is read next, for the other hosts too
+            }
+            done(std::move(result));
+        });
 }
 
-// After consecutive failures watches prefer relays for a while, because the store may still serve other hosts. A single
-// failure isn't enough: the store may have closed the requests of all hosts, and the request is then retried at the
-// store immediately.
-auto RelayedStoreClient::recordStoreResult(const std::string& table, const Result& result) -> void
+auto RelayedStoreClient::recordStoreResult(const std::string& table, MonotonicTime sentAt, const Result& result) -> void
 {
     const auto* failure = std::get_if<StoreFailure>(&result);
     const bool isUnavailable
         = failure && (failure->kind == StoreFailure::Kind::NotApplied || failure->kind == StoreFailure::Kind::Unknown);
     if (!isUnavailable)
-        m_storeFailures = 0;
+        m_storeBackoff.recordResponse();
     else if (table == m_options.freshnessTable) // counted once, because the requests for several tables fail together
-        ++m_storeFailures;
-    m_storeBackoffUntil = m_scheduler.now() + m_options.storeBackoff;
+        m_storeBackoff.recordFailure(sentAt);
+    else
+        m_storeBackoff.extend(sentAt);
 }
 
 auto RelayedStoreClient::watchRelay(const Relay& relay, const WatchRequest& watch, bool canOutliveOutage, Callback done)
@@ -341,8 +337,7 @@
     const bool isFreshnessTable = watch.table == m_options.freshnessTable;
     const auto wait
         = isFreshnessTable ? std::min(watch.wait, m_options.relayPollTime + m_options.relayPollMargin) : watch.wait;
-    // A host that the store doesn't serve has no other source of newer rows, so it gives relays the full time.
-    const auto longestTimeout = isStoreInBackoff(m_scheduler.now()) ? milliseconds::max() : timeUntilStale(watch);
+    const auto longestTimeout = std::max(timeUntilStale(watch), m_storeBackoff.timeLeft(m_scheduler.now()));
     const auto timeout = std::max(m_options.minimumTimeout, std::min(wait + m_options.responseTimeout, longestTimeout));
     m_transport.watch(relay.address,
         { .table = watch.table,
@@ -477,7 +472,7 @@
     const auto& table = m_tables[request->table];
     // Two relays without the store would each wait for the other's rows.
     const bool mustNotWait = request->isFromRelay && !request->isSnapshot && !request->canOutliveOutage
-        && request->wait.count() > 0 && isStoreInBackoff(m_scheduler.now());
+        && request->wait.count() > 0 && m_storeBackoff.isActive(m_scheduler.now());
     HeldWatches::Watch watch { *request, table.confirmations(), exchange };
     if (hasUpdateFor(table, watch))
         respondFrom(table, request->after, exchange);
--- a/src/fleet/RelayedStoreClient.h
+++ b/src/fleet/RelayedStoreClient.h
@@ -26,6 +26,7 @@
 #include "fleet/EraCheckedStore.h"
 #include "fleet/HeldWatches.h"
 #include "fleet/RelayTransport.h"
+#include "fleet/StoreBackoff.h"
 #include "fleet/StoreClient.h"
 #include "fleet/TableCache.h"
 
@@ -67,9 +68,7 @@
         // force everywhere 2.5 s after the store confirmed it; the rest is for the store's response.
         std::chrono::milliseconds maximumAge { 1900 };
         std::chrono::milliseconds relayBackoff { 3000 }; // how long a failed relay gets no requests
-        std::size_t storeFailuresBeforeBackoff = 2; // consecutive
-        // How long watches then go to relays; without a relay that has recent rows they still go to the store.
-        std::chrono::milliseconds storeBackoff { 3000 };
+        StoreBackoff::Options storeBackoff; // watches go to relays meanwhile
         // How soon a host that waits for the store asks a relay again that failed, from its last request on.
         std::chrono::milliseconds outagePause { 300 };
         std::uint32_t randomSeed = std::random_device {}(); // of the choice among relays
@@ -151,8 +150,7 @@
     auto watchForOutage(WatchRequest watch, Callback done) -> void;
     auto onRelayFailed(const Relay& relay, const Error& reason, const WatchRequest& watch, SuspendAwareTime sentAt,
         Callback done) -> void;
-    auto recordStoreResult(const std::string& table, const Result& result) -> void;
-    [[nodiscard]] auto isStoreInBackoff(MonotonicTime now) const -> bool;
+    auto recordStoreResult(const std::string& table, MonotonicTime sentAt, const Result& result) -> void;
     [[nodiscard]] auto timeUntilStale(const WatchRequest& watch) const -> std::chrono::milliseconds;
     // updateCache() also replaces outdated content in `response`.
     auto updateCache(const std::string& table, StoreResponse& response, bool isSnapshot) -> void;
@@ -187,8 +185,7 @@
     PauseEnds m_outagePauseUntil;
     std::set<std::string> m_servingRelays; // hosts that have responded
     std::set<std::string> m_tablesWithLostRelay; // one of these failed, and no response came since
-    std::size_t m_storeFailures = 0; // consecutive
-    MonotonicTime m_storeBackoffUntil;
+    StoreBackoff m_storeBackoff;
     std::map<std::string, TableCache> m_tables;
     HeldWatches m_heldWatches; // of other daemons
     std::minstd_rand m_random;
