Charge retries the calls that a run makes when its target doesn't fail it

What callers saw: more repeats at a service that targets of another one call than the configuration allows.

Cause: a retry is charged the mean number of calls of the requests that its target executed. Requests that fail at once make none and lowered the mean, while most retries go to targets that don't fail them. A daemon that had just started told no mean, which an entry took for the last one that it knew, or for none. Calls that calls make were not charged at all.

Change: requests that end sooner than half of the mean service time with a failure aren't counted, and a request counts when it ends, so that the mean errs upwards at first. The header tells no calls apart from not known, and includes the calls that called services make.

--- a/src/dispatch/CallRatio.h
+++ b/src/dispatch/CallRatio.h
@@ -1,13 +1,14 @@
 // The mean number of calls to other services that the target on this host makes per request.
 //
 // A target sends its calls through the daemon on its host, without an API key, so the daemon sees both the requests
-// that the target executes and the calls that it makes. Other requests without a key are counted as calls too, so the
-// ratio is overestimated rather than underestimated.
+// that the target executes and the calls that it makes. The ratio is overestimated rather than underestimated, since
+// retries are charged by it: other requests without a key are counted as calls too, and requests that fail before they
+// could make their calls aren't counted. A retry mostly goes to a target that doesn't fail it.
 //
 //   CallRatio ratio;
 //   ratio.recordRequest(now);
 //   ratio.recordCall("stock", now);
-//   const auto calls = ratio.callsPerRequest(now);
+//   if (const auto calls = ratio.callsPerRequest(now)) ...
 #pragma once
 
 #include "base/Clock.h"
@@ -16,15 +17,17 @@
 #include <algorithm>
 #include <cmath>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace coriandergate::dispatch {
 
 // CallRatio is used by one thread.
 class CallRatio {
 public:
-    // recordRequest() counts a request that the target on this host executes.
+    // recordRequest() counts a request that the target on this host has executed, once it had the time for its calls.
     auto recordRequest(MonotonicTime now) -> void
     {
         decay(now);
@@ -38,17 +41,30 @@
         m_calls[std::string(service)] += 1;
     }
 
-    // callsPerRequest() returns the mean calls per request to each service; empty while too few requests are counted.
-    [[nodiscard]] auto callsPerRequest(MonotonicTime now) -> RetryBudget::CallsPerRequest
+    // recordCallsOf() takes note of the calls that each request to `service` makes in turn.
+    auto recordCallsOf(const std::string& service, RetryBudget::CallsPerRequest calls) -> void
+    {
+        m_callsOfCalls[service] = std::move(calls);
+    }
+
+    // callsPerRequest() returns the mean calls per request to each service, with those that these calls make; nothing
+    // while too few requests are counted.
+    [[nodiscard]] auto callsPerRequest(MonotonicTime now) -> std::optional<RetryBudget::CallsPerRequest>
     {
         decay(now);
-        RetryBudget::CallsPerRequest ratios;
         if (m_requests < s_minimumRequests)
-            return ratios;
+            return std::nullopt;
+        RetryBudget::CallsPerRequest ratios;
         for (const auto& [service, calls] : m_calls) {
-            if (calls / m_requests >= s_minimumRatio)
-                ratios[service] = std::min(s_maximumRatio, calls / m_requests);
+            const double ratio = std::min(s_maximumRatio, calls / m_requests);
+            if (ratio < s_minimumRatio)
+                continue;
+            ratios[service] += ratio;
+            for (const auto& [called, count] : m_callsOfCalls[service])
+                ratios[called] += ratio * count;
         }
+        for (auto& [service, ratio] : ratios)
+            ratio = std::min(s_maximumRatio, ratio);
         return ratios;
     }
 
@@ -71,6 +87,7 @@
     MonotonicTime m_decayedAt;
     double m_requests = 0;
     std::map<std::string, double, std::less<>> m_calls;
+    std::map<std::string, RetryBudget::CallsPerRequest> m_callsOfCalls; // by the service that is called
 };
 
 } // namespace coriandergate::dispatch
--- a/src/dispatch/RetryBudget_test.cpp
+++ b/src/dispatch/RetryBudget_test.cpp
@@ -161,7 +161,7 @@
 TEST_CASE("the call ratio follows requests and calls, and expires when they stop")
 {
     CallRatio ratio;
-    CHECK(ratio.callsPerRequest(at(0ms)).empty());
+    CHECK_FALSE(ratio.callsPerRequest(at(0ms)));
     for (int i = 0; i < 20; ++i) {
         ratio.recordRequest(at(i * 100ms));
         ratio.recordCall("stock", at(i * 100ms));
@@ -169,9 +169,25 @@
             ratio.recordCall("stock", at(i * 100ms));
     }
     const auto calls = ratio.callsPerRequest(at(2s));
-    REQUIRE(calls.count("stock") == 1);
-    CHECK(calls.at("stock") == Approx(1.5).epsilon(0.05));
-    CHECK(ratio.callsPerRequest(at(120s)).empty());
+    REQUIRE(calls);
+    REQUIRE(calls->count("stock") == 1);
+    CHECK(calls->at("stock") == Approx(1.5).epsilon(0.05));
+    CHECK_FALSE(ratio.callsPerRequest(at(120s)));
+}
+
+TEST_CASE("the call ratio includes the calls that called services make, and knows when there are none")
+{
+    CallRatio ratio;
+    for (int i = 0; i < 20; ++i) {
+        ratio.recordRequest(at(0ms));
+        ratio.recordCall("stock", at(0ms));
+    }
+    ratio.recordCallsOf("stock", { { "ledger", 0.5 } });
+    CHECK(ratio.callsPerRequest(at(0ms)) == RetryBudget::CallsPerRequest { { "ledger", 0.5 }, { "stock", 1 } });
+    CallRatio none;
+    none.recordRequest(at(0ms));
+    none.recordRequest(at(0ms));
+    CHECK(none.callsPerRequest(at(0ms)) == RetryBudget::CallsPerRequest {});
 }
 
 } // namespace coriandergate::dispatch
--- a/src/relay/PeerMessages.cpp
+++ b/src/relay/PeerMessages.cpp
@@ -294,7 +294,7 @@
         std::snprintf(number.data(), number.size(), "%.2f", count);
         text += (text.empty() ? "" : ",") + service + "=" + number.data();
     }
-    return text;
+    return text.empty() ? "none" : text;
 }
 
 auto decodeCallsPerRequest(std::string_view text) -> dispatch::RetryBudget::CallsPerRequest
--- a/src/relay/PeerMessages.h
+++ b/src/relay/PeerMessages.h
@@ -39,7 +39,7 @@
 // daemons that don't know it would take a further number in loadHeader for the time of a probe.
 inline constexpr std::string_view arrivalsHeader = "Coriandergate-Arrivals";
 // On a granted slot for an idempotent request: the mean number of calls to other services that a request makes, as
-// "service=number,...".
+// "service=number,..." or "none"; missing while it isn't known.
 inline constexpr std::string_view callsHeader = "Coriandergate-Calls";
 
 // Bodies of refusals that the entry tells apart from others.
@@ -157,7 +157,8 @@
 [[nodiscard]] auto encodeArrivals(const dispatch::TargetArrivals& arrivals) -> std::string;
 [[nodiscard]] auto decodeArrivals(std::string_view text) -> std::optional<dispatch::TargetArrivals>;
 
-// encodeCallsPerRequest() returns the value of `callsHeader`; decodeCallsPerRequest() skips malformed entries.
+// encodeCallsPerRequest() returns the value of `callsHeader`; decodeCallsPerRequest() skips "none" and malformed
+// entries.
 [[nodiscard]] auto encodeCallsPerRequest(const dispatch::RetryBudget::CallsPerRequest& calls) -> std::string;
 [[nodiscard]] auto decodeCallsPerRequest(std::string_view text) -> dispatch::RetryBudget::CallsPerRequest;
 
--- a/src/relay/SlotReservations.h
+++ b/src/relay/SlotReservations.h
@@ -38,7 +38,8 @@
         std::chrono::milliseconds timeout { 1000 }; // frees a granted slot whose request does not arrive
         // Adds the target's load to the headers of a response.
         std::function<void(http::HeaderList&, MonotonicTime now)> addReport;
-        std::function<std::string(MonotonicTime now)> callsPerRequest; // the value of callsHeader
+        std::function<std::string(MonotonicTime now)>
+            callsPerRequest; // the value of callsHeader; empty while it isn't known
     };
 
     // Slot is a granted slot.
--- a/src/relay/TargetAttempt.cpp
+++ b/src/relay/TargetAttempt.cpp
@@ -72,8 +72,11 @@
     applyLoadReport(response);
     if (response.status != http::statusOk)
         return onSlotRefused(response);
-    if (const auto calls = response.headers.find(callsHeader))
-        m_context.callsPerRequest[m_asked.service] = decodeCallsPerRequest(*calls);
+    if (const auto header = response.headers.find(callsHeader)) {
+        const auto calls = decodeCallsPerRequest(*header);
+        m_context.callsPerRequest[m_asked.service] = calls;
+        m_context.callRatio.recordCallsOf(m_asked.service, calls);
+    }
     return SlotGranted {};
 }
 
--- a/src/relay/TargetRelay.cpp
+++ b/src/relay/TargetRelay.cpp
@@ -75,8 +75,11 @@
     , m_reservations(io, m_slots, m_health, m_warmUp,
           { .timeout = options.reservationTimeout,
               .addReport = [this](http::HeaderList& headers, MonotonicTime now) { addReport(headers, now); },
-              .callsPerRequest
-              = [&callRatio](MonotonicTime now) { return encodeCallsPerRequest(callRatio.callsPerRequest(now)); } })
+              .callsPerRequest =
+                  [&callRatio](MonotonicTime now) {
+                      const auto calls = callRatio.callsPerRequest(now);
+                      return calls ? encodeCallsPerRequest(*calls) : std::string {};
+                  } })
 {
     if (!options.isArrivalBoundExpected)
         m_warmUp.setBound({});
@@ -275,8 +278,6 @@
 {
     run->startedAt = monotonicNow();
     m_runningPriorities.add(run->slot.priority);
-    if (message.isIdempotent)
-        m_callRatio.recordRequest(run->startedAt);
     const auto request = makeTargetRequest(message, message.timeLeft);
     const net::HttpClient::SendOptions options { .timeout = message.timeLeft,
         .maximumAnswerBytes = m_options.maximumAnswerBytes,
@@ -464,6 +465,10 @@
         recordOutcome(isSuccess ? TargetHealth::Outcome::Succeeded : TargetHealth::Outcome::Failed,
             isAuthentic ? "status " + std::to_string(response.status)
                         : "the response did not come unaltered from the target");
+    // A request that fails at once makes no calls, unlike most retries.
+    const bool hasMadeCalls = isSuccess || serviceTime >= m_slots.meanServiceTime() / 2;
+    if (run.isIdempotent && hasMadeCalls)
+        m_callRatio.recordRequest(now);
     finishRun(run, isSuccess ? std::optional(serviceTime) : std::nullopt);
     if (!isAuthentic) {
         reply(run, RunOutcome::MayHaveRun, http::makeAnswer(http::statusBadGateway, "text/plain", ""),
--- a/src/testing/RetryHistory.cpp
+++ b/src/testing/RetryHistory.cpp
@@ -14,6 +14,7 @@
 
     constexpr double callProbability = 0.7; // that a run of "orders" makes its two calls
     constexpr int callsPerRun = 2;
+    constexpr milliseconds runTime { 400 }; // of a run that succeeds
     constexpr int maximumAttempts = 3;
     constexpr std::size_t maximumLenders = 2;
 
@@ -181,18 +182,19 @@
         m_repeats[attempt.service].push_back(m_now);
         ++m_repeatCount;
     }
-    m_hosts[target].callRatio.recordRequest(m_now);
-    const bool isFailing = chance(m_failureRate[attempt.service]);
-    if (!isFailing && m_options.hasCalls && attempt.service == "orders" && chance(callProbability))
-        makeCalls(target, attempt.number > 1);
-    if (isFailing)
+    if (chance(m_failureRate[attempt.service])) {
         schedule(drawTime(1ms, 100ms), [this, attempt] { retry(attempt); });
+        return;
+    }
+    schedule(runTime, [this, target] { m_hosts[target].callRatio.recordRequest(m_now); });
+    if (m_options.hasCalls && attempt.service == "orders" && chance(callProbability))
+        makeCalls(target, attempt.number > 1);
 }
 
 auto RetryHistory::makeCalls(std::size_t target, bool isRepeated) -> void
 {
     for (int i = 0; i < callsPerRun; ++i) {
-        schedule(drawTime(10ms, 400ms), [this, target, isRepeated] {
+        schedule(drawTime(10ms, runTime), [this, target, isRepeated] {
             if (!m_hosts[target].isUp)
                 return;
             m_hosts[target].callRatio.recordCall("stock", m_now);
@@ -207,8 +209,8 @@
     if (!entry.isUp || entry.process != attempt.process || attempt.number == maximumAttempts)
         return;
     const auto target = drawHost();
-    if (const auto calls = m_hosts[target].callRatio.callsPerRequest(m_now); !calls.empty())
-        m_hosts[attempt.entry].callsPerRequest[attempt.service] = calls;
+    if (const auto calls = m_hosts[target].callRatio.callsPerRequest(m_now))
+        m_hosts[attempt.entry].callsPerRequest[attempt.service] = *calls;
     if (!acquire(attempt)) {
         ++m_denied;
         return;
