Bound retries by token buckets, which no restart renews

Cause: a host counted its requests and retries of the last 10 s. A new process knows neither. It withheld the fixed number for one window, but granted 0.17 retries for each new request, while the process before it had used up what ten seconds of requests allowed. The same held for a host that joined in place of another one, which even got its full share of the fixed number. The class of fault: a limit over a sliding window whose state is lost with the process.

Change: each service has a token bucket. Tokens accrue with requests and, for the share of the fixed number, with time. 0.15 of the one and 0.7 of the other may be saved, the first in proportion to the requests of the last window. What accrues within any window plus what was saved before it stays within 0.95 of the budget, so no alignment of windows is needed, and a process begins without tokens unless the whole fleet starts for the first time.

Tests: the check of a burst of 15 retries right after 100 requests is replaced by 15 to 22 retries along with the requests, since what may be granted at once is what was saved; the check that a share is there one window after a restart is replaced by nothing before and something within 30 s.

--- a/src/dispatch/RetryBudget.cpp
+++ b/src/dispatch/RetryBudget.cpp
@@ -1,26 +1,60 @@
 #include "dispatch/RetryBudget.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace coriandergate::dispatch {
 
-auto RetryBudget::currentWindow(std::string_view service, MonotonicTime now) -> Window&
+// A bucket is full at the first start of the fleet, before its first window.
+auto RetryBudget::bucketOf(std::string_view service) -> Bucket&
 {
-    auto found = m_services.find(service);
-    if (found == m_services.end())
-        found = m_services.emplace(std::string(service), Window {}).first;
-    auto& [requests, retries] = found->second;
-    const auto oldest = now - m_options.window;
-    while (!requests.empty() && requests.front() < oldest)
-        requests.pop_front();
-    while (!retries.empty() && retries.front().first < oldest)
-        retries.pop_front();
+    auto found = m_buckets.find(service);
+    if (found == m_buckets.end())
+        found = m_buckets.emplace(std::string(service), Bucket { .tokens = m_initialTokens, .updatedAt = m_startedAt })
+                    .first;
     return found->second;
 }
 
-auto RetryBudget::recordRequest(std::string_view service, MonotonicTime now) -> void
+auto RetryBudget::onRestart(MonotonicTime now) -> void
 {
-    currentWindow(service, now).requests.push_back(now);
+    m_buckets.clear();
+    m_initialTokens = 0;
+    m_startedAt = now;
+}
+
+auto RetryBudget::fixedShare(std::size_t hostCount) const -> double
+{
+    return m_options.usableFraction * m_options.retriesPerWindow
+        / static_cast<double>(std::max<std::size_t>(1, hostCount));
+}
+
+auto RetryBudget::capacity(const Bucket& bucket, std::size_t hostCount) const -> double
+{
+    return m_options.savedFixedFraction * fixedShare(hostCount)
+        + m_options.usableFraction * m_options.savedRatioFraction * m_options.retriesPerRequest
+        * static_cast<double>(bucket.requests.size());
+}
+
+auto RetryBudget::refill(Bucket& bucket, std::size_t hostCount, MonotonicTime now) const -> void
+{
+    const auto oldest = now - m_options.window;
+    while (!bucket.requests.empty() && bucket.requests.front() < oldest)
+        bucket.requests.pop_front();
+    const std::chrono::duration<double> elapsed = now - bucket.updatedAt;
+    bucket.updatedAt = now;
+    const double refilled = (1 - m_options.savedFixedFraction) * fixedShare(hostCount)
+        * (elapsed / std::chrono::duration<double>(m_options.window));
+    bucket.tokens = std::min(bucket.tokens + std::max(0.0, refilled), capacity(bucket, hostCount));
+}
+
+auto RetryBudget::recordRequest(std::string_view service, std::size_t hostCount, MonotonicTime now) -> void
+{
+    auto& bucket = bucketOf(service);
+    refill(bucket, hostCount, now);
+    bucket.requests.push_back(now);
+    bucket.tokens = std::min(
+        bucket.tokens + m_options.usableFraction * (1 - m_options.savedRatioFraction) * m_options.retriesPerRequest,
+        capacity(bucket, hostCount));
 }
 
 auto RetryBudget::budgetFraction(RetryClass retryClass) const -> double
@@ -38,41 +72,32 @@
     return 1;
 }
 
-auto RetryBudget::usage(std::string_view service, std::size_t hostCount, MonotonicTime now) -> Usage
-{
-    const auto& window = currentWindow(service, now);
-    const bool hasFixedShare = now >= m_fixedShareFrom;
-    const double fixedShare
-        = hasFixedShare ? m_options.retriesPerWindow / static_cast<double>(std::max<std::size_t>(1, hostCount)) : 0;
-    const double budget = m_options.usableFraction
-        * (m_options.retriesPerRequest * static_cast<double>(window.requests.size()) + fixedShare);
-    double used = 0;
-    for (const auto& [time, count] : window.retries)
-        used += count;
-    return { .budget = budget, .used = used };
-}
-
 auto RetryBudget::remaining(std::string_view service, std::size_t hostCount, MonotonicTime now) -> double
 {
-    const auto [budget, used] = usage(service, hostCount, now);
-    return budget - used;
+    auto& bucket = bucketOf(service);
+    refill(bucket, hostCount, now);
+    return bucket.tokens;
 }
 
-auto RetryBudget::hasBudget(
+// A full bucket serves every class, since its tokens would be lost otherwise.
+auto RetryBudget::hasTokens(
     std::string_view service, double retries, double fraction, std::size_t hostCount, MonotonicTime now) -> bool
 {
-    const auto [budget, used] = usage(service, hostCount, now);
-    return used + retries <= fraction * budget;
+    auto& bucket = bucketOf(service);
+    refill(bucket, hostCount, now);
+    const double reserved = (1 - fraction) * capacity(bucket, hostCount);
+    const double needed = std::min(retries + reserved, std::max(retries, capacity(bucket, hostCount)));
+    return bucket.tokens >= needed;
 }
 
 auto RetryBudget::canAcquire(std::string_view service, const CallsPerRequest& calls, RetryClass retryClass,
     std::size_t hostCount, MonotonicTime now) -> bool
 {
     const double fraction = budgetFraction(retryClass);
-    if (!hasBudget(service, 1, fraction, hostCount, now))
+    if (!hasTokens(service, 1, fraction, hostCount, now))
         return false;
     return std::all_of(calls.begin(), calls.end(), [this, fraction, hostCount, now](const auto& call) {
-        return hasBudget(call.first, call.second, fraction, hostCount, now);
+        return hasTokens(call.first, call.second, fraction, hostCount, now);
     });
 }
 
@@ -81,9 +106,9 @@
 {
     if (!canAcquire(service, calls, retryClass, hostCount, now))
         return false;
-    currentWindow(service, now).retries.emplace_back(now, 1);
+    bucketOf(service).tokens -= 1;
     for (const auto& [calledService, count] : calls)
-        currentWindow(calledService, now).retries.emplace_back(now, count);
+        bucketOf(calledService).tokens -= count;
     return true;
 }
 
--- a/src/dispatch/RetryBudget.h
+++ b/src/dispatch/RetryBudget.h
@@ -1,22 +1,20 @@
 // Limits how many retries this entry daemon makes, so that an outage doesn't multiply the load.
 //
-// The budget of the whole fleet is a ratio of its requests plus a fixed number of retries per window. Each host gets an
-// equal share of the fixed number and applies the ratio to its own requests, so the shares add up to no more than the
-// whole.
+// The budget of the whole fleet is a ratio of its requests plus a fixed number of retries per window. Each host has a
+// token bucket for each service: tokens accrue with its requests and, for its equal share of the fixed number, with
+// time. A part of either may be saved up; what accrues within any window and what was saved before it add up to no more
+// than the whole budget. That holds for any window, and a new process begins without tokens, so restarts renew nothing.
 //
-// Load pattern: many targets fail at once while callers retry.
+// Load pattern: many targets fail at once while callers retry, and daemons are restarted meanwhile.
 //
-// Failures aren't spread evenly over the hosts, so a host that has used up its share borrows from others. A lent retry
-// counts against the lender, so all shares still add up to no more than the whole.
-//
-// A host whose daemon was restarted has no fixed share for one window, since the earlier process may have used it up;
-// else restarts of many hosts would renew the fixed number.
+// Failures aren't spread evenly over the hosts, so a host without tokens borrows from others. A lent retry takes a
+// token of the lender.
 //
 // A request that calls other services repeats these calls when it is retried, so they count against the budgets of the
 // called services.
 //
 //   RetryBudget budget({ .retriesPerRequest = 0.2, .retriesPerWindow = 64, .window = 10s });
-//   budget.recordRequest("orders", now);
+//   budget.recordRequest("orders", hostCount, now);
 //   if (budget.tryAcquire("orders", { { "stock", 1.4 } }, RetryBudget::RetryClass::HighPriority, hostCount, now)) ...
 #pragma once
 
@@ -24,10 +22,10 @@
 
 #include <chrono>
 #include <deque>
+#include <limits>
 #include <map>
 #include <string>
 #include <string_view>
-#include <utility>
 
 namespace coriandergate::dispatch {
 
@@ -41,7 +39,11 @@
         double lowPriorityFraction = 0.85; // of the budget, available to low-priority requests
         double probeFraction = 0.4; // of the budget, available to probes
         double lendableFraction = 0.7; // of the budget, available to other hosts that have used up theirs
-        double usableFraction = 0.85; // of the whole budget; a margin, since the hosts' windows aren't aligned
+        // The rest covers retries that arrive later than they are charged, and calls that differ from their mean.
+        double usableFraction = 0.95; // of the whole budget
+        // What isn't saved is granted as it accrues: with each request, or over the window.
+        double savedRatioFraction = 0.15; // of retriesPerRequest, may be saved for the requests of a window
+        double savedFixedFraction = 0.7; // of the share of retriesPerWindow, may be saved
     };
 
     explicit RetryBudget(const Options& options)
@@ -49,11 +51,11 @@
     {
     }
 
-    // onRestart() says that an earlier process of this host may have used up its share of the fixed number.
-    auto onRestart(MonotonicTime now) -> void { m_fixedShareFrom = now + m_options.window; }
+    // onRestart() says that an earlier process of this host, or of another one, may have used up what was saved.
+    auto onRestart(MonotonicTime now) -> void;
 
-    // recordRequest() counts a request for `service`, which adds to its budget.
-    auto recordRequest(std::string_view service, MonotonicTime now) -> void;
+    // recordRequest() counts a request for `service`, which adds to its budget. `hostCount` is as in tryAcquire().
+    auto recordRequest(std::string_view service, std::size_t hostCount, MonotonicTime now) -> void;
 
     // RetryClass selects how much of the budget a retry may use up. Low-priority requests leave a part for
     // high-priority ones. Probes of failing targets need a retry when they fail, so they leave a part for requests that
@@ -81,25 +83,25 @@
         std::size_t hostCount, MonotonicTime now) -> bool;
 
 private:
-    struct Window {
-        std::deque<MonotonicTime> requests;
-        std::deque<std::pair<MonotonicTime, double>> retries;
-    };
-
-    struct Usage {
-        double budget = 0;
-        double used = 0;
+    // Bucket holds what this host may spend on retries at a service.
+    struct Bucket {
+        double tokens = 0; // one for each retry
+        MonotonicTime updatedAt;
+        std::deque<MonotonicTime> requests; // of the last window
     };
 
-    [[nodiscard]] auto usage(std::string_view service, std::size_t hostCount, MonotonicTime now) -> Usage;
-    [[nodiscard]] auto hasBudget(
+    auto bucketOf(std::string_view service) -> Bucket&;
+    [[nodiscard]] auto fixedShare(std::size_t hostCount) const -> double;
+    [[nodiscard]] auto capacity(const Bucket& bucket, std::size_t hostCount) const -> double;
+    auto refill(Bucket& bucket, std::size_t hostCount, MonotonicTime now) const -> void;
+    [[nodiscard]] auto hasTokens(
         std::string_view service, double retries, double fraction, std::size_t hostCount, MonotonicTime now) -> bool;
     [[nodiscard]] auto budgetFraction(RetryClass retryClass) const -> double;
-    auto currentWindow(std::string_view service, MonotonicTime now) -> Window&;
 
     Options m_options;
-    MonotonicTime m_fixedShareFrom;
-    std::map<std::string, Window, std::less<>> m_services;
+    double m_initialTokens = std::numeric_limits<double>::max(); // limited by the capacity
+    MonotonicTime m_startedAt;
+    std::map<std::string, Bucket, std::less<>> m_buckets;
 };
 
 } // namespace coriandergate::dispatch
--- a/src/dispatch/RetryBudget_test.cpp
+++ b/src/dispatch/RetryBudget_test.cpp
@@ -21,16 +21,46 @@
 
 TEST_CASE("retries stay within the ratio and this host's share of the fixed budget")
 {
+    constexpr std::size_t hostCount = 32;
     RetryBudget budget(options);
-    for (int i = 0; i < 100; ++i)
-        budget.recordRequest("orders", at(i * 10ms));
     int acquired = 0;
-    while (budget.tryAcquire("orders", {}, RetryClass::HighPriority, 32, at(1s)))
-        ++acquired;
+    const auto acquireAll = [&](std::chrono::milliseconds now) {
+        while (budget.tryAcquire("orders", {}, RetryClass::HighPriority, hostCount, at(now)))
+            ++acquired;
+    };
+    for (int i = 0; i < 100; ++i) {
+        budget.recordRequest("orders", hostCount, at(i * 100ms));
+        acquireAll(i * 100ms);
+    }
     CHECK(acquired <= 22);
     CHECK(acquired >= 15);
-    CHECK_FALSE(budget.tryAcquire("orders", {}, RetryClass::HighPriority, 32, at(9s)));
-    CHECK(budget.tryAcquire("orders", {}, RetryClass::HighPriority, 32, at(11001ms)));
+    acquireAll(9999ms);
+    CHECK(acquired <= 22);
+}
+
+TEST_CASE("a host may save up a part of its budget for a burst of failures, and no more")
+{
+    constexpr std::size_t hostCount = 32;
+    RetryBudget budget(options);
+    for (int i = 0; i < 1000; ++i)
+        budget.recordRequest("orders", hostCount, at(i * 10ms));
+    const auto burst = [&](std::chrono::milliseconds now) {
+        int acquired = 0;
+        while (budget.tryAcquire("orders", {}, RetryClass::HighPriority, hostCount, at(now)))
+            ++acquired;
+        return acquired;
+    };
+    CHECK(burst(10s) >= 20);
+    CHECK(burst(10s) == 0);
+    CHECK(burst(20s) <= 1); // of the fixed number alone
+    // What was saved expires with its requests.
+    RetryBudget idle(options);
+    for (int i = 0; i < 1000; ++i)
+        idle.recordRequest("orders", hostCount, at(i * 10ms));
+    int acquired = 0;
+    while (idle.tryAcquire("orders", {}, RetryClass::HighPriority, hostCount, at(20001ms)))
+        ++acquired;
+    CHECK(acquired <= 2);
 }
 
 TEST_CASE("the retries of all hosts together stay within the fleet's budget while all targets fail")
@@ -41,7 +71,7 @@
     for (std::size_t host = 0; host < hostCount; ++host) {
         RetryBudget budget(options);
         for (int i = 0; i < 50; ++i) {
-            budget.recordRequest("orders", at(i * 200ms));
+            budget.recordRequest("orders", hostCount, at(i * 200ms));
             ++requests;
             while (budget.tryAcquire("orders", {}, RetryClass::HighPriority, hostCount, at(i * 200ms)))
                 ++acquired;
@@ -65,7 +95,7 @@
                 budget = RetryBudget(options);
                 budget.onRestart(now);
             }
-            budget.recordRequest("orders", now);
+            budget.recordRequest("orders", hostCount, now);
             while (budget.tryAcquire("orders", {}, RetryClass::HighPriority, hostCount, now))
                 ++acquired;
         }
@@ -73,13 +103,39 @@
     CHECK(acquired <= 0.2 * requestsPerHost * hostCount + 64);
 }
 
-TEST_CASE("a host has its share of the fixed number at its first start, and one window after a restart")
+// Guards against repeats beyond the fleet's budget after all daemons were restarted: each had forgotten what it had
+// sent.
+TEST_CASE("hosts that use up their budgets just before a restart of all of them don't exceed the fleet's budget")
+{
+    constexpr std::size_t hostCount = 28;
+    const RetryBudget::Options fleet { .retriesPerRequest = 0.2, .retriesPerWindow = 62, .window = 10s };
+    constexpr int requestsPerHost = 110; // one each 200 ms
+    constexpr int firstFailure = 50;
+    constexpr int restart = 60;
+    int acquired = 0; // within one window
+    for (std::size_t host = 0; host < hostCount; ++host) {
+        RetryBudget budget(fleet);
+        for (int i = 0; i < requestsPerHost; ++i) {
+            const auto now = at(i * 200ms);
+            if (i == restart)
+                budget.onRestart(now);
+            budget.recordRequest("orders", hostCount, now);
+            while (i >= firstFailure && i < firstFailure + 50
+                && budget.tryAcquire("orders", {}, RetryClass::HighPriority, hostCount, now))
+                ++acquired;
+        }
+    }
+    CHECK(acquired <= 0.2 * 50 * hostCount + 62);
+    CHECK(acquired >= 0.6 * 0.2 * 50 * hostCount);
+}
+
+TEST_CASE("a host begins with its share of the fixed number at the fleet's first start, and with nothing otherwise")
 {
     RetryBudget budget(options);
     CHECK(budget.tryAcquire("orders", {}, RetryClass::HighPriority, 32, at(0ms)));
     budget.onRestart(at(0ms));
     CHECK_FALSE(budget.tryAcquire("orders", {}, RetryClass::HighPriority, 32, at(9999ms)));
-    CHECK(budget.tryAcquire("orders", {}, RetryClass::HighPriority, 32, at(10001ms)));
+    CHECK(budget.tryAcquire("orders", {}, RetryClass::HighPriority, 32, at(30s)));
 }
 
 // Regression test: retries of requests that call another service exceeded the retry budget of that service, since these
@@ -88,13 +144,14 @@
 {
     RetryBudget budget(options);
     const RetryBudget::CallsPerRequest calls { { "stock", 1.4 } };
-    for (int i = 0; i < 1000; ++i)
-        budget.recordRequest("orders", at(0ms));
-    for (int i = 0; i < 100; ++i)
-        budget.recordRequest("stock", at(0ms));
     int acquired = 0;
-    while (budget.tryAcquire("orders", calls, RetryClass::HighPriority, 64, at(1s)))
-        ++acquired;
+    for (int i = 0; i < 1000; ++i) {
+        budget.recordRequest("orders", 64, at(i * 1ms));
+        if (i % 10 == 0)
+            budget.recordRequest("stock", 64, at(i * 1ms));
+        while (budget.tryAcquire("orders", calls, RetryClass::HighPriority, 64, at(i * 1ms)))
+            ++acquired;
+    }
     CHECK(acquired * 1.4 <= 0.2 * 100 + 1);
     CHECK(acquired > 5);
     CHECK_FALSE(budget.canAcquire("orders", calls, RetryClass::HighPriority, 64, at(1s)));
@@ -109,7 +166,7 @@
     std::vector<RetryBudget> budgets(hostCount, RetryBudget(options));
     for (auto& budget : budgets) {
         for (int i = 0; i < 50; ++i)
-            budget.recordRequest("orders", at(i * 20ms));
+            budget.recordRequest("orders", hostCount, at(i * 20ms));
     }
     int ownRetries = 0;
     int lentRetries = 0;
@@ -133,7 +190,7 @@
 {
     RetryBudget budget(options);
     for (int i = 0; i < 100; ++i)
-        budget.recordRequest("orders", at(0ms));
+        budget.recordRequest("orders", 34, at(0ms));
     while (budget.tryAcquire("orders", {}, RetryClass::Lent, 34, at(1s))) { }
     CHECK(budget.tryAcquire("orders", {}, RetryClass::HighPriority, 34, at(1s)));
 }
@@ -143,7 +200,7 @@
 {
     RetryBudget budget(options);
     for (int i = 0; i < 100; ++i)
-        budget.recordRequest("orders", at(0ms));
+        budget.recordRequest("orders", 34, at(0ms));
     const auto acquireAll = [&budget](RetryClass retryClass) -> int {
         int acquired = 0;
         while (budget.tryAcquire("orders", {}, retryClass, 32, at(1s)))
--- a/src/relay/RequestForwarding.cpp
+++ b/src/relay/RequestForwarding.cpp
@@ -51,7 +51,7 @@
     service = PolicySnapshot::chooseService(*admitted.route, m_context.nextSplitPosition(admitted.route->name));
     m_request->priority = admitted.queuePriority(m_context, service);
     const auto now = monotonicNow();
-    m_context.retryBudget.recordRequest(service, now);
+    m_context.retryBudget.recordRequest(service, m_context.hostCount, now);
     m_context.hedging.recordRequest(service);
     if (admitted.isCallFromTarget() && service != m_context.service)
         m_context.callRatio.recordCall(service, now);
--- a/src/sidecar/Sidecar.cpp
+++ b/src/sidecar/Sidecar.cpp
@@ -228,6 +228,8 @@
     storeView.client().setIsOutdated([this](const fleet::StoreRow& received, const fleet::StoreRow& known) {
         return configurationFeed.isOutdated(received, known);
     });
+    if (!settings.isFirstStart)
+        retryBudget.onRestart(monotonicNow());
     storeView.start();
     rowCleaner.start();
     log::logEvent(started,
@@ -341,8 +343,6 @@
         log::logEvent(hostRecordRejected, { { "reason", fault.toText() } });
     if (!areHostsLoaded) {
         areHostsLoaded = true;
-        if (directory.find(hostKey) || directory.findDeparted(hostKey))
-            retryBudget.onRestart(monotonicNow());
         registration.onHostsLoaded();
         startAcceptingIfLoaded();
     }
--- a/src/testing/RetryHistory.cpp
+++ b/src/testing/RetryHistory.cpp
@@ -169,7 +169,7 @@
 {
     m_requests[service].push_back(m_now);
     auto& host = m_hosts[entry];
-    host.budget.recordRequest(service, m_now);
+    host.budget.recordRequest(service, upHosts(), m_now);
     const Attempt attempt {
         .service = service, .entry = entry, .process = host.process, .isOfRepeatedRun = isOfRepeatedRun
     };
