End watches of an earlier era as soon as a later one is known

What callers saw: after the store came back from an older copy, one daemon of four had a configuration 2.5 s later than the others.

Cause: the store had given the version of the daemon's watch out again and held that watch without a word. The daemon learnt of the new era from its other table 0.2 s later, but kept the held watch until the store ended it.

Change: EraCheckedStore ends its pending watches of earlier eras with HistoryTruncated when the era rises, and the table is read anew.

Measured: the new test fails without the change (no result before the response).

--- a/src/fleet/EraCheckedStore.cpp
+++ b/src/fleet/EraCheckedStore.cpp
@@ -41,8 +41,23 @@
 {
     const bool hasRisen = m_era && era > *m_era;
     m_era = std::max(m_era.value_or(0), era);
-    if (hasRisen && m_eraRoseCallback)
+    if (!hasRisen)
+        return;
+    if (m_eraRoseCallback)
         m_eraRoseCallback();
+    endWatchesOfEarlierEras();
+}
+
+auto EraCheckedStore::endWatchesOfEarlierEras() -> void
+{
+    for (auto it = m_pendingWatches.begin(); it != m_pendingWatches.end();) {
+        if (!isOfEarlierEra(it->second.after, era())) {
+            ++it;
+            continue;
+        }
+        fail(StoreFailure::Kind::HistoryTruncated, it->second.step, std::move(it->second.done));
+        it = m_pendingWatches.erase(it);
+    }
 }
 
 auto EraCheckedStore::check(Result result, const std::string& step, StoreFailure::Kind kind) -> Result
@@ -88,16 +103,29 @@
         fail(StoreFailure::Kind::HistoryTruncated, step, std::move(done));
         return;
     }
-    m_store.watch(watch, [this, alive = m_isAlive, step, after = watch.after, done = std::move(done)](Result result) {
-        if (!*alive)
-            return;
-        auto checked = check(std::move(result), step, StoreFailure::Kind::HistoryTruncated);
-        if (std::holds_alternative<StoreResponse>(checked) && isOfEarlierEra(after, era()))
-            checked = makeFailure(StoreFailure::Kind::HistoryTruncated, step);
-        done(std::move(checked));
+    const auto id = m_nextWatch++;
+    m_pendingWatches[id] = { watch.after, step, std::move(done) };
+    m_store.watch(watch, [this, alive = m_isAlive, id](Result result) {
+        if (*alive)
+            onWatchResult(id, std::move(result));
     });
 }
 
+auto EraCheckedStore::onWatchResult(WatchId id, Result result) -> void
+{
+    const auto found = m_pendingWatches.find(id);
+    if (found == m_pendingWatches.end()) { // it failed when a later era became known
+        recordEra(std::max(era(), eraOfResult(result)));
+        return;
+    }
+    const auto [after, step, done] = std::move(found->second);
+    m_pendingWatches.erase(found);
+    auto checked = check(std::move(result), step, StoreFailure::Kind::HistoryTruncated);
+    if (std::holds_alternative<StoreResponse>(checked) && isOfEarlierEra(after, era()))
+        checked = makeFailure(StoreFailure::Kind::HistoryTruncated, step);
+    done(std::move(checked));
+}
+
 auto EraCheckedStore::write(const WriteRequest& write, Callback done) -> void
 {
     const auto step = "write " + write.table + "/" + write.key;
--- a/src/fleet/EraCheckedStore.h
+++ b/src/fleet/EraCheckedStore.h
@@ -14,6 +14,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -41,13 +42,24 @@
     auto read(const std::string& table, Callback done) -> void override;
     auto readRange(const RangeRequest& range, Callback done) -> void override;
 
-    // watch() fails with HistoryTruncated if the store has left the era of `watch.after`.
+    // watch() fails with HistoryTruncated if the store has left the era of `watch.after`, as soon as that is known: the
+    // store may hold a watch from a version that it gave out again for as long as it waits.
     auto watch(const WatchRequest& watch, Callback done) -> void override;
 
     // write() fails with NotApplied, without a request, if the expected version is of an earlier era.
     auto write(const WriteRequest& write, Callback done) -> void override;
 
 private:
+    // PendingWatch is a watch to which the store hasn't responded.
+    struct PendingWatch {
+        std::uint64_t after = 0;
+        std::string step;
+        Callback done;
+    };
+    using WatchId = std::uint64_t;
+
+    auto onWatchResult(WatchId id, Result result) -> void;
+    auto endWatchesOfEarlierEras() -> void;
     auto fail(StoreFailure::Kind kind, const std::string& step, Callback done) -> void;
     // check() records the era of `result`, and returns a failure of `kind` in its place if it is of an earlier one.
     [[nodiscard]] auto check(Result result, const std::string& step, StoreFailure::Kind kind) -> Result;
@@ -56,6 +68,8 @@
     StoreClient& m_store;
     std::function<void()> m_eraRoseCallback;
     std::optional<std::uint64_t> m_era; // nothing before the first response
+    std::map<WatchId, PendingWatch> m_pendingWatches;
+    WatchId m_nextWatch = 0;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
 
--- a/src/fleet/EraCheckedStore_test.cpp
+++ b/src/fleet/EraCheckedStore_test.cpp
@@ -115,6 +115,24 @@
     CHECK(std::holds_alternative<StoreResponse>(fixture.results.back()));
 }
 
+// Guards against a row that is received seconds late: the store gave its version out again and held the watch from it.
+TEST_CASE("a watch of an earlier era that the store holds ends as soon as the later era is known")
+{
+    EraFixture fixture;
+    fixture.learn(0);
+    fixture.store.watch({ .table = "op", .after = makeVersion(0, 10), .wait = 2600ms }, fixture.result());
+    const bool isToldByOther = GENERATE(true, false);
+    if (isToldByOther)
+        fixture.store.recordEra(1);
+    else
+        fixture.learn(1);
+    CHECK(fixture.results.empty()); // callbacks are asynchronous
+    CHECK(fixture.failureKind() == StoreFailure::Kind::HistoryTruncated);
+    fixture.respond(StoreResponse { .newestVersion = makeVersion(2, 11) });
+    CHECK(fixture.results.size() == 1);
+    CHECK(fixture.store.era() == 2);
+}
+
 // Guards against a proof of freshness from before the restore.
 TEST_CASE("a response that was under way during the restore counts as a failure")
 {
