Don't take requests of callers on open routes for calls of the target

Cause: a daemon took each request without a key for a call of its target. Callers on open routes send such requests too.

Change: a target makes calls only while it executes something, so a route whose requests also come at other times, twice and in 4 of 100 at least, counts as one of callers.

--- a/src/dispatch/RetryBudget_test.cpp
+++ b/src/dispatch/RetryBudget_test.cpp
@@ -221,9 +221,9 @@
     CHECK_FALSE(ratio.callsPerRequest(at(0ms)));
     for (int i = 0; i < 20; ++i) {
         ratio.recordRequest(at(i * 100ms));
-        ratio.recordCall("stock", at(i * 100ms));
+        ratio.recordKeyless({ .service = "stock", .route = "stock-levels" }, at(i * 100ms));
         if (i % 2 == 0)
-            ratio.recordCall("stock", at(i * 100ms));
+            ratio.recordKeyless({ .service = "stock", .route = "stock-levels" }, at(i * 100ms));
     }
     const auto calls = ratio.callsPerRequest(at(2s));
     REQUIRE(calls);
@@ -237,7 +237,7 @@
     CallRatio ratio;
     for (int i = 0; i < 20; ++i) {
         ratio.recordRequest(at(0ms));
-        ratio.recordCall("stock", at(0ms));
+        ratio.recordKeyless({ .service = "stock", .route = "stock-levels" }, at(0ms));
     }
     ratio.recordCallsOf("stock", { { "ledger", 0.5 } });
     CHECK(ratio.callsPerRequest(at(0ms)) == RetryBudget::CallsPerRequest { { "ledger", 0.5 }, { "stock", 1 } });
@@ -247,4 +247,23 @@
     CHECK(none.callsPerRequest(at(0ms)) == RetryBudget::CallsPerRequest {});
 }
 
+// Guards against retries that are charged for what callers sent beside them, which left fewer for other requests.
+TEST_CASE("requests of callers on open routes aren't taken for calls of the target")
+{
+    CallRatio ratio;
+    for (int i = 0; i < 200; ++i) {
+        const auto now = at(i * 100ms);
+        ratio.recordRequest(now);
+        ratio.recordKeyless({ .service = "stock", .route = "stock-levels" }, now);
+        ratio.recordKeyless({ .service = "ledger", .route = "price-sheet", .isTargetIdle = i % 10 == 0 }, now);
+    }
+    ratio.recordKeyless({ .service = "stock", .route = "stock-levels", .isTargetIdle = true }, at(20s));
+    ratio.recordKeyless({ .service = "stock", .route = "stock-levels", .isTargetIdle = true }, at(20s));
+    const auto calls = ratio.callsPerRequest(at(20s));
+    REQUIRE(calls);
+    CHECK(calls->count("ledger") == 0);
+    REQUIRE(calls->count("stock") == 1);
+    CHECK(calls->at("stock") >= 1);
+}
+
 } // namespace coriandergate::dispatch
--- a/src/relay/RequestForwarding.cpp
+++ b/src/relay/RequestForwarding.cpp
@@ -1,5 +1,6 @@
 #include "relay/RequestForwarding.h"
 
+#include "dispatch/RunningPriorities.h"
 #include "http/Exchange.h"
 #include "http/Status.h"
 #include "relay/CallerRequest.h"
@@ -53,8 +54,11 @@
     const auto now = monotonicNow();
     m_context.retryBudget.recordRequest(service, m_context.hostCount, now);
     m_context.hedging.recordRequest(service);
-    if (admitted.isCallFromTarget() && service != m_context.service)
-        m_context.callRatio.recordCall(service, now);
+    if (admitted.isCallFromTarget() && service != m_context.service) {
+        const bool isTargetIdle = m_context.runningPriorities && !m_context.runningPriorities->highest();
+        m_context.callRatio.recordKeyless(
+            { .service = service, .route = admitted.route->name, .isTargetIdle = isTargetIdle }, now);
+    }
     removeUnforwardedHeaders(m_context.headers, m_request->exchange->request().headers);
 }
 
--- a/src/testing/RetryHistory.cpp
+++ b/src/testing/RetryHistory.cpp
@@ -197,7 +197,7 @@
         schedule(drawTime(10ms, runTime), [this, target, isRepeated] {
             if (!m_hosts[target].isUp)
                 return;
-            m_hosts[target].callRatio.recordCall("stock", m_now);
+            m_hosts[target].callRatio.recordKeyless({ .service = "stock", .route = "stock-levels" }, m_now);
             send("stock", target, isRepeated);
         });
     }
