Check in the soak that configurations are in force in time, and repeats

The checker now knows when each configuration was confirmed: a run on a route of an older one, or a 404 on a route of the newest, is a violation if the request was sent later than 2.5 s after that to a daemon that was calm for 3 s. At the end it counts the runs beyond the first of a request in every window of 10 s against the requests of that window, of the one before it and of the one half a window earlier.

The tests of the checker plant both faults and what is allowed beside them.

--- a/soak/Checker.cpp
+++ b/soak/Checker.cpp
@@ -28,6 +28,7 @@
 {
     const MutexLock lock(m_mutex);
     m_requests[request.id] = { request, now };
+    m_sentAt.push_back(now);
     ++m_counts.sent;
 }
 
@@ -41,7 +42,8 @@
         return;
     }
     auto& request = found->second;
-    ++request.runs;
+    if (++request.runs > 1)
+        m_repeats.push_back(now);
     checkRunLocked(instance, request, run, now);
     if (!m_options.limitedAccount.empty() && run.account == m_options.limitedAccount) {
         m_limitedRuns.emplace_back(now, request.sentAt);
@@ -77,6 +79,26 @@
         violateLocked("regress",
             run.id + " ran on a route of configuration " + std::to_string(sent.generation) + " after "
                 + std::to_string(served->second.generation) + " was seen at the same daemon");
+    if (sent.generation > 0 && sent.generation < m_confirmed.generation && isConfigurationDueLocked(request, now))
+        violateLocked("configuration",
+            run.id + " ran on a route of configuration " + std::to_string(sent.generation) + " long after "
+                + std::to_string(m_confirmed.generation) + " was confirmed");
+}
+
+auto Checker::isCalmLocked(const Request& request, MonotonicTime now) const -> bool
+{
+    const auto from = request.sentAt - m_options.calm;
+    const auto host = request.sent.host;
+    const auto life = m_lives.find(host);
+    const bool isNew = life != m_lives.end() && life->second.startedAt > from;
+    return !isNew && !m_stopping.contains(host)
+        && std::none_of(m_disturbances.begin(), m_disturbances.end(),
+            [from, now](const auto& one) { return one.first <= now && one.second >= from; });
+}
+
+auto Checker::isConfigurationDueLocked(const Request& request, MonotonicTime now) const -> bool
+{
+    return request.sentAt > m_confirmed.at + m_options.configuration && isCalmLocked(request, now);
 }
 
 auto Checker::checkRateLocked(MonotonicTime now) -> void
@@ -91,6 +113,26 @@
         violateLocked("rate", std::to_string(inWindow) + " runs of the limited account in a window");
 }
 
+// Any window counts, against the requests in it, in the one before it, or in the one half a window earlier.
+auto Checker::checkRepeatsLocked() -> void
+{
+    const auto countFrom = [window = m_options.repeatWindow](const auto& times, MonotonicTime from) {
+        const auto first = std::lower_bound(times.begin(), times.end(), from);
+        return static_cast<double>(std::lower_bound(first, times.end(), from + window) - first);
+    };
+    for (const auto from : m_repeats) {
+        const auto repeats = countFrom(m_repeats, from);
+        const auto requests = std::max({ countFrom(m_sentAt, from), countFrom(m_sentAt, from - m_options.repeatWindow),
+            countFrom(m_sentAt, from - m_options.repeatWindow / 2) });
+        if (repeats <= m_options.repeatsPerRequest * requests + m_options.repeatsPerWindow)
+            continue;
+        violateLocked("repeats",
+            std::to_string(repeats) + " runs beyond the first of a request in a window, for " + std::to_string(requests)
+                + " requests");
+        return;
+    }
+}
+
 auto Checker::answered(const std::string& id, int status, const std::string& body, bool isSigned, MonotonicTime now)
     -> void
 {
@@ -98,6 +140,11 @@
     auto& request = m_requests[id];
     request.status = status;
     request.isAnswered = true;
+    if (status == http::statusNotFound && request.sent.generation == m_confirmed.generation
+        && m_confirmed.generation > 0 && isConfigurationDueLocked(request, now))
+        violateLocked("configuration",
+            id + " found no route of configuration " + std::to_string(m_confirmed.generation)
+                + " long after it was confirmed");
     if (promisesNotRun(status)) {
         ++m_counts.refused;
         return;
@@ -156,11 +203,17 @@
     m_withdrawn.emplace(key, now);
 }
 
-auto Checker::daemonStarted(std::size_t host) -> void
+auto Checker::configurationConfirmed(std::uint64_t generation, MonotonicTime now) -> void
+{
+    const MutexLock lock(m_mutex);
+    m_confirmed = { generation, now };
+}
+
+auto Checker::daemonStarted(std::size_t host, MonotonicTime now) -> void
 {
     const MutexLock lock(m_mutex);
     m_served.erase(host);
-    m_lives.erase(host);
+    m_lives[host] = { .startedAt = now };
 }
 
 auto Checker::endCaused(std::size_t host, EndSignal signal) -> void
@@ -211,6 +264,7 @@
         if (request.isAnswered && !request.sent.isRepeatable && promisesNotRun(request.status) && request.runs > 0)
             violateLocked("refused", id + " was refused as not run and had run");
     }
+    checkRepeatsLocked();
     return m_violations;
 }
 
--- a/soak/Checker.h
+++ b/soak/Checker.h
@@ -29,6 +29,10 @@
         std::chrono::milliseconds revocation { 5000 }; // after it a withdrawn key runs nothing new
         std::chrono::milliseconds calm { 3000 }; // so long before a request nothing unplanned may have happened
         std::chrono::milliseconds regressSlack { 2000 }; // requests of an older configuration may still run within it
+        std::chrono::milliseconds configuration { 2500 }; // after it a confirmed configuration is in force
+        std::chrono::milliseconds repeatWindow { 10000 };
+        double repeatsPerRequest = 0.2; // that instances may see in a window, beyond the first run of each request
+        double repeatsPerWindow = 64; // in addition
         std::chrono::milliseconds rateWindow { 5000 };
         double rateLimit = 0; // runs of the limited account in a window; 0: not checked
         std::string limitedAccount;
@@ -78,7 +82,8 @@
 
     auto leaveConfirmed(const std::string& instance, MonotonicTime now) -> void;
     auto keyWithdrawn(const std::string& key, MonotonicTime now) -> void;
-    auto daemonStarted(std::size_t host) -> void;
+    auto configurationConfirmed(std::uint64_t generation, MonotonicTime now) -> void;
+    auto daemonStarted(std::size_t host, MonotonicTime now) -> void;
 
     // endCaused() says that `signal` is sent to a host's daemon now. daemonEnded() says that the daemon has ended with
     // `code` (testing::ProcessUnderTest::waitForExit), which is a violation when no such signal explains it. It may be
@@ -123,11 +128,18 @@
     struct Life {
         std::set<EndSignal> signals;
         bool hasEnded = false;
+        MonotonicTime startedAt;
     };
 
     REQUIRES(m_mutex)
     auto checkRunLocked(const std::string& instance, const Request& request, const Run& run, MonotonicTime now) -> void;
+    // isCalmLocked() returns whether nothing happened to the request's daemon, and nothing unplanned at all, from a
+    // while before it was sent.
+    [[nodiscard]] REQUIRES(m_mutex) auto isCalmLocked(const Request& request, MonotonicTime now) const -> bool;
+    [[nodiscard]] REQUIRES(m_mutex) auto isConfigurationDueLocked(const Request& request, MonotonicTime now) const
+        -> bool;
     REQUIRES(m_mutex) auto checkRateLocked(MonotonicTime now) -> void;
+    REQUIRES(m_mutex) auto checkRepeatsLocked() -> void;
     REQUIRES(m_mutex) auto violateLocked(const std::string& promise, const std::string& what) -> void;
 
     const Options m_options;
@@ -136,6 +148,9 @@
     std::map<std::string, MonotonicTime> m_leaving GUARDED_BY(m_mutex);
     std::map<std::string, MonotonicTime> m_withdrawn GUARDED_BY(m_mutex);
     std::map<std::size_t, Served> m_served GUARDED_BY(m_mutex); // newest configuration seen, by host
+    Served m_confirmed GUARDED_BY(m_mutex); // newest configuration that the store acknowledged
+    std::vector<MonotonicTime> m_sentAt GUARDED_BY(m_mutex);
+    std::vector<MonotonicTime> m_repeats GUARDED_BY(m_mutex); // runs beyond the first of a request
     std::map<std::size_t, Life> m_lives GUARDED_BY(m_mutex); // by host
     std::map<std::size_t, MonotonicTime> m_stopping GUARDED_BY(m_mutex);
     std::vector<std::pair<MonotonicTime, MonotonicTime>> m_disturbances GUARDED_BY(m_mutex);
--- a/soak/Checker_test.cpp
+++ b/soak/Checker_test.cpp
@@ -144,6 +144,31 @@
         checker.ran("i", runOf(older), at(2101ms));
         CHECK(violates(checker, "regress"));
     }
+    SECTION("a configuration that isn't in force in time")
+    {
+        checker.configurationConfirmed(7, at(10s));
+        const bool isOlderRoute = GENERATE(true, false);
+        sent.generation = isOlderRoute ? 6 : 7;
+        checker.sent(sent, at(12501ms));
+        if (isOlderRoute)
+            checker.ran("i", runOf(sent), at(12502ms));
+        else
+            checker.answered("r", 404, "", false, at(12502ms));
+        CHECK(violates(checker, "configuration"));
+    }
+    SECTION("more repeats than allowed, in a window that is no whole number of seconds")
+    {
+        Checker limited({ .repeatsPerWindow = 2 });
+        sent.isRepeatable = true;
+        for (int i = 0; i < 10; ++i) {
+            sent.id = std::to_string(i);
+            limited.sent(sent, at(i * 1s));
+            limited.ran("i", runOf(sent), at(i * 1s));
+        }
+        for (int i = 0; i < 5; ++i)
+            limited.ran("j", runOf(sent), at(9100ms + i * 2400ms));
+        CHECK(violates(limited, "repeats"));
+    }
     SECTION("a daemon that ended by itself, also when it would have been ended later")
     {
         CHECK_FALSE(checker.daemonEnded(2, GENERATE(0, 1, 134, 137, 139)));
@@ -161,7 +186,7 @@
         if (code == 0)
             checker.endCaused(2, Checker::EndSignal::Kill);
         if (GENERATE(true, false)) {
-            checker.daemonStarted(2);
+            checker.daemonStarted(2, at(0ms));
             checker.endCaused(1, Checker::EndSignal::Terminate);
         }
         CHECK_FALSE(checker.daemonEnded(2, code));
@@ -194,7 +219,7 @@
         checker.endCaused(0, Checker::EndSignal::Kill);
         CHECK(checker.daemonEnded(0, 137));
         CHECK(checker.daemonEnded(0, 137));
-        checker.daemonStarted(0);
+        checker.daemonStarted(0, at(0ms));
         checker.endCaused(0, Checker::EndSignal::Terminate);
         CHECK(checker.daemonEnded(0, GENERATE(0, 143)));
         checker.endCaused(1, Checker::EndSignal::Terminate);
@@ -207,7 +232,7 @@
         newer.generation = 7;
         checker.sent(newer, at(0ms));
         checker.answered("new", 200, "ran /book/1", true, at(2ms));
-        checker.daemonStarted(0);
+        checker.daemonStarted(0, at(0ms));
         auto older = book("old");
         older.generation = 6;
         checker.sent(older, at(2100ms));
@@ -229,6 +254,33 @@
         checker.ran("i", runOf(book("q")), at(1ms));
         checker.cut("q", at(2ms));
     }
+    SECTION("an older configuration within its time, beside a fault, or at a daemon that was just started")
+    {
+        const auto sentAt = GENERATE(12500ms, 12900ms, 12901ms);
+        checker.configurationConfirmed(7, at(10s));
+        if (sentAt == 12900ms)
+            checker.disturbed(at(9900ms), at(9900ms));
+        if (sentAt == 12901ms)
+            checker.daemonStarted(0, at(9902ms));
+        auto older = sent;
+        older.generation = 6;
+        checker.sent(older, at(sentAt));
+        checker.ran("i", runOf(older), at(sentAt + 1ms));
+    }
+    SECTION("as many repeats as the requests of the window before allow")
+    {
+        Checker limited({ .repeatsPerWindow = 0 });
+        auto repeatable = sent;
+        repeatable.isRepeatable = true;
+        for (int i = 0; i < 10; ++i) {
+            repeatable.id = std::to_string(i);
+            limited.sent(repeatable, at(i * 1s));
+            limited.ran("i", runOf(repeatable), at(i * 1s));
+        }
+        for (int i = 0; i < 2; ++i)
+            limited.ran("j", runOf(repeatable), at(10500ms + i * 1s));
+        CHECK(limited.finish().empty());
+    }
     SECTION("a request that was sent before the key's time was over")
     {
         checker.keyWithdrawn("key-one", at(0ms));
--- a/soak/SoakRun.cpp
+++ b/soak/SoakRun.cpp
@@ -115,6 +115,7 @@
                 json::array({ "three", json::array({ "key-three-" + std::to_string(m_key) }), nullptr, 0, 0 }));
             m_published = configuration;
             m_fleet.configure(configuration);
+            m_checker.configurationConfirmed(m_generation, monotonicNow());
         }
 
         auto runDue(MonotonicTime until) -> void
@@ -374,7 +375,7 @@
             noteEnd(host);
             m_checker.stopEnded(host);
             m_stopping.erase(host);
-            m_checker.daemonStarted(host);
+            m_checker.daemonStarted(host, monotonicNow());
             m_fleet.restartDaemon(host);
         }
 
