--- a/src/testing/FleetSimulation.h
+++ b/src/testing/FleetSimulation.h
@@ -131,7 +131,13 @@
     };
     using RequestId = std::uint64_t;
 
+    static constexpr const char* s_operatorTable = "op";
+    static constexpr const char* s_configurationKey = "config";
+    static constexpr const char* s_hostTable = "hosts";
+
     auto startHost(std::size_t index) -> void;
+    // connect() gives a host its ways to the store and to other hosts.
+    auto connect(std::size_t index) -> void;
     auto writeRow(std::size_t index) -> void;
     auto start(const Request& request, std::chrono::milliseconds timeout) -> RequestId;
     auto respond(RequestId id, std::size_t bytes, std::function<void()> deliver) -> void;
