Charge a retry and calls that lead back to its service together

Cause: with the calls of calls, a retry may be charged calls to its own service. The budget was checked for the retry and for the calls one after the other, and both were taken, so that a bucket could fall below nothing.

Change: both are added up before they are checked.

Beside it the text of CG1902 is shorter.

--- a/src/dispatch/RetryBudget.cpp
+++ b/src/dispatch/RetryBudget.cpp
@@ -1,10 +1,20 @@
 #include "dispatch/RetryBudget.h"
 
 #include <algorithm>
-#include <limits>
 
 namespace coriandergate::dispatch {
 
+namespace {
+
+    // The calls of calls may come back to the service itself.
+    auto tokensNeeded(std::string_view service, RetryBudget::CallsPerRequest calls) -> RetryBudget::CallsPerRequest
+    {
+        calls[std::string(service)] += 1;
+        return calls;
+    }
+
+} // namespace
+
 // A bucket is full at the first start of the fleet, before its first window.
 auto RetryBudget::bucketOf(std::string_view service) -> Bucket&
 {
@@ -94,10 +104,9 @@
     std::size_t hostCount, MonotonicTime now) -> bool
 {
     const double fraction = budgetFraction(retryClass);
-    if (!hasTokens(service, 1, fraction, hostCount, now))
-        return false;
-    return std::all_of(calls.begin(), calls.end(), [this, fraction, hostCount, now](const auto& call) {
-        return hasTokens(call.first, call.second, fraction, hostCount, now);
+    const auto needed = tokensNeeded(service, calls);
+    return std::all_of(needed.begin(), needed.end(), [this, fraction, hostCount, now](const auto& tokens) {
+        return hasTokens(tokens.first, tokens.second, fraction, hostCount, now);
     });
 }
 
@@ -106,9 +115,8 @@
 {
     if (!canAcquire(service, calls, retryClass, hostCount, now))
         return false;
-    bucketOf(service).tokens -= 1;
-    for (const auto& [calledService, count] : calls)
-        bucketOf(calledService).tokens -= count;
+    for (const auto& [neededService, tokens] : tokensNeeded(service, calls))
+        bucketOf(neededService).tokens -= tokens;
     return true;
 }
 
--- a/src/dispatch/RetryBudget_test.cpp
+++ b/src/dispatch/RetryBudget_test.cpp
@@ -158,6 +158,15 @@
     CHECK(budget.canAcquire("orders", {}, RetryClass::HighPriority, 64, at(1s)));
 }
 
+// Guards against a budget that is exceeded by calls which come back to the service that is retried.
+TEST_CASE("a retry whose calls lead back to its own service is charged for both together")
+{
+    RetryBudget budget({ .retriesPerRequest = 0, .retriesPerWindow = 3, .usableFraction = 1, .savedFixedFraction = 1 });
+    CHECK_FALSE(budget.tryAcquire("orders", { { "orders", 2.5 } }, RetryClass::HighPriority, 1, at(0ms)));
+    CHECK(budget.tryAcquire("orders", { { "orders", 1.5 } }, RetryClass::HighPriority, 1, at(0ms)));
+    CHECK_FALSE(budget.tryAcquire("orders", {}, RetryClass::HighPriority, 1, at(0ms)));
+}
+
 // Load pattern: failures concentrated on few hosts. The baseline uses only each host's own share.
 TEST_CASE("a host with an exhausted share borrows, and all shares together stay within the fleet's budget")
 {
--- a/src/relay/RetryGate.cpp
+++ b/src/relay/RetryGate.cpp
@@ -14,9 +14,8 @@
 namespace {
 
     const log::Event retryCharged { 1902, log::Severity::Info, "retry charged",
-        "whose share of the retry budget pays for it (own, that of a lender, or an earlier charge that was not used), "
-        "the "
-        "calls to other services that it is expected to make, and what remains of the own share" };
+        "whose share of the retry budget pays for it, the calls to other services that it is expected to make, "
+        "and what remains of the own share" };
 
 } // namespace
 
--- a/src/relay/SlotReservations.h
+++ b/src/relay/SlotReservations.h
@@ -38,8 +38,8 @@
         std::chrono::milliseconds timeout { 1000 }; // frees a granted slot whose request does not arrive
         // Adds the target's load to the headers of a response.
         std::function<void(http::HeaderList&, MonotonicTime now)> addReport;
-        std::function<std::string(MonotonicTime now)>
-            callsPerRequest; // the value of callsHeader; empty while it isn't known
+        // The value of callsHeader; empty while it isn't known.
+        std::function<std::string(MonotonicTime now)> callsPerRequest;
     };
 
     // Slot is a granted slot.
