Send requests with an end by the latest reading of the store's clock

Cause: an entry states a request's end on the store's clock, as a lower bound of that clock plus the time left. It knows the clock only within the time of a response, here 240 ms. The daemon beside the target knew it better, and took the request for as much shorter.

Change: the end is stated by the upper bound. The time left, which travels beside it, still bounds what the target is given; the end only matters where a message was held up on its way, and is later by what the clock may be off.

--- a/src/relay/CallerRequest.cpp
+++ b/src/relay/CallerRequest.cpp
@@ -58,7 +58,8 @@
         .targetLatencyLeft = targetLatencyLeft(now),
         .expiresAt = {},
         .configurationVersion = context.snapshot->configuration().version };
-    if (const auto storeTime = context.configurationFreshness.storeTime(SuspendAwareClock::now()))
+    // By the latest time that the store's clock may show, since the target's host may know the clock better.
+    if (const auto storeTime = context.configurationFreshness.latestStoreTime(SuspendAwareClock::now()))
         message.expiresAt = *storeTime + message.timeLeft;
     return message;
 }
--- a/src/relay/RequestForwarding_test.cpp
+++ b/src/relay/RequestForwarding_test.cpp
@@ -115,4 +115,15 @@
         CHECK(target->inFlight == 0);
 }
 
+// Guards against requests that are given up early at their targets: their entry was started while the store was slow,
+// and knew the store's clock only within the time of a response.
+TEST_CASE_METHOD(testing::RequestFixture, "a request isn't sent with an earlier end than its deadline")
+{
+    const auto now = SuspendAwareClock::now();
+    freshness.recordClock(now - 240ms, now, 5000ms); // the clock shows 5.00 to 5.24 s
+    const auto message = request->makeRunRequest(monotonicNow());
+    REQUIRE(message.expiresAt);
+    CHECK(*message.expiresAt >= 5240ms + message.timeLeft);
+}
+
 } // namespace coriandergate::relay
