--- a/cmake/SidecarOnly.cmake
+++ b/cmake/SidecarOnly.cmake
@@ -44,6 +44,7 @@
         src/http/MessageBounds_test.cpp
         src/http/RequestParser_test.cpp
         platform/Codecs_test.cpp platform/StoreCodec_test.cpp src/testing/EntryFixture.cpp src/testing/FleetSimulation.cpp
+        src/testing/FleetSimulationMessages.cpp src/testing/RetryHistory.cpp
         src/testing/Main_test.cpp src/testing/RawServer.cpp src/testing/RelayMessages.cpp src/testing/RequestFixture.cpp
         src/testing/SimulatedNetwork.cpp src/testing/SimulatedScheduler.cpp src/testing/SimulatedStore.cpp)
     add_executable(coriandergate_sidecar_tests ${SIDECAR_TEST_SOURCES})
