--- a/src/fleet/LostRelays_test.cpp
+++ b/src/fleet/LostRelays_test.cpp
@@ -176,9 +176,14 @@
 
 TEST_CASE("a configuration is in force in time on calm hosts while other hosts fail")
 {
-    const auto bounds = GENERATE(Bounds { 2500ms, 3000ms }, Bounds { 3000ms, 4000ms });
     const unsigned seed = GENERATE(range(1U, 301U), 417U, 988U);
-    checkRounds(bounds, seed, false);
+    checkRounds({ 2500ms, 3000ms }, seed, false);
+}
+
+TEST_CASE("a configuration is in force in time on calm hosts while other hosts fail, by longer bounds")
+{
+    const unsigned seed = GENERATE(range(1U, 301U), 417U, 988U);
+    checkRounds({ 3000ms, 4000ms }, seed, false);
 }
 
 TEST_CASE("a configuration is in force in time on calm hosts while others fail beside outages of the store")
