Count repeats in windows by one function, for histories and the soak

Cause: RetryHistory and the soak's checker each computed the operators' bound on repeats. The checker also kept the times of requests beside the requests that have them, and looked for disturbances in two places.

Change: testing/RepeatBound.h serves both; the checker derives the times, and has one isDisturbedLocked().

--- a/soak/Checker.cpp
+++ b/soak/Checker.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <iterator>
 
 namespace coriandergate::soak {
 
@@ -28,7 +29,6 @@
 {
     const MutexLock lock(m_mutex);
     m_requests[request.id] = { request, now };
-    m_sentAt.push_back(now);
     ++m_counts.sent;
 }
 
@@ -85,15 +85,19 @@
                 + std::to_string(m_confirmed.generation) + " was confirmed");
 }
 
-auto Checker::isCalmLocked(const Request& request, MonotonicTime now) const -> bool
+auto Checker::isDisturbedLocked(const Request& request, MonotonicTime now) const -> bool
 {
     const auto from = request.sentAt - m_options.calm;
+    return std::any_of(m_disturbances.begin(), m_disturbances.end(),
+        [from, now](const auto& one) { return one.first <= now && one.second >= from; });
+}
+
+auto Checker::isCalmLocked(const Request& request, MonotonicTime now) const -> bool
+{
     const auto host = request.sent.host;
     const auto life = m_lives.find(host);
-    const bool isNew = life != m_lives.end() && life->second.startedAt > from;
-    return !isNew && !m_stopping.contains(host)
-        && std::none_of(m_disturbances.begin(), m_disturbances.end(),
-            [from, now](const auto& one) { return one.first <= now && one.second >= from; });
+    const bool isNew = life != m_lives.end() && life->second.startedAt > request.sentAt - m_options.calm;
+    return !isNew && !m_stopping.contains(host) && !isDisturbedLocked(request, now);
 }
 
 auto Checker::isConfigurationDueLocked(const Request& request, MonotonicTime now) const -> bool
@@ -113,24 +117,18 @@
         violateLocked("rate", std::to_string(inWindow) + " runs of the limited account in a window");
 }
 
-// Any window counts, against the requests in it, in the one before it, or in the one half a window earlier.
 auto Checker::checkRepeatsLocked() -> void
 {
-    const auto countFrom = [window = m_options.repeatWindow](const auto& times, MonotonicTime from) {
-        const auto first = std::lower_bound(times.begin(), times.end(), from);
-        return static_cast<double>(std::lower_bound(first, times.end(), from + window) - first);
-    };
-    for (const auto from : m_repeats) {
-        const auto repeats = countFrom(m_repeats, from);
-        const auto requests = std::max({ countFrom(m_sentAt, from), countFrom(m_sentAt, from - m_options.repeatWindow),
-            countFrom(m_sentAt, from - m_options.repeatWindow / 2) });
-        if (repeats <= m_options.repeatsPerRequest * requests + m_options.repeatsPerWindow)
-            continue;
+    std::vector<MonotonicTime> sentAt;
+    std::transform(m_requests.begin(), m_requests.end(), std::back_inserter(sentAt),
+        [](const auto& entry) { return entry.second.sentAt; });
+    std::sort(sentAt.begin(), sentAt.end());
+    std::sort(m_repeats.begin(), m_repeats.end());
+    const auto excess = testing::worstExcess(sentAt, m_repeats, m_options.repeats);
+    if (excess > 0)
         violateLocked("repeats",
-            std::to_string(repeats) + " runs beyond the first of a request in a window, for " + std::to_string(requests)
-                + " requests");
-        return;
-    }
+            std::to_string(excess) + " runs beyond the first of a request too many in a window of "
+                + std::to_string(m_options.repeats.window.count()) + " ms");
 }
 
 auto Checker::answered(const std::string& id, int status, const std::string& body, bool isSigned, MonotonicTime now)
@@ -167,10 +165,7 @@
     ++m_counts.cut;
     const auto& request = m_requests[id];
     const auto stopping = m_stopping.find(request.sent.host);
-    const auto from = request.sentAt - m_options.calm;
-    const bool isDisturbed = std::any_of(m_disturbances.begin(), m_disturbances.end(),
-        [from, now](const auto& one) { return one.first <= now && one.second >= from; });
-    if (request.runs > 0 && stopping != m_stopping.end() && !isDisturbed)
+    if (request.runs > 0 && stopping != m_stopping.end() && !isDisturbedLocked(request, now))
         violateLocked("lost", id + " ran and was cut off around a planned stop");
 }
 
--- a/soak/Checker.h
+++ b/soak/Checker.h
@@ -11,6 +11,7 @@
 
 #include "base/Clock.h"
 #include "base/Mutex.h"
+#include "testing/RepeatBound.h"
 
 #include <chrono>
 #include <deque>
@@ -30,9 +31,7 @@
         std::chrono::milliseconds calm { 3000 }; // so long before a request nothing unplanned may have happened
         std::chrono::milliseconds regressSlack { 2000 }; // requests of an older configuration may still run within it
         std::chrono::milliseconds configuration { 2500 }; // after it a confirmed configuration is in force
-        std::chrono::milliseconds repeatWindow { 10000 };
-        double repeatsPerRequest = 0.2; // that instances may see in a window, beyond the first run of each request
-        double repeatsPerWindow = 64; // in addition
+        testing::RepeatBound repeats; // that instances may see, beyond the first run of each request
         std::chrono::milliseconds rateWindow { 5000 };
         double rateLimit = 0; // runs of the limited account in a window; 0: not checked
         std::string limitedAccount;
@@ -133,6 +132,8 @@
 
     REQUIRES(m_mutex)
     auto checkRunLocked(const std::string& instance, const Request& request, const Run& run, MonotonicTime now) -> void;
+    // isDisturbedLocked() returns whether something unplanned happened from a while before the request was sent.
+    [[nodiscard]] REQUIRES(m_mutex) auto isDisturbedLocked(const Request& request, MonotonicTime now) const -> bool;
     // isCalmLocked() returns whether nothing happened to the request's daemon, and nothing unplanned at all, from a
     // while before it was sent.
     [[nodiscard]] REQUIRES(m_mutex) auto isCalmLocked(const Request& request, MonotonicTime now) const -> bool;
@@ -149,7 +150,6 @@
     std::map<std::string, MonotonicTime> m_withdrawn GUARDED_BY(m_mutex);
     std::map<std::size_t, Served> m_served GUARDED_BY(m_mutex); // newest configuration seen, by host
     Served m_confirmed GUARDED_BY(m_mutex); // newest configuration that the store acknowledged
-    std::vector<MonotonicTime> m_sentAt GUARDED_BY(m_mutex);
     std::vector<MonotonicTime> m_repeats GUARDED_BY(m_mutex); // runs beyond the first of a request
     std::map<std::size_t, Life> m_lives GUARDED_BY(m_mutex); // by host
     std::map<std::size_t, MonotonicTime> m_stopping GUARDED_BY(m_mutex);
--- a/soak/Checker_test.cpp
+++ b/soak/Checker_test.cpp
@@ -158,7 +158,7 @@
     }
     SECTION("more repeats than allowed, in a window that is no whole number of seconds")
     {
-        Checker limited({ .repeatsPerWindow = 2 });
+        Checker limited({ .repeats = { .perWindow = 2 } });
         sent.isRepeatable = true;
         for (int i = 0; i < 10; ++i) {
             sent.id = std::to_string(i);
@@ -269,7 +269,7 @@
     }
     SECTION("as many repeats as the requests of the window before allow")
     {
-        Checker limited({ .repeatsPerWindow = 0 });
+        Checker limited({ .repeats = { .perWindow = 0 } });
         auto repeatable = sent;
         repeatable.isRepeatable = true;
         for (int i = 0; i < 10; ++i) {
--- a/src/testing/RetryHistory.cpp
+++ b/src/testing/RetryHistory.cpp
@@ -1,5 +1,7 @@
 #include "testing/RetryHistory.h"
 
+#include "testing/RepeatBound.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -18,13 +20,6 @@
     constexpr int maximumAttempts = 3;
     constexpr std::size_t maximumLenders = 2;
 
-    auto countIn(const std::vector<MonotonicTime>& times, MonotonicTime from, MonotonicTime to) -> double
-    {
-        const auto first = std::lower_bound(times.begin(), times.end(), from);
-        const auto last = std::lower_bound(times.begin(), times.end(), to);
-        return static_cast<double>(last - first);
-    }
-
 } // namespace
 
 RetryHistory::RetryHistory(const Options& options)
@@ -239,18 +234,12 @@
 auto RetryHistory::worstExcess() const -> double
 {
     const auto& budget = m_options.budget;
-    double worst = -budget.retriesPerWindow;
-    for (const auto& [service, repeats] : m_repeats) {
-        const auto& requests = m_requests.at(service);
-        for (const auto from : repeats) {
-            const auto requestsFrom
-                = [&](MonotonicTime start) { return countIn(requests, start, start + budget.window); };
-            const auto most = std::max(
-                { requestsFrom(from), requestsFrom(from - budget.window), requestsFrom(from - budget.window / 2) });
-            const double allowed = budget.retriesPerRequest * most + budget.retriesPerWindow;
-            worst = std::max(worst, countIn(repeats, from, from + budget.window) - allowed);
-        }
-    }
+    const RepeatBound bound {
+        .perRequest = budget.retriesPerRequest, .perWindow = budget.retriesPerWindow, .window = budget.window
+    };
+    double worst = -bound.perWindow;
+    for (const auto& [service, repeats] : m_repeats)
+        worst = std::max(worst, testing::worstExcess(m_requests.at(service), repeats, bound));
     return worst;
 }
 
--- a/src/testing/RetryHistory.h
+++ b/src/testing/RetryHistory.h
@@ -47,9 +47,8 @@
 
     auto play() -> void;
 
-    // worstExcess() is by how many repeats the worst window of any service exceeds what is allowed; negative if none
-    // does. A window's requests are those in it, in the one before it, or in the one that began half a window earlier,
-    // whichever are most.
+    // worstExcess() is by how many repeats the worst window of any service exceeds what is allowed (RepeatBound);
+    // negative if none does.
     [[nodiscard]] auto worstExcess() const -> double;
 
     [[nodiscard]] auto repeats() const -> std::size_t { return m_repeatCount; }
