Draw outages of the store by one function, and end hosts by one loop

Cause: LostRelays_test and OutageReturn_test drew times and outages by the same lines, and FleetSimulation's stop() and powerOff() were the same loop.

Change: testing/StoreOutage.h; end() with a selection of hosts.

--- a/src/fleet/LostRelays_test.cpp
+++ b/src/fleet/LostRelays_test.cpp
@@ -1,6 +1,7 @@
 // Guards against hosts that go by an older configuration for too long because other hosts, which they get it from, end,
 // lose power, are cut off or turn slow.
 #include "testing/FleetSimulation.h"
+#include "testing/StoreOutage.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -13,6 +14,7 @@
 using namespace std::chrono_literals;
 
 using std::chrono::milliseconds;
+using testing::drawDuration;
 using testing::FleetSimulation;
 
 namespace {
@@ -26,12 +28,6 @@
         milliseconds calm;
     };
 
-    auto drawDuration(Random& random, milliseconds shortest, milliseconds longest) -> milliseconds
-    {
-        return std::uniform_int_distribution<milliseconds::rep>(shortest.count(), longest.count())(random)
-            * milliseconds { 1 };
-    }
-
     // Faults draws what happens to some hosts, and knows since when each host has been calm.
     class Faults {
     public:
@@ -58,28 +54,17 @@
             }
         }
 
-        // The store fails with errors, for all hosts or for most, or with silence.
         auto beginOutage() -> void
         {
             m_isOutage = true;
-            switch (m_random() % 3) {
-            case 0:
-                m_fleet.setStoreServes([](std::size_t) { return false; });
-                return;
-            case 1:
-                m_fleet.setStoreServes([rest = m_random() % 4](std::size_t host) { return host % 4 == rest; });
-                return;
-            default:
-                m_fleet.setStoreIsSilent(true);
-            }
+            testing::beginOutage(m_fleet, m_random);
         }
 
         // All impaired hosts recover, and ended ones start again.
         auto heal(milliseconds now) -> void
         {
             if (std::exchange(m_isOutage, false)) {
-                m_fleet.setStoreServes([](std::size_t) { return true; });
-                m_fleet.setStoreIsSilent(false);
+                testing::endOutage(m_fleet);
                 std::fill(m_lastFaultAt.begin(), m_lastFaultAt.end(), now);
             }
             for (const auto host : m_impaired) {
--- a/src/fleet/OutageReturn_test.cpp
+++ b/src/fleet/OutageReturn_test.cpp
@@ -1,6 +1,7 @@
 // Guards against hosts that go by an older configuration for too long after the store came back from an outage, because
 // relays that lost the store wait for news at each other.
 #include "testing/FleetSimulation.h"
+#include "testing/StoreOutage.h"
 
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -12,6 +13,9 @@
 using namespace std::chrono_literals;
 
 using std::chrono::milliseconds;
+using testing::beginOutage;
+using testing::drawDuration;
+using testing::endOutage;
 using testing::FleetSimulation;
 
 namespace {
@@ -23,33 +27,6 @@
     constexpr milliseconds configurationBound { 2500 };
     constexpr milliseconds calmTime { 3000 };
 
-    auto drawDuration(Random& random, milliseconds shortest, milliseconds longest) -> milliseconds
-    {
-        return std::uniform_int_distribution<milliseconds::rep>(shortest.count(), longest.count())(random)
-            * milliseconds { 1 };
-    }
-
-    // beginOutage() draws how the store fails: with errors, for all hosts or for most; or with silence.
-    auto beginOutage(FleetSimulation& fleet, Random& random) -> void
-    {
-        switch (random() % 3) {
-        case 0:
-            fleet.setStoreServes([](std::size_t) { return false; });
-            return;
-        case 1:
-            fleet.setStoreServes([rest = random() % 4](std::size_t host) { return host % 4 == rest; });
-            return;
-        default:
-            fleet.setStoreIsSilent(true);
-        }
-    }
-
-    auto endOutage(FleetSimulation& fleet) -> void
-    {
-        fleet.setStoreServes([](std::size_t) { return true; });
-        fleet.setStoreIsSilent(false);
-    }
-
     // Some of the hosts that the others get their rows from, or any, end for good.
     auto stopSome(FleetSimulation& fleet, Random& random) -> void
     {
--- a/src/testing/FleetSimulation.cpp
+++ b/src/testing/FleetSimulation.cpp
@@ -150,19 +150,18 @@
     put(s_hostTable, host.key, fleet::encodeHostRecord(record));
 }
 
-auto FleetSimulation::stop(const std::function<bool(std::size_t host)>& isSelected) -> void
+auto FleetSimulation::stop(const std::function<bool(std::size_t host)>& isSelected) -> void { end(isSelected, true); }
+
+auto FleetSimulation::powerOff(const std::function<bool(std::size_t host)>& isSelected) -> void
 {
-    for (std::size_t index = 0; index < m_hosts.size(); ++index) {
-        if (m_hosts[index]->view && isSelected(index))
-            end(index, true);
-    }
+    end(isSelected, false);
 }
 
-auto FleetSimulation::powerOff(const std::function<bool(std::size_t host)>& isSelected) -> void
+auto FleetSimulation::end(const std::function<bool(std::size_t host)>& isSelected, bool isNoticed) -> void
 {
     for (std::size_t index = 0; index < m_hosts.size(); ++index) {
         if (m_hosts[index]->view && isSelected(index))
-            end(index, false);
+            end(index, isNoticed);
     }
 }
 
--- a/src/testing/FleetSimulation.h
+++ b/src/testing/FleetSimulation.h
@@ -160,6 +160,8 @@
     [[nodiscard]] auto delay(std::size_t from, std::optional<std::size_t> to) const -> std::chrono::milliseconds;
     // arrives() returns whether a message between a host and another one, or the store, gets through now.
     [[nodiscard]] auto arrives(std::size_t host, std::optional<std::size_t> other) const -> bool;
+    // With `isNoticed`, those that wait for a host that ends learn it.
+    auto end(const std::function<bool(std::size_t host)>& isSelected, bool isNoticed) -> void;
     auto end(std::size_t index, bool isNoticed) -> void;
     [[nodiscard]] auto responsePath(std::optional<std::size_t> from, std::size_t to) const
         -> std::vector<SimulatedNetwork::Link>;
