Check the budget of a retry without copying its expected calls

Cause: since calls may lead back to the retried service, canAcquire() copied the map of calls to add them up. It runs for the first attempt of each repeatable request, to decide whether that may be a probe.

Change: the one entry that counts twice is looked up.

The cost was not measured.

--- a/src/dispatch/RetryBudget.cpp
+++ b/src/dispatch/RetryBudget.cpp
@@ -4,17 +4,6 @@
 
 namespace coriandergate::dispatch {
 
-namespace {
-
-    // The calls of calls may come back to the service itself.
-    auto tokensNeeded(std::string_view service, RetryBudget::CallsPerRequest calls) -> RetryBudget::CallsPerRequest
-    {
-        calls[std::string(service)] += 1;
-        return calls;
-    }
-
-} // namespace
-
 // A bucket is full at the first start of the fleet, before its first window.
 auto RetryBudget::bucketOf(std::string_view service) -> Bucket&
 {
@@ -104,9 +93,12 @@
     std::size_t hostCount, MonotonicTime now) -> bool
 {
     const double fraction = budgetFraction(retryClass);
-    const auto needed = tokensNeeded(service, calls);
-    return std::all_of(needed.begin(), needed.end(), [this, fraction, hostCount, now](const auto& tokens) {
-        return hasTokens(tokens.first, tokens.second, fraction, hostCount, now);
+    const auto callsBack = calls.find(service); // the calls of calls may lead back to the service itself
+    const double ownTokens = callsBack == calls.end() ? 1 : 1 + callsBack->second;
+    if (!hasTokens(service, ownTokens, fraction, hostCount, now))
+        return false;
+    return std::all_of(calls.begin(), calls.end(), [&](const auto& call) {
+        return call.first == service || hasTokens(call.first, call.second, fraction, hostCount, now);
     });
 }
 
@@ -115,8 +107,9 @@
 {
     if (!canAcquire(service, calls, retryClass, hostCount, now))
         return false;
-    for (const auto& [neededService, tokens] : tokensNeeded(service, calls))
-        bucketOf(neededService).tokens -= tokens;
+    bucketOf(service).tokens -= 1;
+    for (const auto& [calledService, count] : calls)
+        bucketOf(calledService).tokens -= count;
     return true;
 }
 
