Find the first usable relay in one place

Cause: the primary relay of a data centre and that of the region were found by the same search over two lists.

Change: firstUsable() takes the list.

--- a/src/fleet/RelayedStoreClient.cpp
+++ b/src/fleet/RelayedStoreClient.cpp
@@ -155,20 +155,12 @@
     return relay.host != m_options.hostKey && (pause == pauses.end() || now >= pause->second);
 }
 
-auto RelayedStoreClient::primaryRelay(MonotonicTime now) const -> const Relay*
+auto RelayedStoreClient::firstUsable(const std::vector<Relay>& relays, MonotonicTime now) const -> const Relay*
 {
-    const auto first = std::find_if(m_relays.begin(), m_relays.end(), [&](const Relay& relay) {
+    const auto first = std::find_if(relays.begin(), relays.end(), [&](const Relay& relay) {
         return relay.host == m_options.hostKey || isUsable(relay, m_relayBackoffUntil, now);
     });
-    return first == m_relays.end() ? nullptr : &*first;
-}
-
-auto RelayedStoreClient::regionalPrimary(MonotonicTime now) const -> const Relay*
-{
-    const auto first = std::find_if(m_storeWatchers.begin(), m_storeWatchers.end(), [&](const Relay& relay) {
-        return relay.host == m_options.hostKey || isUsable(relay, m_relayBackoffUntil, now);
-    });
-    return first == m_storeWatchers.end() ? nullptr : &*first;
+    return first == relays.end() ? nullptr : &*first;
 }
 
 auto RelayedStoreClient::chooseAmong(const std::vector<Relay>& relays, const PauseEnds& pauses, MonotonicTime now)
--- a/src/fleet/RelayedStoreClient.h
+++ b/src/fleet/RelayedStoreClient.h
@@ -132,10 +132,15 @@
     [[nodiscard]] auto isRelay() const -> bool;
     [[nodiscard]] auto isStoreWatcher() const -> bool;
     [[nodiscard]] auto isUsable(const Relay& relay, const PauseEnds& pauses, MonotonicTime now) const -> bool;
+    // firstUsable() returns the first relay that is this host or may get requests; null if there is none.
+    [[nodiscard]] auto firstUsable(const std::vector<Relay>& relays, MonotonicTime now) const -> const Relay*;
     // primaryRelay() returns the relay that the other relays of the data centre watch through; null if none is usable.
-    [[nodiscard]] auto primaryRelay(MonotonicTime now) const -> const Relay*;
+    [[nodiscard]] auto primaryRelay(MonotonicTime now) const -> const Relay* { return firstUsable(m_relays, now); }
     // regionalPrimary() returns the relay that the region's other primary relays watch through; null if none is usable.
-    [[nodiscard]] auto regionalPrimary(MonotonicTime now) const -> const Relay*;
+    [[nodiscard]] auto regionalPrimary(MonotonicTime now) const -> const Relay*
+    {
+        return firstUsable(m_storeWatchers, now);
+    }
     [[nodiscard]] auto chooseRelay(MonotonicTime now) -> std::optional<Relay>;
     // isWaitingForStore() tells whether this host leaves it to the first relays to ask a store that doesn't respond.
     [[nodiscard]] auto isWaitingForStore(MonotonicTime now) const -> bool;
